--- /dev/null
+++ b/account.go
@@ -0,0 +1,87 @@
+package tarragondeal
+
+import (
+	"context"
+	"time"
+)
+
+// ClaimKey names a non-idempotent request.
+type ClaimKey struct {
+	Workspace string
+	Route     string
+	Key       string // The caller's idempotency key.
+}
+
+// Claim is the right to run a non-idempotent request once.
+type Claim struct {
+	Key      ClaimKey
+	Mark     string // Unique to this taking.
+	Digest   string // Of the request's body.
+	Revision Revision
+}
+
+// Recorded is the answer of a request that ran.
+type Recorded struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"contentType,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	Digest      string `json:"digest"`            // SHA-256 of the body, hex.
+	Omitted     bool   `json:"omitted,omitempty"` // The body was too large to keep.
+}
+
+// Claims lets each non-idempotent request run at most once in the fleet.
+type Claims interface {
+	// Take claims the right to run. The error is a *ClaimError when the
+	// request ran, runs or may have run, and a *StoreError when nothing
+	// could be agreed; then the request has not run on this call's account.
+	Take(ctx context.Context, k ClaimKey, bodyDigest string) (Claim, error)
+	// Finish records the answer. The request counts as run from then on.
+	Finish(ctx context.Context, c Claim, r Recorded) error
+	// Abandon gives back a claim whose request has certainly not run.
+	Abandon(ctx context.Context, c Claim) error
+}
+
+// Usage is one delivered answer, or a part of one.
+type Usage struct {
+	Request      RequestID
+	Workspace    string
+	Route        string
+	Class        string
+	At           time.Time
+	InputTokens  int
+	OutputTokens int
+	Last         bool // The request ended with this part.
+}
+
+// Waste is work that was done and not delivered.
+type Waste struct {
+	Cause  string
+	Class  string
+	Tokens int
+}
+
+// Meter counts what is billed and what is wasted.
+type Meter interface {
+	// Add counts delivered work. It returns once the figures will survive
+	// this VM's death, or with an error when they may not.
+	Add(ctx context.Context, u Usage) error
+	// Waste counts work that nobody is billed for.
+	Waste(w Waste)
+}
+
+// Sample is how one request fared against its class.
+type Sample struct {
+	Workspace     string
+	Class         string
+	FirstToken    time.Duration // From arrival; zero when none came.
+	BetweenTokens time.Duration // The longest gap.
+	Total         time.Duration
+	Refused       bool
+	Failed        bool
+	Reclaimable   bool // It ran on a reclaimable server.
+}
+
+// Burn collects samples for the report on service-level burn.
+type Burn interface {
+	Observe(s Sample)
+}
--- /dev/null
+++ b/config.go
@@ -0,0 +1,49 @@
+package tarragondeal
+
+// Version numbers published sets. A node's version only ever rises.
+type Version uint64
+
+// View is one published set with its names resolved. It is immutable.
+type View struct {
+	Version        Version
+	Set            *Set
+	DataCentres    map[string]*DataCentre
+	ServerPools    map[string]*ServerPool
+	RequestClasses map[string]*RequestClass
+	Workspaces     map[string]*Workspace
+	Routes         map[string]*Route
+	Keys           map[string]*Key
+}
+
+// NewView indexes a set that has been checked. The set must not change
+// afterwards.
+func NewView(v Version, set *Set) *View {
+	return &View{
+		Version:        v,
+		Set:            set,
+		DataCentres:    index(set.DataCentres, func(o *DataCentre) string { return o.Name }),
+		ServerPools:    index(set.ServerPools, func(o *ServerPool) string { return o.Name }),
+		RequestClasses: index(set.RequestClasses, func(o *RequestClass) string { return o.Name }),
+		Workspaces:     index(set.Workspaces, func(o *Workspace) string { return o.Name }),
+		Routes:         index(set.Routes, func(o *Route) string { return o.Name }),
+		Keys:           index(set.Keys, func(o *Key) string { return o.Name }),
+	}
+}
+
+func index[T any](objects []T, name func(*T) string) map[string]*T {
+	m := make(map[string]*T, len(objects))
+	for n := range objects {
+		o := &objects[n]
+		m[name(o)] = o
+	}
+	return m
+}
+
+// Config tells a node which published set is in force.
+type Config interface {
+	// View returns the set in force, or nil before the first one is known.
+	View() *View
+	// Changed returns a channel that is closed when a newer set comes into
+	// force. Ask again after each close.
+	Changed() <-chan struct{}
+}
--- /dev/null
+++ b/internal/platform/tdwire/wire.go
@@ -0,0 +1,128 @@
+// Package tdwire holds the messages that the platform, the model engines and
+// the plain services exchange with the router over HTTP, as JSON.
+//
+// # Usage
+//
+// The adapters beside this package encode and decode these types, and the
+// stand-ins serve them. Another platform with another format needs another
+// set of adapters and nothing else.
+package tdwire
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Paths of the platform's interfaces.
+const (
+	PathGet     = "/v1/kv/get"
+	PathList    = "/v1/kv/list"
+	PathSwap    = "/v1/kv/swap"
+	PathDelete  = "/v1/kv/delete"
+	PathWatch   = "/v1/kv/watch"
+	PathAcquire = "/v1/lease/acquire"
+	PathRenew   = "/v1/lease/renew"
+	PathRelease = "/v1/lease/release"
+	PathVMs     = "/v1/vms"
+	PathOrder   = "/v1/orders/servers"
+	PathUsage   = "/v1/usage"
+)
+
+// Paths of a backend server.
+const (
+	PathLoad   = "/load"
+	PathEvents = "/events"
+	PathEngine = "/orders"
+	PathResume = "/v1/resume"
+	PathExport = "/kv/export"
+	PathImport = "/kv/import"
+)
+
+// HeaderRequest carries the request id and attempt, echoed in the answer.
+const HeaderRequest = "X-Request-Id"
+
+// Entry is a key and what it holds.
+type Entry struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Entries answers a list or a watch.
+type Entries struct {
+	Entries  []Entry `json:"entries"`
+	Revision uint64  `json:"revision"`
+}
+
+// Swap writes a key, or deletes it, if it is at revision Prev.
+type Swap struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Prev  uint64 `json:"prev"`
+}
+
+// LeaseCall acquires, renews or releases a lease.
+type LeaseCall struct {
+	Name   string        `json:"name"`
+	Holder string        `json:"holder"`
+	Fence  uint64        `json:"fence,omitempty"`
+	TTL    time.Duration `json:"ttl,omitempty"`
+}
+
+// LeaseAnswer tells who holds a lease.
+type LeaseAnswer struct {
+	Holder string        `json:"holder"`
+	Fence  uint64        `json:"fence"`
+	Left   time.Duration `json:"left"`
+}
+
+// Conflict is the body of a 409 answer.
+type Conflict struct {
+	Entry  Entry  `json:"entry"`
+	Holder string `json:"holder,omitempty"`
+	Fence  uint64 `json:"fence,omitempty"`
+}
+
+// VM is one line of the platform's list.
+type VM struct {
+	Name       string         `json:"name"`
+	Kind       string         `json:"kind"` // "entry" or "server".
+	Pool       string         `json:"pool,omitempty"`
+	DataCentre string         `json:"dataCentre"`
+	Addr       netip.AddrPort `json:"addr"`
+	State      string         `json:"state"`
+}
+
+// The kinds of VM.
+const (
+	KindEntry  = "entry"
+	KindServer = "server"
+)
+
+// ServerOrder states how many servers of a pool a data centre should have.
+type ServerOrder struct {
+	Pool       string `json:"pool"`
+	DataCentre string `json:"dataCentre"`
+	Want       int    `json:"want"`
+	Fence      uint64 `json:"fence"`
+	Sender     string `json:"sender"`
+}
+
+// EngineOrder states what an engine should serve.
+type EngineOrder struct {
+	Models []string `json:"models"`
+	Role   string   `json:"role,omitempty"`
+	Fence  uint64   `json:"fence"`
+	Sender string   `json:"sender"`
+}
+
+// Load is a backend server's report of itself.
+type Load struct {
+	Running int           `json:"running"`
+	Queued  int           `json:"queued"`
+	Slots   int           `json:"slots"`
+	Leaving bool          `json:"leaving,omitempty"`
+	Models  []string      `json:"models,omitempty"`
+	Age     time.Duration `json:"age"`
+}
