--- a/config.go
+++ b/config.go
@@ -1,5 +1,10 @@
 package tarragondeal
 
+import (
+	"context"
+	"time"
+)
+
 // Version numbers published sets. A node's version only ever rises.
 type Version uint64
 
@@ -47,3 +52,27 @@
 	// force. Ask again after each close.
 	Changed() <-chan struct{}
 }
+
+// Publication is one line of the history of published sets.
+type Publication struct {
+	Version Version   `json:"version"`
+	At      time.Time `json:"at"`
+	By      string    `json:"by"`   // Who published, as operators name themselves.
+	Note    string    `json:"note"` // Why.
+}
+
+// Publisher publishes sets. Sets are checked before they come here.
+type Publisher interface {
+	Config
+	// Publish writes a set that was based on version base. The error is a
+	// *ConflictError when another set was published in between, and a
+	// *StoreError when nothing could be agreed.
+	Publish(ctx context.Context, base Version, set *Set, p Publication) (Version, error)
+	// InForce waits until every live node has version v or a later one in
+	// force, or ctx ends. It returns the nodes that lag.
+	InForce(ctx context.Context, v Version) (lagging []NodeID, err error)
+	// History returns the newest publications, newest first.
+	History(ctx context.Context, limit int) ([]Publication, error)
+	// Published returns the set of one version.
+	Published(ctx context.Context, v Version) (*Set, error)
+}
--- a/internal/entry/tdoperator/operator.go
+++ b/internal/entry/tdoperator/operator.go
@@ -18,7 +18,6 @@
 	"github.com/julienschmidt/httprouter"
 
 	"tarragondeal"
-	"tarragondeal/internal/fleet/tdconfig"
 	"tarragondeal/internal/object/tdset"
 )
 
@@ -27,14 +26,14 @@
 
 // Operator is the operators' side of a node.
 type Operator struct {
-	config  *tdconfig.Config
+	config  tarragondeal.Publisher
 	members tarragondeal.Members
 	token   string
 	metrics http.Handler
 }
 
 // New returns an operators' side that admits callers with the token.
-func New(c *tdconfig.Config, m tarragondeal.Members, token string, metrics http.Handler) *Operator {
+func New(c tarragondeal.Publisher, m tarragondeal.Members, token string, metrics http.Handler) *Operator {
 	return &Operator{config: c, members: m, token: token, metrics: metrics}
 }
 
@@ -89,7 +88,7 @@
 		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
 		return
 	}
-	version, err := o.config.Publish(r.Context(), in.Version, set)
+	version, err := o.config.Publish(r.Context(), in.Version, set, tarragondeal.Publication{})
 	var conflict *tarragondeal.ConflictError
 	if errors.As(err, &conflict) {
 		http.Error(w, "another set was published in between", http.StatusConflict)
--- a/internal/fleet/tdconfig/config.go
+++ b/internal/fleet/tdconfig/config.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"tarragondeal"
@@ -109,7 +110,7 @@
 
 // Publish writes a set that was based on version base. The error is a
 // *tarragondeal.ConflictError when another set came in between.
-func (c *Config) Publish(ctx context.Context, base tarragondeal.Version, set *tarragondeal.Set) (tarragondeal.Version, error) {
+func (c *Config) Publish(ctx context.Context, base tarragondeal.Version, set *tarragondeal.Set, _ tarragondeal.Publication) (tarragondeal.Version, error) {
 	e, err := c.store.Get(ctx, rootKey)
 	if err != nil {
 		return 0, err
@@ -136,3 +137,26 @@
 	c.take(written)
 	return next.Version, nil
 }
+
+// InForce names no node as lagging: this node is the only one it knows.
+func (c *Config) InForce(context.Context, tarragondeal.Version) ([]tarragondeal.NodeID, error) {
+	return nil, nil
+}
+
+// History returns the publication in force, if any.
+func (c *Config) History(context.Context, int) ([]tarragondeal.Publication, error) {
+	v := c.View()
+	if v == nil {
+		return nil, nil
+	}
+	return []tarragondeal.Publication{{Version: v.Version}}, nil
+}
+
+// Published returns the set in force if it has the version asked for.
+func (c *Config) Published(_ context.Context, version tarragondeal.Version) (*tarragondeal.Set, error) {
+	v := c.View()
+	if v == nil || v.Version != version {
+		return nil, eris.Errorf("version %d is not known", version)
+	}
+	return v.Set, nil
+}
--- a/internal/node/tdnode/entry.go
+++ b/internal/node/tdnode/entry.go
@@ -6,13 +6,11 @@
 	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/entry/tdaddress"
 	"tarragondeal/internal/entry/tdfront"
-	"tarragondeal/internal/entry/tdoperator"
 )
 
-// entry is what callers and operators reach.
+// entry is what callers reach.
 type entry struct {
-	callers   http.Handler
-	operators http.Handler
+	callers http.Handler
 }
 
 func (n *Node) buildEntry() error {
@@ -22,7 +20,5 @@
 		Addresses: tdaddress.New(n.fleet.members), Clock: n.clock, Log: tdlog.Part(n.log, "front"),
 	})
 	n.entry.callers = front.Handler()
-	op := tdoperator.New(n.fleet.config, n.fleet.members, n.cfg.OperatorToken, n.metrics.Handler())
-	n.entry.operators = op.Handler()
 	return nil
 }
--- a/internal/node/tdnode/node.go
+++ b/internal/node/tdnode/node.go
@@ -7,7 +7,7 @@
 //	err = n.Run(ctx)
 //
 // Each area has its own file here that makes its parts: fleet.go,
-// dispatch.go, account.go, capacity.go and entry.go.
+// dispatch.go, account.go, capacity.go, entry.go and operator.go.
 package tdnode
 
 import (
@@ -51,6 +51,7 @@
 	dispatch dispatch
 	account  account
 	entry    entry
+	operator operator
 
 	listeners listeners
 }
@@ -86,7 +87,7 @@
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	for _, build := range []func() error{n.buildFleet, n.buildDispatch, n.buildAccount, n.buildEntry} {
+	for _, build := range n.builders() {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -94,6 +95,14 @@
 	return n, nil
 }
 
+// builders returns what makes the parts, in the order in which they need
+// each other.
+func (n *Node) builders() []func() error {
+	return []func() error{
+		n.buildFleet, n.buildDispatch, n.buildAccount, n.buildCapacity, n.buildEntry, n.buildOperator,
+	}
+}
+
 func (n *Node) listen() error {
 	var err error
 	if n.listeners.callers, err = net.Listen("tcp", n.cfg.ListenCallers); err != nil {
@@ -122,7 +131,7 @@
 		g.Go(d.name, d.run)
 	}
 	front := n.serveHTTP(g, "serve callers", n.listeners.callers, n.entry.callers)
-	operators := n.serveHTTP(g, "serve operators", n.listeners.operators, n.entry.operators)
+	operators := n.serveHTTP(g, "serve operators", n.listeners.operators, n.operator.handler)
 	n.nodeLog.Info().Str("callers", n.listeners.callers.Addr().String()).Msg("started")
 	err := n.wait(ctx, g)
 	n.drain(front)
--- /dev/null
+++ b/internal/node/tdsettings/capacity.go
@@ -0,0 +1,8 @@
+package tdsettings
+
+import "flag"
+
+// Capacity are the settings of the duty that orders backend servers.
+type Capacity struct{}
+
+func (s *Capacity) register(*flag.FlagSet) {}
--- a/internal/node/tdsettings/settings.go
+++ b/internal/node/tdsettings/settings.go
@@ -16,7 +16,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
@@ -24,46 +23,47 @@
 	"github.com/rotisserie/eris"
 )
 
-// Settings are all settings of a node.
+// Settings are all settings of a node, by the part that reads them.
 type Settings struct {
+	Node
+	Fleet
+	Dispatch
+	Account
+	Capacity
+	Entry
+}
+
+// Node are the settings that every part reads.
+type Node struct {
 	Name            string
 	DataCentre      string
 	ListenCallers   string
 	ListenPeers     string
 	ListenOperators string
 	PlatformURL     string
-	Peers           string // Comma-separated addresses of other nodes.
 	OperatorToken   string
-	DispatchPolicy  string
 	LogLevel        string
-	ListEvery       time.Duration
-	DrainWait       time.Duration
-	DrainMax        time.Duration
-	UsageWindow     time.Duration
-	TLSCert         string
-	TLSKey          string
-	TLSCA           string
 }
 
 // Register declares the settings as flags.
 func (s *Settings) Register(fs *flag.FlagSet) {
+	s.Node.register(fs)
+	s.Fleet.register(fs)
+	s.Dispatch.register(fs)
+	s.Account.register(fs)
+	s.Capacity.register(fs)
+	s.Entry.register(fs)
+}
+
+func (s *Node) register(fs *flag.FlagSet) {
 	fs.StringVar(&s.Name, "name", "", "name of this node, unique in the fleet")
 	fs.StringVar(&s.DataCentre, "dataCentre", "", "data centre this node runs in")
 	fs.StringVar(&s.ListenCallers, "listen.callers", "127.0.0.1:8080", "address for callers")
 	fs.StringVar(&s.ListenPeers, "listen.peers", "127.0.0.1:8081", "address for other nodes")
 	fs.StringVar(&s.ListenOperators, "listen.operators", "127.0.0.1:8082", "address for operators and metrics")
 	fs.StringVar(&s.PlatformURL, "platform.url", "", "URL of the platform")
-	fs.StringVar(&s.Peers, "peers", "", "addresses of some other nodes, separated by commas")
 	fs.StringVar(&s.OperatorToken, "operator.token", "", "token that operators' calls carry")
-	fs.StringVar(&s.DispatchPolicy, "dispatch.policy", "owner", "owner, or a baseline: roundRobin, leastOutstanding, powerOfTwo")
 	fs.StringVar(&s.LogLevel, "log.level", "info", "debug, info, warn or error")
-	fs.DurationVar(&s.ListEvery, "platform.listEvery", time.Second, "how often the list of VMs is read")
-	fs.DurationVar(&s.DrainWait, "drain.wait", 10*time.Second, "how long a stopping node goes on taking requests")
-	fs.DurationVar(&s.DrainMax, "drain.max", 10*time.Minute, "how long a stopping node waits for its requests")
-	fs.DurationVar(&s.UsageWindow, "usage.window", time.Hour, "length of a usage window")
-	fs.StringVar(&s.TLSCert, "tls.cert", "", "certificate file for links between nodes")
-	fs.StringVar(&s.TLSKey, "tls.key", "", "key file for links between nodes")
-	fs.StringVar(&s.TLSCA, "tls.ca", "", "file of the authority that signs nodes' certificates")
 }
 
 // Parse fills the registered settings from args, the environment and the
