Let the stand-ins fail as the platform's parts do

Cause: the failures that the promises must hold under have to be brought about, and the first stand-ins only worked.

--- a/internal/platform/tdwire/wire.go
+++ b/internal/platform/tdwire/wire.go
@@ -126,3 +126,22 @@
 	Models  []string      `json:"models,omitempty"`
 	Age     time.Duration `json:"age"`
 }
+
+// CacheEvent tells that an engine cached a block of a prompt or dropped it.
+// Sequence numbers that are missing were lost.
+type CacheEvent struct {
+	Seq   uint64 `json:"seq"`
+	Kind  string `json:"kind"`
+	Block uint64 `json:"block"`
+}
+
+// The kinds of cache event.
+const (
+	CacheStored  = "stored"
+	CacheEvicted = "evicted"
+)
+
+// CacheCopy is KV cache on its way from one engine to another.
+type CacheCopy struct {
+	Blocks []uint64 `json:"blocks"`
+}
--- a/internal/standin/tdcluster/cluster.go
+++ b/internal/standin/tdcluster/cluster.go
@@ -1,22 +1,10 @@
-// Package tdcluster starts the stand-ins of a whole deployment on loopback:
-// the platform and the backend servers of each pool in each data centre.
-//
-// # Usage
-//
-//	c, err := tdcluster.Start(tdcluster.Spec{Servers: ...})
-//	defer c.Close()
-//	// Point nodes at c.PlatformURL.
 package tdcluster
 
 import (
 	"fmt"
-	"net"
-	"net/http"
-	"net/netip"
+	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"tarragondeal/internal/platform/tdwire"
 	"tarragondeal/internal/standin/tdengine"
 	"tarragondeal/internal/standin/tdplatform"
@@ -36,99 +24,164 @@
 type Spec struct {
 	Platform tdplatform.Options
 	Groups   []Group
-}
-
-// Server is one backend server that was started.
-type Server struct {
-	VM      tdwire.VM
-	Engine  *tdengine.Engine
-	Service *tdservice.Service
-	http    *http.Server
+	// RestartAfter is how long a crashed server stays down.
+	RestartAfter time.Duration
+	// StartUp is how long a server that was ordered takes to come up.
+	StartUp time.Duration
+	// CarryOut makes the platform carry out orders of servers.
+	CarryOut bool
 }
 
 // Cluster is a running deployment without its nodes.
 type Cluster struct {
 	PlatformURL string
 	Platform    *tdplatform.Platform
-	Servers     []*Server
-	platform    *http.Server
+	// Servers are those that Start started, in the order of the spec.
+	Servers []*Server
+
+	spec     Spec
+	platform *listener
+	mu       sync.Mutex
+	all      []*Server // Those that were ordered later, too.
+	entry    []tdwire.VM
+	next     map[string]int
+	closed   bool
 }
 
 // Start starts a deployment. The caller closes it.
 func Start(spec Spec) (*Cluster, error) {
-	c := &Cluster{Platform: tdplatform.New(spec.Platform)}
-	srv, addr, err := serve(c.Platform.Handler())
-	if err != nil {
+	c := &Cluster{spec: spec, next: make(map[string]int)}
+	o := spec.Platform
+	if spec.CarryOut {
+		o.OnOrder = c.carryOut
+	}
+	c.Platform = tdplatform.New(o)
+	var err error
+	if c.platform, err = listen(c.Platform.Handler()); err != nil {
 		return nil, err
 	}
-	c.platform, c.PlatformURL = srv, "http://"+addr.String()
+	c.PlatformURL = "http://" + c.platform.addr.String()
 	for _, g := range spec.Groups {
-		for n := range g.Count {
-			if err := c.add(g, n+1); err != nil {
+		for range g.Count {
+			s, err := c.add(g)
+			if err != nil {
 				c.Close()
 				return nil, err
 			}
+			c.Servers = append(c.Servers, s)
 		}
 	}
-	c.Platform.SetVMs(c.VMs())
+	c.publish()
 	return c, nil
 }
 
-func (c *Cluster) add(g Group, n int) error {
-	name := fmt.Sprintf("%s-%s-%d", g.Pool, g.DataCentre, n)
-	s := &Server{}
-	var h http.Handler
-	if g.Engine != nil {
-		o := *g.Engine
-		o.Name = name
-		s.Engine = tdengine.New(o)
-		h = s.Engine.Handler()
-	} else {
-		o := *g.Service
-		o.Name = name
-		s.Service = tdservice.New(o)
-		h = s.Service.Handler()
-	}
-	srv, addr, err := serve(h)
-	if err != nil {
-		return err
+func (c *Cluster) add(g Group) (*Server, error) {
+	c.mu.Lock()
+	place := g.Pool + "-" + g.DataCentre
+	c.next[place]++
+	name := fmt.Sprintf("%s-%d", place, c.next[place])
+	c.mu.Unlock()
+	s := newServer(name, g, c.spec.RestartAfter)
+	if err := s.up(); err != nil {
+		return nil, err
 	}
-	s.http = srv
-	s.VM = tdwire.VM{Name: name, Kind: tdwire.KindServer, Pool: g.Pool, DataCentre: g.DataCentre, Addr: addr, State: "live"}
-	c.Servers = append(c.Servers, s)
-	return nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, s)
+	return s, nil
 }
 
-// VMs returns the list of all servers that were started.
+// VMs returns the list as it is now: all servers, and the entry VMs.
 func (c *Cluster) VMs() []tdwire.VM {
-	out := make([]tdwire.VM, 0, len(c.Servers))
-	for _, s := range c.Servers {
-		out = append(out, s.VM)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := append([]tdwire.VM(nil), c.entry...)
+	for _, s := range c.all {
+		if vm, ok := s.listed(); ok {
+			out = append(out, vm)
+		}
 	}
 	return out
 }
 
-// Close ends the stand-ins.
-func (c *Cluster) Close() {
-	_ = c.platform.Close()
-	for _, s := range c.Servers {
-		_ = s.http.Close()
+// publish hands the list to the platform, whose readers see it with a lag.
+func (c *Cluster) publish() { c.Platform.SetVMs(c.VMs()) }
+
+// SetEntryVMs puts entry VMs on the platform's list.
+func (c *Cluster) SetEntryVMs(vms []tdwire.VM) {
+	c.mu.Lock()
+	c.entry = append([]tdwire.VM(nil), vms...)
+	c.mu.Unlock()
+	c.publish()
+}
+
+// All returns every server that was ever started.
+func (c *Cluster) All() []*Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*Server(nil), c.all...)
+}
+
+// Reclaim takes the servers of a pool in a data centre away: they say that
+// they are leaving, and are gone after the notice.
+func (c *Cluster) Reclaim(pool, dataCentre string, notice time.Duration) {
+	var gone []*Server
+	for _, s := range c.All() {
+		if s.group.Pool == pool && s.group.DataCentre == dataCentre {
+			s.Leave()
+			gone = append(gone, s)
+		}
 	}
+	c.publish()
+	time.AfterFunc(notice, func() {
+		for _, s := range gone {
+			s.Remove()
+		}
+		c.publish()
+	})
 }
 
-// Kill ends one backend server at once, as a crash would.
-func (s *Server) Kill() { _ = s.http.Close() }
+// carryOut brings the number of servers to what an order wants.
+func (c *Cluster) carryOut(o tdwire.ServerOrder) {
+	var up []*Server
+	for _, s := range c.All() {
+		if s.group.Pool == o.Pool && s.group.DataCentre == o.DataCentre && s.wanted() {
+			up = append(up, s)
+		}
+	}
+	for n := len(up) - 1; n >= max(o.Want, 0); n-- {
+		up[n].Leave()
+	}
+	for n := len(up); n < o.Want; n++ {
+		time.AfterFunc(c.spec.StartUp, func() { c.start(o.Pool, o.DataCentre) })
+	}
+	c.publish()
+}
 
-func serve(h http.Handler) (*http.Server, netip.AddrPort, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, netip.AddrPort{}, eris.Wrap(err, "listen")
+func (c *Cluster) start(pool, dataCentre string) {
+	c.mu.Lock()
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		return
 	}
-	addr, err := netip.ParseAddrPort(ln.Addr().String())
-	if err != nil {
-		return nil, netip.AddrPort{}, eris.Wrap(err, "address")
+	for _, g := range c.spec.Groups {
+		if g.Pool == pool && g.DataCentre == dataCentre {
+			if _, err := c.add(g); err == nil {
+				c.publish()
+			}
+			return
+		}
+	}
+}
+
+// Close ends the stand-ins.
+func (c *Cluster) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.platform.close()
+	for _, s := range c.All() {
+		s.Remove()
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = srv.Serve(ln) }()
-	return srv, addr, nil
 }
--- a/internal/standin/tdengine/engine.go
+++ b/internal/standin/tdengine/engine.go
@@ -1,14 +1,3 @@
-// Package tdengine is a small stand-in for a model engine: it streams
-// OpenAI-compatible answers, runs a bounded number of requests at once, and
-// reports its load with a lag.
-//
-// # Usage
-//
-//	e := tdengine.New(tdengine.Options{Name: "engine1", Slots: 4})
-//	srv := httptest.NewServer(e.Handler())
-//
-// The answer to a prompt is a function of the prompt, so that a test can
-// tell whether an answer is whole and whose it is: see Words.
 package tdengine
 
 import (
@@ -16,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -31,33 +19,55 @@
 // defaultTokens is the length of an answer when the caller sets none.
 const defaultTokens = 16
 
+// bytesPerToken turns the length of a prompt into tokens.
+const bytesPerToken = 4
+
 // Options describe an engine.
 type Options struct {
-	Name        string
-	Slots       int
-	Prefill     time.Duration // Time to the first token on an idle engine.
-	PerToken    time.Duration
+	Name     string
+	Slots    int
+	Prefill  time.Duration // Time to the first token with an empty prompt.
+	PerInput time.Duration // Further time for each token that is not cached.
+	PerToken time.Duration // Time between tokens.
+	// LoadLag is how old a load report can be.
+	LoadLag time.Duration
+	// ChecksFence makes the engine refuse orders with an old fencing token.
 	ChecksFence bool
+	// CrashMarker crashes the engine when it stands in a request's body.
+	CrashMarker string
+	// CacheBlocks is how many blocks of prompts are cached.
+	CacheBlocks int
+	// EventLag delays cache events, and every EventGap-th event is lost.
+	EventLag time.Duration
+	EventGap int
+	// OnCrash is called, in a goroutine of its own, when the engine crashes.
+	OnCrash func()
 }
 
 // Engine is the stand-in. Its methods are safe for concurrent use.
 type Engine struct {
 	opt    Options
-	slots  chan struct{}
+	batch  *batch
+	cache  *cache
 	mu     sync.Mutex
-	queued int
 	seen   []Seen
+	faults faults
+	orders orders
+	report tdwire.Load // The last load report.
+	taken  time.Time   // When it was taken.
+	kept   map[string]request
 }
 
 // Seen is a request that reached the engine.
 type Seen struct {
-	At     time.Time
-	ID     string
-	Header http.Header
-	Path   string
-	Body   []byte
-	Tokens int // Tokens sent so far.
-	Done   bool
+	At      time.Time
+	Started time.Time // When it got a slot; zero if it never did.
+	ID      string
+	Header  http.Header
+	Path    string
+	Body    []byte
+	Tokens  int // Tokens written so far.
+	Done    bool
 }
 
 // New returns an engine.
@@ -65,7 +75,13 @@
 	if o.Slots <= 0 {
 		o.Slots = 1
 	}
-	return &Engine{opt: o, slots: make(chan struct{}, o.Slots)}
+	return &Engine{
+		opt:    o,
+		batch:  newBatch(o.Slots),
+		cache:  newCache(o.CacheBlocks, o.EventLag, o.EventGap),
+		faults: newFaults(),
+		kept:   make(map[string]request),
+	}
 }
 
 // Handler serves the engine's interfaces.
@@ -73,7 +89,12 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("POST "+tdwire.PathResume, e.resume)
 	mux.HandleFunc("GET "+tdwire.PathLoad, e.load)
+	mux.HandleFunc("POST "+tdwire.PathEngine, e.order)
+	mux.HandleFunc("GET "+tdwire.PathEvents, e.events)
+	mux.HandleFunc("POST "+tdwire.PathExport, e.export)
+	mux.HandleFunc("POST "+tdwire.PathImport, e.imports)
 	return mux
 }
 
@@ -95,12 +116,15 @@
 	return out
 }
 
+// request is what an engine reads of a request's body.
 type request struct {
 	Model     string          `json:"model"`
 	Messages  json.RawMessage `json:"messages"`
 	Prompt    json.RawMessage `json:"prompt"`
 	MaxTokens int             `json:"max_tokens"`
 	Stream    bool            `json:"stream"`
+	Priority  int             `json:"priority"`
+	CacheSalt string          `json:"cache_salt"`
 }
 
 func (q request) prompt() []byte {
@@ -110,6 +134,13 @@
 	return q.Prompt
 }
 
+func (q request) tokens() int {
+	if q.MaxTokens <= 0 {
+		return defaultTokens
+	}
+	return q.MaxTokens
+}
+
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	var q request
@@ -121,10 +152,15 @@
 		return
 	}
 	n := e.arrive(r, body)
-	if !e.enter(r) {
+	if !e.batch.enter(r.Context(), q.Priority) {
 		return
 	}
-	defer func() { <-e.slots }()
+	defer e.batch.leave()
+	e.started(n)
+	if e.crashes(body) {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	e.answer(w, r, q, n)
 }
 
@@ -138,55 +174,10 @@
 	return len(e.seen) - 1
 }
 
-func (e *Engine) enter(r *http.Request) bool {
+func (e *Engine) started(n int) {
 	e.mu.Lock()
-	e.queued++
-	e.mu.Unlock()
-	defer func() {
-		e.mu.Lock()
-		e.queued--
-		e.mu.Unlock()
-	}()
-	select {
-	case e.slots <- struct{}{}:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
-func (e *Engine) answer(w http.ResponseWriter, r *http.Request, q request, n int) {
-	tokens := q.MaxTokens
-	if tokens <= 0 {
-		tokens = defaultTokens
-	}
-	words := Words(q.prompt(), tokens)
-	w.Header().Set(tdwire.HeaderRequest, r.Header.Get(tdwire.HeaderRequest))
-	w.Header().Set("X-Engine", e.opt.Name)
-	if !pause(r, e.opt.Prefill) {
-		return
-	}
-	usage := map[string]int{"prompt_tokens": len(q.prompt()) / 4, "completion_tokens": tokens}
-	if !q.Stream {
-		if !pause(r, time.Duration(tokens)*e.opt.PerToken) {
-			return
-		}
-		e.progress(n, tokens, true)
-		writeWhole(w, r, q, strings.Join(words, ""), usage)
-		return
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	for k, word := range words {
-		if !pause(r, e.opt.PerToken) {
-			return
-		}
-		writeEvent(w, r, q, word, nil, nil)
-		e.progress(n, k+1, false)
-	}
-	stop := "stop"
-	writeEvent(w, r, q, "", &stop, usage)
-	_, _ = io.WriteString(w, "data: [DONE]\n\n")
-	e.progress(n, tokens, true)
+	defer e.mu.Unlock()
+	e.seen[n].Started = time.Now()
 }
 
 func (e *Engine) progress(n, tokens int, done bool) {
@@ -196,80 +187,24 @@
 	e.seen[n].Done = done
 }
 
-func pause(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return r.Context().Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
-type choice struct {
-	Index        int     `json:"index"`
-	Delta        *text   `json:"delta,omitempty"`
-	Message      *text   `json:"message,omitempty"`
-	Text         string  `json:"text,omitempty"`
-	FinishReason *string `json:"finish_reason"`
-}
-
-type text struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content"`
-}
-
-type completion struct {
-	ID      string         `json:"id"`
-	Object  string         `json:"object"`
-	Created int64          `json:"created"`
-	Model   string         `json:"model"`
-	Choices []choice       `json:"choices"`
-	Usage   map[string]int `json:"usage,omitempty"`
-}
-
-func head(r *http.Request, q request, object string) completion {
-	return completion{ID: r.Header.Get(tdwire.HeaderRequest), Object: object, Created: time.Now().Unix(), Model: q.Model}
-}
-
-func writeWhole(w http.ResponseWriter, r *http.Request, q request, content string, usage map[string]int) {
-	stop := "stop"
-	c := head(r, q, "chat.completion")
-	if q.Messages == nil {
-		c.Object = "text_completion"
-		c.Choices = []choice{{Text: content, FinishReason: &stop}}
-	} else {
-		c.Choices = []choice{{Message: &text{Role: "assistant", Content: content}, FinishReason: &stop}}
-	}
-	c.Usage = usage
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(c)
-}
-
-func writeEvent(w http.ResponseWriter, r *http.Request, q request, word string, finish *string, usage map[string]int) {
-	c := head(r, q, "chat.completion.chunk")
-	if q.Messages == nil {
-		c.Object = "text_completion"
-		c.Choices = []choice{{Text: word, FinishReason: finish}}
-	} else {
-		c.Choices = []choice{{Delta: &text{Content: word}, FinishReason: finish}}
-	}
-	c.Usage = usage
-	b, _ := json.Marshal(c)
-	_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
-	if f, ok := w.(http.Flusher); ok {
-		f.Flush()
-	}
-}
-
+// load answers with a report that can be as old as the lag.
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	running, queued := e.batch.counts()
 	e.mu.Lock()
-	l := tdwire.Load{Running: len(e.slots), Queued: e.queued, Slots: e.opt.Slots}
+	if e.taken.IsZero() || now.Sub(e.taken) >= e.opt.LoadLag {
+		e.taken = now
+		e.report = tdwire.Load{Running: running, Queued: queued, Slots: e.opt.Slots, Models: e.orders.models()}
+	}
+	l := e.report
+	l.Age = now.Sub(e.taken)
+	l.Leaving = e.faults.leaving
 	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, l)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(l)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
 }
--- a/internal/standin/tdplatform/platform.go
+++ b/internal/standin/tdplatform/platform.go
@@ -21,6 +21,11 @@
 	ReadsPerSecond  float64
 	// ListLag is how far the list of VMs is behind.
 	ListLag time.Duration
+	// OnOrder is called with each order that was accepted.
+	OnOrder func(tdwire.ServerOrder)
+	// IgnoresFence makes the platform accept orders and reports with an old
+	// fencing token.
+	IgnoresFence bool
 }
 
 // Platform is the stand-in. Its methods are safe for concurrent use.
@@ -32,11 +37,13 @@
 	record Record
 	writes *rate.Limiter
 	reads  *rate.Limiter
+	opt    Options
 }
 
 // New returns an empty platform.
 func New(o Options) *Platform {
 	return &Platform{
+		opt:    o,
 		kv:     newKV(),
 		vms:    vmList{lag: o.ListLag},
 		writes: limiter(o.WritesPerSecond),
--- a/internal/standin/tdplatform/vm.go
+++ b/internal/standin/tdplatform/vm.go
@@ -89,9 +89,12 @@
 	for _, o := range p.record.Orders {
 		newest = max(newest, o.Order.Fence)
 	}
-	ok := in.Fence >= newest
+	ok := p.opt.IgnoresFence || in.Fence >= newest
 	p.record.Orders = append(p.record.Orders, OrderRecord{At: time.Now(), Order: in, Accepted: ok})
 	p.mu.Unlock()
+	if ok && p.opt.OnOrder != nil {
+		p.opt.OnOrder(in)
+	}
 	answerFenced(w, ok, newest)
 }
 
@@ -105,7 +108,7 @@
 	for _, u := range p.record.Usage {
 		newest = max(newest, u.Report.Fence)
 	}
-	ok := in.Fence >= newest
+	ok := p.opt.IgnoresFence || in.Fence >= newest
 	p.record.Usage = append(p.record.Usage, UsageRecord{At: time.Now(), Report: in, Accepted: ok})
 	p.mu.Unlock()
 	answerFenced(w, ok, newest)
