Check the promises over recorded histories

Cause: a promise is proved by what callers and receivers saw, not by what the system says of itself.

--- /dev/null
+++ b/internal/standin/tdcheck/check.go
@@ -0,0 +1,248 @@
+package tdcheck
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"tarragondeal"
+)
+
+// Check is one promise's check.
+type Check struct {
+	Name string
+	Run  func(History) []Violation
+}
+
+// Checks returns all checks, in the order of the promises.
+func Checks() []Check {
+	return []Check{
+		{"no inversion", Inversions},
+		{"no starvation", Starvation},
+		{"permitted place", Places},
+		{"own workspace", Workspaces},
+		{"no key at a backend server", Keys},
+		{"withdrawal", Withdrawals},
+		{"one orderer", Orderers},
+		{"one report", Reports},
+		{"whole answer", Answers},
+		{"truth of notRun", NotRun},
+		{"at most once", AtMostOnce},
+		{"leaving servers", LeavingServers},
+		{"planned stops", Stops},
+		{"configuration never reverts", Reversals},
+	}
+}
+
+// All runs every check.
+func All(h History) []Violation {
+	var out []Violation
+	for _, c := range Checks() {
+		out = append(out, c.Run(h)...)
+	}
+	return out
+}
+
+// shedCodes are refusals for want of room, which the order of tiers governs.
+var shedCodes = []string{
+	string(tarragondeal.ReasonOverload),
+	string(tarragondeal.ReasonDeadline),
+}
+
+// Inversions finds requests that were shed while a request of a lower tier,
+// which was in the system at that time, was started later in a place and pool
+// where the shed one could have run.
+func Inversions(h History) []Violation {
+	c := collector{promise: "no higher tier is shed for a lower one"}
+	byID := requestsByID(h)
+	runs := slices.Clone(h.Runs)
+	slices.SortFunc(runs, func(a, b Run) int { return a.Started.Compare(b.Started) })
+	for _, q := range h.Requests {
+		if !slices.Contains(shedCodes, q.Code) {
+			continue
+		}
+		first, _ := slices.BinarySearchFunc(runs, q.Ended, func(r Run, t time.Time) int { return r.Started.Compare(t) })
+		for _, r := range runs[first:] {
+			low, ok := byID[r.Request]
+			if !ok || low.Tier <= q.Tier || low.Sent.After(q.Ended) || r.Started.Equal(q.Ended) {
+				continue
+			}
+			if slices.Contains(q.Permitted, r.DataCentre) && slices.Contains(q.Pools, r.Pool) {
+				c.add("request %s of tier %d was shed, %s of tier %d started %s later on %s",
+					q.ID, q.Tier, low.ID, low.Tier, r.Started.Sub(q.Ended), r.Server)
+				break
+			}
+		}
+	}
+	return c.found
+}
+
+const (
+	// starvationWindow is how long a class may go without an answer while
+	// its callers keep asking.
+	starvationWindow = 10 * time.Second
+	// starvationLeast is how many requests in a window count as asking.
+	starvationLeast = 20
+)
+
+// Starvation finds windows in which a class was asked for and not served.
+func Starvation(h History) []Violation {
+	c := collector{promise: "no class starves"}
+	type window struct{ asked, served int }
+	classes := make(map[string]map[time.Time]*window)
+	for _, q := range h.Requests {
+		if q.GaveUp || (q.Refused() && !slices.Contains(shedCodes, q.Code)) {
+			continue
+		}
+		at := q.Sent.Truncate(starvationWindow)
+		if classes[q.Class] == nil {
+			classes[q.Class] = make(map[time.Time]*window)
+		}
+		w := classes[q.Class][at]
+		if w == nil {
+			w = &window{}
+			classes[q.Class][at] = w
+		}
+		w.asked++
+		if q.Status == http.StatusOK && q.Whole {
+			w.served++
+		}
+	}
+	for class, windows := range classes {
+		for at, w := range windows {
+			if w.asked >= starvationLeast && w.served == 0 {
+				c.add("class %s asked %d times from %s on and got no answer", class, w.asked, at.Format(time.RFC3339))
+			}
+		}
+	}
+	return c.found
+}
+
+// Places finds runs outside the permitted data centres.
+func Places(h History) []Violation {
+	c := collector{promise: "a request runs in its permitted place"}
+	byID := requestsByID(h)
+	for _, r := range h.Runs {
+		if q, ok := byID[r.Request]; ok && !slices.Contains(q.Permitted, r.DataCentre) {
+			c.add("request %s ran in %s", q.ID, r.DataCentre)
+		}
+	}
+	for _, q := range h.Requests {
+		if q.ServedIn != "" && !slices.Contains(q.Permitted, q.ServedIn) {
+			c.add("request %s says it was served in %s", q.ID, q.ServedIn)
+		}
+	}
+	return c.found
+}
+
+// Workspaces finds runs of requests that had no valid key.
+func Workspaces(h History) []Violation {
+	c := collector{promise: "a request runs only for the workspace whose key came with it"}
+	byID := requestsByID(h)
+	for _, r := range h.Runs {
+		q, ok := byID[r.Request]
+		if ok && q.Workspace == "" && !slices.Contains(h.OpenRoutes, q.Route) {
+			c.add("request %s had no valid key and ran on %s", q.ID, r.Server)
+		}
+	}
+	return c.found
+}
+
+// Keys finds keys in anything that backend servers saw.
+func Keys(h History) []Violation {
+	c := collector{promise: "no backend server sees a key"}
+	keys := make(map[string]struct{})
+	for _, q := range h.Requests {
+		if q.KeyText != "" {
+			keys[q.KeyText] = struct{}{}
+		}
+	}
+	for _, r := range h.Runs {
+		for key := range keys {
+			if strings.Contains(r.Seen, key) {
+				c.add("server %s saw a key with request %s", r.Server, r.Request)
+			}
+		}
+	}
+	return c.found
+}
+
+// Withdrawals finds requests that were admitted with a key that had been
+// withdrawn for longer than the bound.
+func Withdrawals(h History) []Violation {
+	c := collector{promise: "a withdrawn key stops working"}
+	for _, q := range h.Requests {
+		if q.Withdrawn.IsZero() || !q.Sent.After(q.Withdrawn.Add(h.WithdrawalBound)) {
+			continue
+		}
+		if q.Status != http.StatusUnauthorized && q.Status != 0 {
+			c.add("request %s was answered with %d, %s after the withdrawal", q.ID, q.Status, q.Sent.Sub(q.Withdrawn))
+		}
+	}
+	return c.found
+}
+
+// LeavingServers finds runs that came to a leaving server after the bound.
+func LeavingServers(h History) []Violation {
+	c := collector{promise: "a leaving backend server gets no new work"}
+	since := make(map[string]time.Time, len(h.Leaving))
+	for _, l := range h.Leaving {
+		since[l.Server] = l.Since
+	}
+	for _, r := range h.Runs {
+		left, ok := since[r.Server]
+		if ok && r.At.After(left.Add(h.LeavingBound)) {
+			c.add("server %s got request %s %s after it began to leave", r.Server, r.Request, r.At.Sub(left))
+		}
+	}
+	return c.found
+}
+
+// Stops finds requests that a planned stop cut.
+func Stops(h History) []Violation {
+	c := collector{promise: "a planned stop cuts no request"}
+	for _, s := range h.Stops {
+		if s.ExitCode != 0 {
+			c.add("node %s ended with exit code %d", s.Node, s.ExitCode)
+		}
+		for _, q := range h.Requests {
+			during := q.Node == s.Node && q.Sent.Before(s.To) && q.Ended.After(s.From)
+			if during && !q.GaveUp && (q.Broken || (q.Status == 0 && !q.Sent.After(s.From))) {
+				c.add("request %s was cut by the stop of node %s", q.ID, s.Node)
+			}
+		}
+	}
+	return c.found
+}
+
+// Reversals finds nodes whose version went down.
+func Reversals(h History) []Violation {
+	c := collector{promise: "an accepted configuration never reverts"}
+	seen := slices.Clone(h.InForce)
+	slices.SortStableFunc(seen, func(a, b InForce) int { return a.At.Compare(b.At) })
+	highest := make(map[string]tarragondeal.Version)
+	for _, f := range seen {
+		if f.Version < highest[f.Node] {
+			c.add("node %s went from version %d to %d", f.Node, highest[f.Node], f.Version)
+		}
+		highest[f.Node] = max(highest[f.Node], f.Version)
+	}
+	return c.found
+}
+
+func requestsByID(h History) map[string]*Request {
+	out := make(map[string]*Request, len(h.Requests))
+	for n := range h.Requests {
+		out[h.Requests[n].ID] = &h.Requests[n]
+	}
+	return out
+}
+
+// sorted returns the values in the order of a time.
+func sorted[T any](values []T, at func(T) time.Time) []T {
+	out := slices.Clone(values)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(at(a).UnixNano(), at(b).UnixNano()) })
+	return out
+}
--- /dev/null
+++ b/internal/standin/tdcheck/once.go
@@ -0,0 +1,129 @@
+package tdcheck
+
+import (
+	"slices"
+	"time"
+
+	"tarragondeal"
+)
+
+// Answers finds answers that are short or another request's. A caller that
+// is told that its answer broke off has not been deceived.
+func Answers(h History) []Violation {
+	c := collector{promise: "a caller gets the whole answer to its own request"}
+	for _, q := range h.Requests {
+		if q.Status != 200 || q.Broken || q.GaveUp {
+			continue
+		}
+		if !q.Mine {
+			c.add("request %s got another answer", q.ID)
+		} else if !q.Whole {
+			c.add("request %s got a short answer that looks whole", q.ID)
+		}
+	}
+	return c.found
+}
+
+// NotRun finds refusals that say notRun of a request that ran.
+func NotRun(h History) []Violation {
+	c := collector{promise: "a refusal that says notRun is true"}
+	ran := make(map[string]string)
+	for _, r := range h.Runs {
+		ran[r.Request] = r.Server
+	}
+	for _, q := range h.Requests {
+		if server, ok := ran[q.ID]; ok && q.Ran == tarragondeal.RanNot {
+			c.add("request %s was said not to have run and ran on %s", q.ID, server)
+		}
+	}
+	return c.found
+}
+
+// AtMostOnce finds non-idempotent requests that ran more than once, repeats
+// by the caller included.
+func AtMostOnce(h History) []Violation {
+	c := collector{promise: "a non-idempotent request runs at most once"}
+	byID := requestsByID(h)
+	runs := make(map[string]int)
+	for _, r := range h.Runs {
+		if q, ok := byID[r.Request]; ok && !q.Idempotent {
+			runs[q.Body]++
+		}
+	}
+	for body, n := range runs {
+		if n > 1 {
+			c.add("%s ran %d times", body, n)
+		}
+	}
+	return c.found
+}
+
+// Orderers finds orders of one duty that came from two holders in turns: a
+// receiver that heard a newer holder and then acts for an older one.
+func Orderers(h History) []Violation {
+	c := collector{promise: "the platform gets no orders from two processes in charge"}
+	type newest struct {
+		fence  uint64
+		sender string
+	}
+	duties := make(map[string]newest)
+	for _, o := range sorted(h.Orders, func(o Order) time.Time { return o.At }) {
+		if !o.Accepted {
+			continue
+		}
+		now := duties[o.Duty]
+		switch {
+		case o.Fence < now.fence:
+			c.add("%s took an order of %s with token %d after one of %s with token %d", o.Receiver, o.Sender, o.Fence, now.sender, now.fence)
+		case o.Fence == now.fence && now.sender != "" && o.Sender != now.sender:
+			c.add("%s and %s sent orders with the same token %d", now.sender, o.Sender, o.Fence)
+		default:
+			duties[o.Duty] = newest{fence: o.Fence, sender: o.Sender}
+		}
+	}
+	return c.found
+}
+
+// Reports finds windows that were reported with different figures, and
+// reports from two holders in turns.
+func Reports(h History) []Violation {
+	c := collector{promise: "no window is reported twice with different figures, nor by two processes in charge"}
+	figures := make(map[time.Time]string)
+	var orders []Order
+	for _, r := range sorted(h.Reports, func(r Report) time.Time { return r.At }) {
+		if !r.Accepted {
+			continue
+		}
+		if f, ok := figures[r.Window]; ok && f != r.Figures {
+			c.add("window %s was reported with other figures by %s", r.Window.Format(time.RFC3339), r.Sender)
+		}
+		figures[r.Window] = r.Figures
+		orders = append(orders, Order{Receiver: "the usage sink", Duty: "usage", Sender: r.Sender, Fence: r.Fence, At: r.At, Accepted: true})
+	}
+	for _, v := range Orderers(History{Orders: orders}) {
+		c.add("%s", v.Detail)
+	}
+	return c.found
+}
+
+// Billing compares what was billed to each workspace with what callers got.
+// It returns the largest shortfall and the largest excess in tokens.
+func Billing(h History, billed map[string]int64) (short, excess int64) {
+	got := make(map[string]int64)
+	for _, q := range h.Requests {
+		got[q.Workspace] += int64(q.Tokens)
+	}
+	names := make([]string, 0, len(got)+len(billed))
+	for name := range got {
+		names = append(names, name)
+	}
+	for name := range billed {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		short = max(short, got[name]-billed[name])
+		excess = max(excess, billed[name]-got[name])
+	}
+	return short, excess
+}
