Split the callers' side into admission, course and relay

Cause: one function decoded, admitted, sent and relayed, made one attempt, let the connection's end pass for an answer's end, and copied bytes without looking at them.

Change: tdfront decodes and admits; tdflow leads a request through claim, reservation, attempts, resuming, metering; tdrelay reads event by event and holds plain answers until they are whole; tdkey finds misplaced keys and cuts requests whose key is withdrawn; tdbackend counts writes on a connection, so that notRun is said only when none was begun; tdaddress spreads callers by load and distance with a time to live that drain.wait must cover.

Conclusion: each part has one job, and what to do after which failure is one pure function.

--- /dev/null
+++ b/internal/entry/tdflow/once.go
@@ -0,0 +1,159 @@
+package tdflow
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tarragondeal"
+	"tarragondeal/internal/entry/tdrelay"
+)
+
+// claimWait bounds recording an answer and giving back a claim.
+const claimWait = 2 * time.Second
+
+// once runs a non-idempotent request at most once. It does not end when its
+// caller goes away or its key is withdrawn, so that its answer is recorded.
+func (r *run) once(caller context.Context) error {
+	q := r.q
+	if q.IdemKey == "" {
+		return r.refuse(tarragondeal.ReasonNeedsIdemKey, "this route needs an Idempotency-Key header")
+	}
+	ctx, cancel := r.bounded(context.WithoutCancel(caller))
+	defer cancel()
+	key := tarragondeal.ClaimKey{Workspace: q.Workspace.Name, Route: q.Route.Name, Key: q.IdemKey}
+	claim, err := r.f.Claims.Take(ctx, key, requestDigest(q))
+	if err != nil {
+		return r.taken(err)
+	}
+	q.Settled, r.claim = true, &claim
+	defer r.settle()
+	if caller.Err() != nil {
+		return nil // Nobody waits, and nothing has been sent.
+	}
+	return r.serve(ctx)
+}
+
+// requestDigest names what was asked under an idempotency key.
+func requestDigest(q *Request) string {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(q.Method), []byte(q.Path), q.Body} {
+		h.Write([]byte(strconv.Itoa(len(part)) + " "))
+		h.Write(part)
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// taken answers a request whose claim could not be taken.
+func (r *run) taken(err error) error {
+	if claim, ok := errors.AsType[*tarragondeal.ClaimError](err); ok {
+		return r.repeat(claim)
+	}
+	// An earlier request with this key may have run.
+	r.ran = tarragondeal.RanUnknown
+	_, store := errors.AsType[*tarragondeal.StoreError](err)
+	switch {
+	case store, errors.Is(err, context.DeadlineExceeded):
+		return r.refuse(tarragondeal.ReasonStoreAway, "what this request needs can't be agreed now; repeat it with the same key")
+	default:
+		r.f.Log.Error().Err(err).Str("request", string(r.q.ID)).Msg("claim failed")
+		return r.refuse(tarragondeal.ReasonStoreAway, "the claim of this request can't be read")
+	}
+}
+
+// repeat answers a request that ran or runs already.
+func (r *run) repeat(e *tarragondeal.ClaimError) error {
+	r.ran = e.Ran
+	if e.Answer == nil {
+		r.note(e.Reason)
+		return e
+	}
+	h := r.w.Header()
+	h.Set(HeaderReplayed, "true")
+	if e.Answer.Omitted {
+		r.note(e.Reason)
+		return e
+	}
+	if e.Answer.ContentType != "" {
+		h.Set("Content-Type", e.Answer.ContentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(e.Answer.Body)))
+	rc := http.NewResponseController(r.w)
+	_ = rc.SetWriteDeadline(time.Now().Add(r.f.opt.Write))
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+	r.w.WriteHeader(e.Answer.Status)
+	_, _ = r.w.Write(e.Answer.Body)
+	return nil
+}
+
+// finish records the answer before the caller gets it. The answer is not
+// lost when it can't be recorded: the claim stays, and a repeat is told that
+// the request may have run.
+func (r *run) finish(ctx context.Context, o *tdrelay.Whole) {
+	if r.claim == nil {
+		return
+	}
+	body := o.Body
+	if o.Omitted {
+		body = nil
+	}
+	r.record(ctx, tarragondeal.Recorded{
+		Status: o.Status, ContentType: o.Header.Get("Content-Type"), Body: body,
+		Digest: hex.EncodeToString(o.Digest()), Omitted: o.Omitted,
+	})
+}
+
+// finishStream records a streamed answer that is whole.
+func (r *run) finishStream(ctx context.Context) {
+	if r.claim == nil {
+		return
+	}
+	body, digest, omitted := r.stream.s.Recorded()
+	r.record(ctx, tarragondeal.Recorded{
+		Status: http.StatusOK, ContentType: "text/event-stream", Body: body,
+		Digest: hex.EncodeToString(digest), Omitted: omitted,
+	})
+}
+
+func (r *run) record(ctx context.Context, answer tarragondeal.Recorded) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimWait)
+	defer cancel()
+	if err := r.f.Claims.Finish(ctx, *r.claim, answer); err != nil {
+		r.f.Metrics.Counter("answersNotRecorded").Inc(1)
+		r.f.Log.Warn().Err(err).Str("request", string(r.q.ID)).Msg("answer not recorded")
+		return
+	}
+	r.recorded = true
+}
+
+// settle gives the claim back if the request has certainly not run.
+func (r *run) settle() {
+	if r.recorded || r.ran != tarragondeal.RanNot || r.stream.delivered {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimWait)
+	defer cancel()
+	if err := r.f.Claims.Abandon(ctx, *r.claim); err != nil {
+		r.f.Metrics.Counter("claimsNotReturned").Inc(1)
+		r.f.Log.Warn().Err(err).Str("request", string(r.q.ID)).Msg("claim not given back")
+	}
+}
+
+// Truth returns an error that is true of the request as its caller sees it. A
+// non-idempotent request that is refused before its claim was settled may
+// have run when it was sent before with the same idempotency key: this call
+// did not run it, but nothing more can be said.
+func (q *Request) Truth(err error) error {
+	refused, ok := errors.AsType[*tarragondeal.RefusedError](err)
+	repeat := q.Route != nil && q.Route.NonIdempotent && q.IdemKey != "" && !q.Settled
+	if !ok || !repeat || refused.Ran != tarragondeal.RanNot {
+		return err
+	}
+	out := *refused
+	out.Ran = tarragondeal.RanUnknown
+	return &out
+}
--- a/internal/node/tdnode/node.go
+++ b/internal/node/tdnode/node.go
@@ -164,7 +164,7 @@
 }
 
 func (n *Node) serveHTTP(g *tdtask.Group, name string, ln net.Listener, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
 	g.Go(name, func(context.Context) error {
 		if err := srv.Serve(ln); err != nil && err != http.ErrServerClosed {
 			return err
@@ -177,6 +177,7 @@
 func (n *Node) drain(front *http.Server) {
 	n.nodeLog.Info().Msg("leaving")
 	n.fleet.leave()
+	n.entry.leave()
 	time.Sleep(n.cfg.DrainWait)
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainMax)
 	defer cancel()
--- a/internal/test/tdtest/node.go
+++ b/internal/test/tdtest/node.go
@@ -71,7 +71,7 @@
 		"serve", "-name", s.Name, "-dataCentre", s.DataCentre, "-platform.url", s.PlatformURL,
 		"-listen.callers", n.Callers.String(), "-listen.peers", n.Peers.String(),
 		"-listen.operators", n.Operators.String(), "-operator.token", Token,
-		"-platform.listEvery", "200ms", "-drain.wait", "200ms",
+		"-platform.listEvery", "200ms", "-drain.wait", "200ms", "-entry.ttl", "200ms",
 	}
 	if s.Policy != "" {
 		args = append(args, "-dispatch.policy", s.Policy)
