Test the callers' side part by part

Cause: the split parts had no tests of their own.

A connection that could not be opened is told to the owner as refused, so that leaving servers are noticed; a grant outside the place as unused.

Conclusion: a request that ran is never said not to have run in any of the combinations tried.

--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -125,7 +125,7 @@
 		r.f.Metrics.Counter("grantsOutsidePlace").Inc(1)
 		r.f.Log.Error().Str("request", string(r.q.ID)).Str("server", string(a.grant.Server.ID)).
 			Msg("granted server is outside the permitted places")
-		return failed{failure: FailUnsent, ran: tarragondeal.RanNot}
+		return failed{failure: FailPlace, ran: tarragondeal.RanNot}
 	}
 	if pool := r.q.View.ServerPools[a.grant.Server.Pool]; pool != nil {
 		r.sample.Reclaimable = pool.Reclaimable
--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -12,7 +12,8 @@
 // The failures of an attempt.
 const (
 	FailNone     Failure = iota
-	FailUnsent           // No byte can have reached the server.
+	FailPlace            // The granted server is outside the permitted places.
+	FailUnsent           // The server can't be reached: no byte was sent.
 	FailRefused          // The dispatcher gave no server.
 	FailBusy             // The server answered that it won't now.
 	FailServer           // The server answered with a fault of its own.
@@ -69,7 +70,8 @@
 	if s.resumable() {
 		return StepResume
 	}
-	safe := s.Idempotent || s.Failure == FailUnsent && !s.Delivered
+	unsent := s.Failure == FailUnsent || s.Failure == FailPlace
+	safe := s.Idempotent || unsent && !s.Delivered
 	if !safe || s.Attempts >= s.Bound {
 		return s.end()
 	}
@@ -96,7 +98,7 @@
 
 // NeedsBudget reports whether a retry takes from the fleet's budget. One that
 // follows an attempt which cost no server anything is free.
-func (f Failure) NeedsBudget() bool { return f != FailUnsent }
+func (f Failure) NeedsBudget() bool { return f != FailUnsent && f != FailPlace }
 
 // CombineRan returns what can be said of a request after two attempts.
 func CombineRan(a, b tarragondeal.Ran) tarragondeal.Ran {
@@ -111,7 +113,8 @@
 // outcomes are what the owner of the server is told.
 var outcomes = map[Failure]tarragondeal.OutcomeKind{
 	FailNone:     tarragondeal.OutcomeServed,
-	FailUnsent:   tarragondeal.OutcomeUnused,
+	FailPlace:    tarragondeal.OutcomeUnused,
+	FailUnsent:   tarragondeal.OutcomeRefused,
 	FailBusy:     tarragondeal.OutcomeRefused,
 	FailServer:   tarragondeal.OutcomeRefused,
 	FailRedirect: tarragondeal.OutcomeRefused,
@@ -143,6 +146,7 @@
 	reason tarragondeal.Reason
 	text   string
 }{
+	FailPlace:    {tarragondeal.ReasonNoServer, "no backend server was found in a permitted data centre"},
 	FailUnsent:   {tarragondeal.ReasonBackend, "no backend server could be reached"},
 	FailBusy:     {tarragondeal.ReasonBackend, "the backend servers refused the request"},
 	FailServer:   {tarragondeal.ReasonBackend, "the backend server failed"},
--- /dev/null
+++ b/internal/entry/tdflow/tdflow_test.go
@@ -0,0 +1,167 @@
+package tdflow
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"tarragondeal"
+)
+
+func TestFlow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Flow")
+}
+
+var _ = Describe("the next step", func() {
+	base := State{Idempotent: true, Stream: true, Attempts: 1, Bound: 3, Left: time.Second}
+	with := func(f Failure, change func(*State)) State {
+		s := base
+		s.Failure = f
+		if change != nil {
+			change(&s)
+		}
+		return s
+	}
+	delivered := func(s *State) { s.Delivered = true }
+	for _, c := range []struct {
+		name  string
+		state State
+		want  Step
+	}{
+		{"whole", with(FailNone, delivered), StepDone},
+		{"crashed before the first byte", with(FailCrashed, nil), StepRetry},
+		{"crashed, attempts used up", with(FailCrashed, func(s *State) { s.Attempts = 3 }), StepRefuse},
+		{"crashed, no time left", with(FailCrashed, func(s *State) { s.Left = 0 }), StepRefuse},
+		{"crashed, not idempotent", with(FailCrashed, func(s *State) { s.Idempotent = false }), StepRefuse},
+		{"unsent, not idempotent", with(FailUnsent, func(s *State) { s.Idempotent = false }), StepRetry},
+		{"server fault, not idempotent", with(FailServer, func(s *State) { s.Idempotent = false }), StepRefuse},
+		{"broke in the middle", with(FailCrashed, delivered), StepResume},
+		{"broke in the middle, not idempotent", with(FailShort, func(s *State) { s.Delivered, s.Idempotent = true, false }), StepResume},
+		{"broke again after resuming", with(FailCrashed, func(s *State) { s.Delivered, s.Resumed = true, true }), StepRetry},
+		{"broke again, not idempotent", with(FailCrashed, func(s *State) { s.Delivered, s.Resumed, s.Idempotent = true, true, false }), StepFail},
+		{"another's event in the middle", with(FailWrong, delivered), StepRetry},
+		{"another run differs", with(FailDiffers, delivered), StepFail},
+		{"plain answer broke", with(FailCrashed, func(s *State) { s.Delivered, s.Stream = true, false }), StepCut},
+		{"caller went away", with(FailCaller, delivered), StepGone},
+		{"key withdrawn before the answer", with(FailCut, nil), StepRefuse},
+		{"key withdrawn in the middle", with(FailCut, delivered), StepFail},
+		{"late in the middle", with(FailLate, delivered), StepFail},
+		{"no server given", with(FailRefused, nil), StepRefuse},
+		{"no server given to go on", with(FailRefused, delivered), StepFail},
+		{"redirect", with(FailRedirect, nil), StepRefuse},
+	} {
+		It("is right: "+c.name, func() { Expect(Next(c.state)).To(Equal(c.want)) })
+	}
+
+	It("never runs a non-idempotent request again once a byte was sent", func() {
+		for f := FailNone; f <= FailLate; f++ {
+			for _, stream := range []bool{false, true} {
+				s := State{Failure: f, Stream: stream, Attempts: 1, Bound: 3, Left: time.Second}
+				if f != FailUnsent && f != FailPlace {
+					Expect(Next(s)).NotTo(Equal(StepRetry))
+				}
+				s.Delivered = true
+				Expect(Next(s)).NotTo(Equal(StepRetry))
+			}
+		}
+	})
+})
+
+var _ = Describe("what is known of a run", func() {
+	It("never falls back to notRun", func() {
+		order := []tarragondeal.Ran{tarragondeal.RanNot, tarragondeal.RanUnknown, tarragondeal.RanYes}
+		for n, a := range order {
+			for k, b := range order {
+				Expect(CombineRan(a, b)).To(Equal(order[max(n, k)]))
+			}
+		}
+	})
+})
+
+var _ = Describe("a body", func() {
+	for _, c := range []struct{ name, in, fault string }{
+		{"that is cut", `{"model":"m","messages":[`, "not complete"},
+		{"that is no object", `[1]`, "not a JSON object"},
+		{"that is empty", ``, "not a JSON object"},
+		{"that goes on", `{"model":"m"} {}`, "follows"},
+		{"with a field twice", `{"model":"m","model":"n"}`, "twice"},
+		{"whose model is no text", `{"model":7}`, "wrong type"},
+	} {
+		It("is refused "+c.name, func() {
+			_, err := ParseBody([]byte(c.in))
+			Expect(err).To(MatchError(ContainSubstring(c.fault)))
+		})
+	}
+
+	It("reaches an engine with the router's own fields and all others untouched", func() {
+		b, err := ParseBody([]byte(`{"seed": 9007199254740993, "model":"narrate","priority":0,"cache_salt":"mine","stream":true,"stream_options":{"x":1},"messages":[{"content":"<é>"}]}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(b.ForEngine("m-7b", 3, "salt"))).To(Equal(
+			`{"model":"m-7b","priority":3,"cache_salt":"salt","stream_options":{"include_usage":true,"x":1},"seed":9007199254740993,"stream":true,"messages":[{"content":"<é>"}]}`))
+	})
+})
+
+// FuzzBody checks that a body which is taken reaches the engine as one JSON
+// object whose other fields hold what they held.
+func FuzzBody(f *testing.F) {
+	for _, seed := range []string{
+		``, `{}`, `{"model":"m"}`, `{"model":"m","stream":true,"stream_options":null}`, `{"a":1,"a":2}`, `{"":{}}`,
+		`{"model":"m","messages":[{"role":"user","content":"\u0000"}],"n":1e9}`, `{"model":"m"`, `{"max_tokens":"x"}`, ` {"stop":["\""]} `,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		b, err := ParseBody(in)
+		if err != nil {
+			return
+		}
+		var before, after map[string]json.RawMessage
+		if err := json.Unmarshal(in, &before); err != nil {
+			t.Fatalf("%q was taken: %v", in, err)
+		}
+		if err := json.Unmarshal(b.ForEngine("m", 2, "s"), &after); err != nil {
+			t.Fatalf("%q became no JSON: %v", in, err)
+		}
+		if string(after["model"]) != `"m"` || string(after["priority"]) != "2" || string(after["cache_salt"]) != `"s"` {
+			t.Fatalf("%q lacks the router's fields", in)
+		}
+		for name, raw := range before {
+			own := name == "model" || name == "priority" || name == "cache_salt" || name == "stream_options"
+			if !own && !bytes.Equal(raw, after[name]) {
+				t.Fatalf("field %q changed", name)
+			}
+		}
+	})
+}
+
+// TestPrefix checks that conversations share the digests of what they share,
+// and only within a workspace.
+func TestPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		message := rapid.Map(rapid.StringN(0, 3*prefixBlock, -1), func(s string) json.RawMessage {
+			raw, _ := json.Marshal(map[string]string{"role": "user", "content": s})
+			return raw
+		})
+		long := rapid.SliceOfN(message, 2, 5).Draw(t, "messages")
+		text := func(m []json.RawMessage) []byte { raw, _ := json.Marshal(m); return raw }
+		whole := Prefix("w", text(long))
+		part := Prefix("w", text(long[:len(long)-1]))
+		if len(whole) > maxPrefix || len(part) == 0 {
+			t.Fatalf("%d and %d digests", len(whole), len(part))
+		}
+		for n := range part {
+			if part[n] != whole[n] {
+				t.Fatalf("digest %d differs", n)
+			}
+		}
+		if Prefix("v", text(long))[0] == whole[0] || Salt("v") == Salt("w") {
+			t.Fatal("two workspaces share a prefix")
+		}
+	})
+}
--- a/internal/entry/tdfront/admit.go
+++ b/internal/entry/tdfront/admit.go
@@ -20,6 +20,9 @@
 		if err != nil {
 			return "", refused(tarragondeal.ReasonBadRequest, err.Error())
 		}
+		if body.Model == "" {
+			return "", refused(tarragondeal.ReasonBadRequest, "the body names no model")
+		}
 		q.Model, q.Path = body, r.URL.Path
 		return body.Model, nil
 	})
--- /dev/null
+++ b/internal/entry/tdkey/tdkey_test.go
@@ -0,0 +1,167 @@
+package tdkey
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"tarragondeal"
+)
+
+func TestKey(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Key")
+}
+
+func view(version tarragondeal.Version, keys ...tarragondeal.Key) *tarragondeal.View {
+	return tarragondeal.NewView(version, &tarragondeal.Set{Keys: keys})
+}
+
+func reason(err error) tarragondeal.Reason {
+	var refused *tarragondeal.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reason
+	}
+	return ""
+}
+
+var _ = Describe("a key", func() {
+	It("is checked against the set in force", func() {
+		text, key, err := Issue("depot_1", "roadside")
+		Expect(err).NotTo(HaveOccurred())
+		withdrawn := key
+		withdrawn.Withdrawn = true
+		other, _, err := Issue("depot_1", "roadside")
+		Expect(err).NotTo(HaveOccurred())
+		for _, c := range []struct {
+			name string
+			view *tarragondeal.View
+			text string
+			want tarragondeal.Reason
+		}{
+			{"good", view(1, key), text, ""},
+			{"withdrawn", view(1, withdrawn), text, tarragondeal.ReasonKeyWithdrawn},
+			{"unknown", view(1), text, tarragondeal.ReasonBadKey},
+			{"another secret", view(1, key), other, tarragondeal.ReasonBadKey},
+			{"cut", view(1, key), text[:len(text)-1], tarragondeal.ReasonBadKey},
+			{"empty", view(1, key), "", tarragondeal.ReasonBadKey},
+			{"a zero secret of an unknown key", view(1), "td_x_" + base64.RawURLEncoding.EncodeToString(make([]byte, secretBytes)), tarragondeal.ReasonBadKey},
+		} {
+			got, err := Check(c.view, c.text)
+			Expect(reason(err)).To(Equal(c.want), c.name)
+			if err != nil {
+				Expect(err.Error()).NotTo(ContainSubstring("depot"), c.name)
+				continue
+			}
+			Expect(got.Name).To(Equal("depot_1"))
+		}
+	})
+
+	It("is found wherever it stands", func() {
+		text, _, err := Issue("depot.1", "roadside")
+		Expect(err).NotTo(HaveOccurred())
+		for _, in := range []string{text, "key=" + text + "&a=b", "td_td_" + text, `"` + text + `"`, "Bearer " + text + "="} {
+			Expect(Contains([]byte(in))).To(BeTrue(), in)
+		}
+		for _, in := range []string{"", "td_", "td_depot_short", "td_a b_" + strings.Repeat("x", 50), strings.Repeat("td_", 9)} {
+			Expect(Contains([]byte(in))).To(BeFalse(), in)
+		}
+	})
+
+	It("has a name that fits into its text", func() {
+		for _, name := range []string{"", "a b", "a/b", strings.Repeat("a", maxNameBytes+1)} {
+			_, _, err := Issue(name, "roadside")
+			Expect(err).To(HaveOccurred(), name)
+		}
+	})
+})
+
+// config is a set in force that a test changes.
+type config struct {
+	mu      sync.Mutex
+	view    *tarragondeal.View
+	changed chan struct{}
+}
+
+func (c *config) View() *tarragondeal.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
+
+func (c *config) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+func (c *config) set(v *tarragondeal.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view = v
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+var _ = Describe("the guard", func() {
+	It("cuts requests whose key is withdrawn, and no others", func() {
+		defer goleak.VerifyNone(GinkgoT(), goleak.IgnoreCurrent())
+		a := tarragondeal.Key{Name: "a", Workspace: "w", Digest: "1"}
+		b := tarragondeal.Key{Name: "b", Workspace: "w", Digest: "2"}
+		cfg := &config{view: view(1, a, b), changed: make(chan struct{})}
+		g := NewGuard(cfg)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- g.Run(ctx) }()
+		cutA, cutB, cutEnded := make(chan error, 9), make(chan error, 9), make(chan error, 9)
+		defer g.Hold(&a, func(err error) { cutA <- err })()
+		defer g.Hold(&b, func(err error) { cutB <- err })()
+		g.Hold(&a, func(err error) { cutEnded <- err })()
+
+		withdrawn := a
+		withdrawn.Withdrawn = true
+		cfg.set(view(2, withdrawn, b))
+		var err error
+		Eventually(cutA, "5s").Should(Receive(&err))
+		Expect(reason(err)).To(Equal(tarragondeal.ReasonKeyWithdrawn))
+		Expect(cutB).To(BeEmpty())
+		Expect(cutEnded).To(BeEmpty())
+
+		By("cutting at once what was admitted just before")
+		late := make(chan error, 9)
+		defer g.Hold(&a, func(err error) { late <- err })()
+		Expect(late).To(Receive())
+		cancel()
+		Eventually(done, "5s").Should(Receive(BeNil()))
+	})
+})
+
+// FuzzSplit checks that a key's text is taken apart in one way only, and that
+// every text which can be taken apart is found as a key.
+func FuzzSplit(f *testing.F) {
+	for _, seed := range []string{"", "td_", "td_a_b", "td__" + strings.Repeat("A", secretText), "td_a_" + strings.Repeat("A", secretText), "td_a_b_" + strings.Repeat("_", secretText-1) + "A"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		name, secret, ok := split(text)
+		if len(secret) != secretBytes {
+			t.Fatalf("secret of %d bytes", len(secret))
+		}
+		if !ok {
+			return
+		}
+		if again := prefix + name + "_" + base64.RawURLEncoding.EncodeToString(secret); again != text {
+			t.Fatalf("%q was taken apart as %q", text, again)
+		}
+		if !Contains([]byte("x" + text + "y")) {
+			t.Fatalf("%q is not found", text)
+		}
+	})
+}
--- a/internal/entry/tdrelay/error.go
+++ b/internal/entry/tdrelay/error.go
@@ -68,7 +68,7 @@
 
 // WriteError answers a request that gets no other answer.
 func WriteError(w http.ResponseWriter, err error) {
-	status, body, after := Describe(err)
+	status, body, after := ErrorJSON(err)
 	if after > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(comeBack(after, rand.Float64())))
 	}
@@ -86,8 +86,8 @@
 	return int((after + time.Second - 1) / time.Second)
 }
 
-// Describe returns an error's status, its JSON, and when to come back.
-func Describe(err error) (status int, body []byte, after time.Duration) {
+// ErrorJSON returns an error's status, its JSON, and when to come back.
+func ErrorJSON(err error) (status int, body []byte, after time.Duration) {
 	reason, d, after := detail(err)
 	d.Type, d.Code = "tarragondeal", string(reason)
 	if after == 0 {
--- a/internal/entry/tdrelay/stream.go
+++ b/internal/entry/tdrelay/stream.go
@@ -323,7 +323,7 @@
 // marker.
 func (s *Stream) Fail(err error) {
 	s.extend()
-	_, body, _ := Describe(err)
+	_, body, _ := ErrorJSON(err)
 	for _, part := range [][]byte{[]byte("event: error\ndata: "), body, []byte("\n\n")} {
 		if _, err := s.w.Write(part); err != nil {
 			return
