Bring bad input, bad answers and stops about at a real node

Cause: the list of bad input and bad answers had no test through a real process.

Change: test/entry starts a node on stand-ins and checks 19 kinds of bad input, slow senders, doubled request ids, answers that are another's, short, broken or never come, late streams, a caller that vanishes, a call whose answer is cut after it ran, replays, a key withdrawn in mid-stream, a lost server, a stop under ten running streams with a second signal, and that no key stands in anything that backend servers saw or in the log.

--- /dev/null
+++ b/test/entry/entry_test.go
@@ -0,0 +1,421 @@
+// Package entry_test brings bad input, bad answers and stops about at a real
+// node process, as its callers see them.
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"tarragondeal"
+	"tarragondeal/internal/entry/tdkey"
+	"tarragondeal/internal/object/tdset"
+	"tarragondeal/internal/standin/tdcluster"
+	"tarragondeal/internal/standin/tdengine"
+	"tarragondeal/internal/standin/tdservice"
+	"tarragondeal/internal/test/tdtest"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Entry")
+}
+
+var binary string
+
+var _ = BeforeSuite(func() {
+	var err error
+	binary, err = gexec.Build("tarragondeal/cmd/tarragondeal")
+	Expect(err).NotTo(HaveOccurred())
+})
+
+var _ = AfterSuite(gexec.CleanupBuildArtifacts)
+
+const setText = `
+dataCentres: [{name: duluth, region: lakes}]
+serverPools:
+  - {name: narrator, kind: model, model: narrator-7b, slots: 64}
+  - {name: records, kind: service, slots: 4}
+requestClasses:
+  - {name: bench, tier: 1, firstToken: 330ms, deadline: 60s}
+  - {name: quick, tier: 2, firstToken: 330ms, deadline: 1s}
+  - {name: entry, tier: 2, completion: 1s, deadline: 10s}
+workspaces: [{name: auditors}, {name: desk}, {name: house}]
+routes:
+  - {name: narrate, class: bench, pools: [narrator]}
+  - {name: brief, class: quick, pools: [narrator]}
+  - {name: private, class: bench, pools: [narrator], workspaces: [desk]}
+  - {name: help, class: bench, pools: [narrator], open: true, billedTo: house}
+  - {name: certificate, class: entry, pools: [records], nonIdempotent: true}
+`
+
+const (
+	chat        = "/v1/chat/completions"
+	certificate = "/services/certificate/enter"
+)
+
+var _ = Describe("the callers' side", Ordered, func() {
+	var (
+		cluster *tdcluster.Cluster
+		node    *tdtest.Node
+		set     *tarragondeal.Set
+		key     string
+		other   string // A key that is withdrawn.
+	)
+
+	BeforeAll(func() {
+		var err error
+		engine := &tdengine.Options{Slots: 64, PerToken: 5 * time.Millisecond}
+		cluster, err = tdcluster.Start(tdcluster.Spec{Groups: []tdcluster.Group{
+			{Pool: "narrator", DataCentre: "duluth", Count: 2, Engine: engine},
+			{Pool: "records", DataCentre: "duluth", Count: 1, Service: &tdservice.Options{Slots: 4}},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(cluster.Close)
+		node = tdtest.StartNode(binary, tdtest.NodeSpec{
+			Name: "node1", DataCentre: "duluth", PlatformURL: cluster.PlatformURL, Policy: "roundRobin",
+			Args: []string{"-callers.maxBody", "65536", "-callers.bodyTimeout", "500ms", "-log.level", "debug", "-drain.wait", "3s"},
+		})
+		DeferCleanup(node.Kill)
+		set, err = tdset.Parse("set", []byte(setText))
+		Expect(err).NotTo(HaveOccurred())
+		var first, second tarragondeal.Key
+		key, first, err = tdkey.Issue("auditor", "auditors")
+		Expect(err).NotTo(HaveOccurred())
+		other, second, err = tdkey.Issue("leaver", "auditors")
+		Expect(err).NotTo(HaveOccurred())
+		set.Keys = []tarragondeal.Key{first, second}
+		node.Publish(set)
+		Eventually(func() string { return call(node, key, ask("narrate", 1)).body }, "10s").Should(ContainSubstring("[DONE]"))
+	})
+
+	AfterEach(func() {
+		for _, s := range cluster.Servers[:2] {
+			s.Engine.Fail(tdengine.FaultNone, 0)
+			s.Engine.Straggle(1)
+		}
+	})
+
+	It("refuses bad input with a clear error", func() {
+		bearer := func(k string) func(*http.Request) {
+			return func(r *http.Request) { r.Header.Set("Authorization", "Bearer "+k) }
+		}
+		header := func(name, value string) func(*http.Request) {
+			return func(r *http.Request) { bearer(key)(r); r.Header.Set(name, value) }
+		}
+		for _, c := range []struct {
+			name, path, body string
+			change           func(*http.Request)
+			status           int
+			code             string
+		}{
+			{"a key in the query", chat + "?key=" + key, ask("narrate", 1), bearer(key), 400, "keyMisplaced"},
+			{"a key in an escaped query", chat + "?k%65y=" + strings.Replace(key, "_", "%5F", 2), ask("narrate", 1), bearer(key), 400, "keyMisplaced"},
+			{"a key in a cookie", chat, ask("narrate", 1), header("Cookie", "session="+key), 400, "keyMisplaced"},
+			{"a key in another header", chat, ask("narrate", 1), header("X-Api-Key", key), 400, "keyMisplaced"},
+			{"a key in the body", chat, strings.Replace(ask("narrate", 1), "hi", key, 1), bearer(key), 400, "keyMisplaced"},
+			{"a key in a trailer", chat, ask("narrate", 1), func(r *http.Request) {
+				bearer(key)(r)
+				r.Trailer, r.ContentLength = http.Header{"X-Key": {key}}, -1
+			}, 400, "keyMisplaced"},
+			{"no key", chat, ask("narrate", 1), func(*http.Request) {}, 401, "noKey"},
+			{"a key that is not known", chat, ask("narrate", 1), bearer(key[:len(key)-4] + "AAAA"), 401, "badKey"},
+			{"an unknown model", chat, ask("nothing", 1), bearer(key), 404, "noRoute"},
+			{"an unknown service", "/services/nothing/x", "{}", bearer(key), 404, "noRoute"},
+			{"a service called as a model", chat, ask("certificate", 1), bearer(key), 404, "noRoute"},
+			{"an unknown path", "/v2/chat", "{}", bearer(key), 404, "noRoute"},
+			{"another workspace's route", chat, ask("private", 1), bearer(key), 403, "notPermitted"},
+			{"a backend server's own interface", "/services/certificate/orders", "{}", bearer(key), 404, "noRoute"},
+			{"a path that climbs", "/services/certificate/x/%2e%2e/orders", "{}", bearer(key), 400, "badRequest"},
+			{"JSON that is cut", chat, ask("narrate", 1)[:30], bearer(key), 400, "badRequest"},
+			{"a body above the limit", chat, ask("narrate", 1) + strings.Repeat(" ", 70000), bearer(key), 413, "tooLarge"},
+			{"no idempotency key", certificate, `{"id":"none"}`, bearer(key), 400, "needsIdempotencyKey"},
+			{"a request id that is too long", chat, ask("narrate", 1), header("X-Request-Id", strings.Repeat("x", 200)), 400, "badRequest"},
+		} {
+			got := send(node, c.path, c.body, c.change)
+			Expect(got.status).To(Equal(c.status), c.name+": "+got.body)
+			Expect(got.body).To(ContainSubstring(`"code":%q`, c.code), c.name)
+			Expect(got.body).To(ContainSubstring(`"ran":"notRun"`), c.name)
+		}
+		Expect(call(node, "", ask("help", 2)).body).To(HaveSuffix("[DONE]\n\n"))
+	})
+
+	It("gives up on a slow sender", func() {
+		c, err := net.Dial("tcp", node.Callers.String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = c.Close() }()
+		_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 99\r\n\r\n{", chat, key)
+		Expect(err).NotTo(HaveOccurred())
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = res.Body.Close() }()
+		Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
+	})
+
+	It("keeps two callers with one request id apart", func() {
+		var wg sync.WaitGroup
+		for n := range 8 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				prompt := fmt.Sprintf(`[{"role":"user","content":"caller %d"}]`, n)
+				body := `{"model":"narrate","stream":true,"max_tokens":9,"messages":` + prompt + `}`
+				got := send(node, chat, body, func(r *http.Request) {
+					r.Header.Set("Authorization", "Bearer "+key)
+					r.Header.Set("X-Request-Id", "same")
+				})
+				Expect(got.header.Get("X-Request-Id")).To(Equal("same"))
+				Expect(words(got.body)).To(Equal(strings.Join(tdengine.Words([]byte(prompt), 9), "")))
+			})
+		}
+		wg.Wait()
+	})
+
+	for _, c := range []struct {
+		name  string
+		fault tdengine.Fault
+		route string
+		tries bool // Another attempt answers.
+	}{
+		{"another request's id", tdengine.FaultWrongID, "narrate", true},
+		{"a stream that ends early", tdengine.FaultShort, "narrate", true},
+		{"a stream that breaks", tdengine.FaultCut, "narrate", true},
+		{"no answer", tdengine.FaultNever, "brief", false},
+	} {
+		It("answers whole or says so when a backend server gives "+c.name, func() {
+			cluster.Servers[0].Engine.Fail(c.fault, 1)
+			for _, tokens := range []int{10, 1, 10, 1} { // One token breaks before the first byte.
+				got := call(node, key, ask(c.route, tokens))
+				if c.tries || got.status == http.StatusOK {
+					Expect(got.body).To(HaveSuffix("data: [DONE]\n\n"), got.body)
+					Expect(words(got.body)).To(Equal(strings.Join(tdengine.Words([]byte(prompt), tokens), "")))
+				} else {
+					Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+					Expect(got.body).To(ContainSubstring(`"ran":"unknown"`))
+				}
+			}
+			for _, s := range cluster.Servers[:2] {
+				s.Engine.Fail(c.fault, 1)
+			}
+			got := call(node, key, strings.Replace(ask(c.route, 10), `"stream":true`, `"stream":false`, 1))
+			Expect(got.status).To(BeElementOf(http.StatusBadGateway, http.StatusGatewayTimeout))
+			Expect(got.body).To(ContainSubstring(`"ran":"unknown"`))
+		})
+	}
+
+	It("ends a late stream with an error", func() {
+		for _, s := range cluster.Servers[:2] {
+			s.Engine.Straggle(20)
+		}
+		got := call(node, key, ask("brief", 1000))
+		Expect(got.body).To(ContainSubstring("event: error\ndata: "))
+		Expect(got.body).To(ContainSubstring(`"code":"deadline"`))
+		Expect(got.body).NotTo(ContainSubstring("[DONE]"))
+	})
+
+	It("cancels the attempt when its caller vanishes", func() {
+		marker := `{"model":"narrate","stream":true,"max_tokens":100000,"messages":["vanish"]}`
+		ctx, cancel := context.WithCancel(context.Background())
+		res := open(ctx, node, key, marker)
+		_, err := res.Body.Read(make([]byte, 10))
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		_ = res.Body.Close()
+		tokens := func() int {
+			n := 0
+			for _, s := range cluster.Servers[:2] {
+				for _, seen := range s.Engine.Seen() {
+					if strings.Contains(string(seen.Body), "vanish") {
+						n += seen.Tokens
+					}
+				}
+			}
+			return n
+		}
+		stopped := -1
+		Eventually(func() bool {
+			before := stopped
+			stopped = tokens()
+			return before == stopped
+		}, "20s", "300ms").Should(BeTrue())
+		Expect(stopped).To(BeNumerically("<", 100000))
+	})
+
+	It("runs a call once when its service breaks after it", func() {
+		cluster.Servers[2].Service.CutAnswers(1)
+		for _, want := range []struct {
+			status int
+			code   string
+		}{{http.StatusBadGateway, "backendFailed"}, {http.StatusConflict, "alreadyRunning"}} {
+			got := once(node, key, `{"id":"cut"}`, "idem-cut")
+			Expect(got.status).To(Equal(want.status), got.body)
+			Expect(got.body).To(ContainSubstring(want.code))
+			Expect(got.body).To(ContainSubstring(`"ran":"unknown"`))
+		}
+		Expect(cluster.Servers[2].Service.Executions("cut")).To(Equal(1))
+	})
+
+	It("replays a recorded answer and tells two bodies apart", func() {
+		first := once(node, key, `{"id":"rec"}`, "idem-rec")
+		again := once(node, key, `{"id":"rec"}`, "idem-rec")
+		Expect(again.body).To(Equal(first.body))
+		Expect(again.header.Get("Idempotent-Replayed")).To(Equal("true"))
+		Expect(once(node, key, `{"id":"other"}`, "idem-rec").status).To(Equal(http.StatusUnprocessableEntity))
+		Expect(cluster.Servers[2].Service.Executions("rec")).To(Equal(1))
+		Expect(cluster.Servers[2].Service.Executions("other")).To(BeZero())
+	})
+
+	It("cuts a stream whose key is withdrawn, and no other", func() {
+		leaving := open(context.Background(), node, other, ask("narrate", 4000))
+		staying := make(chan answer, 1)
+		go func() { staying <- call(node, key, ask("narrate", 200)) }()
+		_, err := leaving.Body.Read(make([]byte, 10))
+		Expect(err).NotTo(HaveOccurred())
+		set.Keys[1].Withdrawn = true
+		node.Publish(set)
+		text, err := io.ReadAll(leaving.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(leaving.Body.Close()).To(Succeed())
+		Expect(string(text)).To(ContainSubstring(`event: error` + "\n" + `data: {"error":`))
+		Expect(string(text)).To(ContainSubstring(`"code":"keyWithdrawn","ran":"ran"`))
+		Expect(call(node, other, ask("narrate", 1)).status).To(Equal(http.StatusUnauthorized))
+		Expect((<-staying).body).To(HaveSuffix("[DONE]\n\n"))
+	})
+
+	It("retries elsewhere when a server is gone", func() {
+		cluster.Servers[0].Kill()
+		for range 4 {
+			Expect(call(node, key, ask("narrate", 5)).body).To(HaveSuffix("[DONE]\n\n"))
+		}
+	})
+
+	It("stops without cutting a running stream", func() {
+		const streams = 10
+		running := make([]*http.Response, streams)
+		for n := range running {
+			running[n] = open(context.Background(), node, key, ask("narrate", 300))
+		}
+		node.Session.Terminate()
+		Eventually(func() int { return get(node, "/readyz") }, "10s", "10ms").Should(Equal(http.StatusServiceUnavailable))
+		late := call(node, key, ask("narrate", 1))
+		Expect(late.body).To(HaveSuffix("[DONE]\n\n"))
+		Expect(late.closes).To(BeTrue())
+		node.Session.Terminate()
+		for _, res := range running {
+			text, err := io.ReadAll(res.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(text)).To(HaveSuffix("[DONE]\n\n"))
+		}
+		Eventually(node.Session, "20s").Should(gexec.Exit(0))
+	})
+
+	It("has shown no key to a backend server or in a log", func() {
+		var dump string
+		for _, seen := range cluster.Servers[2].Service.Seen() {
+			dump += fmt.Sprint(seen.URL, seen.Header)
+		}
+		for _, s := range cluster.Servers[:2] {
+			for _, seen := range s.Engine.Seen() {
+				dump += fmt.Sprint(seen.Path, seen.Header, string(seen.Body))
+			}
+		}
+		Expect(dump).To(ContainSubstring(`"model":"narrator-7b"`)) // Bodies are looked at, too.
+		log := string(node.Session.Err.Contents()) + string(node.Session.Out.Contents())
+		Expect(log).To(ContainSubstring("stopped"))
+		for _, k := range []string{key, other} {
+			secret := k[len(k)-43:]
+			Expect(dump).NotTo(ContainSubstring(secret))
+			Expect(log).NotTo(ContainSubstring(secret))
+		}
+	})
+})
+
+const prompt = `[{"role":"user","content":"hi"}]`
+
+func ask(model string, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":%s}`, model, tokens, prompt)
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	closes bool // The connection is not to be used again.
+}
+
+func send(n *tdtest.Node, path, body string, change func(*http.Request)) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.Callers.String()+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	change(req)
+	res, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return answer{status: res.StatusCode, header: res.Header, body: string(text), closes: res.Close}
+}
+
+func call(n *tdtest.Node, key, body string) answer {
+	return send(n, chat, body, func(r *http.Request) {
+		if key != "" {
+			r.Header.Set("Authorization", "Bearer "+key)
+		}
+	})
+}
+
+func once(n *tdtest.Node, key, body, idem string) answer {
+	return send(n, certificate, body, func(r *http.Request) {
+		r.Header.Set("Authorization", "Bearer "+key)
+		r.Header.Set("Idempotency-Key", idem)
+	})
+}
+
+// open starts a stream, which the caller closes.
+func open(ctx context.Context, n *tdtest.Node, key, body string) *http.Response {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Callers.String()+chat, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+key)
+	res, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.StatusCode).To(Equal(http.StatusOK))
+	return res
+}
+
+func get(n *tdtest.Node, path string) int {
+	res, err := http.Get("http://" + n.Callers.String() + path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	return res.StatusCode
+}
+
+// words returns what a stream said.
+func words(stream string) string {
+	var out strings.Builder
+	for line := range strings.Lines(stream) {
+		var c struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if ok && json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
+			out.WriteString(c.Choices[0].Delta.Content)
+		}
+	}
+	return out.String()
+}
