--- a/internal/entry/tdrelay/chunk.go
+++ b/internal/entry/tdrelay/chunk.go
@@ -22,17 +22,21 @@
 // an answer costs no memory. In valid JSON a quote inside a text is escaped,
 // so a name between bare quotes and before a colon is a field's name.
 type chunk struct {
-	valid    bool
-	done     bool
-	failed   bool // The engine reports an error.
-	content  bool // The event carries a part of the answer.
-	choices  bool
-	index    int
-	finished bool
-	usage    *Usage
-	id       []byte
+	valid   bool
+	done    bool
+	failed  bool // The engine reports an error.
+	choices bool // The event is about a choice.
+	index   int
+	usage   *Usage
+	id      []byte
+	finish  []byte
+	parts   [3][]byte // Of the answer's text, by partNames.
+	tools   []byte    // From the calls of tools on.
 }
 
+// partNames are the fields that hold a part of an answer's text.
+var partNames = [3]string{"content", "text", "reasoning_content"}
+
 func look(data []byte) chunk {
 	if bytes.Equal(data, []byte("[DONE]")) {
 		return chunk{valid: true, done: true}
@@ -48,20 +52,48 @@
 		_, c.failed = value(data, "error")
 		return c
 	}
-	c.choices = !bytes.HasPrefix(bytes.TrimLeft(choices, "[ \t\r\n"), []byte("]"))
+	list, ok := bytes.CutPrefix(choices, []byte("["))
+	c.choices = ok && !bytes.HasPrefix(skipSpace(list), []byte("]"))
 	if !c.choices {
 		return c
 	}
 	c.index = index(choices)
-	c.finished = len(text(choices, "finish_reason")) > 0
-	c.content = len(text(choices, "content")) > 0 || len(text(choices, "text")) > 0 ||
-		len(text(choices, "reasoning_content")) > 0 || has(choices, "tool_calls")
+	c.finish = text(choices, "finish_reason")
+	for n, name := range partNames {
+		c.parts[n] = text(choices, name)
+	}
+	if v, ok := value(choices, "tool_calls"); ok && !bytes.HasPrefix(v, []byte("null")) {
+		c.tools = v
+	}
 	return c
 }
 
-func has(data []byte, name string) bool {
-	v, ok := value(data, name)
-	return ok && !bytes.HasPrefix(v, []byte("null"))
+// content reports whether the event carries a part of the answer.
+func (c *chunk) content() bool {
+	for _, p := range c.parts {
+		if len(p) > 0 {
+			return true
+		}
+	}
+	return len(c.tools) > 0
+}
+
+// appendContent appends what the event says, but not the identifier and time
+// that differ between two runs of a request.
+func (c *chunk) appendContent(b []byte) []byte {
+	b = append(b, byte(c.index), '"')
+	for _, p := range c.parts {
+		b = append(append(b, p...), '"') // A quote never stands bare in a text.
+	}
+	b = append(append(b, c.finish...), '"')
+	return append(append(b, c.tools...), '"')
+}
+
+func skipSpace(b []byte) []byte {
+	for len(b) > 0 && (b[0] == ' ' || b[0] == '\t' || b[0] == '\r' || b[0] == '\n') {
+		b = b[1:]
+	}
+	return b
 }
 
 // value returns what follows the first field of that name, and the rest.
@@ -74,9 +106,9 @@
 		end := n + len(name)
 		bare := n > 0 && rest[n-1] == '"' && (n == 1 || rest[n-2] != '\\')
 		if bare && end < len(rest) && rest[end] == '"' {
-			after := bytes.TrimLeft(rest[end+1:], " \t\r\n")
+			after := skipSpace(rest[end+1:])
 			if len(after) > 0 && after[0] == ':' {
-				return bytes.TrimLeft(after[1:], " \t\r\n"), true
+				return skipSpace(after[1:]), true
 			}
 		}
 		rest = rest[end:]
--- a/internal/entry/tdrelay/stream.go
+++ b/internal/entry/tdrelay/stream.go
@@ -54,8 +54,9 @@
 	usage    *Usage
 	sum      hash.Hash // Over the content of the events taken.
 	skipped  hash.Hash // Over the events of another attempt.
-	seen     uint64    // Choices that began, by index.
-	finished uint64    // Choices that ended, by index.
+	scratch  []byte
+	seen     uint64 // Choices that began, by index.
+	finished uint64 // Choices that ended, by index.
 	digest   hash.Hash
 	copy     []byte
 	omitted  bool
@@ -153,7 +154,7 @@
 	case !f.same(c.id):
 		return EndWrong, false, errOther
 	case f.skip > 0:
-		return f.pass(ev, c)
+		return f.pass(c)
 	case c.done:
 		return f.finish(ev)
 	}
@@ -173,11 +174,11 @@
 }
 
 // pass compares an event with what was delivered instead of delivering it.
-func (f *feed) pass(ev Event, c chunk) (End, bool, error) {
+func (f *feed) pass(c chunk) (End, bool, error) {
 	if c.done {
 		return EndDiffers, false, errDiffers
 	}
-	addContent(f.s.skipped, ev.Data, c)
+	f.s.add(f.s.skipped, &c)
 	f.s.progress()
 	f.skip--
 	if f.skip > 0 {
@@ -190,25 +191,10 @@
 	return EndWhole, true, nil
 }
 
-// addContent adds what an event says, but not the identifier and time that
-// differ between attempts.
-func addContent(h hash.Hash, data []byte, c chunk) {
-	var length [1]byte
-	part, ok := value(data, "choices")
-	if !ok || !c.choices {
-		length[0] = 1
-		_, _ = h.Write(length[:])
-		return
-	}
-	for _, name := range []string{"finish_reason", "content", "text", "reasoning_content"} {
-		_, _ = h.Write(text(part, name))
-		_, _ = h.Write(length[:])
-	}
-	if v, ok := value(part, "tool_calls"); ok {
-		_, _ = h.Write(v)
-	}
-	length[0] = byte(c.index)
-	_, _ = h.Write(length[:])
+// add adds what an event says to a sum.
+func (s *Stream) add(sum hash.Hash, c *chunk) {
+	s.scratch = c.appendContent(s.scratch[:0])
+	_, _ = sum.Write(s.scratch)
 }
 
 // finish passes on the end marker if the answer has ended.
@@ -228,7 +214,7 @@
 	}
 	if c.choices {
 		s.seen |= 1 << c.index
-		if c.finished {
+		if len(c.finish) > 0 {
 			s.finished |= 1 << c.index
 		}
 	}
@@ -242,8 +228,8 @@
 		return end, ok, err
 	}
 	s.events++
-	addContent(s.sum, ev.Data, c)
-	if c.content {
+	s.add(s.sum, &c)
+	if c.content() {
 		s.tokens++
 	}
 	s.progress()
--- a/internal/entry/tdrelay/tdrelay_test.go
+++ b/internal/entry/tdrelay/tdrelay_test.go
@@ -227,7 +227,7 @@
 		c := look(data)
 		got := in.Choices[0]
 		if !c.valid || c.failed || string(c.id) != in.ID || c.index != got.Index ||
-			c.finished != (finish != nil) || c.content != (got.Delta.Content != "") || c.usage != nil {
+			(len(c.finish) > 0) != (finish != nil) || c.content() != (got.Delta.Content != "") || c.usage != nil {
 			t.Fatalf("%s: %+v", data, c)
 		}
 	})
