Take a key's text apart in one way only, and hold less per stream

Cause: fuzzing found that line ends within a secret were passed over, so that a shortened secret came out; an open stream held buffers larger than its events need.

Change: a secret that does not decode to its full length is no key; the input that showed it is a seed. Buffers towards backend servers are 2 KB.

--- a/internal/entry/tdkey/key.go
+++ b/internal/entry/tdkey/key.go
@@ -121,7 +121,7 @@
 		return "", secret, false
 	}
 	got, err := base64.RawURLEncoding.Strict().DecodeString(rest[end+1:])
-	if err != nil {
+	if err != nil || len(got) != secretBytes { // Line ends in it are passed over.
 		return "", secret, false
 	}
 	return rest[:end], got, true
--- a/internal/entry/tdkey/tdkey_test.go
+++ b/internal/entry/tdkey/tdkey_test.go
@@ -146,7 +146,7 @@
 // FuzzSplit checks that a key's text is taken apart in one way only, and that
 // every text which can be taken apart is found as a key.
 func FuzzSplit(f *testing.F) {
-	for _, seed := range []string{"", "td_", "td_a_b", "td__" + strings.Repeat("A", secretText), "td_a_" + strings.Repeat("A", secretText), "td_a_b_" + strings.Repeat("_", secretText-1) + "A"} {
+	for _, seed := range []string{"", "td_", "td_a_b", "td_0_0000000000000000000000000000000000000\r\r\r000", "td__" + strings.Repeat("A", secretText), "td_a_" + strings.Repeat("A", secretText), "td_a_b_" + strings.Repeat("_", secretText-1) + "A"} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
--- a/internal/entry/tdrelay/events.go
+++ b/internal/entry/tdrelay/events.go
@@ -12,7 +12,7 @@
 	// maxEventBytes bounds one server-sent event.
 	maxEventBytes = 256 << 10
 	// readBytes is the buffer that one open stream reads into.
-	readBytes = 4 << 10
+	readBytes = 2 << 10
 )
 
 // errPartial is a stream that ended inside an event.
--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -38,6 +38,9 @@
 	idleFor = 90 * time.Second
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
+	// bufferBytes is the buffer of a connection in each direction. It is held
+	// by every open stream; larger bodies pass it by.
+	bufferBytes = 2 << 10
 )
 
 // Backend reaches backend servers.
@@ -60,6 +63,8 @@
 		MaxIdleConnsPerHost:    idlePerServer,
 		IdleConnTimeout:        idleFor,
 		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
 		DisableCompression:     true,
 	}
 	return &Backend{client: &http.Client{
