Measure runs of real nodes under load and faults

Cause: decisions have to be judged against baselines with the same arrivals, and promises under mixed faults.

Change: tarragondeal-measure with the two deployments, open-loop callers whose latency counts from the intended start, an injector of faults, figures and a soak of random mixes; nodes can advertise another peer address than the one they listen on, so that a proxy can stand between.

--- /dev/null
+++ b/internal/measure/tddeploy/site.go
@@ -0,0 +1,104 @@
+package tddeploy
+
+import (
+	"time"
+
+	"tarragondeal"
+	"tarragondeal/internal/standin/tdplatform"
+)
+
+func tdplatformOptions() tdplatform.Options {
+	return tdplatform.Options{WritesPerSecond: storeWrites, ReadsPerSecond: storeReads, ListLag: listLag}
+}
+
+// fjellkjede hires snow chains: roadside answers go before counter staff's,
+// and those before the drafting of fitting guides.
+func fjellkjede() *Deployment {
+	ws, weights := workspaces("depot")
+	return &Deployment{
+		Name: "fjellkjede",
+		Spec: spec(
+			models("assist", "sone-bergen", 2), models("assist", "sone-voss", 2), models("assist", "sone-haugastol", 2),
+			models("assistSpot", "sone-bergen", 1), models("assistSpot", "sone-voss", 1), models("assistSpot", "sone-haugastol", 1),
+			services("booking", "sone-bergen", 1), services("booking", "sone-voss", 1), services("booking", "sone-haugastol", 1),
+		),
+		Set: &tarragondeal.Set{
+			DataCentres: []tarragondeal.DataCentre{
+				{Name: "sone-bergen", Region: "vestlandet"}, {Name: "sone-voss", Region: "vestlandet"}, {Name: "sone-haugastol", Region: "vestlandet"},
+			},
+			ServerPools: []tarragondeal.ServerPool{
+				{Name: "assist", Kind: tarragondeal.PoolModel, Model: "assist-8b", Slots: engineSlots, CostPerHour: 4, ChecksFencing: true},
+				{Name: "assistSpot", Kind: tarragondeal.PoolModel, Model: "assist-8b", Slots: engineSlots, CostPerHour: 1.2, Reclaimable: true},
+				{Name: "booking", Kind: tarragondeal.PoolService, Slots: serviceSlots, CostPerHour: 0.2},
+			},
+			RequestClasses: []tarragondeal.RequestClass{
+				class("roadside", 1, 330*time.Millisecond, 8*time.Second, 0),
+				class("counter", 2, 660*time.Millisecond, 15*time.Second, 0.05),
+				class("drafting", 3, 3*time.Second, 30*time.Second, 0.05),
+				booking("reservation", 1),
+			},
+			Workspaces: ws,
+			Routes: []tarragondeal.Route{
+				{Name: "roadsideAnswer", Class: "roadside", Pools: []string{"assist", "assistSpot"}},
+				{Name: "counterAnswer", Class: "counter", Pools: []string{"assist", "assistSpot"}},
+				{Name: "fittingGuide", Class: "drafting", Pools: []string{"assist", "assistSpot"}},
+				{Name: "reserve", Class: "reservation", Pools: []string{"booking"}, NonIdempotent: true},
+			},
+		},
+		Nodes: []string{"sone-bergen", "sone-bergen", "sone-voss", "sone-voss", "sone-haugastol", "sone-haugastol"},
+		Demand: []Demand{
+			{Route: "roadsideAnswer", Share: 0.2, Prompt: 1200, Tokens: 16, MaxTokens: 128, Stream: true, PrefixBytes: 768},
+			{Route: "counterAnswer", Share: 0.4, Prompt: 2400, Tokens: 24, MaxTokens: 128, Stream: true, PrefixBytes: 1536},
+			{Route: "fittingGuide", Share: 0.3, Prompt: 2400, Tokens: 40, MaxTokens: 256, Stream: true, PrefixBytes: 1024},
+			{Route: "reserve", Share: 0.1},
+		},
+		Rate: 70, Weights: weights,
+	}
+}
+
+// lakeshore runs heat-meter test benches. Its data must stay in the data
+// centres that each workspace permits.
+func lakeshore() *Deployment {
+	ws, weights := workspaces("bench")
+	ws[3].DataCentres = []string{"sarnia"}
+	ws[4].DataCentres = []string{"duluth", "erie"}
+	return &Deployment{
+		Name: "lakeshore",
+		Spec: spec(
+			models("narrator", "duluth", 2), models("narrator", "sarnia", 2), models("narrator", "toledo", 1), models("narrator", "erie", 1),
+			models("narratorSpot", "duluth", 1), models("narratorSpot", "toledo", 1), models("narratorSpot", "erie", 1),
+			services("records", "duluth", 1), services("records", "sarnia", 1), services("records", "toledo", 1), services("records", "erie", 1),
+		),
+		Set: &tarragondeal.Set{
+			DataCentres: []tarragondeal.DataCentre{
+				{Name: "duluth", Region: "lakes"}, {Name: "sarnia", Region: "lakes"}, {Name: "toledo", Region: "lakes"}, {Name: "erie", Region: "lakes"},
+			},
+			ServerPools: []tarragondeal.ServerPool{
+				{Name: "narrator", Kind: tarragondeal.PoolModel, Model: "narrator-7b", Slots: engineSlots, CostPerHour: 4, ChecksFencing: true},
+				{Name: "narratorSpot", Kind: tarragondeal.PoolModel, Model: "narrator-7b", Slots: engineSlots, CostPerHour: 1.2, Reclaimable: true},
+				{Name: "records", Kind: tarragondeal.PoolService, Slots: serviceSlots, CostPerHour: 0.2},
+			},
+			RequestClasses: []tarragondeal.RequestClass{
+				class("technician", 1, 330*time.Millisecond, 8*time.Second, 0),
+				class("audit", 2, time.Second, 15*time.Second, 0.05),
+				class("narrative", 3, 3*time.Second, 30*time.Second, 0.05),
+				booking("certificate", 1),
+			},
+			Workspaces: ws,
+			Routes: []tarragondeal.Route{
+				{Name: "technicianAnswer", Class: "technician", Pools: []string{"narrator", "narratorSpot"}},
+				{Name: "deviationHistory", Class: "audit", Pools: []string{"narrator", "narratorSpot"}},
+				{Name: "certificateNarrative", Class: "narrative", Pools: []string{"narrator", "narratorSpot"}},
+				{Name: "enterCertificate", Class: "certificate", Pools: []string{"records"}, NonIdempotent: true},
+			},
+		},
+		Nodes: []string{"duluth", "duluth", "sarnia", "sarnia", "toledo", "erie", "erie"},
+		Demand: []Demand{
+			{Route: "technicianAnswer", Share: 0.25, Prompt: 1200, Tokens: 16, MaxTokens: 128, Stream: true, PrefixBytes: 768},
+			{Route: "deviationHistory", Share: 0.3, Prompt: 3200, Tokens: 24, MaxTokens: 128, Stream: true, PrefixBytes: 2048},
+			{Route: "certificateNarrative", Share: 0.3, Prompt: 2400, Tokens: 40, MaxTokens: 256, Stream: true, PrefixBytes: 1024},
+			{Route: "enterCertificate", Share: 0.15},
+		},
+		Rate: 70, Weights: weights,
+	}
+}
--- /dev/null
+++ b/internal/measure/tdscenario/scenario_test.go
@@ -0,0 +1,39 @@
+package tdscenario_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragondeal/internal/measure/tdscenario"
+)
+
+func TestScenario(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Scenario")
+}
+
+var wrong = []struct{ why, text, says string }{
+	{"an unknown fault", "{length: 10s, load: 1, faults: [{kind: flood, at: 1s}]}", "flood"},
+	{"a fault after the end", "{length: 10s, load: 1, faults: [{kind: burst, at: 11s}]}", "outside the run"},
+	{"no load", "{length: 10s}", "must be positive"},
+	{"an unknown field", "{length: 10s, load: 1, speed: 3}", "speed"},
+}
+
+var _ = Describe("scenarios", func() {
+	for _, w := range wrong {
+		It("refuse "+w.why, func() {
+			_, err := tdscenario.Parse("file", []byte(w.text))
+			Expect(err).To(BeAssignableToTypeOf(&tdscenario.WrongError{}))
+			Expect(err).To(MatchError(ContainSubstring(w.says)))
+		})
+	}
+
+	It("follow from their seed", func() {
+		a := tdscenario.Random(7, "lakeshore", time.Minute)
+		Expect(tdscenario.Random(7, "lakeshore", time.Minute)).To(Equal(a))
+		Expect(tdscenario.Random(8, "lakeshore", time.Minute)).NotTo(Equal(a))
+	})
+})
--- a/internal/node/tdnode/fleet.go
+++ b/internal/node/tdnode/fleet.go
@@ -38,9 +38,13 @@
 }
 
 func (n *Node) self() (tarragondeal.Member, error) {
-	peer, err := netip.ParseAddrPort(n.listeners.peers.Addr().String())
+	peers := n.cfg.AdvertisePeers
+	if peers == "" {
+		peers = n.listeners.peers.Addr().String()
+	}
+	peer, err := netip.ParseAddrPort(peers)
 	if err != nil {
-		return tarragondeal.Member{}, eris.Wrap(err, "setting listen.peers")
+		return tarragondeal.Member{}, eris.Wrap(err, "setting advertise.peers")
 	}
 	entry, err := netip.ParseAddrPort(n.listeners.callers.Addr().String())
 	if err != nil {
--- a/internal/node/tdsettings/settings.go
+++ b/internal/node/tdsettings/settings.go
@@ -40,6 +40,7 @@
 	ListenCallers   string
 	ListenPeers     string
 	ListenOperators string
+	AdvertisePeers  string
 	PlatformURL     string
 	OperatorToken   string
 	LogLevel        string
@@ -61,6 +62,7 @@
 	fs.StringVar(&s.ListenCallers, "listen.callers", "127.0.0.1:8080", "address for callers")
 	fs.StringVar(&s.ListenPeers, "listen.peers", "127.0.0.1:8081", "address for other nodes")
 	fs.StringVar(&s.ListenOperators, "listen.operators", "127.0.0.1:8082", "address for operators and metrics")
+	fs.StringVar(&s.AdvertisePeers, "advertise.peers", "", "address that other nodes are told; empty for the one listened on")
 	fs.StringVar(&s.PlatformURL, "platform.url", "", "URL of the platform")
 	fs.StringVar(&s.OperatorToken, "operator.token", "", "token that operators' calls carry")
 	fs.StringVar(&s.LogLevel, "log.level", "info", "debug, info, warn or error")
