Give the fleet membership, spreading and leases, thinly

Cause: a node knew only itself; dispatch, accounts and operators need to know the other nodes, reach them, and hold duties by lease.

Change: tdmember exchanges heartbeats along a sparse graph with incarnation numbers, suspicion that can be refuted, and repair by bucket digests; it joins by the setting peers, the platform's list and a few anchors in the store. tdspread passes small messages on along the same edges. tdlease runs duties under leases whose time runs from before the call. InForce waits on the versions that members report.

Result: a test of nine nodes in one process sees a death, a leaving, a configuration and twenty spread messages at every node; test/path passes; all under the race detector.

--- a/internal/fleet/tdconfig/config.go
+++ b/internal/fleet/tdconfig/config.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	c := tdconfig.New(store, log)
+//	c := tdconfig.New(store, members, log)
 //	go func() { done <- c.Run(ctx) }()
 //	view := c.View()
 package tdconfig
@@ -31,6 +31,7 @@
 // Config follows the published set.
 type Config struct {
 	store   tarragondeal.Store
+	members Members
 	log     zerolog.Logger
 	mu      sync.Mutex
 	view    *tarragondeal.View
@@ -43,9 +44,15 @@
 	Set     *tarragondeal.Set    `json:"set"`
 }
 
+// Members is who has which version in force.
+type Members interface {
+	tarragondeal.Members
+	SetConfig(v tarragondeal.Version)
+}
+
 // New returns a config that knows no set yet.
-func New(store tarragondeal.Store, log zerolog.Logger) *Config {
-	return &Config{store: store, log: log, changed: make(chan struct{})}
+func New(store tarragondeal.Store, members Members, log zerolog.Logger) *Config {
+	return &Config{store: store, members: members, log: log, changed: make(chan struct{})}
 }
 
 // View returns the set in force, or nil.
@@ -105,6 +112,7 @@
 	c.root = e
 	close(c.changed)
 	c.changed = make(chan struct{})
+	c.members.SetConfig(r.Version)
 	c.log.Info().Uint64("version", uint64(r.Version)).Msg("set in force")
 }
 
@@ -138,9 +146,26 @@
 	return next.Version, nil
 }
 
-// InForce names no node as lagging: this node is the only one it knows.
-func (c *Config) InForce(context.Context, tarragondeal.Version) ([]tarragondeal.NodeID, error) {
-	return nil, nil
+// InForce waits until every live node has version v or a later one in force,
+// or ctx ends. It returns the nodes that lag.
+func (c *Config) InForce(ctx context.Context, v tarragondeal.Version) ([]tarragondeal.NodeID, error) {
+	for {
+		changed := c.members.Changed()
+		var lagging []tarragondeal.NodeID
+		for _, m := range c.members.Members() {
+			if m.Config < v {
+				lagging = append(lagging, m.Node)
+			}
+		}
+		if len(lagging) == 0 {
+			return nil, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return lagging, ctx.Err()
+		}
+	}
 }
 
 // History returns the publication in force, if any.
--- /dev/null
+++ b/internal/fleet/tdmember/member_test.go
@@ -0,0 +1,140 @@
+package tdmember_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/fleet/tdmember"
+	"tarragondeal/internal/fleet/tdpeer"
+	"tarragondeal/internal/fleet/tdspread"
+)
+
+func TestMember(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Member")
+}
+
+// node is a node of which only membership and spreading run.
+type node struct {
+	members *tdmember.Members
+	spread  *tdspread.Spread
+	got     chan string
+	stop    func()
+}
+
+func start(n int, seeds ...netip.AddrPort) *node {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	addr := netip.MustParseAddrPort(ln.Addr().String())
+	self := tarragondeal.Member{
+		Node: tarragondeal.NodeID(fmt.Sprintf("node%02d", n)), DataCentre: []string{"duluth", "erie"}[n%2],
+		Peer: addr, Entry: addr,
+	}
+	m := tdmember.New(self, tdmember.Options{Clock: tdclock.New(), Log: zerolog.New(GinkgoWriter), Every: 50 * time.Millisecond, Seeds: seeds})
+	links := tdpeer.New(m)
+	s := tdspread.New(m, tdspread.Options{})
+	m.Register(links.Server(), links)
+	s.Register(links.Server())
+	x := &node{members: m, spread: s, got: make(chan string, 64)}
+	s.Subscribe("test", func(from tarragondeal.NodeID, payload []byte) { x.got <- string(from) + " " + string(payload) })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 3)
+	go func() { done <- links.Serve(ctx, ln) }()
+	go func() { done <- m.Run(ctx, links) }()
+	go func() { done <- s.Run(ctx, links) }()
+	stopped := false
+	x.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		links.Server().Stop()
+		cancel()
+		for range 3 {
+			Expect(<-done).To(Succeed())
+		}
+		links.Close()
+	}
+	DeferCleanup(x.stop)
+	return x
+}
+
+func (x *node) names() []string {
+	var out []string
+	for _, m := range x.members.Members() {
+		if m.State == tarragondeal.MemberAlive {
+			out = append(out, string(m.Node))
+		}
+	}
+	return out
+}
+
+var _ = Describe("a fleet", func() {
+	var nodes []*node
+
+	BeforeEach(func() {
+		nodes = nil
+		var seeds []netip.AddrPort
+		for n := range 9 {
+			x := start(n, seeds...)
+			if n == 0 {
+				seeds = []netip.AddrPort{x.members.Self().Peer}
+			}
+			nodes = append(nodes, x)
+		}
+		for _, x := range nodes {
+			Eventually(x.names, "20s", "10ms").Should(HaveLen(len(nodes)))
+		}
+	})
+
+	It("finds that a node is dead, everywhere", func() {
+		nodes[4].stop()
+		for n, x := range nodes {
+			if n != 4 {
+				Eventually(func() int { return len(x.members.Members()) }, "20s", "10ms").Should(Equal(len(nodes) - 1))
+			}
+		}
+	})
+
+	It("tells all of a node's leaving and configuration", func() {
+		nodes[3].members.SetConfig(17)
+		nodes[3].members.Leave()
+		for _, x := range nodes {
+			Eventually(func() tarragondeal.Member { return x.members.Members()[3] }, "20s", "10ms").Should(And(
+				HaveField("State", tarragondeal.MemberLeaving), HaveField("Config", tarragondeal.Version(17))))
+		}
+	})
+
+	It("spreads each message to all others once", func() {
+		for n := range 20 {
+			Expect(nodes[2].spread.Send("test", fmt.Appendf(nil, "m%02d", n))).To(BeTrue())
+		}
+		for n, x := range nodes {
+			if n == 2 {
+				continue
+			}
+			var got []string
+			for len(got) < 20 {
+				var s string
+				Eventually(x.got, "20s").Should(Receive(&s))
+				got = append(got, s)
+			}
+			seen := map[string]bool{}
+			for _, s := range got {
+				seen[s] = true
+			}
+			Expect(seen).To(HaveLen(20))
+		}
+		Expect(nodes[2].got).To(BeEmpty())
+	})
+})
--- a/internal/fleet/tdpeer/peer.go
+++ b/internal/fleet/tdpeer/peer.go
@@ -13,6 +13,8 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -63,12 +65,15 @@
 
 // Conn returns the connection to a live node.
 func (l *Links) Conn(n tarragondeal.NodeID) (grpc.ClientConnInterface, error) {
-	for _, m := range l.members.Members() {
-		if m.Node == n {
-			return l.Dial(m.Peer)
-		}
+	// Members are in the order of their names.
+	members := l.members.Members()
+	at, ok := slices.BinarySearchFunc(members, n, func(m tarragondeal.Member, n tarragondeal.NodeID) int {
+		return strings.Compare(string(m.Node), string(n))
+	})
+	if !ok {
+		return nil, &UnknownNodeError{Node: n}
 	}
-	return nil, &UnknownNodeError{Node: n}
+	return l.Dial(members[at].Peer)
 }
 
 // Dial returns the connection to an address, for peers not yet known by
--- a/internal/node/tdnode/fleet.go
+++ b/internal/node/tdnode/fleet.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/fleet/tdconfig"
+	"tarragondeal/internal/fleet/tdlease"
 	"tarragondeal/internal/fleet/tdmember"
 	"tarragondeal/internal/fleet/tdpeer"
+	"tarragondeal/internal/fleet/tdspread"
 )
 
 // fleet is what the nodes agree on and how they talk.
@@ -18,6 +21,8 @@
 	store   tarragondeal.Store
 	members *tdmember.Members
 	links   *tdpeer.Links
+	spread  *tdspread.Spread
+	leases  *tdlease.Leases
 	config  *tdconfig.Config
 }
 
@@ -26,17 +31,49 @@
 	if err != nil {
 		return err
 	}
-	n.fleet.store = n.kv
-	n.fleet.members = tdmember.New(self)
-	n.fleet.links = tdpeer.New(n.fleet.members)
-	n.fleet.config = tdconfig.New(n.fleet.store, tdlog.Part(n.log, "config"))
-	n.add("follow config", n.fleet.config.Run)
-	n.add("serve peers", func(ctx context.Context) error {
-		return n.fleet.links.Serve(ctx, n.listeners.peers)
+	seeds, err := addresses(n.cfg.Peers)
+	if err != nil {
+		return err
+	}
+	f := &n.fleet
+	f.store = n.kv
+	f.members = tdmember.New(self, tdmember.Options{
+		Clock: n.clock, Log: tdlog.Part(n.log, "membership"), Scope: n.metrics.Scope.SubScope("membership"),
+		Every: n.cfg.MemberEvery, Seeds: seeds, VMs: n.site, Store: f.store,
+	})
+	f.links = tdpeer.New(f.members)
+	f.spread = tdspread.New(f.members, tdspread.Options{Log: tdlog.Part(n.log, "spread"), Scope: n.metrics.Scope.SubScope("spread")})
+	f.leases = tdlease.New(f.store, n.clock, f.members, tdlease.Options{
+		TTL: n.cfg.LeaseTTL, Margin: n.cfg.LeaseMargin,
+		Log: tdlog.Part(n.log, "lease"), Scope: n.metrics.Scope.SubScope("lease"),
 	})
+	f.config = tdconfig.New(f.store, f.members, tdlog.Part(n.log, "config"))
+	f.members.Register(f.links.Server(), f.links)
+	f.spread.Register(f.links.Server())
+	n.add("follow config", f.config.Run)
+	n.add("serve peers", func(ctx context.Context) error { return f.links.Serve(ctx, n.listeners.peers) })
+	n.add("membership", func(ctx context.Context) error { return f.members.Run(ctx, f.links) })
+	n.add("spread", func(ctx context.Context) error { return f.spread.Run(ctx, f.links) })
 	return nil
 }
 
+// addresses reads the setting peers.
+func addresses(text string) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for word := range strings.SplitSeq(text, ",") {
+		word = strings.TrimSpace(word)
+		if word == "" {
+			continue
+		}
+		a, err := netip.ParseAddrPort(word)
+		if err != nil {
+			return nil, eris.Wrap(err, "setting peers")
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
 func (n *Node) self() (tarragondeal.Member, error) {
 	peer, err := netip.ParseAddrPort(n.listeners.peers.Addr().String())
 	if err != nil {
@@ -52,4 +89,4 @@
 }
 
 // leave tells the other nodes that this one is stopping.
-func (f *fleet) leave() {}
+func (f *fleet) leave() { f.members.Leave() }
--- a/internal/node/tdsettings/fleet.go
+++ b/internal/node/tdsettings/fleet.go
@@ -1,6 +1,9 @@
 package tdsettings
 
-import "flag"
+import (
+	"flag"
+	"time"
+)
 
 // Fleet are the settings of what the nodes agree on and how they talk.
 type Fleet struct {
@@ -8,6 +11,10 @@
 	TLSCert string
 	TLSKey  string
 	TLSCA   string
+
+	MemberEvery time.Duration
+	LeaseTTL    time.Duration
+	LeaseMargin time.Duration
 }
 
 func (s *Fleet) register(fs *flag.FlagSet) {
@@ -15,4 +22,7 @@
 	fs.StringVar(&s.TLSCert, "tls.cert", "", "certificate file for links between nodes")
 	fs.StringVar(&s.TLSKey, "tls.key", "", "key file for links between nodes")
 	fs.StringVar(&s.TLSCA, "tls.ca", "", "file of the authority that signs nodes' certificates")
+	fs.DurationVar(&s.MemberEvery, "member.every", 500*time.Millisecond, "time between two heartbeats along an edge; a node is suspected after 3 and taken for dead 6 later")
+	fs.DurationVar(&s.LeaseTTL, "lease.ttl", 10*time.Second, "how long a lease lasts unless it is renewed")
+	fs.DurationVar(&s.LeaseMargin, "lease.margin", 500*time.Millisecond, "time kept free before a lease's end")
 }
