Check a set as a whole and report every fault with its line

The check stopped at the first fault, gave no line, and missed what no single object shows. Sets are now decoded from the parsed text by a walk that goes on after a fault, so unknown fields, wrong types, dangling names, names given twice, keys alike, shares above 1 and routes without a permitted place are reported together, each with path and line.

test/path: the set's route 'abroad' was permitted nowhere for its only workspace, which the check now refuses; a second workspace makes the set consistent, and the assertions are as they were.

--- /dev/null
+++ b/internal/object/tdset/decode.go
@@ -0,0 +1,238 @@
+package tdset
+
+import (
+	"encoding"
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"tarragondeal"
+)
+
+// decoder fills a set from a parsed text. It goes on after a fault, so that
+// all of them are found, and remembers the line of each path.
+type decoder struct {
+	lines  map[string]int
+	faults []Fault
+}
+
+func newDecoder() *decoder { return &decoder{lines: make(map[string]int)} }
+
+func (d *decoder) set(body ast.Node, set *tarragondeal.Set) {
+	if body == nil {
+		return
+	}
+	d.value("", body, reflect.ValueOf(set).Elem())
+}
+
+func (d *decoder) fault(path string, n ast.Node, format string, args ...any) {
+	d.faults = append(d.faults, Fault{Path: path, Line: line(n), Text: fmt.Sprintf(format, args...)})
+}
+
+func (d *decoder) value(path string, n ast.Node, v reflect.Value) {
+	if _, ok := d.lines[path]; !ok {
+		d.lines[path] = line(n)
+	}
+	if n.Type() == ast.NullType {
+		return // An empty value is a missing one.
+	}
+	if t, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(path, n, t)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.object(path, n, v)
+	case reflect.Slice:
+		d.list(path, n, v)
+	default:
+		d.scalar(path, n, v)
+	}
+}
+
+func (d *decoder) object(path string, n ast.Node, v reflect.Value) {
+	m, ok := n.(ast.MapNode)
+	if !ok {
+		d.fault(path, n, "expected an object, found %s", kind(n))
+		return
+	}
+	fields := fieldsOf(v.Type())
+	seen := make(map[string]bool)
+	it := m.MapRange()
+	for it.Next() {
+		name := keyText(it.Key())
+		at := join(path, name)
+		k, known := fields[name]
+		switch {
+		case !known:
+			d.fault(at, it.Key(), "no such field here")
+		case seen[name]:
+			d.fault(at, it.Key(), "the field is given twice")
+		default:
+			seen[name] = true
+			d.lines[at] = line(it.Key())
+			d.value(at, it.Value(), v.Field(k))
+		}
+	}
+}
+
+func keyText(k ast.MapKeyNode) string {
+	if s, ok := k.(ast.ScalarNode); ok {
+		return fmt.Sprint(s.GetValue())
+	}
+	return k.String()
+}
+
+func (d *decoder) list(path string, n ast.Node, v reflect.Value) {
+	a, ok := n.(ast.ArrayNode)
+	if !ok {
+		d.fault(path, n, "expected a list, found %s", kind(n))
+		return
+	}
+	it := a.ArrayRange()
+	out := reflect.MakeSlice(v.Type(), 0, it.Len())
+	for k := 0; it.Next(); k++ {
+		out = reflect.Append(out, reflect.Zero(v.Type().Elem()))
+		at := fmt.Sprintf("%s[%d]", path, k)
+		if it.Value() == nil || it.Value().Type() == ast.NullType {
+			d.faults = append(d.faults, Fault{Path: at, Line: line(n), Text: "an empty entry"})
+			continue
+		}
+		d.value(at, it.Value(), out.Index(k))
+	}
+	if out.Len() > 0 {
+		v.Set(out)
+	}
+}
+
+func (d *decoder) text(path string, n ast.Node, t encoding.TextUnmarshaler) {
+	s, ok := stringOf(n)
+	if !ok {
+		d.fault(path, n, "expected a duration such as 330ms, found %s", kind(n))
+		return
+	}
+	if err := t.UnmarshalText([]byte(s)); err != nil {
+		d.fault(path, n, "expected a duration such as 330ms, found %q", clip(s))
+	}
+}
+
+func (d *decoder) scalar(path string, n ast.Node, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		s, ok := stringOf(n)
+		if !ok {
+			d.fault(path, n, "expected a text, found %s", kind(n))
+			return
+		}
+		v.SetString(s)
+	case reflect.Bool:
+		b, ok := n.(*ast.BoolNode)
+		if !ok {
+			d.fault(path, n, "expected true or false, found %s", kind(n))
+			return
+		}
+		v.SetBool(b.Value)
+	case reflect.Int:
+		i, ok := intOf(n)
+		if !ok {
+			d.fault(path, n, "expected a whole number, found %s", kind(n))
+			return
+		}
+		v.SetInt(i)
+	case reflect.Float64:
+		f, ok := floatOf(n)
+		if !ok {
+			d.fault(path, n, "expected a number, found %s", kind(n))
+			return
+		}
+		v.SetFloat(f)
+	}
+}
+
+// stringOf returns a scalar as text. Names such as 7 or true are texts too
+// where a text is expected.
+func stringOf(n ast.Node) (string, bool) {
+	switch s := n.(type) {
+	case *ast.StringNode:
+		return s.Value, true
+	case *ast.LiteralNode:
+		return s.Value.Value, true
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
+		return s.GetToken().Value, true
+	}
+	return "", false
+}
+
+func intOf(n ast.Node) (int64, bool) {
+	i, ok := n.(*ast.IntegerNode)
+	if !ok {
+		return 0, false
+	}
+	switch v := i.Value.(type) {
+	case int64:
+		return v, true
+	case uint64:
+		return int64(v), v <= math.MaxInt64
+	}
+	return 0, false
+}
+
+func floatOf(n ast.Node) (float64, bool) {
+	if f, ok := n.(*ast.FloatNode); ok {
+		return f.Value, true
+	}
+	i, ok := intOf(n)
+	return float64(i), ok
+}
+
+// maxShown bounds how much of a wrong value is shown.
+const maxShown = 40
+
+func clip(s string) string {
+	if len(s) > maxShown {
+		return s[:maxShown] + "..."
+	}
+	return s
+}
+
+func kind(n ast.Node) string {
+	switch n.(type) {
+	case ast.MapNode:
+		return "an object"
+	case ast.ArrayNode:
+		return "a list"
+	case *ast.IntegerNode, *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
+		return "the number " + clip(n.GetToken().Value)
+	case *ast.BoolNode:
+		return n.GetToken().Value
+	}
+	if s, ok := stringOf(n); ok {
+		return fmt.Sprintf("the text %q", clip(s))
+	}
+	return "something else"
+}
+
+// fieldsOf returns the positions of a struct's fields by their names in
+// YAML.
+func fieldsOf(t reflect.Type) map[string]int {
+	out := make(map[string]int, t.NumField())
+	for k := range t.NumField() {
+		out[fieldName(t.Field(k))] = k
+	}
+	return out
+}
+
+func fieldName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- a/internal/object/tdset/set.go
+++ b/internal/object/tdset/set.go
@@ -1,19 +1,6 @@
-// Package tdset reads sets of objects and checks them as a whole.
-//
-// # Usage
-//
-//	set, err := tdset.Parse(file, text)
-//	var faults *tdset.FaultsError
-//	if errors.As(err, &faults) {
-//		// Every fault, with its path and line.
-//	}
-//
-// A set that passes is consistent: every name resolves, and each route can
-// be served in at least one permitted data centre.
 package tdset
 
 import (
-	"bytes"
 	"fmt"
 	"strings"
 
@@ -22,11 +9,21 @@
 	"tarragondeal"
 )
 
+// MaxTextBytes bounds the text of a set.
+const MaxTextBytes = 8 << 20
+
 // Fault is one thing wrong with a set.
 type Fault struct {
-	Path string // Such as routes[2].class.
-	Line int    // Zero when not known.
-	Text string
+	Path string `json:"path,omitempty"` // Such as routes[2].class.
+	Line int    `json:"line,omitempty"` // Zero when not known.
+	Text string `json:"text"`
+}
+
+func (f Fault) String() string {
+	if f.Path == "" {
+		return f.Text
+	}
+	return f.Path + ": " + f.Text
 }
 
 // FaultsError is a set that can't be published.
@@ -36,24 +33,62 @@
 }
 
 func (e *FaultsError) Error() string {
-	var b strings.Builder
+	lines := make([]string, 0, len(e.Faults))
 	for _, f := range e.Faults {
-		fmt.Fprintf(&b, "%s:%d: %s: %s\n", e.File, f.Line, f.Path, f.Text)
+		lines = append(lines, f.In(e.File))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// In returns the fault as a line that names the file it was found in.
+func (f Fault) In(file string) string {
+	if f.Line == 0 {
+		return fmt.Sprintf("%s: %s", file, f)
+	}
+	return fmt.Sprintf("%s:%d: %s", file, f.Line, f)
+}
+
+// Document is a set as it was read, with all that the check found.
+type Document struct {
+	File     string
+	Set      *tarragondeal.Set
+	Faults   []Fault // Any of them keeps the set from being published.
+	Warnings []Fault
+}
+
+// Err returns the faults as a *FaultsError, or nil when there are none.
+func (d *Document) Err() error {
+	if len(d.Faults) == 0 {
+		return nil
+	}
+	return &FaultsError{File: d.File, Faults: d.Faults}
+}
+
+// Read reads a set from YAML and checks it. The file's name is only used in
+// messages.
+func Read(file string, text []byte) *Document {
+	d := &Document{File: file, Set: &tarragondeal.Set{}}
+	body, fault := parse(text)
+	if fault != nil {
+		d.Faults = []Fault{*fault}
+		return d
 	}
-	return strings.TrimSuffix(b.String(), "\n")
+	dec := newDecoder()
+	dec.set(body, d.Set)
+	c := newChecker(d.Set)
+	c.all()
+	d.Faults = locate(dec.lines, append(dec.faults, c.faults...))
+	d.Warnings = locate(dec.lines, c.warnings)
+	return d
 }
 
 // Parse reads a set from YAML and checks it. The error is a *FaultsError.
 func Parse(file string, text []byte) (*tarragondeal.Set, error) {
-	var set tarragondeal.Set
-	dec := yaml.NewDecoder(bytes.NewReader(text), yaml.DisallowUnknownField())
-	if err := dec.Decode(&set); err != nil {
-		return nil, &FaultsError{File: file, Faults: []Fault{{Text: err.Error()}}}
+	d := Read(file, text)
+	if err := d.Err(); err != nil {
+		return nil, err
 	}
-	if faults := Check(&set); len(faults) > 0 {
-		return nil, &FaultsError{File: file, Faults: faults}
-	}
-	return &set, nil
+	return d.Set, nil
 }
 
 // Format writes a set as YAML.
@@ -63,49 +98,34 @@
 
 // Check returns everything that is wrong with a set.
 func Check(set *tarragondeal.Set) []Fault {
-	c := checker{view: tarragondeal.NewView(0, set)}
-	for n := range set.Routes {
-		c.route(fmt.Sprintf("routes[%d]", n), &set.Routes[n])
-	}
-	for n := range set.Keys {
-		c.key(fmt.Sprintf("keys[%d]", n), &set.Keys[n])
-	}
+	c := newChecker(set)
+	c.all()
 	return c.faults
 }
 
-type checker struct {
-	view   *tarragondeal.View
-	faults []Fault
-}
-
-func (c *checker) fault(path, format string, args ...any) {
-	c.faults = append(c.faults, Fault{Path: path, Text: fmt.Sprintf(format, args...)})
+// Warnings returns what is consistent in a set and yet of no use.
+func Warnings(set *tarragondeal.Set) []Fault {
+	c := newChecker(set)
+	c.all()
+	return c.warnings
 }
 
-func (c *checker) route(path string, r *tarragondeal.Route) {
-	if c.view.RequestClasses[r.Class] == nil {
-		c.fault(path+".class", "no request class is named %q", r.Class)
-	}
-	if len(r.Pools) == 0 {
-		c.fault(path+".pools", "a route needs a server pool")
-	}
-	for n, name := range r.Pools {
-		if c.view.ServerPools[name] == nil {
-			c.fault(fmt.Sprintf("%s.pools[%d]", path, n), "no server pool is named %q", name)
-		}
-	}
-	for n, name := range r.DataCentres {
-		if c.view.DataCentres[name] == nil {
-			c.fault(fmt.Sprintf("%s.dataCentres[%d]", path, n), "no data centre is named %q", name)
+// locate gives each fault the line of its path, or of the closest object
+// around it that the text has.
+func locate(lines map[string]int, faults []Fault) []Fault {
+	for n := range faults {
+		f := &faults[n]
+		for path := f.Path; f.Line == 0; path = parent(path) {
+			f.Line = lines[path]
+			if path == "" {
+				break
+			}
 		}
 	}
-	if r.Open && c.view.Workspaces[r.BilledTo] == nil {
-		c.fault(path+".billedTo", "an open route needs a workspace that pays; none is named %q", r.BilledTo)
-	}
+	return faults
 }
 
-func (c *checker) key(path string, k *tarragondeal.Key) {
-	if c.view.Workspaces[k.Workspace] == nil {
-		c.fault(path+".workspace", "no workspace is named %q", k.Workspace)
-	}
+func parent(path string) string {
+	cut := strings.LastIndexAny(path, ".[")
+	return path[:max(0, cut)]
 }
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -52,6 +52,7 @@
   - {name: entry, tier: 2, completion: 1s, deadline: 10s}
 workspaces:
   - {name: auditors, dataCentres: [duluth]}
+  - {name: inspectors}
 routes:
   - {name: narrate, class: bench, pools: [narrator], dataCentres: [duluth, erie]}
   - {name: abroad, class: bench, pools: [narrator], dataCentres: [erie]}
