Give operators keys, history, names and all settings' faults at once

Operators shared one token, so the history could not say who changed what, and changes of keys had no call of their own. Settings report every fault at once, with file, line and path.

--- a/cmd/tarragondeal/main.go
+++ b/cmd/tarragondeal/main.go
@@ -58,7 +58,7 @@
 		ShortUsage: "tarragondeal serve [flags]",
 		ShortHelp:  "Serve callers on this VM until told to stop.",
 		FlagSet:    fs,
-		Options:    tdsettings.Options(fs),
+		Options:    s.Options(fs),
 		Exec: func(ctx context.Context, _ []string) error {
 			n, err := tdnode.New(s, os.Stderr)
 			if err != nil {
--- a/internal/entry/tdoperator/operator.go
+++ b/internal/entry/tdoperator/operator.go
@@ -1,40 +1,47 @@
-// Package tdoperator serves operators: publishing sets, keys and status. It
-// listens on a port of its own, and every call carries the operators' token.
-//
-// # Usage
-//
-//	o := tdoperator.New(deps, token)
-//	srv := &http.Server{Handler: o.Handler()}
 package tdoperator
 
 import (
-	"crypto/subtle"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 
 	"github.com/julienschmidt/httprouter"
+	"github.com/rs/zerolog"
 
 	"tarragondeal"
 	"tarragondeal/internal/object/tdset"
 )
 
-// maxBodyBytes bounds a set sent by an operator.
-const maxBodyBytes = 32 << 20
+// maxBodyBytes bounds a call: a set, escaped as JSON, and a margin.
+const maxBodyBytes = 4 * tdset.MaxTextBytes
+
+// Deps are the parts that operators reach through a node.
+type Deps struct {
+	Config  tarragondeal.Publisher
+	Members tarragondeal.Members
+	Clock   tarragondeal.Clock
+	Tokens  []Token
+	Metrics http.Handler
+	Log     zerolog.Logger
+	// Servers returns the last known backend servers.
+	Servers func() []tarragondeal.Server
+	// Duties returns who has which duty. It may be nil.
+	Duties func(ctx context.Context) ([]Duty, error)
+	// Report returns the report on service-level burn. It may be nil.
+	Report func(ctx context.Context) (any, error)
+}
 
 // Operator is the operators' side of a node.
 type Operator struct {
-	config  tarragondeal.Publisher
-	members tarragondeal.Members
-	token   string
-	metrics http.Handler
+	Deps
+	tokens tokens
 }
 
-// New returns an operators' side that admits callers with the token.
-func New(c tarragondeal.Publisher, m tarragondeal.Members, token string, metrics http.Handler) *Operator {
-	return &Operator{config: c, members: m, token: token, metrics: metrics}
+// New returns an operators' side that admits callers with one of the tokens.
+func New(d Deps) *Operator {
+	return &Operator{Deps: d, tokens: newTokens(d.Tokens)}
 }
 
 // Handler serves operators.
@@ -42,79 +49,73 @@
 	r := httprouter.New()
 	r.GET("/operator/set", o.auth(o.get))
 	r.PUT("/operator/set", o.auth(o.put))
+	r.GET("/operator/history", o.auth(o.history))
+	r.GET("/operator/keys", o.auth(o.keys))
+	r.POST("/operator/keys", o.auth(o.issue))
+	r.POST("/operator/keys/:name/withdraw", o.auth(o.withdraw))
 	r.GET("/operator/status", o.auth(o.status))
-	r.Handler(http.MethodGet, "/metrics", o.metrics)
+	if o.Report != nil {
+		r.GET("/operator/report", o.auth(func(r *http.Request, _ httprouter.Params) (any, error) {
+			return o.Report(r.Context())
+		}))
+	}
+	r.Handler(http.MethodGet, "/metrics", o.Metrics)
+	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		w.WriteHeader(http.StatusOK)
+	})
+	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		writeError(w, &Error{Status: http.StatusNotFound, Code: CodeNotFound, Message: "there is nothing at this path"})
+	})
 	return r
 }
 
-func (o *Operator) auth(h httprouter.Handle) httprouter.Handle {
-	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-		text, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if !ok || subtle.ConstantTimeCompare([]byte(text), []byte(o.token)) != 1 {
-			http.Error(w, "the operators' token is missing or wrong", http.StatusUnauthorized)
-			return
-		}
-		h(w, r, p)
+// describe turns an error into a refusal. Errors that operators can't act
+// on go to the log in full and to the caller in one sentence.
+func (o *Operator) describe(err error) *Error {
+	var refused *Error
+	var faults *tdset.FaultsError
+	var conflict *tarragondeal.ConflictError
+	var store *tarragondeal.StoreError
+	switch {
+	case errors.As(err, &refused):
+		return refused
+	case errors.As(err, &faults):
+		return &Error{Status: http.StatusUnprocessableEntity, Code: CodeFaults, Message: "the set is not consistent", Faults: faults.Faults}
+	case errors.As(err, &conflict):
+		return &Error{Status: http.StatusConflict, Code: CodeConflict, Message: "another set was published in between", Version: o.version()}
+	case errors.As(err, &store) && store.Settled:
+		return &Error{Status: http.StatusServiceUnavailable, Code: CodeStoreAway, Message: "the platform's service can't be reached; nothing was changed"}
+	case errors.As(err, &store):
+		return &Error{Status: http.StatusServiceUnavailable, Code: CodeUnsettled, Message: "the platform's service gave no answer; look at the history to see whether the change took effect"}
 	}
+	o.Log.Error().Err(err).Msg("operator's call failed")
+	return &Error{Status: http.StatusInternalServerError, Code: CodeInternal, Message: "internal error; the node's log has more"}
 }
 
-// Published is a set and the version it was published as.
-type Published struct {
-	Version tarragondeal.Version `json:"version"`
-	Set     *tarragondeal.Set    `json:"set,omitempty"`
-	Text    string               `json:"text,omitempty"` // The set as YAML.
+func (o *Operator) version() tarragondeal.Version {
+	if v := o.Config.View(); v != nil {
+		return v.Version
+	}
+	return 0
 }
 
-func (o *Operator) get(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	out := Published{Set: &tarragondeal.Set{}}
-	if v := o.config.View(); v != nil {
-		out = Published{Version: v.Version, Set: v.Set}
-	}
-	writeJSON(w, http.StatusOK, out)
+func badRequest(message string) error {
+	return &Error{Status: http.StatusBadRequest, Code: CodeBadRequest, Message: message}
 }
 
-func (o *Operator) put(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var in Published
-	if err == nil {
-		err = json.Unmarshal(body, &in)
-	}
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	set, err := tdset.Parse("set", []byte(in.Text))
+// read decodes the body of a call.
+func read(r *http.Request, v any) error {
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
-		return
-	}
-	version, err := o.config.Publish(r.Context(), in.Version, set, tarragondeal.Publication{})
-	var conflict *tarragondeal.ConflictError
-	if errors.As(err, &conflict) {
-		http.Error(w, "another set was published in between", http.StatusConflict)
-		return
+		return badRequest("the body can't be read: " + err.Error())
 	}
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
+	if err := json.Unmarshal(body, v); err != nil {
+		return badRequest("the body is not what was expected: " + err.Error())
 	}
-	writeJSON(w, http.StatusOK, Published{Version: version})
+	return nil
 }
 
-// Status is what one node knows of the fleet.
-type Status struct {
-	Self    tarragondeal.Member   `json:"self"`
-	Members []tarragondeal.Member `json:"members"`
-	Version tarragondeal.Version  `json:"version"`
-}
-
-func (o *Operator) status(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	out := Status{Self: o.members.Self(), Members: o.members.Members()}
-	if v := o.config.View(); v != nil {
-		out.Version = v.Version
-	}
-	writeJSON(w, http.StatusOK, out)
-}
+func writeError(w http.ResponseWriter, e *Error) { writeJSON(w, e.Status, errorBody{Error: e}) }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/node/tdnode/node.go
+++ b/internal/node/tdnode/node.go
@@ -68,8 +68,8 @@
 // New makes a node and opens its listeners. The error says which setting is
 // wrong or which address can't be used.
 func New(s tdsettings.Settings, logTo io.Writer) (*Node, error) {
-	if s.Name == "" || s.DataCentre == "" || s.PlatformURL == "" || s.OperatorToken == "" {
-		return nil, eris.New("settings name, dataCentre, platform.url and operator.token must be given")
+	if err := s.Check(); err != nil {
+		return nil, err
 	}
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
--- a/internal/node/tdnode/operator.go
+++ b/internal/node/tdnode/operator.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/entry/tdoperator"
 )
 
@@ -12,7 +13,18 @@
 }
 
 func (n *Node) buildOperator() error {
-	op := tdoperator.New(n.fleet.config, n.fleet.members, n.cfg.OperatorToken, n.metrics.Handler())
-	n.operator.handler = op.Handler()
+	tokens, err := n.cfg.Tokens()
+	if err != nil {
+		return err
+	}
+	deps := tdoperator.Deps{
+		Config: n.fleet.config, Members: n.fleet.members, Clock: n.clock,
+		Metrics: n.metrics.Handler(), Log: tdlog.Part(n.log, "operator"),
+		Servers: n.dispatch.servers.Servers,
+	}
+	for _, t := range tokens {
+		deps.Tokens = append(deps.Tokens, tdoperator.Token{Name: t.Name, Text: t.Text})
+	}
+	n.operator.handler = tdoperator.New(deps).Handler()
 	return nil
 }
