Dispatch by reservations at the owners of backend servers

Cause: the product's own dispatch policy was missing; every request ran by a baseline that neither queues nor knows tiers.

--- /dev/null
+++ b/internal/dispatch/tdowner/message.go
@@ -0,0 +1,64 @@
+package tdowner
+
+import (
+	"time"
+
+	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdqueue"
+)
+
+// Asked is one request for one server.
+type Asked struct {
+	Node        tarragondeal.NodeID
+	Server      tarragondeal.ServerID
+	Request     *Request
+	DataCentres []string
+}
+
+// Key names a grant: the same ticket may wait for several servers.
+type Key struct {
+	Server tarragondeal.ServerID
+	Ticket uint64
+}
+
+// Crash is one crash of a server, with the fingerprints of what ran on it.
+type Crash struct {
+	Server       tarragondeal.ServerID
+	ID           uint64
+	Fingerprints []uint64
+}
+
+// queued turns a message into what the queue keeps.
+func queued(now tarragondeal.Instant, r *Request) tdqueue.Request {
+	deadline := milliseconds(r.GetDeadlineMs())
+	target := milliseconds(r.GetTargetMs())
+	if target == 0 {
+		target = deadline / 2
+	}
+	return tdqueue.Request{
+		Ticket: tdqueue.Ticket(r.GetTicket()), Tier: int(r.GetTier()), Class: r.GetClass(),
+		MinShare: float64(r.GetMinShare()), Workspace: r.GetWorkspace(), Weight: float64(r.GetWeight()),
+		Work: float64(r.GetWork()), Copies: int(r.GetCopies()), Fingerprint: r.GetFingerprint(),
+		Suspect: r.GetSuspect(), Promised: r.GetPromised(),
+		Target: now.Add(target), Deadline: now.Add(deadline),
+	}
+}
+
+// held turns a running request into a message.
+func held(s *seat, run *tdqueue.Running) *Held {
+	return &Held{
+		Node: string(s.holders[run.Ticket].node), Server: string(s.server.ID), Tokens: uint32(run.Tokens),
+		Request: &Request{
+			Ticket: uint64(run.Ticket), Tier: int32(run.Tier), Class: run.Class, MinShare: float32(run.MinShare),
+			Workspace: run.Workspace, Weight: float32(run.Weight), Work: float32(run.Work),
+			Fingerprint: run.Fingerprint, Suspect: run.Suspect, Promised: run.Promised,
+		},
+	}
+}
+
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Milliseconds returns a duration as messages carry it.
+func Milliseconds(d time.Duration) uint32 {
+	return uint32(max(0, min(d.Milliseconds(), 1<<31)))
+}
--- /dev/null
+++ b/internal/dispatch/tdowner/report.go
@@ -0,0 +1,166 @@
+package tdowner
+
+import (
+	"time"
+
+	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdhealth"
+	"tarragondeal/internal/dispatch/tdqueue"
+)
+
+// maxHints bounds the hints in one reply.
+const maxHints = 4
+
+// Report takes a node's report. It returns the tickets of running grants
+// that the book does not know.
+func (b *Book) Report(now tarragondeal.Instant, r *ReportRequest) []uint64 {
+	var unknown []uint64
+	for _, p := range r.GetRunning() {
+		if !b.progress(now, tarragondeal.NodeID(r.GetNode()), p) {
+			unknown = append(unknown, p.GetTicket())
+		}
+	}
+	for _, e := range r.GetEnded() {
+		b.ended(now, e)
+	}
+	return unknown
+}
+
+func (b *Book) progress(now tarragondeal.Instant, node tarragondeal.NodeID, p *Progress) bool {
+	st, ok := b.seats[tarragondeal.ServerID(p.GetServer())]
+	if !ok {
+		return true // Its new owner will ask.
+	}
+	k := tdqueue.Ticket(p.GetTicket())
+	if _, runs := st.queue.Running()[k]; !runs {
+		if p.GetRequest() == nil {
+			return false
+		}
+		st.adopt(now, node, p.GetRequest(), int(p.GetTokens()))
+		return true
+	}
+	st.holders[k] = holder{node: node, heard: now}
+	st.queue.Progress(k, int(p.GetTokens()))
+	return true
+}
+
+func (b *Book) ended(now tarragondeal.Instant, e *Ended) {
+	st, ok := b.seats[tarragondeal.ServerID(e.GetServer())]
+	if !ok {
+		return
+	}
+	k := tdqueue.Ticket(e.GetTicket())
+	kind := tarragondeal.OutcomeKind(e.GetKind())
+	switch kind {
+	case tarragondeal.OutcomeUnused:
+		b.Withdraw(now, Key{Server: st.server.ID, Ticket: e.GetTicket()})
+		return
+	case tarragondeal.OutcomeCrashed:
+		b.crash(now, st, k)
+	case tarragondeal.OutcomeRefused:
+		st.status.Refused(now)
+		st.refuseAll(b.unusable(st))
+	case tarragondeal.OutcomeServed:
+		b.rates.Observe(now, st.server.ID, st.server.Pool, sample(e))
+	}
+	b.finish(now, st, k, int(e.GetTokens()), kind == tarragondeal.OutcomeServed)
+}
+
+func sample(e *Ended) tdhealth.Sample {
+	return tdhealth.Sample{
+		Tokens: int(e.GetTokens()), FirstToken: milliseconds(e.GetFirstTokenMs()), Total: milliseconds(e.GetTotalMs()),
+	}
+}
+
+// crash takes the server out and makes suspects of everything that runs
+// there. Requests that were started before the last crash met that one.
+func (b *Book) crash(now tarragondeal.Instant, st *seat, k tdqueue.Ticket) {
+	run, ok := st.queue.Running()[k]
+	if !ok || st.crashed && run.Started <= st.crashedAt {
+		return
+	}
+	st.status.Crashed(now)
+	st.crashed, st.crashedAt = true, now
+	b.epoch++
+	c := Crash{Server: st.server.ID, ID: b.epoch}
+	for _, other := range st.queue.Running() {
+		if other.Fingerprint != 0 {
+			c.Fingerprints = append(c.Fingerprints, other.Fingerprint)
+		}
+	}
+	b.crashes = append(b.crashes, c)
+	st.refuseAll(b.unusable(st))
+}
+
+// Due returns the servers whose load should be read now.
+func (b *Book) Due(now tarragondeal.Instant, every time.Duration) []tarragondeal.Server {
+	var out []tarragondeal.Server
+	for _, st := range b.seats {
+		if st.status.Due(now, every) {
+			out = append(out, st.server)
+		}
+	}
+	return out
+}
+
+// Probed takes the result of reading a server's load.
+func (b *Book) Probed(now tarragondeal.Instant, id tarragondeal.ServerID, l tarragondeal.Load, ok bool) {
+	st, found := b.seats[id]
+	if !found {
+		return
+	}
+	st.status.Probed(now, ok, l.Leaving)
+	if ok {
+		st.load.Report(now, l)
+	}
+	if !st.status.Usable() {
+		st.refuseAll(b.unusable(st))
+		return
+	}
+	b.serve(now, st)
+}
+
+func (b *Book) unusable(st *seat) *ReserveReply {
+	return &ReserveReply{
+		Verdict: Verdict_VERDICT_UNUSABLE, RetryAfterMs: Milliseconds(retryUnusable), Hints: []*Hint{b.hint(st)},
+	}
+}
+
+func (b *Book) refusal(st *seat, x *tdqueue.Refusal) *ReserveReply {
+	return &ReserveReply{
+		Verdict: Verdict_VERDICT_REFUSED, Reason: string(x.Reason),
+		RetryAfterMs: Milliseconds(x.RetryAfter), Hints: b.Hints(st.server.Pool),
+	}
+}
+
+// Hints tells of some servers of a pool, and of all pools if it is "".
+func (b *Book) Hints(pool string) []*Hint {
+	var out []*Hint
+	for _, st := range b.seats {
+		if len(out) == maxHints {
+			break
+		}
+		if pool == "" || st.server.Pool == pool {
+			out = append(out, b.hint(st))
+		}
+	}
+	return out
+}
+
+func (b *Book) hint(st *seat) *Hint {
+	promised := uint32(0)
+	for _, run := range st.queue.Running() {
+		if run.Promised {
+			promised++
+		}
+	}
+	free := st.queue.Free() - st.queue.Len()
+	return &Hint{
+		Server: string(st.server.ID), Free: uint32(max(0, free)), Running: uint32(len(st.queue.Running())),
+		Room: uint32(st.queue.Room()), WaitMs: Milliseconds(st.queue.Wait(lowestTier)),
+		Unusable: !st.status.Usable(), PerSecond: float32(b.rates.PerSecond(st.server.ID)), Promised: promised,
+	}
+}
+
+// lowestTier is below every tier, so that a hint's wait counts all of them.
+const lowestTier = 1 << 20
--- a/internal/node/tdnode/dispatch.go
+++ b/internal/node/tdnode/dispatch.go
@@ -4,9 +4,19 @@
 	"tarragondeal"
 	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/dispatch/tdbaseline"
+	"tarragondeal/internal/dispatch/tdchoose"
+	"tarragondeal/internal/dispatch/tdowner"
+	"tarragondeal/internal/dispatch/tdprefix"
+	"tarragondeal/internal/dispatch/tdquarantine"
+	"tarragondeal/internal/dispatch/tdreserve"
+	"tarragondeal/internal/dispatch/tdretry"
 	"tarragondeal/internal/dispatch/tdserver"
+	"tarragondeal/internal/node/tdsettings"
 )
 
+// prefixHistory is how many prompt prefixes a node remembers.
+const prefixHistory = 16 << 10
+
 // dispatch is how requests find backend servers.
 type dispatch struct {
 	servers    *tdserver.List
@@ -16,6 +26,105 @@
 func (n *Node) buildDispatch() error {
 	n.dispatch.servers = tdserver.New(n.site, n.cfg.ListEvery, tdlog.Part(n.log, "servers"))
 	n.add("follow servers", n.dispatch.servers.Run)
-	n.dispatch.dispatcher = tdbaseline.New(tdbaseline.Policy(n.cfg.DispatchPolicy), n.dispatch.servers)
+	if n.cfg.DispatchPolicy != tdsettings.PolicyOwner {
+		n.dispatch.dispatcher = tdbaseline.New(tdbaseline.Policy(n.cfg.DispatchPolicy), n.dispatch.servers)
+		return nil
+	}
+	return n.buildOwner()
+}
+
+// buildOwner makes the product's own dispatcher: reservations at the owners
+// of backend servers.
+func (n *Node) buildOwner() error {
+	prefixes, err := tdprefix.New(prefixHistory)
+	if err != nil {
+		return err
+	}
+	site := &site{list: n.dispatch.servers, config: n.fleet.config}
+	quarantine := n.buildQuarantine()
+	owner := tdowner.New(tdowner.Deps{
+		Members: n.fleet.members, Links: n.fleet.links, Site: site, Loads: n.site, Clock: n.clock,
+		Log: tdlog.Part(n.log, "owner"), Crashed: crashed(quarantine),
+	}, tdowner.Options{StartWait: n.cfg.OwnerStartWait, PollEvery: n.cfg.LoadEvery})
+	owner.Register(n.fleet.links.Server())
+	d := tdreserve.New(tdreserve.Deps{
+		Self: n.fleet.members.Self().Node, Owner: owner, Links: n.fleet.links, Site: site, Clock: n.clock,
+		Quarantine: quarantine, Budget: n.buildBudget(), Prefixes: prefixes, Log: tdlog.Part(n.log, "dispatch"),
+	})
+	n.add("own servers", owner.Run)
+	n.add("take servers over", owner.Take)
+	n.add("poll load", owner.Poll)
+	n.add("report grants", d.Run)
+	n.dispatch.dispatcher = d
 	return nil
 }
+
+func (n *Node) buildQuarantine() *tdquarantine.Keeper {
+	if n.cfg.NoQuarantine {
+		return nil
+	}
+	q := tdquarantine.New(tdquarantine.Deps{
+		Members: n.fleet.members, Links: n.fleet.links, Clock: n.clock, Log: tdlog.Part(n.log, "quarantine"),
+	})
+	q.Register(n.fleet.links.Server())
+	n.add("tell of crashes", q.Run)
+	return q
+}
+
+func (n *Node) buildBudget() *tdretry.Budget {
+	if n.cfg.NoBudget {
+		return nil
+	}
+	return tdretry.New(tdretry.Options{
+		Part: n.cfg.RetryPart, Burst: n.cfg.RetryBurst, PerSecond: n.cfg.RetryPerSecond,
+	}, n.clock)
+}
+
+func crashed(q *tdquarantine.Keeper) func(tdowner.Crash) {
+	if q == nil {
+		return func(tdowner.Crash) {}
+	}
+	return func(c tdowner.Crash) {
+		q.Crashed(tdquarantine.Notice{Server: c.Server, Crash: c.ID, Fingerprints: c.Fingerprints})
+	}
+}
+
+// site tells the dispatch what is configured and listed.
+type site struct {
+	list   *tdserver.List
+	config tarragondeal.Config
+}
+
+// Servers returns the listed backend servers.
+func (s *site) Servers() []tarragondeal.Server { return s.list.Servers() }
+
+// Slots returns how many requests a pool's servers run at once, none while
+// the pool is not configured.
+func (s *site) Slots(pool string) int { return s.Pool(pool).Slots }
+
+// Pool returns what matters of a pool's settings.
+func (s *site) Pool(name string) tdchoose.Pool {
+	v := s.config.View()
+	if v == nil {
+		return tdchoose.Pool{}
+	}
+	p, ok := v.ServerPools[name]
+	if !ok {
+		return tdchoose.Pool{}
+	}
+	return tdchoose.Pool{Slots: p.Slots, Reclaimable: p.Reclaimable}
+}
+
+// Region returns the region of a data centre, or "" while it is not
+// configured.
+func (s *site) Region(dataCentre string) string {
+	v := s.config.View()
+	if v == nil {
+		return ""
+	}
+	c, ok := v.DataCentres[dataCentre]
+	if !ok {
+		return ""
+	}
+	return c.Region
+}
