Shed waiting suspects like other requests

Cause: the property test over random operations found a request of tier 1 refused while a suspect of tier 2 waited, because suspects wait beside the tiers' lists.

Change: a full queue looks at suspects too. Notices of crashes also go by the spread between nodes.

--- a/internal/dispatch/tdqueue/flow.go
+++ b/internal/dispatch/tdqueue/flow.go
@@ -54,6 +54,18 @@
 	l.n--
 }
 
+// lowest returns the newest of the lowest tier. It looks at each item, so it
+// is for short lists.
+func (l *list) lowest() *item {
+	low := l.head
+	for it := l.head; it != nil; it = it.next {
+		if it.Tier >= low.Tier {
+			low = it
+		}
+	}
+	return low
+}
+
 // flow is one workspace within one tier.
 type flow struct {
 	tier    *tier
--- a/internal/dispatch/tdqueue/queue.go
+++ b/internal/dispatch/tdqueue/queue.go
@@ -149,11 +149,15 @@
 // if that is lower than r's; else, in the same tier, one of the workspace
 // that has been served most, if more of its requests wait than of r's.
 func (q *Queue) victim(r *Request) *item {
+	s := q.suspects.lowest()
 	for n := len(q.tiers) - 1; n >= 0; n-- {
 		t := q.tiers[n]
 		if t.number < r.Tier {
 			return nil
 		}
+		if s != nil && s.Tier == t.number && s.Tier > r.Tier {
+			return s
+		}
 		f := t.most()
 		if f == nil {
 			continue
--- /dev/null
+++ b/internal/dispatch/tdqueue/queue_test.go
@@ -0,0 +1,336 @@
+package tdqueue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdqueue"
+)
+
+func TestQueue(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Queue")
+}
+
+const second = tarragondeal.Instant(time.Second)
+
+func request(ticket, tier int, workspace string) tdqueue.Request {
+	return tdqueue.Request{
+		Ticket: tdqueue.Ticket(ticket), Tier: tier, Class: fmt.Sprintf("class%d", tier), Workspace: workspace,
+		Work: 100, Target: 10 * second, Deadline: 100 * second,
+	}
+}
+
+func add(q *tdqueue.Queue, rs ...tdqueue.Request) {
+	for _, r := range rs {
+		_, refusal := q.Add(0, r)
+		ExpectWithOffset(1, refusal).To(BeNil())
+	}
+}
+
+// order starts requests one by one, ending each at once, and returns the
+// tickets in the order of their starts.
+func order(q *tdqueue.Queue, now tarragondeal.Instant) []int {
+	var out []int
+	for {
+		r, ok := q.Next(now)
+		if !ok {
+			return out
+		}
+		out = append(out, int(r.Ticket))
+		q.End(now, r.Ticket, int(r.Work), false)
+	}
+}
+
+var _ = Describe("order", func() {
+	cases := []struct {
+		name string
+		in   []tdqueue.Request
+		want []int
+	}{
+		{"tier first", []tdqueue.Request{request(1, 3, "a"), request(2, 1, "a"), request(3, 2, "a")}, []int{2, 3, 1}},
+		{"workspaces in turn", []tdqueue.Request{request(1, 1, "a"), request(2, 1, "a"), request(3, 1, "b")}, []int{1, 3, 2}},
+		{"oldest first in a workspace", []tdqueue.Request{request(1, 1, "a"), request(2, 1, "a"), request(3, 1, "a")}, []int{1, 2, 3}},
+	}
+	for _, c := range cases {
+		It(c.name, func() {
+			q := tdqueue.New(tdqueue.Options{Bound: 10})
+			q.SetRoom(1)
+			add(q, c.in...)
+			Expect(order(q, 0)).To(Equal(c.want))
+		})
+	}
+
+	It("charges tokens as they come", func() {
+		q := tdqueue.New(tdqueue.Options{Bound: 10})
+		q.SetRoom(2)
+		add(q, request(1, 1, "a"), request(2, 1, "b"))
+		q.Next(0)
+		q.Next(0)
+		q.Progress(1, 5000) // Workspace a's answer is long.
+		add(q, request(3, 1, "a"), request(4, 1, "b"), request(5, 1, "b"))
+		q.End(0, 2, 100, true)
+		next, _ := q.Next(0)
+		Expect(next.Ticket).To(Equal(tdqueue.Ticket(4)))
+		q.End(0, 4, 100, true)
+		next, _ = q.Next(0)
+		Expect(next.Ticket).To(Equal(tdqueue.Ticket(5)))
+	})
+
+	It("keeps a part of the room for the highest tier", func() {
+		q := tdqueue.New(tdqueue.Options{Bound: 100, HeadroomPart: 8})
+		q.SetRoom(8)
+		for n := range 20 {
+			add(q, request(n+10, 5, "low"))
+		}
+		add(q, request(1, 1, "high"))
+		for _, ok := q.Next(0); ok; _, ok = q.Next(0) {
+		}
+		Expect(q.Running()).To(HaveLen(7))
+		add(q, request(2, 1, "high"))
+		next, ok := q.Next(0)
+		Expect(ok).To(BeTrue())
+		Expect(next.Ticket).To(Equal(tdqueue.Ticket(2)))
+	})
+
+	It("runs no two suspects at once", func() {
+		q := tdqueue.New(tdqueue.Options{Bound: 10})
+		q.SetRoom(4)
+		for n := 1; n <= 2; n++ {
+			r := request(n, 1, "a")
+			r.Suspect = true
+			add(q, r)
+		}
+		add(q, request(3, 1, "a"))
+		for _, ok := q.Next(0); ok; _, ok = q.Next(0) {
+		}
+		Expect(q.Running()).To(HaveLen(2))
+		Expect(q.Running()).To(HaveKey(tdqueue.Ticket(3)))
+		q.End(0, 1, 0, true)
+		next, ok := q.Next(0)
+		Expect(ok).To(BeTrue())
+		Expect(next.Ticket).To(Equal(tdqueue.Ticket(2)))
+	})
+})
+
+var _ = Describe("refusal", func() {
+	It("displaces the lowest tier for a higher one", func() {
+		q := tdqueue.New(tdqueue.Options{Bound: 2})
+		add(q, request(1, 5, "a"), request(2, 3, "a"))
+		shed, refusal := q.Add(0, request(3, 1, "a"))
+		Expect(refusal).To(BeNil())
+		Expect(shed).To(HaveLen(1))
+		Expect(shed[0].Request.Ticket).To(Equal(tdqueue.Ticket(1)))
+		_, refusal = q.Add(0, request(4, 4, "a"))
+		Expect(refusal.Reason).To(Equal(tarragondeal.ReasonOverload))
+	})
+
+	It("refuses at once what can't end before its deadline", func() {
+		q := tdqueue.New(tdqueue.Options{Bound: 100})
+		q.SetRoom(1)
+		q.Learn("class1", 30*time.Second)
+		add(q, request(1, 1, "a"))
+		q.Next(0)
+		add(q, request(2, 1, "a"), request(3, 1, "a"))
+		_, refusal := q.Add(0, request(4, 1, "a"))
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Reason).To(Equal(tarragondeal.ReasonDeadline))
+		Expect(refusal.RetryAfter).To(Equal(90 * time.Second))
+	})
+
+	It("counts no lower tier into a higher one's wait", func() {
+		q := tdqueue.New(tdqueue.Options{Bound: 100})
+		q.SetRoom(1)
+		q.Learn("class5", 30*time.Second)
+		for n := range 3 {
+			add(q, request(n+10, 5, "a"))
+		}
+		add(q, request(1, 1, "a"))
+	})
+
+	It("gives requests up when their time is over", func() {
+		q := tdqueue.New(tdqueue.Options{Bound: 100})
+		add(q, request(1, 1, "a"))
+		Expect(q.Expire(99 * second)).To(BeEmpty())
+		Expect(q.Expire(100 * second)).To(HaveLen(1))
+		Expect(q.Len()).To(BeZero())
+	})
+})
+
+var _ = Describe("the least share", func() {
+	It("starves no tier however many higher requests come", func() {
+		q := tdqueue.New(tdqueue.Options{Bound: 100, HeadroomPart: 8})
+		q.SetRoom(8)
+		low := request(1, 5, "low")
+		low.Target, low.MinShare = second, 0.1
+		add(q, low)
+		starts, now := 0, 2*second
+		for ticket := 2; ; ticket++ {
+			high := request(ticket, 1, "high")
+			high.Target, high.Deadline = now-second, now+100*second
+			q.Add(now, high)
+			r, ok := q.Next(now)
+			Expect(ok).To(BeTrue())
+			if r.Tier == 5 {
+				break
+			}
+			q.End(now, r.Ticket, 100, true)
+			starts++
+			now += second / 10
+			Expect(starts).To(BeNumerically("<=", 21))
+		}
+		// Twice the price of one request, earned a tenth at each start.
+		Expect(starts).To(BeNumerically(">=", 19))
+	})
+})
+
+// TestProperties runs random operations and checks after each that nothing
+// is lost or doubled, that room is never exceeded, and that refusals take
+// from the lowest tier that waits.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.IntRange(1, 6).Draw(t, "bound")
+		q := tdqueue.New(tdqueue.Options{Bound: bound, HeadroomPart: 8})
+		m := &model{t: t, q: q, waiting: map[tdqueue.Ticket]int{}, running: map[tdqueue.Ticket]int{}, bound: bound}
+		room := rapid.IntRange(0, 6).Draw(t, "room")
+		q.SetRoom(room)
+		t.Repeat(map[string]func(*rapid.T){
+			"add":    m.add,
+			"next":   m.next,
+			"end":    m.end,
+			"cancel": m.cancel,
+			"expire": m.expire,
+			"": func(t *rapid.T) {
+				if q.Len() != len(m.waiting) || len(q.Running()) != len(m.running) {
+					t.Fatalf("%d wait and %d run, want %d and %d", q.Len(), len(q.Running()), len(m.waiting), len(m.running))
+				}
+				if len(m.running) > room {
+					t.Fatalf("%d run in room for %d", len(m.running), room)
+				}
+			},
+		})
+	})
+}
+
+type model struct {
+	t       *rapid.T
+	q       *tdqueue.Queue
+	now     tarragondeal.Instant
+	last    int
+	bound   int
+	waiting map[tdqueue.Ticket]int // By tier.
+	running map[tdqueue.Ticket]int
+}
+
+func (m *model) lowest() int {
+	low := 0
+	for _, tier := range m.waiting {
+		low = max(low, tier)
+	}
+	return low
+}
+
+func (m *model) add(t *rapid.T) {
+	m.last++
+	m.now += tarragondeal.Instant(rapid.Int64Range(0, int64(time.Second)).Draw(t, "wait"))
+	r := request(m.last, rapid.IntRange(1, 4).Draw(t, "tier"), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"))
+	r.Target, r.Deadline = m.now+second, m.now+5*second
+	r.Suspect = rapid.IntRange(0, 9).Draw(t, "suspect") == 0
+	low := m.lowest()
+	shed, refusal := m.q.Add(m.now, r)
+	if refusal != nil {
+		if refusal.Reason == tarragondeal.ReasonOverload && (low > r.Tier || len(m.waiting) < m.bound) {
+			t.Fatalf("tier %d refused while tier %d waits in a queue of %d", r.Tier, low, len(m.waiting))
+		}
+		return
+	}
+	m.waiting[r.Ticket] = r.Tier
+	for _, x := range shed {
+		if x.Request.Tier < low {
+			t.Fatalf("tier %d shed while tier %d waits", x.Request.Tier, low)
+		}
+		m.drop(t, x.Request.Ticket)
+	}
+}
+
+func (m *model) drop(t *rapid.T, k tdqueue.Ticket) {
+	if _, ok := m.waiting[k]; !ok {
+		t.Fatalf("request %d left the queue without having waited", k)
+	}
+	delete(m.waiting, k)
+}
+
+func (m *model) next(t *rapid.T) {
+	r, ok := m.q.Next(m.now)
+	if !ok {
+		return
+	}
+	m.drop(t, r.Ticket)
+	m.running[r.Ticket] = r.Tier
+}
+
+func (m *model) end(t *rapid.T) {
+	for k := range m.running {
+		if !m.q.End(m.now, k, rapid.IntRange(0, 300).Draw(t, "tokens"), rapid.Bool().Draw(t, "served")) {
+			t.Fatalf("running request %d is not known", k)
+		}
+		delete(m.running, k)
+		return
+	}
+}
+
+func (m *model) cancel(t *rapid.T) {
+	k := tdqueue.Ticket(rapid.IntRange(1, max(1, m.last)).Draw(t, "ticket"))
+	if _, want := m.waiting[k]; m.q.Cancel(k) != want {
+		t.Fatalf("cancel of %d, which waits: %v", k, want)
+	}
+	delete(m.waiting, k)
+}
+
+func (m *model) expire(t *rapid.T) {
+	m.now += tarragondeal.Instant(rapid.Int64Range(0, int64(4*time.Second)).Draw(t, "wait"))
+	for _, x := range m.q.Expire(m.now) {
+		m.drop(t, x.Request.Ticket)
+	}
+}
+
+func BenchmarkAddNext(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("queued=%d", n), func(b *testing.B) {
+			q := tdqueue.New(tdqueue.Options{Bound: 2 * n, HeadroomPart: 8})
+			q.SetRoom(16)
+			ticket := 0
+			next := func() {
+				ticket++
+				r := request(ticket, ticket%6+1, "")
+				r.Workspace = workspaces[ticket%len(workspaces)]
+				r.Deadline = 1e6 * second
+				q.Add(0, r)
+			}
+			for range n {
+				next()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				next()
+				if r, ok := q.Next(0); ok {
+					q.End(0, r.Ticket, 100, true)
+				}
+			}
+		})
+	}
+}
+
+var workspaces = func() []string {
+	out := make([]string, 100)
+	for n := range out {
+		out[n] = fmt.Sprintf("workspace%d", n)
+	}
+	return out
+}()
--- a/internal/node/tdnode/dispatch.go
+++ b/internal/node/tdnode/dispatch.go
@@ -64,7 +64,8 @@
 		return nil
 	}
 	q := tdquarantine.New(tdquarantine.Deps{
-		Members: n.fleet.members, Links: n.fleet.links, Clock: n.clock, Log: tdlog.Part(n.log, "quarantine"),
+		Members: n.fleet.members, Links: n.fleet.links, Spread: n.fleet.spread, Clock: n.clock,
+		Log: tdlog.Part(n.log, "quarantine"),
 	})
 	q.Register(n.fleet.links.Server())
 	n.add("tell of crashes", q.Run)
