Take claims with marks that settle lost answers

Cause: a claim whose swap lost its answer was treated as failed, an outcome was never unknown for good, and nothing ended a claim when the store was away or deleted it later.

Change: a claim's record is claimed, finished or released, with holder, time and longest run. The write of a claim is repeated until it is certain: its own mark found means taken. Answers and releases that the store can't take wait in a bounded ring. A node that gave up on an unsettled take gives the claim back later. The clean-up measures age by the holder's monotonic clock between two compare-and-swaps and deletes only at the revision whose age is known.

--- a/error.go
+++ b/error.go
@@ -37,6 +37,7 @@
 	ReasonAlreadyRunning Reason = "alreadyRunning"
 	ReasonAlreadyRan     Reason = "alreadyRan"
 	ReasonBodyDiffers    Reason = "bodyDiffers"
+	ReasonOutcomeUnknown Reason = "outcomeUnknown" // It may have run, and never runs again.
 	ReasonStoreAway      Reason = "storeAway"
 	ReasonBackend        Reason = "backendFailed"
 	ReasonLeaving        Reason = "leaving"
@@ -86,9 +87,11 @@
 // ClaimError is a non-idempotent request that may not run again.
 type ClaimError struct {
 	Key    ClaimKey
-	Reason Reason // ReasonAlreadyRunning, ReasonAlreadyRan or ReasonBodyDiffers.
+	Reason Reason // ReasonAlreadyRunning, ReasonAlreadyRan, ReasonBodyDiffers or ReasonOutcomeUnknown.
 	Ran    Ran
 	Answer *Recorded // The recorded answer, if the request ran to its end.
+	// RetryAfter is when a repeat may learn more; zero when it never will.
+	RetryAfter time.Duration
 }
 
 func (e *ClaimError) Error() string {
--- a/internal/node/tdnode/account.go
+++ b/internal/node/tdnode/account.go
@@ -4,6 +4,7 @@
 	"tarragondeal"
 	"tarragondeal/internal/account/tdclaim"
 	"tarragondeal/internal/account/tdusage"
+	"tarragondeal/internal/base/tdlog"
 )
 
 // account is what is counted and what runs at most once.
@@ -14,7 +15,14 @@
 }
 
 func (n *Node) buildAccount() error {
-	n.account.claims = tdclaim.New(n.fleet.store)
+	claims := tdclaim.New(tdclaim.Deps{
+		Store: n.fleet.store, Members: n.fleet.members, Clock: n.clock, Log: tdlog.Part(n.log, "claims"),
+	}, tdclaim.Config{
+		MaxRun: n.cfg.ClaimsMaxRun, MaxAnswer: n.cfg.ClaimsMaxAnswer,
+		Wait: n.cfg.ClaimsWait, Pending: n.cfg.ClaimsPending,
+	})
+	n.account.claims = claims
+	n.add("end claims", claims.Run)
 	n.account.meter = tdusage.New()
 	n.account.burn = noBurn{}
 	return nil
