Tell the node's load and address, and all wrong settings of callers at once

Cause: callers were spread without knowing loads; a node behind another address could not say so; one wrong setting hid the next; a refusal that is the answer a caller is owed counted against its class.

--- a/internal/entry/tdflow/account.go
+++ b/internal/entry/tdflow/account.go
@@ -126,5 +126,10 @@
 // observe hands in the request's sample.
 func (r *run) observe() {
 	r.sample.Total = r.elapsed()
+	scope := r.f.Metrics.Tagged(map[string]string{"class": r.q.Class.Name})
+	scope.Counter("requests").Inc(1)
+	if r.sample.Refused || r.sample.Failed {
+		scope.Counter("notServed").Inc(1)
+	}
 	r.f.Burn.Observe(r.sample)
 }
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -1,9 +1,11 @@
 package tdflow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -147,10 +149,19 @@
 	return &tarragondeal.RefusedError{Reason: reason, Ran: r.ran, Detail: detail}
 }
 
+// owed are refusals that are the answer a caller is owed: they do not count
+// against the class.
+var owed = []tarragondeal.Reason{
+	tarragondeal.ReasonNeedsIdemKey, tarragondeal.ReasonBodyDiffers, tarragondeal.ReasonBadRequest,
+	tarragondeal.ReasonAlreadyRunning, tarragondeal.ReasonAlreadyRan, tarragondeal.ReasonKeyWithdrawn,
+}
+
 // note keeps for the sample how the request ended.
 func (r *run) note(reason tarragondeal.Reason) {
-	r.sample.Refused = r.ran == tarragondeal.RanNot
-	r.sample.Failed = !r.sample.Refused
+	if !slices.Contains(owed, reason) {
+		r.sample.Refused = r.ran == tarragondeal.RanNot
+		r.sample.Failed = !r.sample.Refused
+	}
 	r.f.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("refused").Inc(1)
 }
 
@@ -187,7 +198,12 @@
 // conclude ends a request after its last attempt.
 func (r *run) conclude(step Step, failed failed) error {
 	r.billEnd(step)
-	if step == StepDone {
+	switch step {
+	case StepDone:
+		return nil
+	case StepGone:
+		// The caller waited so long at least.
+		r.sample.FirstToken = cmp.Or(r.sample.FirstToken, r.elapsed())
 		return nil
 	}
 	r.f.Log.Debug().Str("request", string(r.q.ID)).Int("failure", int(failed.failure)).
@@ -200,8 +216,6 @@
 		r.stream.s.Fail(err)
 	case StepCut:
 		panic(http.ErrAbortHandler) // The caller must see that it is short.
-	case StepGone:
-		r.sample.Refused, r.sample.Failed = false, false
 	}
 	return nil
 }
--- a/internal/entry/tdflow/once.go
+++ b/internal/entry/tdflow/once.go
@@ -53,6 +53,10 @@
 	if claim, ok := errors.AsType[*tarragondeal.ClaimError](err); ok {
 		return r.repeat(claim)
 	}
+	if refused, ok := errors.AsType[*tarragondeal.RefusedError](err); ok {
+		r.note(refused.Reason)
+		return refused
+	}
 	// An earlier request with this key may have run.
 	r.ran = tarragondeal.RanUnknown
 	_, store := errors.AsType[*tarragondeal.StoreError](err)
--- a/internal/entry/tdfront/admit.go
+++ b/internal/entry/tdfront/admit.go
@@ -40,6 +40,8 @@
 // take leads one request from its arrival to its end. Decode reads what the
 // kind of call needs, and returns the name of the route.
 func (f *Front) take(w http.ResponseWriter, r *http.Request, decode func(*tdflow.Request) (string, error)) {
+	f.running.Add(1)
+	defer f.running.Add(-1)
 	q := &tdflow.Request{
 		ID: tarragondeal.RequestID(uuid.NewString()), Method: r.Method, Header: headersFor(r),
 		IdemKey: r.Header.Get(HeaderIdempotency), Arrived: f.Clock.Now(),
--- a/internal/entry/tdfront/front.go
+++ b/internal/entry/tdfront/front.go
@@ -63,6 +63,7 @@
 	Deps
 	opt     Options
 	open    *counts
+	running atomic.Int64
 	leaving atomic.Bool
 }
 
@@ -71,6 +72,9 @@
 	return &Front{Deps: d, opt: o, open: newCounts()}
 }
 
+// Open returns how many requests are open.
+func (f *Front) Open() int { return int(f.running.Load()) }
+
 // Leave makes the front tell callers that the node is stopping: it is no
 // longer ready, and each answer asks its caller to connect anew.
 func (f *Front) Leave() { f.leaving.Store(true) }
--- /dev/null
+++ b/internal/entry/tdfront/front_test.go
@@ -0,0 +1,167 @@
+package tdfront_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/entry/tdaddress"
+	"tarragondeal/internal/entry/tdflow"
+	"tarragondeal/internal/entry/tdfront"
+	"tarragondeal/internal/entry/tdkey"
+)
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Front")
+}
+
+// world is what a front works with.
+type world struct {
+	view     *tarragondeal.View
+	limit    error
+	got      []*tdflow.Request
+	hold     chan struct{} // Requests run until it is closed.
+	arrived  chan struct{}
+	released int
+}
+
+func (o *world) View() *tarragondeal.View  { return o.view }
+func (o *world) Changed() <-chan struct{}  { return nil }
+func (o *world) Self() tarragondeal.Member { return o.Members()[0] }
+func (o *world) Members() []tarragondeal.Member {
+	return []tarragondeal.Member{{DataCentre: "duluth", Entry: netip.MustParseAddrPort("10.0.0.1:80")}}
+}
+func (o *world) Admit(*tarragondeal.Workspace, *tarragondeal.Key, *tarragondeal.Route, int) (func(int), error) {
+	return func(tokens int) { o.released = tokens }, o.limit
+}
+func (o *world) Run(_ context.Context, w http.ResponseWriter, q *tdflow.Request) error {
+	o.got = append(o.got, q)
+	if o.hold != nil {
+		o.arrived <- struct{}{}
+		<-o.hold
+	}
+	q.Tokens = 7
+	_, err := w.Write([]byte("served"))
+	return err
+}
+
+var _ = Describe("the front", func() {
+	var (
+		o     *world
+		front *tdfront.Front
+		key   string
+	)
+
+	BeforeEach(func() {
+		text, stored, err := tdkey.Issue("k", "auditors")
+		Expect(err).NotTo(HaveOccurred())
+		key = text
+		o = &world{view: tarragondeal.NewView(1, &tarragondeal.Set{
+			DataCentres:    []tarragondeal.DataCentre{{Name: "duluth"}},
+			ServerPools:    []tarragondeal.ServerPool{{Name: "m", Kind: tarragondeal.PoolModel}, {Name: "s", Kind: tarragondeal.PoolService}},
+			RequestClasses: []tarragondeal.RequestClass{{Name: "c"}},
+			Workspaces:     []tarragondeal.Workspace{{Name: "auditors"}, {Name: "house"}},
+			Routes: []tarragondeal.Route{
+				{Name: "narrate", Class: "c", Pools: []string{"m"}},
+				{Name: "private", Class: "c", Pools: []string{"m"}, Workspaces: []string{"house"}},
+				{Name: "help", Class: "c", Pools: []string{"m"}, Open: true, BilledTo: "house"},
+				{Name: "enter", Class: "c", Pools: []string{"s"}, NonIdempotent: true},
+			},
+			Keys: []tarragondeal.Key{stored},
+		})}
+		front = tdfront.New(tdfront.Deps{
+			Config: o, Limiter: o, Flow: o, Addresses: tdaddress.New(o, o, time.Second), Clock: tdclock.New(),
+		}, tdfront.Options{MaxBody: 1 << 10, Body: time.Minute, PerKey: 1})
+	})
+
+	call := func(method, path, body string, header ...string) *httptest.ResponseRecorder {
+		r := httptest.NewRequest(method, path, strings.NewReader(body))
+		for n := 0; n+1 < len(header); n += 2 {
+			r.Header.Add(header[n], header[n+1])
+		}
+		w := httptest.NewRecorder()
+		front.Handler().ServeHTTP(w, r)
+		return w
+	}
+	with := func(k string) string { return "Bearer " + k }
+
+	It("hands an admitted request on with what servers may see", func() {
+		w := call("PUT", "/services/enter/a%20b/c?x=1", `{}`, "Authorization", "bearer "+key, "X-Request-Id", "mine",
+			"Content-Type", "application/json", "Cookie", "a=b", "X-Forwarded-For", "10.9.9.9", "Idempotency-Key", "i")
+		Expect(w.Body.String()).To(Equal("served"))
+		q := o.got[0]
+		Expect([]any{q.Method, q.Path, q.IdemKey, q.Workspace.Name}).To(Equal([]any{"PUT", "/a%20b/c?x=1", "i", "auditors"}))
+		Expect(q.Header).To(Equal(http.Header{"Content-Type": {"application/json"}}))
+		Expect(w.Header().Get("X-Request-Id")).To(Equal("mine"))
+		Expect(w.Header().Get("X-Routed-Request-Id")).To(Equal(string(q.ID)))
+		Expect(string(q.ID)).NotTo(ContainSubstring("mine"))
+		Expect(o.released).To(Equal(7))
+	})
+
+	It("bills an open route to its workspace, whatever key comes with it", func() {
+		for _, header := range [][]string{nil, {"Authorization", "Bearer nonsense"}, {"Authorization", with(key)}} {
+			Expect(call("POST", "/v1/completions", `{"model":"help"}`, header...).Code).To(Equal(200))
+		}
+		for _, q := range o.got {
+			Expect(q.Workspace.Name).To(Equal("house"))
+			Expect(q.Key).To(BeNil())
+		}
+	})
+
+	It("refuses two keys at once", func() {
+		Expect(call("POST", "/v1/completions", `{"model":"narrate"}`, "Authorization", with(key), "Authorization", with(key)).Code).To(Equal(400))
+	})
+
+	It("says unknown of a refused repeat that may have run before", func() {
+		o.limit = &tarragondeal.RefusedError{Reason: tarragondeal.ReasonLimit, Ran: tarragondeal.RanNot, RetryAfter: time.Second}
+		first := call("POST", "/v1/completions", `{"model":"narrate"}`, "Authorization", with(key))
+		Expect(first.Code).To(Equal(429))
+		Expect(first.Body.String()).To(ContainSubstring(`"ran":"notRun"`))
+		Expect(first.Header().Get("Retry-After")).NotTo(BeEmpty())
+		repeat := call("POST", "/services/enter/x", `{}`, "Authorization", with(key), "Idempotency-Key", "i")
+		Expect(repeat.Code).To(Equal(429))
+		Expect(repeat.Body.String()).To(ContainSubstring(`"ran":"unknown"`))
+	})
+
+	It("bounds the open requests of one key", func() {
+		o.hold, o.arrived = make(chan struct{}), make(chan struct{})
+		done := make(chan int, 1)
+		go func() {
+			done <- call("POST", "/v1/completions", `{"model":"narrate"}`, "Authorization", with(key)).Code
+		}()
+		<-o.arrived
+		Expect(front.Open()).To(Equal(1))
+		w := call("POST", "/v1/completions", `{"model":"narrate"}`, "Authorization", with(key))
+		Expect(w.Code).To(Equal(429))
+		Expect(w.Body.String()).To(ContainSubstring(`"code":"connections"`))
+		close(o.hold)
+		Expect(<-done).To(Equal(200))
+		Expect(front.Open()).To(BeZero())
+	})
+
+	It("lists the models that a caller may use", func() {
+		Expect(call("GET", "/v1/models", "").Body.String()).To(MatchJSON(`{"object":"list","data":[{"id":"help","object":"model"}]}`))
+		w := call("GET", "/v1/models", "", "Authorization", with(key))
+		Expect(w.Body.String()).To(MatchJSON(`{"object":"list","data":[{"id":"narrate","object":"model"},{"id":"help","object":"model"}]}`))
+	})
+
+	It("tells addresses, and where it stands in its life", func() {
+		Expect(call("GET", "/entry?dataCentre=duluth&count=2", "").Body.String()).To(MatchJSON(`{"addresses":["10.0.0.1:80"],"timeToLive":"1s"}`))
+		Expect(call("GET", "/entry?count=x", "").Code).To(Equal(400))
+		Expect(call("GET", "/readyz", "").Code).To(Equal(200))
+		front.Leave()
+		Expect(call("GET", "/readyz", "").Code).To(Equal(503))
+		Expect(call("GET", "/healthz", "").Code).To(Equal(200))
+		Expect(call("GET", "/healthz", "").Header().Get("Connection")).To(Equal("close"))
+	})
+})
--- a/internal/node/tdnode/entry.go
+++ b/internal/node/tdnode/entry.go
@@ -1,7 +1,9 @@
 package tdnode
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdlog"
@@ -18,9 +20,6 @@
 }
 
 func (n *Node) buildEntry() error {
-	if err := n.cfg.Entry.Check(); err != nil {
-		return err
-	}
 	guard := tdkey.NewGuard(n.fleet.config)
 	n.add("follow withdrawn keys", guard.Run)
 	flow := tdflow.New(tdflow.Deps{
@@ -34,9 +33,39 @@
 		Clock:     n.clock, Log: tdlog.Part(n.log, "front"),
 	}, tdfront.Options{MaxBody: n.cfg.CallersMaxBody, Body: n.cfg.CallersBody, PerKey: n.cfg.CallersPerKey})
 	n.entry.callers = n.entry.front.Handler()
+	n.add("tell load", n.tellLoad)
 	return nil
 }
 
+// tellLoadEvery is how often a node tells the others how much it carries.
+const tellLoadEvery = time.Second
+
+// tellLoad tells the other nodes how much this one carries, since each of
+// them spreads callers over all.
+func (n *Node) tellLoad(ctx context.Context) error {
+	gauge := n.metrics.Scope.SubScope("entry").Gauge("openRequests")
+	t := time.NewTicker(tellLoadEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+		open := float64(n.entry.front.Open())
+		gauge.Update(open)
+		n.fleet.members.SetLoad(open / float64(n.cfg.CallersCapacity))
+	}
+}
+
+// callersAddr returns the address that callers are told.
+func (n *Node) callersAddr() string {
+	if n.cfg.AdvertiseCallers != "" {
+		return n.cfg.AdvertiseCallers
+	}
+	return n.listeners.callers.Addr().String()
+}
+
 // leave tells callers that the node is stopping.
 func (e *entry) leave() { e.front.Leave() }
 
--- a/internal/node/tdnode/fleet.go
+++ b/internal/node/tdnode/fleet.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return tarragondeal.Member{}, eris.Wrap(err, "setting advertise.peers")
 	}
-	entry, err := netip.ParseAddrPort(n.listeners.callers.Addr().String())
+	entry, err := netip.ParseAddrPort(n.callersAddr())
 	if err != nil {
 		return tarragondeal.Member{}, eris.Wrap(err, "setting listen.callers")
 	}
--- a/internal/node/tdsettings/check.go
+++ b/internal/node/tdsettings/check.go
@@ -37,6 +37,7 @@
 	case len(tokens) == 0:
 		wrong("operator.tokenFile", eris.New("it must be given, or operator.tokens or operator.token in its place"))
 	}
+	s.Entry.check(wrong)
 	if len(faults) > 0 {
 		return &SettingsError{Faults: faults}
 	}
--- a/test/entry/bench_test.go
+++ b/test/entry/bench_test.go
@@ -46,7 +46,7 @@
 }
 
 // front returns a front before one engine, and a key.
-func front(b *testing.B, engine string) (http.Handler, string) {
+func front(b testing.TB, engine string) (http.Handler, string) {
 	set, err := tdset.Parse("set", []byte(setText))
 	if err != nil {
 		b.Fatal(err)
@@ -62,7 +62,7 @@
 	flow := tdflow.New(tdflow.Deps{
 		Dispatch: tdbaseline.New(tdbaseline.RoundRobin, p), Backend: tdbackend.New(), Meter: tdusage.New(), Burn: p,
 		Guard: tdkey.NewGuard(p), Clock: tdclock.New(), Metrics: tally.NoopScope, Log: zerolog.Nop(),
-	}, tdflow.Options{Attempts: 3, Write: time.Minute})
+	}, tdflow.Options{Attempts: 3, Write: time.Second})
 	return tdfront.New(tdfront.Deps{
 		Config: p, Limiter: p, Flow: flow, Clock: tdclock.New(), Log: zerolog.Nop(),
 	}, tdfront.Options{MaxBody: 1 << 20, Body: time.Minute}).Handler(), text
