--- a/internal/measure/tdfleet/node.go
+++ b/internal/measure/tdfleet/node.go
@@ -69,7 +69,7 @@
 		"serve", "-name", n.Name, "-dataCentre", n.DataCentre, "-platform.url", "http://" + n.Store.Addr().String(),
 		"-listen.callers", n.Callers.String(), "-listen.peers", n.peers.String(), "-advertise.peers", n.peerProxy.Addr().String(),
 		"-listen.operators", n.Operators.String(), "-operator.token", token,
-		"-platform.listEvery", "500ms", "-drain.wait", "1s", "-log.level", "warn",
+		"-platform.listEvery", "500ms", "-drain.wait", "1s", "-entry.ttl", "1s", "-log.level", "warn",
 	}, more...)
 	cmd := exec.Command(binary, args...)
 	cmd.Stdout, cmd.Stderr = logTo, logTo
