--- /dev/null
+++ b/cmd/tarragondeal/show.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"tarragondeal"
+	"tarragondeal/internal/entry/tdoperator"
+	"tarragondeal/internal/object/tdset"
+)
+
+func (t *tool) configShow() *ffcli.Command {
+	var f nodeFlags
+	fs := t.flags("show")
+	f.register(fs)
+	version := fs.Uint64("version", 0, "version to show; 0 for the one in force")
+	format := fs.String("format", "yaml", "yaml or json")
+	return &ffcli.Command{
+		Name: "show", ShortUsage: "tarragondeal config show [flags]",
+		ShortHelp: "Show the set in force, or an earlier one.",
+		LongHelp:  example("tarragondeal config show > set.yaml", "tarragondeal config show -version 7"),
+		FlagSet:   fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			if *format != "yaml" && *format != "json" {
+				return usagef("-format: expected yaml or json, found %q", *format)
+			}
+			c, ctx, cancel, err := t.client(ctx, &f, 0)
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			p, err := fetch(ctx, c, tarragondeal.Version(*version))
+			if err != nil {
+				return err
+			}
+			return t.printSet(p, *format)
+		},
+	}
+}
+
+// fetch returns the set of a version, or the one in force for zero.
+func fetch(ctx context.Context, c *tdoperator.Client, v tarragondeal.Version) (tdoperator.Published, error) {
+	if v == 0 {
+		return c.Set(ctx)
+	}
+	return c.Published(ctx, v)
+}
+
+func (t *tool) printSet(p tdoperator.Published, format string) error {
+	if format == "json" {
+		return t.json(p)
+	}
+	text, err := tdset.Format(p.Set)
+	if err != nil {
+		return err
+	}
+	t.printf(header+"%s", p.Version, text)
+	return nil
+}
+
+func (t *tool) json(v any) error {
+	enc := json.NewEncoder(t.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func (t *tool) configDiff() *ffcli.Command {
+	var f nodeFlags
+	fs := t.flags("diff")
+	f.register(fs)
+	from := fs.Uint64("from", 0, "version to compare with; 0 for the one in force")
+	to := fs.Uint64("to", 0, "version to compare, where no file is named")
+	return &ffcli.Command{
+		Name: "diff", ShortUsage: "tarragondeal config diff [flags] [FILE]",
+		ShortHelp: "Show the objects that differ between a file and the set in force, or between two versions.",
+		LongHelp:  example("tarragondeal config diff set.yaml", "tarragondeal config diff -from 3 -to 5"),
+		FlagSet:   fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 1 || len(args) == 0 && *to == 0 && *from == 0 {
+				return usagef("name one file, or give -from and -to")
+			}
+			c, ctx, cancel, err := t.client(ctx, &f, 0)
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			before, err := fetch(ctx, c, tarragondeal.Version(*from))
+			if err != nil {
+				return err
+			}
+			after, err := t.other(ctx, c, args, tarragondeal.Version(*to), before)
+			if err != nil {
+				return err
+			}
+			t.changes(tdset.Diff(before.Set, after))
+			return nil
+		},
+	}
+}
+
+// other returns the set that is compared: a file's, or that of a version.
+func (t *tool) other(ctx context.Context, c *tdoperator.Client, args []string, v tarragondeal.Version, before tdoperator.Published) (*tarragondeal.Set, error) {
+	if len(args) == 0 {
+		p, err := fetch(ctx, c, v)
+		return p.Set, err
+	}
+	doc, err := t.readSet(args[0])
+	if err != nil {
+		return nil, err
+	}
+	t.show(doc)
+	if doc.Set.Keys == nil {
+		doc.Set.Keys = before.Set.Keys
+	}
+	return doc.Set, doc.Err()
+}
+
+func (t *tool) configHistory() *ffcli.Command {
+	var f nodeFlags
+	fs := t.flags("history")
+	f.register(fs)
+	limit := fs.Int("limit", 20, "how many to show")
+	return &ffcli.Command{
+		Name: "history", ShortUsage: "tarragondeal config history [flags]",
+		ShortHelp: "Show who published what, newest first.",
+		LongHelp:  example("tarragondeal config history -limit 5"),
+		FlagSet:   fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			c, ctx, cancel, err := t.client(ctx, &f, 0)
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			list, err := c.History(ctx, *limit)
+			if err != nil {
+				return err
+			}
+			rows := [][]any{{"VERSION", "AT", "BY", "NOTE"}}
+			for _, p := range list {
+				rows = append(rows, []any{p.Version, p.At.UTC().Format(time.RFC3339), p.By, p.Note})
+			}
+			return t.table(rows)
+		},
+	}
+}
+
+// table prints rows in columns.
+func (t *tool) table(rows [][]any) error {
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for n, v := range row {
+			if n > 0 {
+				cell(w, "\t")
+			}
+			cell(w, v)
+		}
+		cell(w, "\n")
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/entry/tdoperator/operator_test.go
@@ -0,0 +1,325 @@
+package tdoperator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/entry/tdkey"
+	"tarragondeal/internal/entry/tdoperator"
+)
+
+func TestOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Operator")
+}
+
+// publisher is a published set in memory. It fails as it is told.
+type publisher struct {
+	mu      sync.Mutex
+	sets    []*tarragondeal.Set // By version; version zero is empty.
+	history []tarragondeal.Publication
+	changed chan struct{}
+	lagging []tarragondeal.NodeID
+	lose    int // How many answers to lose after the set was published.
+	away    bool
+}
+
+func newPublisher() *publisher {
+	return &publisher{sets: []*tarragondeal.Set{{}}, changed: make(chan struct{})}
+}
+
+func (p *publisher) View() *tarragondeal.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.sets) - 1
+	if n == 0 {
+		return nil
+	}
+	return tarragondeal.NewView(tarragondeal.Version(n), p.sets[n])
+}
+
+func (p *publisher) Changed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+func (p *publisher) Publish(_ context.Context, base tarragondeal.Version, set *tarragondeal.Set, pub tarragondeal.Publication) (tarragondeal.Version, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.away {
+		return 0, &tarragondeal.StoreError{Op: "swap", Settled: true, Err: errors.New("away")}
+	}
+	if int(base) != len(p.sets)-1 {
+		return 0, &tarragondeal.ConflictError{Op: "publish"}
+	}
+	p.sets = append(p.sets, set)
+	pub.Version = base + 1
+	p.history = append([]tarragondeal.Publication{pub}, p.history...)
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if p.lose > 0 {
+		p.lose--
+		return 0, &tarragondeal.StoreError{Op: "swap", Err: errors.New("no answer")}
+	}
+	return pub.Version, nil
+}
+
+func (p *publisher) InForce(context.Context, tarragondeal.Version) ([]tarragondeal.NodeID, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.lagging) > 0 {
+		return p.lagging, context.DeadlineExceeded
+	}
+	return nil, nil
+}
+
+func (p *publisher) History(_ context.Context, limit int) ([]tarragondeal.Publication, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.history[:min(limit, len(p.history))], nil
+}
+
+func (p *publisher) Published(_ context.Context, v tarragondeal.Version) (*tarragondeal.Set, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if int(v) >= len(p.sets) {
+		return nil, fmt.Errorf("version %d is not known", v)
+	}
+	return p.sets[v], nil
+}
+
+// members is a fleet of one node.
+type members struct{}
+
+func (members) Self() tarragondeal.Member {
+	return tarragondeal.Member{Node: "node1", DataCentre: "duluth", Config: 1}
+}
+func (m members) Members() []tarragondeal.Member { return []tarragondeal.Member{m.Self()} }
+func (members) Changed() <-chan struct{}         { return nil }
+
+const setText = `dataCentres: [{name: duluth, region: lakes}]
+serverPools: [{name: narrator, kind: model, model: narrator-7b, slots: 4}]
+requestClasses: [{name: bench, tier: 1, firstToken: 330ms, deadline: 10s}]
+workspaces: [{name: auditors}, {name: benches}]
+routes: [{name: narrate, class: bench, pools: [narrator]}]
+`
+
+const (
+	anna  = "anna-0123456789abcdef"
+	bjorn = "bjorn-0123456789abcdef"
+)
+
+var _ = Describe("the operators' side", func() {
+	var (
+		ctx    context.Context
+		pub    *publisher
+		server *httptest.Server
+		client *tdoperator.Client
+		logged *bytes.Buffer
+	)
+
+	BeforeEach(func() {
+		ctx, pub, logged = context.Background(), newPublisher(), &bytes.Buffer{}
+		op := tdoperator.New(tdoperator.Deps{
+			Config: pub, Members: members{}, Clock: tdclock.New(), Metrics: http.NotFoundHandler(),
+			Log: zerolog.New(logged), Tokens: []tdoperator.Token{{Name: "anna", Text: anna}, {Name: "bjorn", Text: bjorn}, {Name: "nobody"}},
+			Servers: func() []tarragondeal.Server {
+				return []tarragondeal.Server{{Pool: "narrator", DataCentre: "duluth"}, {Pool: "narrator", DataCentre: "duluth", State: tarragondeal.VMLeaving}}
+			},
+			Duties: func(context.Context) ([]tdoperator.Duty, error) { return nil, errors.New("store away") },
+		})
+		server = httptest.NewServer(op.Handler())
+		DeferCleanup(server.Close)
+		client = tdoperator.NewClient(strings.TrimPrefix(server.URL, "http://"), anna)
+	})
+
+	publish := func() {
+		_, err := client.Publish(ctx, tdoperator.Published{Text: setText, Note: "first"})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	codeOf := func(err error) tdoperator.Code {
+		var e *tdoperator.Error
+		Expect(errors.As(err, &e)).To(BeTrue(), fmt.Sprint(err))
+		return e.Code
+	}
+	newKey := func(name, workspace string) tdoperator.NewKey {
+		_, key, err := tdkey.Issue(name, workspace)
+		Expect(err).NotTo(HaveOccurred())
+		return tdoperator.NewKey{Key: key}
+	}
+
+	for _, token := range []string{"", "wrong", anna + "x", anna[:len(anna)-1], "anna"} {
+		It(fmt.Sprintf("lets nobody in with the token %q, and names no token", token), func() {
+			_, err := tdoperator.NewClient(strings.TrimPrefix(server.URL, "http://"), token).Set(ctx)
+			Expect(codeOf(err)).To(Equal(tdoperator.CodeUnauthorised))
+			Expect(err.Error() + logged.String()).NotTo(ContainSubstring(anna))
+		})
+	}
+
+	It("publishes a set under the operator's name, with its warnings", func() {
+		res, err := client.Publish(ctx, tdoperator.Published{Text: setText, Note: "first"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Version).To(BeEquivalentTo(1))
+		Expect(res.Warnings).To(HaveLen(2)) // Neither workspace has a key.
+		list, err := client.History(ctx, 5)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(list).To(HaveLen(1))
+		Expect(list[0].By).To(Equal("anna"))
+		Expect(list[0].Note).To(Equal("first"))
+		Expect(list[0].At.IsZero()).To(BeFalse())
+	})
+
+	It("refuses a set made from an older version, and tells the newer one", func() {
+		publish()
+		_, err := client.Publish(ctx, tdoperator.Published{Text: setText})
+		var e *tdoperator.Error
+		Expect(errors.As(err, &e)).To(BeTrue())
+		Expect(e.Code).To(Equal(tdoperator.CodeConflict))
+		Expect(e.Status).To(Equal(http.StatusConflict))
+		Expect(e.Version).To(BeEquivalentTo(1))
+	})
+
+	It("refuses an inconsistent set with all its faults", func() {
+		_, err := client.Publish(ctx, tdoperator.Published{Text: strings.NewReplacer("class: bench", "class: rush", "[narrator]}]", "[nobody]}]").Replace(setText)})
+		var e *tdoperator.Error
+		Expect(errors.As(err, &e)).To(BeTrue())
+		Expect(e.Code).To(Equal(tdoperator.CodeFaults))
+		Expect(e.Faults).To(HaveLen(2))
+		Expect(e.Faults[0].Line).To(Equal(5))
+		Expect(pub.View()).To(BeNil())
+	})
+
+	It("names the nodes that lag", func() {
+		pub.lagging = []tarragondeal.NodeID{"node7"}
+		res, err := client.Publish(ctx, tdoperator.Published{Text: setText})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Lagging).To(ConsistOf(tarragondeal.NodeID("node7")))
+	})
+
+	It("says that nothing was changed when the store is away", func() {
+		pub.away = true
+		_, err := client.Publish(ctx, tdoperator.Published{Text: setText})
+		Expect(codeOf(err)).To(Equal(tdoperator.CodeStoreAway))
+	})
+
+	It("does not claim that nothing was changed when an answer was lost", func() {
+		pub.lose = 1
+		_, err := client.Publish(ctx, tdoperator.Published{Text: setText})
+		Expect(codeOf(err)).To(Equal(tdoperator.CodeUnsettled))
+	})
+
+	It("keeps every key of operators that race each other", func() {
+		publish()
+		const each = 5
+		var wg conc.WaitGroup
+		for _, token := range []string{anna, bjorn} {
+			c := tdoperator.NewClient(strings.TrimPrefix(server.URL, "http://"), token)
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for n := range each {
+					_, err := c.Issue(ctx, newKey(fmt.Sprintf("%s%d", token[:4], n), "auditors"))
+					Expect(err).NotTo(HaveOccurred())
+				}
+			})
+		}
+		wg.Wait()
+		keys, err := client.Keys(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys.Keys).To(HaveLen(2 * each))
+		Expect(keys.Version).To(BeEquivalentTo(1 + 2*each))
+	})
+
+	It("issues a key once when the answer of the store is lost", func() {
+		publish()
+		pub.lose = 1
+		res, err := client.Issue(ctx, newKey("depot", "auditors"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Changed).To(BeTrue())
+		Expect(res.Version).To(BeEquivalentTo(2))
+		Expect(pub.View().Set.Keys).To(HaveLen(1))
+	})
+
+	It("refuses keys that can't be", func() {
+		publish()
+		_, err := client.Issue(ctx, newKey("depot", "nobody"))
+		Expect(codeOf(err)).To(Equal(tdoperator.CodeFaults))
+		_, err = client.Issue(ctx, newKey("de_pot", "auditors"))
+		Expect(codeOf(err)).To(Equal(tdoperator.CodeFaults))
+		_, err = client.Issue(ctx, newKey("depot", "auditors"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Issue(ctx, newKey("depot", "benches"))
+		Expect(codeOf(err)).To(Equal(tdoperator.CodeNameTaken))
+	})
+
+	It("withdraws a key for good, and shows no digest", func() {
+		publish()
+		key := newKey("depot", "auditors")
+		_, err := client.Issue(ctx, key)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Withdraw(ctx, "nokey", "", 0)
+		Expect(codeOf(err)).To(Equal(tdoperator.CodeNotFound))
+		res, err := client.Withdraw(ctx, "depot", "lost", time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Changed).To(BeTrue())
+		res, err = client.Withdraw(ctx, "depot", "lost again", time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Changed).To(BeFalse())
+		Expect(res.Version).To(BeEquivalentTo(3))
+		keys, err := client.Keys(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys.Keys).To(ConsistOf(tdoperator.KeyInfo{Name: "depot", Workspace: "auditors", Withdrawn: true}))
+		Expect(pub.history[0].Note).To(Equal("lost"))
+	})
+
+	It("tells nodes, servers and that the duties can't be read", func() {
+		s, err := client.Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Nodes).To(HaveLen(1))
+		Expect(s.Nodes[0].State).To(Equal("alive"))
+		Expect(s.Servers).To(ConsistOf(tdoperator.ServerGroup{Pool: "narrator", DataCentre: "duluth", Live: 1, Leaving: 1}))
+		Expect(s.DutiesError).To(Equal("store away"))
+	})
+
+	bad := []struct{ name, method, path, body string }{
+		{"truncated JSON", "PUT", "/operator/set", `{"version": 1, "te`},
+		{"a wrong type", "PUT", "/operator/set", `{"version": "one"}`},
+		{"a long note", "PUT", "/operator/set", fmt.Sprintf(`{"note": %q}`, strings.Repeat("n", 501))},
+		{"a version that is no number", "GET", "/operator/set?version=x", ""},
+		{"a limit out of bounds", "GET", "/operator/history?limit=0", ""},
+		{"a body that is no key", "POST", "/operator/keys", `[]`},
+	}
+	for _, tc := range bad {
+		It("refuses in the usual form: "+tc.name, func() {
+			req, err := http.NewRequest(tc.method, server.URL+tc.path, strings.NewReader(tc.body))
+			Expect(err).NotTo(HaveOccurred())
+			req.Header.Set("Authorization", "Bearer "+anna)
+			res, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = res.Body.Close() }()
+			Expect(res.StatusCode).To(Equal(http.StatusBadRequest))
+			body, err := io.ReadAll(res.Body)
+			Expect(err).NotTo(HaveOccurred())
+			var out struct{ Error tdoperator.Error }
+			Expect(json.Unmarshal(body, &out)).To(Succeed())
+			Expect(out.Error.Code).To(Equal(tdoperator.CodeBadRequest))
+		})
+	}
+})
--- a/internal/node/tdnode/operator.go
+++ b/internal/node/tdnode/operator.go
@@ -1,12 +1,22 @@
 package tdnode
 
 import (
+	"context"
+	"encoding/json"
 	"net/http"
+	"strings"
 
 	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/entry/tdoperator"
 )
 
+// What the records of leases are called in the platform's service.
+const (
+	leasePrefix = "lease/"
+	leaseSuffix = "/holder"
+	maxLeases   = 200
+)
+
 // operator is what operators reach.
 type operator struct {
 	handler http.Handler
@@ -20,7 +30,7 @@
 	deps := tdoperator.Deps{
 		Config: n.fleet.config, Members: n.fleet.members, Clock: n.clock,
 		Metrics: n.metrics.Handler(), Log: tdlog.Part(n.log, "operator"),
-		Servers: n.dispatch.servers.Servers,
+		Servers: n.dispatch.servers.Servers, Duties: n.fleet.duties,
 	}
 	for _, t := range tokens {
 		deps.Tokens = append(deps.Tokens, tdoperator.Token{Name: t.Name, Text: t.Text})
@@ -28,3 +38,22 @@
 	n.operator.handler = tdoperator.New(deps).Handler()
 	return nil
 }
+
+// duties returns who is on record as the holder of each lease.
+func (f *fleet) duties(ctx context.Context) ([]tdoperator.Duty, error) {
+	entries, err := f.store.List(ctx, leasePrefix, "", maxLeases)
+	if err != nil {
+		return nil, err
+	}
+	var out []tdoperator.Duty
+	for _, e := range entries {
+		name, ok := strings.CutSuffix(strings.TrimPrefix(e.Key, leasePrefix), leaseSuffix)
+		var record struct {
+			Holder string `json:"holder"`
+		}
+		if ok && json.Unmarshal(e.Value, &record) == nil {
+			out = append(out, tdoperator.Duty{Name: name, Holder: record.Holder})
+		}
+	}
+	return out, nil
+}
