Report service-level burn, merged over all nodes

Nothing showed how the classes fare. Each node now keeps counts and latency histograms of the classes in rings of time buckets, and counts of each pair of workspace and class, all bounded. 'tarragondeal report' asks one node, which merges the measures of all live nodes and names those that did not answer; percentiles come from merged histograms. Text, JSON, or one HTML page with plots and no script. Wasted work goes to the report as well as to the meter.

Tests: merged nodes equal one node that saw everything (property), windows equal a plain list (property), bounds, missing and malformed nodes; 3 real nodes give the same counts whichever is asked. The page was looked at 1280 and 390 pixels wide.

--- /dev/null
+++ b/internal/account/tdburn/counts.go
@@ -0,0 +1,180 @@
+package tdburn
+
+import (
+	"time"
+
+	"tarragondeal"
+)
+
+// Windows are the lengths of time that the report looks back over, shortest
+// first: a pair for fast burn and a pair for slow burn.
+var Windows = []time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour, 72 * time.Hour}
+
+// How finely counts are kept. The fine ring serves windows up to its span,
+// the coarse ring the rest.
+const (
+	fineWidth   = time.Minute
+	fineSpan    = 6 * time.Hour
+	coarseWidth = 30 * time.Minute
+	coarseSpan  = 72 * time.Hour
+
+	pairFineWidth   = 10 * time.Minute
+	pairFineSpan    = 6 * time.Hour
+	pairCoarseWidth = 6 * time.Hour
+	pairCoarseSpan  = 72 * time.Hour
+)
+
+// Timeline buckets cover the fine span.
+const (
+	timelineStep   = 10 * time.Minute
+	timelinePoints = int(fineSpan / timelineStep)
+)
+
+// counts is how the requests of one class fared in one bucket.
+type counts struct {
+	good, bad, refused, failed, reclaimable uint32
+	// work is the time that requests took at backend servers, and
+	// reclaimableWork that at reclaimable ones.
+	work, reclaimableWork time.Duration
+}
+
+func (c *counts) add(o *counts) {
+	c.good += o.good
+	c.bad += o.bad
+	c.refused += o.refused
+	c.failed += o.failed
+	c.reclaimable += o.reclaimable
+	c.work += o.work
+	c.reclaimableWork += o.reclaimableWork
+}
+
+func countsOf(s *tarragondeal.Sample, good bool) counts {
+	c := counts{work: s.Total}
+	switch {
+	case good:
+		c.good = 1
+	default:
+		c.bad = 1
+	}
+	if s.Refused {
+		c.refused = 1
+		c.work = 0
+	}
+	if s.Failed {
+		c.failed = 1
+	}
+	if s.Reclaimable {
+		c.reclaimable = 1
+		c.reclaimableWork = c.work
+	}
+	return c
+}
+
+// good reports whether a request got what its class is owed.
+func good(s *tarragondeal.Sample, c *tarragondeal.RequestClass) bool {
+	if s.Refused || s.Failed {
+		return false
+	}
+	if c == nil {
+		return true // The class has left the set; nothing is owed any more.
+	}
+	within := func(d time.Duration, target tarragondeal.Duration) bool {
+		return target == 0 || d <= time.Duration(target)
+	}
+	return within(s.FirstToken, c.FirstToken) && within(s.BetweenTokens, c.BetweenTokens) &&
+		within(s.Total, c.Completion) && within(s.Total, c.Deadline)
+}
+
+// class is what is kept of one request class.
+type class struct {
+	fine, coarse *ring[counts]
+	latencies    *latencies
+}
+
+func newClass() *class {
+	return &class{
+		fine: newRing[counts](fineWidth, fineSpan), coarse: newRing[counts](coarseWidth, coarseSpan),
+		latencies: newLatencies(),
+	}
+}
+
+func (c *class) add(now tarragondeal.Instant, s *tarragondeal.Sample, n counts) {
+	c.fine.at(now).add(&n)
+	c.coarse.at(now).add(&n)
+	c.latencies.add(now, s)
+}
+
+func (c *class) sum(now tarragondeal.Instant, window time.Duration) counts {
+	var out counts
+	r := c.coarse
+	if window <= fineSpan {
+		r = c.fine
+	}
+	r.last(now, window, out.add)
+	return out
+}
+
+// timeline returns good and bad requests in steps, the newest first.
+func (c *class) timeline(now tarragondeal.Instant) (good, bad []uint32) {
+	good, bad = make([]uint32, timelinePoints), make([]uint32, timelinePoints)
+	n := 0
+	c.fine.last(now, fineSpan, func(b *counts) {
+		k := n / int(timelineStep/fineWidth)
+		good[k] += b.good
+		bad[k] += b.bad
+		n++
+	})
+	return good, bad
+}
+
+// goodBad counts the requests of a pair of workspace and class.
+type goodBad struct{ good, bad uint32 }
+
+// pair is what is kept of one workspace in one class.
+type pair struct{ fine, coarse *ring[goodBad] }
+
+func newPair() *pair {
+	return &pair{
+		fine:   newRing[goodBad](pairFineWidth, pairFineSpan),
+		coarse: newRing[goodBad](pairCoarseWidth, pairCoarseSpan),
+	}
+}
+
+func (p *pair) add(now tarragondeal.Instant, n goodBad) {
+	for _, r := range []*ring[goodBad]{p.fine, p.coarse} {
+		b := r.at(now)
+		b.good += n.good
+		b.bad += n.bad
+	}
+}
+
+// fold adds all that another pair holds, bucket by bucket.
+func (p *pair) fold(now tarragondeal.Instant, o *pair) {
+	foldRing(p.fine, o.fine, now)
+	foldRing(p.coarse, o.coarse, now)
+}
+
+func foldRing(to, from *ring[goodBad], now tarragondeal.Instant) {
+	to.at(now)
+	from.at(now)
+	for n := range to.buckets {
+		to.buckets[n].good += from.buckets[n].good
+		to.buckets[n].bad += from.buckets[n].bad
+	}
+}
+
+func (p *pair) sum(now tarragondeal.Instant, window time.Duration) goodBad {
+	var out goodBad
+	r := p.coarse
+	if window <= pairFineSpan {
+		r = p.fine
+	}
+	r.last(now, window, func(b *goodBad) {
+		out.good += b.good
+		out.bad += b.bad
+	})
+	return out
+}
+
+// wasted counts work that nobody is billed for.
+type wasted struct{ requests, tokens int64 }
--- /dev/null
+++ b/internal/node/tdnode/burn.go
@@ -0,0 +1,34 @@
+package tdnode
+
+import (
+	"context"
+
+	"tarragondeal"
+	"tarragondeal/internal/account/tdburn"
+)
+
+// buildBurn measures how the classes fare. It comes after buildAccount,
+// because wasted work goes to the meter and to the report.
+func (n *Node) buildBurn() error {
+	burn := tdburn.New(tdburn.Deps{Config: n.fleet.config, Clock: n.clock})
+	collector := tdburn.NewCollector(burn, tdburn.Fleet{
+		Members: n.fleet.members, Links: n.fleet.links, Servers: n.dispatch.servers.Servers,
+	})
+	collector.Register(n.fleet.links.Server())
+	n.account.burn = burn
+	n.account.meter = wasteMeter{Meter: n.account.meter, burn: burn}
+	n.operator.report = func(ctx context.Context) (any, error) { return collector.Report(ctx), nil }
+	return nil
+}
+
+// wasteMeter is a meter whose waste is also shown in the report.
+type wasteMeter struct {
+	tarragondeal.Meter
+	burn *tdburn.Burn
+}
+
+// Waste counts work that nobody is billed for.
+func (m wasteMeter) Waste(w tarragondeal.Waste) {
+	m.Meter.Waste(w)
+	m.burn.Waste(w.Cause, w.Class, w.Tokens)
+}
--- a/internal/node/tdnode/node.go
+++ b/internal/node/tdnode/node.go
@@ -99,7 +99,7 @@
 // each other.
 func (n *Node) builders() []func() error {
 	return []func() error{
-		n.buildFleet, n.buildDispatch, n.buildAccount, n.buildCapacity, n.buildEntry, n.buildOperator,
+		n.buildFleet, n.buildDispatch, n.buildAccount, n.buildBurn, n.buildCapacity, n.buildEntry, n.buildOperator,
 	}
 }
 
--- a/internal/node/tdnode/operator.go
+++ b/internal/node/tdnode/operator.go
@@ -20,6 +20,7 @@
 // operator is what operators reach.
 type operator struct {
 	handler http.Handler
+	report  func(context.Context) (any, error)
 }
 
 func (n *Node) buildOperator() error {
@@ -30,7 +31,7 @@
 	deps := tdoperator.Deps{
 		Config: n.fleet.config, Members: n.fleet.members, Clock: n.clock,
 		Metrics: n.metrics.Handler(), Log: tdlog.Part(n.log, "operator"),
-		Servers: n.dispatch.servers.Servers, Duties: n.fleet.duties,
+		Servers: n.dispatch.servers.Servers, Duties: n.fleet.duties, Report: n.operator.report,
 	}
 	for _, t := range tokens {
 		deps.Tokens = append(deps.Tokens, tdoperator.Token{Name: t.Name, Text: t.Text})
--- /dev/null
+++ b/internal/report/tdreport/report.go
@@ -0,0 +1,50 @@
+package tdreport
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"tarragondeal/internal/account/tdburn"
+)
+
+// Format says how a report is written.
+type Format string
+
+// The formats.
+const (
+	FormatText Format = "text"
+	FormatJSON Format = "json"
+	FormatHTML Format = "html"
+)
+
+// FormatError is a format that is not known.
+type FormatError struct{ Format Format }
+
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("expected text, json or html, found %q", string(e.Format))
+}
+
+// Check returns a *FormatError for a format that is not known.
+func (f Format) Check() error {
+	switch f {
+	case FormatText, FormatJSON, FormatHTML:
+		return nil
+	}
+	return &FormatError{Format: f}
+}
+
+// Write renders a report.
+func Write(w io.Writer, f Format, r *tdburn.Report) error {
+	switch f {
+	case FormatText:
+		return writeText(w, r)
+	case FormatJSON:
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(r)
+	case FormatHTML:
+		return writeHTML(w, r)
+	}
+	return &FormatError{Format: f}
+}
--- a/test/operator/operator_test.go
+++ b/test/operator/operator_test.go
@@ -2,6 +2,7 @@
 package operator_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -18,6 +19,8 @@
 	"github.com/onsi/gomega/gexec"
 	"github.com/sourcegraph/conc"
 
+	"tarragondeal"
+	"tarragondeal/internal/account/tdburn"
 	"tarragondeal/internal/standin/tdcluster"
 	"tarragondeal/internal/standin/tdengine"
 	"tarragondeal/internal/test/tdtest"
@@ -237,6 +240,25 @@
 		Expect(at(1, "key", "withdraw", "nobody")).To(gexec.Exit(exitFailed))
 	})
 
+	It("merges the report over all nodes, whichever is asked", func() {
+		s := at(0, "key", "issue", "-name", "reader", "-workspace", "auditors")
+		Expect(s).To(gexec.Exit(exitOK))
+		reader := strings.TrimSpace(string(s.Out.Contents()))
+		before := requests(at(0, "report", "-format", "json"))
+		const each = 4
+		for _, n := range nodes {
+			for range each {
+				Expect(post(n, reader)).To(Equal(http.StatusOK))
+			}
+		}
+		for n := range nodes {
+			Eventually(func() int64 { return requests(at(n, "report", "-format", "json")) }, "10s").Should(Equal(before + int64(each*len(nodes))))
+		}
+		Expect(at(1, "report")).To(gbytes.Say(`bench \(tier 1\)`))
+		Expect(string(at(1, "report", "-format", "html").Out.Contents())).To(ContainSubstring("<svg"))
+		Expect(at(1, "report", "-format", "pdf")).To(gexec.Exit(exitUsage))
+	})
+
 	It("refuses a wrong token", func() {
 		s := at(0, "status", "-token", "not-the-operators-token")
 		Expect(s).To(gexec.Exit(exitFailed))
@@ -251,9 +273,25 @@
 		s := at(0, "config", "apply", "-wait", "1s", path)
 		Expect(s).To(gexec.Exit(exitLagging))
 		Expect(s.Err).To(gbytes.Say("not yet in force at: node3"))
+		var r tdburn.Report
+		Expect(json.Unmarshal(at(0, "report", "-format", "json").Out.Contents(), &r)).To(Succeed())
+		Expect(r.Nodes).To(Equal([]tarragondeal.NodeID{"node1", "node2"}))
 	})
 })
 
+// requests returns how many requests of the class bench a report counts.
+func requests(s *gexec.Session) int64 {
+	Expect(s).To(gexec.Exit(exitOK))
+	var r tdburn.Report
+	Expect(json.Unmarshal(s.Out.Contents(), &r)).To(Succeed())
+	for _, c := range r.Classes {
+		if c.Class == "bench" {
+			return c.Windows[len(c.Windows)-1].Requests
+		}
+	}
+	return 0
+}
+
 func post(n *tdtest.Node, key string) int {
 	req, err := http.NewRequest(http.MethodPost, "http://"+n.Callers.String()+"/v1/chat/completions", strings.NewReader(`{"model":"narrate","messages":[]}`))
 	Expect(err).NotTo(HaveOccurred())
