Hold limits for the fleet, and make the baselines real

Cause: limits of workspaces, keys and routes held nowhere, and power of two choices looked at no load report.

Change: tdlimit divides each limit among nodes by demand at one keeper a subject; powerOfTwo reads the servers' reports; an unknown policy is refused.

Result: the property tests of shares (any order of asks and demands) and of one node's admission pass with the race detector.

--- a/internal/dispatch/tdbaseline/baseline.go
+++ b/internal/dispatch/tdbaseline/baseline.go
@@ -3,14 +3,20 @@
 //
 // # Usage
 //
-//	d := tdbaseline.New(tdbaseline.RoundRobin, servers, clock)
+//	d := tdbaseline.New(tdbaseline.PowerOfTwo, servers, loads, time.Second)
+//	go func() { done <- d.Run(ctx) }()
 //	grant, err := d.Reserve(ctx, ask)
 package tdbaseline
 
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
 
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdplace"
@@ -21,9 +27,19 @@
 
 // The policies.
 const (
-	RoundRobin       Policy = "roundRobin"
+	// RoundRobin takes the servers in turn.
+	RoundRobin Policy = "roundRobin"
+	// LeastOutstanding takes the server with the fewest of this node's own
+	// requests.
 	LeastOutstanding Policy = "leastOutstanding"
-	PowerOfTwo       Policy = "powerOfTwo"
+	// PowerOfTwo takes the less loaded of two random servers, by the servers'
+	// last load reports.
+	PowerOfTwo Policy = "powerOfTwo"
+)
+
+const (
+	loadTimeout = 400 * time.Millisecond
+	loadReads   = 32 // At once.
 )
 
 // Servers tells which backend servers there are.
@@ -35,27 +51,68 @@
 type Dispatcher struct {
 	policy  Policy
 	servers Servers
+	reader  tarragondeal.LoadReader
+	every   time.Duration
 	mu      sync.Mutex
 	turn    int
 	running map[tarragondeal.ServerID]int
+	loads   map[tarragondeal.ServerID]int
+}
+
+// New returns a dispatcher. Loads are read at every interval by Run.
+func New(p Policy, s Servers, r tarragondeal.LoadReader, every time.Duration) *Dispatcher {
+	return &Dispatcher{
+		policy: p, servers: s, reader: r, every: every,
+		running: make(map[tarragondeal.ServerID]int), loads: make(map[tarragondeal.ServerID]int),
+	}
+}
+
+// Run reads the servers' load reports until ctx ends, if the policy uses
+// them.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	if d.policy != PowerOfTwo {
+		<-ctx.Done()
+		return nil
+	}
+	t := time.NewTicker(d.every)
+	defer t.Stop()
+	for {
+		reads := pool.New().WithMaxGoroutines(loadReads)
+		for _, s := range d.servers.Servers() {
+			reads.Go(func() { d.read(ctx, s) })
+		}
+		reads.Wait()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
-// New returns a dispatcher.
-func New(p Policy, s Servers) *Dispatcher {
-	return &Dispatcher{policy: p, servers: s, running: make(map[tarragondeal.ServerID]int)}
+func (d *Dispatcher) read(ctx context.Context, s tarragondeal.Server) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	l, err := d.reader.Load(ctx, s)
+	if err != nil {
+		return // The last report stays.
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.loads[s.ID] = l.Running + l.Queued
 }
 
 // Reserve returns a server at once, however busy it is.
 func (d *Dispatcher) Reserve(_ context.Context, a tarragondeal.Ask) (tarragondeal.Grant, error) {
 	var fit []tarragondeal.Server
 	for _, s := range d.servers.Servers() {
-		if s.State == tarragondeal.VMLive && tdplace.Allows(&a, &s) {
+		if s.State == tarragondeal.VMLive && tdplace.Allows(&a, &s) && !slices.Contains(a.Avoid, s.ID) {
 			fit = append(fit, s)
 		}
 	}
 	if len(fit) == 0 {
 		return tarragondeal.Grant{}, &tarragondeal.RefusedError{
-			Reason: tarragondeal.ReasonNoServer, Ran: tarragondeal.RanNot,
+			Reason: tarragondeal.ReasonNoServer, Ran: tarragondeal.RanNot, RetryAfter: time.Second,
 			Detail: "no backend server is up in a permitted data centre",
 		}
 	}
@@ -72,12 +129,18 @@
 func (d *Dispatcher) choose(fit []tarragondeal.Server) tarragondeal.Server {
 	d.turn++
 	best := fit[d.turn%len(fit)]
-	if d.policy != LeastOutstanding {
-		return best
-	}
-	for _, s := range fit {
-		if d.running[s.ID] < d.running[best.ID] {
-			best = s
+	switch d.policy {
+	case LeastOutstanding:
+		for _, s := range fit {
+			if d.running[s.ID] < d.running[best.ID] {
+				best = s
+			}
+		}
+	case PowerOfTwo:
+		first, second := fit[rand.IntN(len(fit))], fit[rand.IntN(len(fit))]
+		best = first
+		if d.loads[second.ID] < d.loads[first.ID] {
+			best = second
 		}
 	}
 	return best
--- a/internal/node/tdnode/dispatch.go
+++ b/internal/node/tdnode/dispatch.go
@@ -1,10 +1,13 @@
 package tdnode
 
 import (
+	"github.com/rotisserie/eris"
+
 	"tarragondeal"
 	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/dispatch/tdbaseline"
 	"tarragondeal/internal/dispatch/tdchoose"
+	"tarragondeal/internal/dispatch/tdlimit"
 	"tarragondeal/internal/dispatch/tdowner"
 	"tarragondeal/internal/dispatch/tdprefix"
 	"tarragondeal/internal/dispatch/tdquarantine"
@@ -21,18 +24,42 @@
 type dispatch struct {
 	servers    *tdserver.List
 	dispatcher tarragondeal.Dispatcher
+	limiter    *tdlimit.Limiter
 }
 
 func (n *Node) buildDispatch() error {
 	n.dispatch.servers = tdserver.New(n.site, n.cfg.ListEvery, tdlog.Part(n.log, "servers"))
 	n.add("follow servers", n.dispatch.servers.Run)
+	n.buildLimiter()
 	if n.cfg.DispatchPolicy != tdsettings.PolicyOwner {
-		n.dispatch.dispatcher = tdbaseline.New(tdbaseline.Policy(n.cfg.DispatchPolicy), n.dispatch.servers)
-		return nil
+		return n.buildBaseline()
 	}
 	return n.buildOwner()
 }
 
+// buildBaseline makes a dispatcher to measure the product's own against.
+func (n *Node) buildBaseline() error {
+	p := tdbaseline.Policy(n.cfg.DispatchPolicy)
+	switch p {
+	case tdbaseline.RoundRobin, tdbaseline.LeastOutstanding, tdbaseline.PowerOfTwo:
+	default:
+		return eris.Errorf("setting dispatch.policy: %q is no policy", p)
+	}
+	d := tdbaseline.New(p, n.dispatch.servers, n.site, n.cfg.LoadEvery)
+	n.add("read loads", d.Run)
+	n.dispatch.dispatcher = d
+	return nil
+}
+
+// buildLimiter makes the limits that hold for the fleet.
+func (n *Node) buildLimiter() {
+	n.dispatch.limiter = tdlimit.New(tdlimit.Deps{
+		Members: n.fleet.members, Links: n.fleet.links, Clock: n.clock, Log: tdlog.Part(n.log, "limits"),
+	})
+	n.dispatch.limiter.Register(n.fleet.links.Server())
+	n.add("share limits", n.dispatch.limiter.Run)
+}
+
 // buildOwner makes the product's own dispatcher: reservations at the owners
 // of backend servers.
 func (n *Node) buildOwner() error {
