Keep grants exact while owners change

Cause: a test of four nodes that are killed and started under load found servers that ran more than their slots: a node that had not yet opened a server it owns did not deny it to another taker, a node that starts was taken for dead, and ends told to a former owner were lost.

Change: a node denies what it owns by its own view; only nodes that were live count as dead; a former owner names the servers of ends that it does not own, and they are told to the new owner. A refusal or a failed send stops grants until a probe instead of sending everyone who waits away.

--- a/internal/dispatch/tdhealth/status.go
+++ b/internal/dispatch/tdhealth/status.go
@@ -30,15 +30,16 @@
 	again   bool // Another probe was asked for while one ran.
 }
 
-// Usable reports whether the server may be given work.
-func (s *Status) Usable() bool { return !s.down && !s.leaving && !s.listed && !s.refused }
+// Usable reports whether requests may wait for the server.
+func (s *Status) Usable() bool { return !s.down && !s.leaving && !s.listed }
+
+// Grantable reports whether the server may be given work now. After a
+// refusal it waits for the next probe.
+func (s *Status) Grantable() bool { return s.Usable() && !s.refused }
 
 // Leaving reports whether the server is known to be leaving.
 func (s *Status) Leaving() bool { return s.leaving || s.listed }
 
-// Down reports whether the server is out after an error.
-func (s *Status) Down() bool { return s.down || s.refused }
-
 // Listed takes what the platform's list says.
 func (s *Status) Listed(leaving bool) { s.listed = leaving }
 
@@ -51,7 +52,8 @@
 	return first
 }
 
-// Refused takes a request that the server would not take.
+// Refused takes a request that the server would not take, or that could not
+// be sent to it.
 func (s *Status) Refused(now tarragondeal.Instant) {
 	s.refused = true
 	s.fail(now)
--- a/internal/dispatch/tdowner/book.go
+++ b/internal/dispatch/tdowner/book.go
@@ -210,7 +210,7 @@
 
 // serve grants as much as there is room for.
 func (b *Book) serve(now tarragondeal.Instant, st *seat) {
-	if !st.settled || !st.status.Usable() {
+	if !st.settled || !st.status.Grantable() {
 		return
 	}
 	st.queue.SetRoom(b.rates.Room(st.server.ID, st.slots))
@@ -272,11 +272,11 @@
 	}
 }
 
-// Lost ends the grants of a node that is dead.
-func (b *Book) Lost(now tarragondeal.Instant, live func(tarragondeal.NodeID) bool) {
+// Lost ends the grants of nodes that have died.
+func (b *Book) Lost(now tarragondeal.Instant, died func(tarragondeal.NodeID) bool) {
 	for _, st := range b.seats {
 		for k := range st.queue.Running() {
-			if !live(st.holders[k].node) {
+			if died(st.holders[k].node) {
 				b.finish(now, st, k, 0, false)
 			}
 		}
--- a/internal/dispatch/tdowner/message.go
+++ b/internal/dispatch/tdowner/message.go
@@ -21,6 +21,11 @@
 	Ticket uint64
 }
 
+// Withdrawn is the kind of end of a grant that came too late to be used, and
+// of a reservation that is not wanted any more. The other kinds are those of
+// tarragondeal.OutcomeKind.
+const Withdrawn = 100
+
 // Crash is one crash of a server, with the fingerprints of what ran on it.
 type Crash struct {
 	Server       tarragondeal.ServerID
--- a/internal/dispatch/tdowner/owner.go
+++ b/internal/dispatch/tdowner/owner.go
@@ -147,7 +147,7 @@
 // Report serves a peer's call, and this node's own.
 func (o *Owner) Report(_ context.Context, in *ReportRequest) (*ReportReply, error) {
 	o.mu.Lock()
-	unknown := o.book.Report(o.Clock.Now(), in)
+	unknown, elsewhere := o.book.Report(o.Clock.Now(), in)
 	crashes := o.book.Crashes()
 	hints := o.book.Hints("")
 	o.mu.Unlock()
@@ -155,7 +155,7 @@
 		o.Log.Warn().Str("server", string(c.Server)).Int("running", len(c.Fingerprints)).Msg("backend server crashed")
 		o.Crashed(c)
 	}
-	return &ReportReply{Unknown: unknown, Hints: hints}, nil
+	return &ReportReply{Unknown: unknown, Elsewhere: elsewhere, Hints: hints}, nil
 }
 
 // Observe takes rates that other owners have measured.
@@ -224,7 +224,7 @@
 // place works out the owners, and opens and closes this node's servers.
 func (o *Owner) place() {
 	p := Place(o.Site.Servers(), o.Members.Members(), o.Site.Region)
-	o.placement.Store(p)
+	old := o.placement.Swap(p)
 	now := o.Clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -243,7 +243,8 @@
 	for id := range owned {
 		o.keepOrDrop(now, p, id)
 	}
-	o.book.Lost(now, p.Live)
+	// A node that this one has never heard of may be starting.
+	o.book.Lost(now, func(n tarragondeal.NodeID) bool { return old.Live(n) && !p.Live(n) })
 }
 
 // keepOrDrop drops a server that is no longer listed. One that another node
--- a/internal/dispatch/tdowner/report.go
+++ b/internal/dispatch/tdowner/report.go
@@ -12,18 +12,20 @@
 const maxHints = 4
 
 // Report takes a node's report. It returns the tickets of running grants
-// that the book does not know.
-func (b *Book) Report(now tarragondeal.Instant, r *ReportRequest) []uint64 {
-	var unknown []uint64
+// that the book does not know, and the servers of ended ones that this node
+// does not own.
+func (b *Book) Report(now tarragondeal.Instant, r *ReportRequest) (unknown []uint64, elsewhere []string) {
 	for _, p := range r.GetRunning() {
 		if !b.progress(now, tarragondeal.NodeID(r.GetNode()), p) {
 			unknown = append(unknown, p.GetTicket())
 		}
 	}
 	for _, e := range r.GetEnded() {
-		b.ended(now, e)
+		if !b.ended(now, e) {
+			elsewhere = append(elsewhere, e.GetServer())
+		}
 	}
-	return unknown
+	return unknown, elsewhere
 }
 
 func (b *Book) progress(now tarragondeal.Instant, node tarragondeal.NodeID, p *Progress) bool {
@@ -44,26 +46,30 @@
 	return true
 }
 
-func (b *Book) ended(now tarragondeal.Instant, e *Ended) {
+// ended takes the end of a grant, and reports false when another node owns
+// the server.
+func (b *Book) ended(now tarragondeal.Instant, e *Ended) bool {
 	st, ok := b.seats[tarragondeal.ServerID(e.GetServer())]
 	if !ok {
-		return
+		return false
 	}
 	k := tdqueue.Ticket(e.GetTicket())
+	if e.GetKind() == Withdrawn {
+		b.Withdraw(now, Key{Server: st.server.ID, Ticket: e.GetTicket()})
+		return true
+	}
 	kind := tarragondeal.OutcomeKind(e.GetKind())
 	switch kind {
-	case tarragondeal.OutcomeUnused:
-		b.Withdraw(now, Key{Server: st.server.ID, Ticket: e.GetTicket()})
-		return
 	case tarragondeal.OutcomeCrashed:
 		b.crash(now, st, k)
-	case tarragondeal.OutcomeRefused:
+	case tarragondeal.OutcomeRefused, tarragondeal.OutcomeUnused:
+		// The server refused the request, or could not be reached.
 		st.status.Refused(now)
-		st.refuseAll(b.unusable(st))
 	case tarragondeal.OutcomeServed:
 		b.rates.Observe(now, st.server.ID, st.server.Pool, sample(e))
 	}
 	b.finish(now, st, k, int(e.GetTokens()), kind == tarragondeal.OutcomeServed)
+	return true
 }
 
 func sample(e *Ended) tdhealth.Sample {
--- a/internal/dispatch/tdowner/takeover.go
+++ b/internal/dispatch/tdowner/takeover.go
@@ -180,8 +180,8 @@
 	for _, name := range in.GetServers() {
 		id := tarragondeal.ServerID(name)
 		// A server that is this node's own, by the membership as it is now, is
-		// not yielded.
-		if o.book.has(id) && asker != o.self && p.Owner(id) == o.self {
+		// not yielded, be it that this node has yet to take it over itself.
+		if p.Owner(id) == o.self && asker != o.self {
 			out.Denied = append(out.Denied, name)
 			continue
 		}
--- a/internal/dispatch/tdreserve/call.go
+++ b/internal/dispatch/tdreserve/call.go
@@ -258,11 +258,7 @@
 func (c *call) unused(a *asked) {
 	c.d.count(func(n *Counts) { n.Unused++ })
 	key := tdowner.Key{Server: a.server.ID, Ticket: a.request.GetTicket()}
-	if a.owner == c.d.Self {
-		c.d.Owner.Withdraw(key)
-		return
-	}
-	c.d.ended(a.owner, key, tarragondeal.Outcome{Kind: tarragondeal.OutcomeUnused})
+	c.d.ended(a.owner, key, tarragondeal.Outcome{Kind: tdowner.Withdrawn})
 }
 
 // refusal says why no server took the request.
--- a/internal/dispatch/tdreserve/dispatcher.go
+++ b/internal/dispatch/tdreserve/dispatcher.go
@@ -129,6 +129,9 @@
 			Detail: "backend servers crashed while they ran this request",
 		}
 	}
+	if d.table.Len() == 0 {
+		d.update()
+	}
 	ctx, cancel := context.WithTimeout(ctx, a.Deadline)
 	defer cancel()
 	c := newCall(d, &a, verdict == tdquarantine.Suspect)
--- a/internal/dispatch/tdreserve/report.go
+++ b/internal/dispatch/tdreserve/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -34,10 +35,13 @@
 
 // ended queues the end of a grant for its owner.
 func (d *Dispatcher) ended(owner tarragondeal.NodeID, k tdowner.Key, o tarragondeal.Outcome) {
-	e := &tdowner.Ended{
+	d.queue(owner, &tdowner.Ended{
 		Server: string(k.Server), Ticket: k.Ticket, Tokens: uint32(max(0, o.Tokens)), Kind: int32(o.Kind),
 		FirstTokenMs: tdowner.Milliseconds(o.FirstToken), TotalMs: tdowner.Milliseconds(o.Total),
-	}
+	})
+}
+
+func (d *Dispatcher) queue(owner tarragondeal.NodeID, e *tdowner.Ended) {
 	d.mu.Lock()
 	box, ok := d.pending[owner]
 	if !ok {
@@ -159,6 +163,7 @@
 		return
 	}
 	d.hints(reply.GetHints())
+	d.redirect(owner, in, reply.GetElsewhere())
 	if len(reply.GetUnknown()) == 0 {
 		return
 	}
@@ -171,6 +176,32 @@
 	}
 }
 
+// redirect tells the new owners of servers of the grants that the old one was
+// told of in vain. While no other owner is known, the grants end by
+// themselves.
+func (d *Dispatcher) redirect(owner tarragondeal.NodeID, in *tdowner.ReportRequest, elsewhere []string) {
+	for _, e := range in.GetEnded() {
+		if !slices.Contains(elsewhere, e.GetServer()) {
+			continue
+		}
+		if next := d.newOwner(tarragondeal.ServerID(e.GetServer())); next != "" && next != owner {
+			d.queue(next, e)
+		}
+	}
+}
+
+// newOwner returns the node that took a server over lately, or else its
+// owner as this node sees the membership.
+func (d *Dispatcher) newOwner(id tarragondeal.ServerID) tarragondeal.NodeID {
+	now := d.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if f, ok := d.fences[id]; ok && now < f.until {
+		return f.owner
+	}
+	return d.Owner.Placement().Owner(id)
+}
+
 func (d *Dispatcher) sendReport(ctx context.Context, owner tarragondeal.NodeID, in *tdowner.ReportRequest) (*tdowner.ReportReply, error) {
 	if owner == d.Self {
 		return d.Owner.Report(ctx, in)
