Start a test's node before others can call it

Cause: the test of owners that come and go put a node where others find it before it was built; the race detector failed it.

Change: a node is added once it is built.

--- a/internal/dispatch/tdreserve/fleet_test.go
+++ b/internal/dispatch/tdreserve/fleet_test.go
@@ -129,8 +129,7 @@
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.tasks = tdtask.New(n.ctx)
 	f.mu.Lock()
-	f.nodes[id] = n
-	n.view.members = f.members()
+	n.view.members = append(f.members(), member(id))
 	f.mu.Unlock()
 	l := links{f: f, from: n}
 	n.quarantine = tdquarantine.New(tdquarantine.Deps{Members: n.view, Links: l, Clock: tdclock.New(), Log: zerolog.Nop()})
@@ -146,6 +145,13 @@
 		Self: id, Owner: n.owner, Links: l, Site: f, Clock: tdclock.New(),
 		Quarantine: n.quarantine, Prefixes: prefixes, Log: zerolog.Nop(),
 	})
+	f.mu.Lock()
+	next := map[tarragondeal.NodeID]*node{id: n}
+	for other, m := range f.nodes {
+		next[other] = m
+	}
+	f.nodes = next
+	f.mu.Unlock()
 	n.tasks.Go("own", n.owner.Run)
 	n.tasks.Go("take", n.owner.Take)
 	n.tasks.Go("poll", n.owner.Poll)
