Rank 600 servers in one look at each

Cause: ranking 600 candidates took 32 us and looked at each hint three times.

Change: each server's hint is judged once in a pass that also surveys the data centres.

--- a/internal/dispatch/tdchoose/choose.go
+++ b/internal/dispatch/tdchoose/choose.go
@@ -73,17 +73,23 @@
 	defer t.mu.Unlock()
 	var room [8]centre // Enough for the data centres of one request's places.
 	s := survey{centres: room[:0]}
-	t.each(q, func(e *entry) { s.add(now, q, e) })
-	n := 0
-	t.each(q, func(e *entry) {
-		if slices.Contains(q.Tried, e.server.ID) || e.down(now) || slices.Contains(q.Ask.Avoid, e.server.ID) {
-			return
+	for _, p := range q.Ask.Pools {
+		for _, c := range q.Ask.DataCentres {
+			s.place(now, q, t.places[place{p, c}], c)
 		}
-		if e.reclaimable && q.Promised && !s.spare(e.server.DataCentre) {
-			return
+	}
+	n := 0
+	for _, p := range q.Ask.Pools {
+		for _, c := range q.Ask.DataCentres {
+			spare := !q.Promised || s.spare(c)
+			for _, e := range t.places[place{p, c}] {
+				if e.down || e.reclaimable && !spare || q.passed(e.server.ID) {
+					continue
+				}
+				n = insert(out, n, e, t.score(q, &s, e))
+			}
 		}
-		n = insert(out, n, t.choice(now, q, &s, e))
-	})
+	}
 	return n
 }
 
@@ -94,82 +100,78 @@
 	defer t.mu.Unlock()
 	s := survey{}
 	n := 0
-	t.each(q, func(e *entry) {
-		if !slices.Contains(q.Tried, e.server.ID) && !e.down(now) {
-			n = insert(out, n, t.choice(now, q, &s, e))
-		}
-	})
-	return n
-}
-
-func (t *Table) each(q *Query, f func(*entry)) {
 	for _, p := range q.Ask.Pools {
 		for _, c := range q.Ask.DataCentres {
 			for _, e := range t.places[place{p, c}] {
-				f(e)
+				e.look(now)
+				if !e.down && !slices.Contains(q.Tried, e.server.ID) {
+					n = insert(out, n, e, t.score(q, &s, e))
+				}
 			}
 		}
 	}
+	return n
+}
+
+// passed reports whether a server was tried, or failed the request before.
+func (q *Query) passed(id tarragondeal.ServerID) bool {
+	return len(q.Tried) > 0 && slices.Contains(q.Tried, id) ||
+		len(q.Ask.Avoid) > 0 && slices.Contains(q.Ask.Avoid, id)
 }
 
 // insert keeps out sorted.
-func insert(out []Choice, n int, c Choice) int {
+func insert(out []Choice, n int, e *entry, score float64) int {
 	k := n
-	for k > 0 && out[k-1].score > c.score {
+	for k > 0 && out[k-1].score > score {
 		k--
 	}
 	if k >= len(out) {
 		return n
 	}
 	copy(out[k+1:], out[k:min(n, len(out)-1)])
-	out[k] = c
+	out[k] = Choice{Server: e.server, Busy: e.free == 0, score: score}
 	return min(n+1, len(out))
 }
 
-func (e *entry) down(now tarragondeal.Instant) bool {
-	return e.known && e.hint.Unusable && now.Sub(e.at) < unusableLife
-}
-
-func (e *entry) fresh(now tarragondeal.Instant) bool {
-	return e.known && now.Sub(e.at) < hintLife
-}
-
-// free is the number of places that are probably free.
-func (e *entry) free(now tarragondeal.Instant) int {
-	if !e.fresh(now) {
-		return max(0, e.slots-e.running)
-	}
-	return max(0, e.hint.Free-max(0, e.since))
-}
-
-// use is the part of the room that is probably used; over one when requests
-// wait.
-func (e *entry) use(now tarragondeal.Instant) float64 {
-	if !e.fresh(now) {
-		return float64(e.running) / float64(e.slots)
+// look works out what the last hint, and this node's own grants, make of a
+// server now.
+func (e *entry) look(now tarragondeal.Instant) {
+	age := now.Sub(e.at)
+	e.down = e.known && e.hint.Unusable && age < unusableLife
+	e.fresh = e.known && age < hintLife
+	if !e.fresh {
+		e.free = max(0, e.slots-e.running)
+		e.use = float64(e.running) / float64(e.slots)
+		return
 	}
-	room := max(1, e.hint.Room)
-	return float64(max(0, e.hint.Running+e.since)) / float64(room)
+	e.free = max(0, e.hint.Free-max(0, e.since))
+	e.use = float64(max(0, e.hint.Running+e.since)) / float64(max(1, e.hint.Room))
 }
 
-func (s *survey) add(now tarragondeal.Instant, q *Query, e *entry) {
-	if e.down(now) {
+// place adds a pool's servers in one data centre.
+func (s *survey) place(now tarragondeal.Instant, q *Query, entries []*entry, name string) {
+	if len(entries) == 0 {
 		return
 	}
-	use, free := e.use(now), e.free(now)
-	s.use += use
-	s.count++
-	s.free += free
-	c := s.centre(e.server.DataCentre)
-	c.free += free
-	if e.reclaimable && e.fresh(now) {
-		c.promised += e.hint.Promised
-	}
-	if len(q.Ask.Prefix) == 0 || free == 0 && use > 0 {
-		return
-	}
-	if k := mix(q.Ask.Prefix[0] ^ e.hash); s.home == nil || k > s.homeKey {
-		s.home, s.homeKey = e, k
+	c := s.centre(name)
+	for _, e := range entries {
+		e.look(now)
+		if e.down {
+			continue
+		}
+		s.use += e.use
+		s.count++
+		s.free += e.free
+		c.free += e.free
+		if e.reclaimable && e.fresh {
+			c.promised += e.hint.Promised
+		}
+		if len(q.Ask.Prefix) == 0 || e.free == 0 && e.use > 0 {
+			continue
+		}
+		if k := mix(q.Ask.Prefix[0] ^ e.hash); s.home == nil || k > s.homeKey {
+			s.home, s.homeKey = e, k
+		}
 	}
 }
 
@@ -191,33 +193,31 @@
 	return s.free-c.free > c.promised
 }
 
-func (t *Table) choice(now tarragondeal.Instant, q *Query, s *survey, e *entry) Choice {
-	use, free := e.use(now), e.free(now)
-	c := Choice{Server: e.server, Busy: free == 0}
-	c.score = use*useCost + t.noise()
-	if free == 0 {
-		c.score += unknownWait
-		if e.fresh(now) {
-			c.score += e.hint.Wait.Seconds()
+// score is what a server costs the request, less what its cache saves.
+func (t *Table) score(q *Query, s *survey, e *entry) float64 {
+	score := e.use*useCost + t.noise()
+	if e.free == 0 {
+		score += unknownWait
+		if e.fresh {
+			score += e.hint.Wait.Seconds()
 		}
 	}
 	if e.factor < 1 {
-		c.score += slowCost * (1/max(e.factor, 0.01) - 1)
+		score += slowCost * (1/max(e.factor, 0.01) - 1)
 	}
 	if q.Suspect {
-		c.score += use
+		score += e.use
 	}
-	if slices.Contains(q.Ask.Avoid, e.server.ID) {
-		c.score += time.Hour.Seconds()
+	if len(q.Ask.Avoid) > 0 && slices.Contains(q.Ask.Avoid, e.server.ID) {
+		score += time.Hour.Seconds()
 	}
-	c.score -= s.affinity(q, e, use)
-	return c
+	return score - s.affinity(q, e)
 }
 
 // affinity is what a prefix saves on a server, unless it would make the
 // server hot.
-func (s *survey) affinity(q *Query, e *entry, use float64) float64 {
-	if s.count == 0 || use > overload*s.use/float64(s.count)+1/float64(e.slots) {
+func (s *survey) affinity(q *Query, e *entry) float64 {
+	if s.count == 0 || e.use > overload*s.use/float64(s.count)+1/float64(e.slots) {
 		return 0
 	}
 	if q.Match.Part > 0 && q.Match.Has(e.server.ID) {
--- a/internal/dispatch/tdchoose/table.go
+++ b/internal/dispatch/tdchoose/table.go
@@ -57,6 +57,11 @@
 	since       int // Grants from the hint on, less the ended ones.
 	running     int // This node's grants.
 	factor      float64
+
+	// What look made of it last.
+	free        int
+	use         float64
+	down, fresh bool
 }
 
 // place is a pool in a data centre.
