Call the key-value service from one place

Cause: calls had no deadline or budget, a lost answer to a write left its caller in doubt, and an outage would be met by every caller at full rate.

Change: tdstore bounds each call, shares the fleet's rates among the live nodes with a reserve for leases and claims, repeats with full jitter, settles lost writes by making them again and comparing, fails at once while the service is away, and spreads the return. Counters for each kind of call.

--- a/internal/node/tdnode/fleet.go
+++ b/internal/node/tdnode/fleet.go
@@ -14,6 +14,7 @@
 	"tarragondeal/internal/fleet/tdmember"
 	"tarragondeal/internal/fleet/tdpeer"
 	"tarragondeal/internal/fleet/tdspread"
+	"tarragondeal/internal/fleet/tdstore"
 )
 
 // fleet is what the nodes agree on and how they talk.
@@ -36,7 +37,12 @@
 		return err
 	}
 	f := &n.fleet
-	f.store = n.kv
+	f.store = tdstore.New(n.kv, n.clock, tdstore.Options{
+		Reads: n.cfg.StoreReads, Writes: n.cfg.StoreWrites, Timeout: n.cfg.StoreTimeout,
+		Urgent: []string{"claim/", "lease/"},
+		Nodes:  func() int { return len(f.members.Members()) },
+		Log:    tdlog.Part(n.log, "store"), Scope: n.metrics.Scope.SubScope("store"),
+	})
 	f.members = tdmember.New(self, tdmember.Options{
 		Clock: n.clock, Log: tdlog.Part(n.log, "membership"), Scope: n.metrics.Scope.SubScope("membership"),
 		Every: n.cfg.MemberEvery, Seeds: seeds, VMs: n.site, Store: f.store,
--- a/internal/node/tdsettings/fleet.go
+++ b/internal/node/tdsettings/fleet.go
@@ -12,6 +12,10 @@
 	TLSKey  string
 	TLSCA   string
 
+	StoreReads   float64
+	StoreWrites  float64
+	StoreTimeout time.Duration
+
 	MemberEvery time.Duration
 	LeaseTTL    time.Duration
 	LeaseMargin time.Duration
@@ -22,6 +26,9 @@
 	fs.StringVar(&s.TLSCert, "tls.cert", "", "certificate file for links between nodes")
 	fs.StringVar(&s.TLSKey, "tls.key", "", "key file for links between nodes")
 	fs.StringVar(&s.TLSCA, "tls.ca", "", "file of the authority that signs nodes' certificates")
+	fs.Float64Var(&s.StoreReads, "store.reads", 1800, "reads a second of the key-value service that all nodes may make together")
+	fs.Float64Var(&s.StoreWrites, "store.writes", 300, "writes a second of the key-value service that all nodes may make together")
+	fs.DurationVar(&s.StoreTimeout, "store.timeout", time.Second, "time limit of one call of the key-value service")
 	fs.DurationVar(&s.MemberEvery, "member.every", 500*time.Millisecond, "time between two heartbeats along an edge; a node is suspected after 3 and taken for dead 6 later")
 	fs.DurationVar(&s.LeaseTTL, "lease.ttl", 10*time.Second, "how long a lease lasts unless it is renewed")
 	fs.DurationVar(&s.LeaseMargin, "lease.margin", 500*time.Millisecond, "time kept free before a lease's end")
