Publish sets in pieces and spread them from node to node

Cause: the whole set stood in one value of the store, which every node watched; it could not grow past a megabyte, and a node lived from the store alone.

Change: sets are cut into pieces named by digest under one root; the root is swapped on the version it was based on, superseded roots are kept as history, and a lost answer is settled by the root's mark. Two nodes of each data centre watch the root; the others learn of a version from the membership and fetch what they lack from nodes of their data centre first. After a start or a pause a node asks the store or several nodes before it relies on its view. Publishing writes from a share of the store's rate of its own.

--- a/internal/fleet/tdconfig/config.go
+++ b/internal/fleet/tdconfig/config.go
@@ -1,158 +1,155 @@
-// Package tdconfig publishes sets of objects and brings the newest one into
-// force at a node.
-//
-// # Usage
-//
-//	c := tdconfig.New(store, members, log)
-//	go func() { done <- c.Run(ctx) }()
-//	view := c.View()
 package tdconfig
 
 import (
 	"context"
-	"encoding/json"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdring"
 )
 
-// rootKey is where the published set stands.
-const rootKey = "config/root"
+// Members is who the nodes are and which version each has in force.
+type Members interface {
+	tarragondeal.Members
+	SetConfig(v tarragondeal.Version)
+	// Heard returns when a peer was last heard since the last pause.
+	Heard() (tarragondeal.Instant, bool)
+	// Known returns how many other nodes are remembered, dead ones included.
+	Known() int
+	Resumed() <-chan struct{}
+}
+
+// Links reach nodes by their addresses.
+type Links interface {
+	Dial(addr netip.AddrPort) (grpc.ClientConnInterface, error)
+}
+
+// Deps are what configuration works with.
+type Deps struct {
+	Store   tarragondeal.Store
+	Members Members
+	Links   Links
+	Clock   tarragondeal.Clock
+	Log     zerolog.Logger
+	Scope   tally.Scope
+	// Watchers is how many nodes of each data centre watch the store.
+	Watchers int
+	// Keep is how many superseded versions are kept.
+	Keep int
+	// StaleMax is for how long a node that reaches neither the store nor a
+	// peer takes its view for good.
+	StaleMax time.Duration
+}
 
 const (
-	watchWait = 20 * time.Second
-	retryWait = 500 * time.Millisecond
+	defaultWatchers = 2
+	defaultKeep     = 100
+	defaultStaleMax = time.Minute
 )
 
-// Config follows the published set.
+// Config follows the published set. Its methods are safe for concurrent use.
 type Config struct {
-	store   tarragondeal.Store
-	members Members
-	log     zerolog.Logger
-	mu      sync.Mutex
-	view    *tarragondeal.View
-	root    tarragondeal.Entry
-	changed chan struct{}
+	Deps
+	now    atomic.Pointer[state]
+	rootsC *tdring.Ring[[]byte] // Roots that were heard of.
+
+	mu        sync.Mutex
+	confirmed bool                 // Asked around since the start or the last pause.
+	stored    tarragondeal.Instant // Last answer of the store.
+
+	taking sync.Mutex // Held while a version is fetched and brought into force.
 }
 
-type root struct {
-	Version tarragondeal.Version `json:"version"`
-	Set     *tarragondeal.Set    `json:"set"`
+// state is the version in force. It is immutable.
+type state struct {
+	view     *tarragondeal.View // Nil before the first.
+	root     *root
+	value    []byte // The root as it is stored.
+	contents map[digest][]byte
+	parts    map[digest]*tarragondeal.Set
+	changed  chan struct{}
 }
 
-// Members is who has which version in force.
-type Members interface {
-	tarragondeal.Members
-	SetConfig(v tarragondeal.Version)
+func (s *state) version() tarragondeal.Version {
+	if s.root == nil {
+		return 0
+	}
+	return s.root.Version
 }
 
 // New returns a config that knows no set yet.
-func New(store tarragondeal.Store, members Members, log zerolog.Logger) *Config {
-	return &Config{store: store, members: members, log: log, changed: make(chan struct{})}
+func New(d Deps) *Config {
+	if d.Watchers <= 0 {
+		d.Watchers = defaultWatchers
+	}
+	if d.Keep <= 0 {
+		d.Keep = defaultKeep
+	}
+	if d.StaleMax <= 0 {
+		d.StaleMax = defaultStaleMax
+	}
+	if d.Scope == nil {
+		d.Scope = tally.NoopScope
+	}
+	c := &Config{Deps: d, rootsC: tdring.New[[]byte](rootsRing)}
+	c.now.Store(&state{changed: make(chan struct{})})
+	return c
 }
 
+const rootsRing = 16
+
 // View returns the set in force, or nil.
-func (c *Config) View() *tarragondeal.View {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.view
-}
+func (c *Config) View() *tarragondeal.View { return c.now.Load().view }
 
 // Changed returns a channel that is closed at the next change.
-func (c *Config) Changed() <-chan struct{} {
+func (c *Config) Changed() <-chan struct{} { return c.now.Load().changed }
+
+// Stale reports whether the view may be out of date for longer than is
+// permitted: the process was paused and has not asked around since, or it
+// has reached neither the store nor a peer for StaleMax. A node that never
+// knew another one can't have missed what another one published while the
+// store was away, and is not stale.
+func (c *Config) Stale() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.changed
-}
-
-// Run follows the store until the context ends.
-func (c *Config) Run(ctx context.Context) error {
-	var after tarragondeal.Revision
-	for ctx.Err() == nil {
-		entries, revision, err := c.store.Watch(ctx, rootKey, after, watchWait)
-		if err != nil {
-			if ctx.Err() == nil {
-				c.log.Warn().Err(err).Msg("can't watch")
-			}
-			sleep(ctx, retryWait)
-			continue
-		}
-		for _, e := range entries {
-			c.take(e)
-		}
-		after = revision
+	confirmed, last := c.confirmed, c.stored
+	c.mu.Unlock()
+	if !confirmed {
+		return true
 	}
-	return nil
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+	heard, ok := c.Members.Heard()
+	if ok {
+		last = max(last, heard)
 	}
+	return c.Members.Known() > 0 && c.Clock.Now().Sub(last) > c.StaleMax
 }
 
-// take brings a set into force unless a newer one already is.
-func (c *Config) take(e tarragondeal.Entry) {
-	var r root
-	if err := json.Unmarshal(e.Value, &r); err != nil {
-		c.log.Error().Err(err).Msg("published set can't be read")
-		return
-	}
+func (c *Config) reached(confirmed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.view != nil && r.Version <= c.view.Version {
-		return
-	}
-	c.view = tarragondeal.NewView(r.Version, r.Set)
-	c.root = e
-	close(c.changed)
-	c.changed = make(chan struct{})
-	c.members.SetConfig(r.Version)
-	c.log.Info().Uint64("version", uint64(r.Version)).Msg("set in force")
+	c.stored = c.Clock.Now()
+	c.confirmed = c.confirmed || confirmed
 }
 
-// Publish writes a set that was based on version base. The error is a
-// *tarragondeal.ConflictError when another set came in between.
-func (c *Config) Publish(ctx context.Context, base tarragondeal.Version, set *tarragondeal.Set, _ tarragondeal.Publication) (tarragondeal.Version, error) {
-	e, err := c.store.Get(ctx, rootKey)
-	if err != nil {
-		return 0, err
-	}
-	var now root
-	if e.Revision != 0 {
-		if err := json.Unmarshal(e.Value, &now); err != nil {
-			return 0, err
-		}
-	}
-	if now.Version != base {
-		return 0, &tarragondeal.ConflictError{Op: "publish", Key: rootKey, Current: e}
-	}
-	next := root{Version: base + 1, Set: set}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return 0, err
-	}
-	written, err := c.store.Swap(ctx, rootKey, value, e.Revision)
-	if err != nil {
-		return 0, err
-	}
-	written.Value = value
-	c.take(written)
-	return next.Version, nil
+func (c *Config) confirm(ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirmed = ok
 }
 
 // InForce waits until every live node has version v or a later one in force,
-// or ctx ends. It returns the nodes that lag.
+// or ctx ends. It returns the nodes that lag then.
 func (c *Config) InForce(ctx context.Context, v tarragondeal.Version) ([]tarragondeal.NodeID, error) {
 	for {
-		changed := c.members.Changed()
+		changed := c.Members.Changed()
 		var lagging []tarragondeal.NodeID
-		for _, m := range c.members.Members() {
+		for _, m := range c.Members.Members() {
 			if m.Config < v {
 				lagging = append(lagging, m.Node)
 			}
@@ -163,25 +160,35 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return lagging, ctx.Err()
+			return lagging, nil
 		}
 	}
 }
 
-// History returns the publication in force, if any.
-func (c *Config) History(context.Context, int) ([]tarragondeal.Publication, error) {
-	v := c.View()
-	if v == nil {
-		return nil, nil
+// enforce brings a version into force unless a newer one already is. All of
+// its pieces are in contents and parts, which may hold others too.
+func (c *Config) enforce(r *root, value []byte, contents map[digest][]byte, parts map[digest]*tarragondeal.Set) error {
+	set, err := assemble(r, parts)
+	if err != nil {
+		return err
 	}
-	return []tarragondeal.Publication{{Version: v.Version}}, nil
-}
-
-// Published returns the set in force if it has the version asked for.
-func (c *Config) Published(_ context.Context, version tarragondeal.Version) (*tarragondeal.Set, error) {
-	v := c.View()
-	if v == nil || v.Version != version {
-		return nil, eris.Errorf("version %d is not known", version)
+	next := &state{
+		view: tarragondeal.NewView(r.Version, set), root: r, value: value, changed: make(chan struct{}),
+		contents: make(map[digest][]byte), parts: make(map[digest]*tarragondeal.Set),
+	}
+	for _, d := range r.digests() {
+		next.contents[d], next.parts[d] = contents[d], parts[d]
 	}
-	return v.Set, nil
+	c.mu.Lock()
+	last := c.now.Load()
+	if r.Version <= last.version() {
+		c.mu.Unlock()
+		return nil
+	}
+	c.now.Store(next)
+	c.mu.Unlock()
+	close(last.changed)
+	c.Members.SetConfig(r.Version)
+	c.Log.Info().Uint64("version", uint64(r.Version)).Msg("set in force")
+	return nil
 }
--- a/internal/fleet/tdstore/store.go
+++ b/internal/fleet/tdstore/store.go
@@ -27,6 +27,10 @@
 	// Urgent are the prefixes of keys whose calls go before others, as those
 	// of leases do.
 	Urgent []string
+	// Bulk are the prefixes of keys whose writes come many at once from one
+	// node at a time, as those of published sets do. They have a share of
+	// the rate of their own, which is not divided among the nodes.
+	Bulk []string
 	// Backoff bounds the first wait before a repeat.
 	Backoff time.Duration
 	// Probe is the time between tries while the service is away, and Spread
@@ -48,6 +52,7 @@
 	maxBackoff     = time.Second
 	maxTries       = 5
 	awayFailures   = 4
+	bulkShare      = 0.1                   // Of the writes.
 	probeWait      = 50 * time.Millisecond // Of a watch while the service is away.
 )
 
@@ -78,6 +83,7 @@
 	circuit circuit
 	reads   *budget
 	writes  *budget
+	bulk    *budget
 	count   counters
 }
 
@@ -87,7 +93,8 @@
 	return &Store{
 		kv: kv, clock: clock, opt: opt,
 		circuit: circuit{failures: awayFailures, probe: opt.Probe, spread: opt.Spread},
-		reads:   newBudget(opt.Reads), writes: newBudget(opt.Writes),
+		reads:   newBudget(opt.Reads), writes: newBudget(opt.Writes * (1 - bulkShare)),
+		bulk:  newBudget(opt.Writes * bulkShare),
 		count: newCounters(opt.Scope),
 	}
 }
@@ -159,7 +166,7 @@
 // answer the same swap is made again: at most one of the two can take
 // effect, and a conflict shows whether the first one did.
 func (s *Store) Swap(ctx context.Context, key string, value []byte, prev tarragondeal.Revision) (tarragondeal.Entry, error) {
-	c := call{op: "swap", key: key, urgent: s.urgent(key), budget: s.writes}
+	c := call{op: "swap", key: key, urgent: s.urgent(key), budget: s.writesOf(key)}
 	return do(ctx, s, c, func(ctx context.Context, again bool) (tarragondeal.Entry, error) {
 		e, err := s.kv.Swap(ctx, key, value, prev)
 		var conflict *tarragondeal.ConflictError
@@ -177,7 +184,7 @@
 
 // Delete removes the key if it is still at revision prev.
 func (s *Store) Delete(ctx context.Context, key string, prev tarragondeal.Revision) error {
-	c := call{op: "delete", key: key, urgent: s.urgent(key), budget: s.writes}
+	c := call{op: "delete", key: key, urgent: s.urgent(key), budget: s.writesOf(key)}
 	_, err := do(ctx, s, c, func(ctx context.Context, again bool) (struct{}, error) {
 		err := s.kv.Delete(ctx, key, prev)
 		var conflict *tarragondeal.ConflictError
@@ -227,8 +234,17 @@
 	return err
 }
 
-func (s *Store) urgent(key string) bool {
-	for _, p := range s.opt.Urgent {
+func (s *Store) urgent(key string) bool { return matches(key, s.opt.Urgent) }
+
+func (s *Store) writesOf(key string) *budget {
+	if matches(key, s.opt.Bulk) {
+		return s.bulk
+	}
+	return s.writes
+}
+
+func matches(key string, prefixes []string) bool {
+	for _, p := range prefixes {
 		if strings.HasPrefix(key, p) {
 			return true
 		}
@@ -336,7 +352,9 @@
 			return ctx.Err()
 		}
 	}
-	c.budget.fit(s.opt.Nodes())
+	if c.budget != s.bulk {
+		c.budget.fit(s.opt.Nodes())
+	}
 	if err := c.budget.take(ctx, c.urgent); err != nil {
 		s.count.budget.Inc(1)
 		return &BudgetError{Err: err}
--- a/internal/node/tdnode/fleet.go
+++ b/internal/node/tdnode/fleet.go
@@ -39,9 +39,9 @@
 	f := &n.fleet
 	f.store = tdstore.New(n.kv, n.clock, tdstore.Options{
 		Reads: n.cfg.StoreReads, Writes: n.cfg.StoreWrites, Timeout: n.cfg.StoreTimeout,
-		Urgent: []string{"claim/", "lease/"},
-		Nodes:  func() int { return len(f.members.Members()) },
-		Log:    tdlog.Part(n.log, "store"), Scope: n.metrics.Scope.SubScope("store"),
+		Urgent: []string{"claim/", "lease/"}, Bulk: []string{"config/"},
+		Nodes: func() int { return len(f.members.Members()) },
+		Log:   tdlog.Part(n.log, "store"), Scope: n.metrics.Scope.SubScope("store"),
 	})
 	f.members = tdmember.New(self, tdmember.Options{
 		Clock: n.clock, Log: tdlog.Part(n.log, "membership"), Scope: n.metrics.Scope.SubScope("membership"),
@@ -53,9 +53,14 @@
 		TTL: n.cfg.LeaseTTL, Margin: n.cfg.LeaseMargin,
 		Log: tdlog.Part(n.log, "lease"), Scope: n.metrics.Scope.SubScope("lease"),
 	})
-	f.config = tdconfig.New(f.store, f.members, tdlog.Part(n.log, "config"))
+	f.config = tdconfig.New(tdconfig.Deps{
+		Store: f.store, Members: f.members, Links: f.links, Clock: n.clock,
+		Watchers: n.cfg.ConfigWatchers, Keep: n.cfg.ConfigKeep, StaleMax: n.cfg.ConfigStaleMax,
+		Log: tdlog.Part(n.log, "config"), Scope: n.metrics.Scope.SubScope("config"),
+	})
 	f.members.Register(f.links.Server(), f.links)
 	f.spread.Register(f.links.Server())
+	f.config.Register(f.links.Server())
 	n.add("follow config", f.config.Run)
 	n.add("serve peers", func(ctx context.Context) error { return f.links.Serve(ctx, n.listeners.peers) })
 	n.add("membership", func(ctx context.Context) error { return f.members.Run(ctx, f.links) })
