Link nodes by mutual TLS and count what the links carry

Cause: links were plain, a cut or frozen peer was noticed late, and control traffic could not be measured.

--- a/internal/fleet/tdmember/member_test.go
+++ b/internal/fleet/tdmember/member_test.go
@@ -41,7 +41,8 @@
 		Peer: addr, Entry: addr,
 	}
 	m := tdmember.New(self, tdmember.Options{Clock: tdclock.New(), Log: zerolog.New(GinkgoWriter), Every: 50 * time.Millisecond, Seeds: seeds})
-	links := tdpeer.New(m)
+	links, err := tdpeer.New(m, tdpeer.Options{})
+	Expect(err).NotTo(HaveOccurred())
 	s := tdspread.New(m, tdspread.Options{})
 	m.Register(links.Server(), links)
 	s.Register(links.Server())
--- a/internal/node/tdnode/fleet.go
+++ b/internal/node/tdnode/fleet.go
@@ -47,7 +47,12 @@
 		Clock: n.clock, Log: tdlog.Part(n.log, "membership"), Scope: n.metrics.Scope.SubScope("membership"),
 		Every: n.cfg.MemberEvery, Seeds: seeds, VMs: n.site, Store: f.store,
 	})
-	f.links = tdpeer.New(f.members)
+	if f.links, err = tdpeer.New(f.members, tdpeer.Options{
+		Files: tdpeer.Files{Cert: n.cfg.TLSCert, Key: n.cfg.TLSKey, CA: n.cfg.TLSCA, Name: n.cfg.TLSName},
+		Log:   tdlog.Part(n.log, "links"), Scope: n.metrics.Scope.SubScope("peer"),
+	}); err != nil {
+		return err
+	}
 	f.spread = tdspread.New(f.members, tdspread.Options{Log: tdlog.Part(n.log, "spread"), Scope: n.metrics.Scope.SubScope("spread")})
 	f.leases = tdlease.New(f.store, n.clock, f.members, tdlease.Options{
 		TTL: n.cfg.LeaseTTL, Margin: n.cfg.LeaseMargin,
--- a/internal/node/tdsettings/fleet.go
+++ b/internal/node/tdsettings/fleet.go
@@ -11,6 +11,7 @@
 	TLSCert string
 	TLSKey  string
 	TLSCA   string
+	TLSName string
 
 	StoreReads   float64
 	StoreWrites  float64
@@ -30,6 +31,7 @@
 	fs.StringVar(&s.TLSCert, "tls.cert", "", "certificate file for links between nodes")
 	fs.StringVar(&s.TLSKey, "tls.key", "", "key file for links between nodes")
 	fs.StringVar(&s.TLSCA, "tls.ca", "", "file of the authority that signs nodes' certificates")
+	fs.StringVar(&s.TLSName, "tls.name", "tarragondeal", "name that all nodes' certificates are for")
 	fs.Float64Var(&s.StoreReads, "store.reads", 1800, "reads a second of the key-value service that all nodes may make together")
 	fs.Float64Var(&s.StoreWrites, "store.writes", 300, "writes a second of the key-value service that all nodes may make together")
 	fs.DurationVar(&s.StoreTimeout, "store.timeout", time.Second, "time limit of one call of the key-value service")
