--- a/internal/node/tdnode/fleet.go
+++ b/internal/node/tdnode/fleet.go
@@ -14,6 +14,7 @@
 	"tarragondeal/internal/fleet/tdmember"
 	"tarragondeal/internal/fleet/tdpeer"
 	"tarragondeal/internal/fleet/tdspread"
+	"tarragondeal/internal/fleet/tdstore"
 )
 
 // fleet is what the nodes agree on and how they talk.
@@ -36,20 +37,35 @@
 		return err
 	}
 	f := &n.fleet
-	f.store = n.kv
+	f.store = tdstore.New(n.kv, n.clock, tdstore.Options{
+		Reads: n.cfg.StoreReads, Writes: n.cfg.StoreWrites, Timeout: n.cfg.StoreTimeout,
+		Urgent: []string{"claim/", "lease/"}, Bulk: []string{"config/"},
+		Nodes: func() int { return len(f.members.Members()) },
+		Log:   tdlog.Part(n.log, "store"), Scope: n.metrics.Scope.SubScope("store"),
+	})
 	f.members = tdmember.New(self, tdmember.Options{
 		Clock: n.clock, Log: tdlog.Part(n.log, "membership"), Scope: n.metrics.Scope.SubScope("membership"),
 		Every: n.cfg.MemberEvery, Seeds: seeds, VMs: n.site, Store: f.store,
 	})
-	f.links = tdpeer.New(f.members)
+	if f.links, err = tdpeer.New(f.members, tdpeer.Options{
+		Files: tdpeer.Files{Cert: n.cfg.TLSCert, Key: n.cfg.TLSKey, CA: n.cfg.TLSCA, Name: n.cfg.TLSName},
+		Log:   tdlog.Part(n.log, "links"), Scope: n.metrics.Scope.SubScope("peer"),
+	}); err != nil {
+		return err
+	}
 	f.spread = tdspread.New(f.members, tdspread.Options{Log: tdlog.Part(n.log, "spread"), Scope: n.metrics.Scope.SubScope("spread")})
 	f.leases = tdlease.New(f.store, n.clock, f.members, tdlease.Options{
 		TTL: n.cfg.LeaseTTL, Margin: n.cfg.LeaseMargin,
 		Log: tdlog.Part(n.log, "lease"), Scope: n.metrics.Scope.SubScope("lease"),
 	})
-	f.config = tdconfig.New(f.store, f.members, tdlog.Part(n.log, "config"))
+	f.config = tdconfig.New(tdconfig.Deps{
+		Store: f.store, Members: f.members, Links: f.links, Clock: n.clock,
+		Watchers: n.cfg.ConfigWatchers, Keep: n.cfg.ConfigKeep, StaleMax: n.cfg.ConfigStaleMax,
+		Log: tdlog.Part(n.log, "config"), Scope: n.metrics.Scope.SubScope("config"),
+	})
 	f.members.Register(f.links.Server(), f.links)
 	f.spread.Register(f.links.Server())
+	f.config.Register(f.links.Server())
 	n.add("follow config", f.config.Run)
 	n.add("serve peers", func(ctx context.Context) error { return f.links.Serve(ctx, n.listeners.peers) })
 	n.add("membership", func(ctx context.Context) error { return f.members.Run(ctx, f.links) })
