Let the last nodes own servers while they leave

Cause: a node that was the last one lost its servers to nobody when it began to leave, so that requests which it still took in drain.wait were refused with noServer after 3 s.

Change: leaving nodes own servers when no other node is left.

Result: test/entry's stop under load, which failed with the product's own dispatcher on a fleet of one, passes.

--- a/internal/dispatch/tdowner/placement.go
+++ b/internal/dispatch/tdowner/placement.go
@@ -23,11 +23,9 @@
 		live:    make(map[tarragondeal.NodeID]bool, len(members)),
 	}
 	near := make(map[string][]tarragondeal.Member)
-	for _, m := range members {
-		if m.State == tarragondeal.MemberAlive || m.State == tarragondeal.MemberSuspect {
-			p.live[m.Node] = true
-			near[m.DataCentre] = append(near[m.DataCentre], m)
-		}
+	for _, m := range owners(members) {
+		p.live[m.Node] = true
+		near[m.DataCentre] = append(near[m.DataCentre], m)
 	}
 	for n := range servers {
 		s := &servers[n]
@@ -40,6 +38,24 @@
 	return p
 }
 
+// owners returns the members that may own servers. The last nodes go on
+// owning them while they leave, since they still take requests.
+func owners(members []tarragondeal.Member) []tarragondeal.Member {
+	var live, leaving []tarragondeal.Member
+	for _, m := range members {
+		switch m.State {
+		case tarragondeal.MemberAlive, tarragondeal.MemberSuspect:
+			live = append(live, m)
+		case tarragondeal.MemberLeaving:
+			leaving = append(leaving, m)
+		}
+	}
+	if len(live) > 0 {
+		return live
+	}
+	return leaving
+}
+
 // within returns the live nodes of a region, or all live nodes where it has
 // none.
 func within(members []tarragondeal.Member, live map[tarragondeal.NodeID]bool, region func(string) string, name string) []tarragondeal.Member {
