Run the callers' tests with the product's own dispatcher

Cause: test/entry ran with the simplest dispatcher only, and a request whose retry found no other server was told noServer rather than what went wrong.

Change: the list runs with the default dispatcher; answers that go wrong keep the simplest one, which goes on sending to a server that failed, so that each fault is met on every call. The first failure is told when a retry finds no server.

--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -85,6 +85,7 @@
 	bounds   time.Duration // The class's deadline.
 	ran      tarragondeal.Ran
 	attempts int
+	before   Failure // Of the attempt before this one.
 	current  *attempt
 	stream   streamState
 	usage    *tdrelay.Usage // What a plain answer took.
@@ -182,6 +183,7 @@
 		if step != StepRetry {
 			return r.conclude(step, failed)
 		}
+		r.before = failed.failure
 		r.f.Metrics.Counter("retries").Inc(1)
 		r.ask.Avoid = append(r.ask.Avoid, r.current.grant.Server.ID)
 		pause(ctx, r.attempts)
@@ -222,7 +224,12 @@
 
 // explain returns what the caller is told of a failure.
 func (r *run) explain(failed failed) error {
-	if refused, ok := errors.AsType[*tarragondeal.RefusedError](failed.err); ok {
+	refused, ok := errors.AsType[*tarragondeal.RefusedError](failed.err)
+	if ok && refused.Reason == tarragondeal.ReasonNoServer && r.before != FailNone {
+		// Why the first server failed says more than that there is no other.
+		failed.failure, ok = r.before, false
+	}
+	if ok {
 		r.note(refused.Reason)
 		out := *refused
 		out.Ran = r.ran
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -66,46 +66,57 @@
 	certificate = "/services/certificate/enter"
 )
 
+// deployment is a node on stand-ins: two engines and one service.
+type deployment struct {
+	cluster    *tdcluster.Cluster
+	node       *tdtest.Node
+	set        *tarragondeal.Set
+	key, other string
+}
+
+func start(policy string, args ...string) *deployment {
+	engine := &tdengine.Options{Slots: 64, PerToken: 5 * time.Millisecond}
+	cluster, err := tdcluster.Start(tdcluster.Spec{Groups: []tdcluster.Group{
+		{Pool: "narrator", DataCentre: "duluth", Count: 2, Engine: engine},
+		{Pool: "records", DataCentre: "duluth", Count: 1, Service: &tdservice.Options{Slots: 4}},
+	}})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(cluster.Close)
+	d := &deployment{cluster: cluster}
+	d.node = tdtest.StartNode(binary, tdtest.NodeSpec{
+		Name: "node1", DataCentre: "duluth", PlatformURL: cluster.PlatformURL, Policy: policy,
+		Args: append([]string{"-log.level", "debug"}, args...),
+	})
+	DeferCleanup(d.node.Kill)
+	d.set, err = tdset.Parse("set", []byte(setText))
+	Expect(err).NotTo(HaveOccurred())
+	var first, second tarragondeal.Key
+	d.key, first, err = tdkey.Issue("auditor", "auditors")
+	Expect(err).NotTo(HaveOccurred())
+	d.other, second, err = tdkey.Issue("leaver", "auditors")
+	Expect(err).NotTo(HaveOccurred())
+	d.set.Keys = []tarragondeal.Key{first, second}
+	d.node.Publish(d.set)
+	Eventually(func() string { return call(d.node, d.key, ask("narrate", 1)).body }, "20s").Should(ContainSubstring("[DONE]"))
+	return d
+}
+
+func (d *deployment) engines() []*tdengine.Engine {
+	return []*tdengine.Engine{d.cluster.Servers[0].Engine, d.cluster.Servers[1].Engine}
+}
+
+func (d *deployment) service() *tdservice.Service { return d.cluster.Servers[2].Service }
+
 var _ = Describe("the callers' side", Ordered, func() {
 	var (
-		cluster *tdcluster.Cluster
-		node    *tdtest.Node
-		set     *tarragondeal.Set
-		key     string
-		other   string // A key that is withdrawn.
+		d          *deployment
+		node       *tdtest.Node
+		key, other string
 	)
 
 	BeforeAll(func() {
-		var err error
-		engine := &tdengine.Options{Slots: 64, PerToken: 5 * time.Millisecond}
-		cluster, err = tdcluster.Start(tdcluster.Spec{Groups: []tdcluster.Group{
-			{Pool: "narrator", DataCentre: "duluth", Count: 2, Engine: engine},
-			{Pool: "records", DataCentre: "duluth", Count: 1, Service: &tdservice.Options{Slots: 4}},
-		}})
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(cluster.Close)
-		node = tdtest.StartNode(binary, tdtest.NodeSpec{
-			Name: "node1", DataCentre: "duluth", PlatformURL: cluster.PlatformURL, Policy: "roundRobin",
-			Args: []string{"-callers.maxBody", "65536", "-callers.bodyTimeout", "500ms", "-log.level", "debug", "-drain.wait", "3s"},
-		})
-		DeferCleanup(node.Kill)
-		set, err = tdset.Parse("set", []byte(setText))
-		Expect(err).NotTo(HaveOccurred())
-		var first, second tarragondeal.Key
-		key, first, err = tdkey.Issue("auditor", "auditors")
-		Expect(err).NotTo(HaveOccurred())
-		other, second, err = tdkey.Issue("leaver", "auditors")
-		Expect(err).NotTo(HaveOccurred())
-		set.Keys = []tarragondeal.Key{first, second}
-		node.Publish(set)
-		Eventually(func() string { return call(node, key, ask("narrate", 1)).body }, "10s").Should(ContainSubstring("[DONE]"))
-	})
-
-	AfterEach(func() {
-		for _, s := range cluster.Servers[:2] {
-			s.Engine.Fail(tdengine.FaultNone, 0)
-			s.Engine.Straggle(1)
-		}
+		d = start("", "-callers.maxBody", "65536", "-callers.bodyTimeout", "500ms", "-drain.wait", "3s")
+		node, key, other = d.node, d.key, d.other
 	})
 
 	It("refuses bad input with a clear error", func() {
@@ -182,48 +193,6 @@
 		wg.Wait()
 	})
 
-	for _, c := range []struct {
-		name  string
-		fault tdengine.Fault
-		route string
-		tries bool // Another attempt answers.
-	}{
-		{"another request's id", tdengine.FaultWrongID, "narrate", true},
-		{"a stream that ends early", tdengine.FaultShort, "narrate", true},
-		{"a stream that breaks", tdengine.FaultCut, "narrate", true},
-		{"no answer", tdengine.FaultNever, "brief", false},
-	} {
-		It("answers whole or says so when a backend server gives "+c.name, func() {
-			cluster.Servers[0].Engine.Fail(c.fault, 1)
-			for _, tokens := range []int{10, 1, 10, 1} { // One token breaks before the first byte.
-				got := call(node, key, ask(c.route, tokens))
-				if c.tries || got.status == http.StatusOK {
-					Expect(got.body).To(HaveSuffix("data: [DONE]\n\n"), got.body)
-					Expect(words(got.body)).To(Equal(strings.Join(tdengine.Words([]byte(prompt), tokens), "")))
-				} else {
-					Expect(got.status).To(Equal(http.StatusGatewayTimeout))
-					Expect(got.body).To(ContainSubstring(`"ran":"unknown"`))
-				}
-			}
-			for _, s := range cluster.Servers[:2] {
-				s.Engine.Fail(c.fault, 1)
-			}
-			got := call(node, key, strings.Replace(ask(c.route, 10), `"stream":true`, `"stream":false`, 1))
-			Expect(got.status).To(BeElementOf(http.StatusBadGateway, http.StatusGatewayTimeout))
-			Expect(got.body).To(ContainSubstring(`"ran":"unknown"`))
-		})
-	}
-
-	It("ends a late stream with an error", func() {
-		for _, s := range cluster.Servers[:2] {
-			s.Engine.Straggle(20)
-		}
-		got := call(node, key, ask("brief", 1000))
-		Expect(got.body).To(ContainSubstring("event: error\ndata: "))
-		Expect(got.body).To(ContainSubstring(`"code":"deadline"`))
-		Expect(got.body).NotTo(ContainSubstring("[DONE]"))
-	})
-
 	It("cancels the attempt when its caller vanishes", func() {
 		marker := `{"model":"narrate","stream":true,"max_tokens":100000,"messages":["vanish"]}`
 		ctx, cancel := context.WithCancel(context.Background())
@@ -234,8 +203,8 @@
 		_ = res.Body.Close()
 		tokens := func() int {
 			n := 0
-			for _, s := range cluster.Servers[:2] {
-				for _, seen := range s.Engine.Seen() {
+			for _, e := range d.engines() {
+				for _, seen := range e.Seen() {
 					if strings.Contains(string(seen.Body), "vanish") {
 						n += seen.Tokens
 					}
@@ -253,7 +222,7 @@
 	})
 
 	It("runs a call once when its service breaks after it", func() {
-		cluster.Servers[2].Service.CutAnswers(1)
+		d.service().CutAnswers(1)
 		for _, want := range []struct {
 			status int
 			code   string
@@ -263,17 +232,22 @@
 			Expect(got.body).To(ContainSubstring(want.code))
 			Expect(got.body).To(ContainSubstring(`"ran":"unknown"`))
 		}
-		Expect(cluster.Servers[2].Service.Executions("cut")).To(Equal(1))
+		Expect(d.service().Executions("cut")).To(Equal(1))
 	})
 
 	It("replays a recorded answer and tells two bodies apart", func() {
-		first := once(node, key, `{"id":"rec"}`, "idem-rec")
+		// The service is left alone for a while after its answer broke.
+		var first answer
+		Eventually(func() int {
+			first = once(node, key, `{"id":"rec"}`, "idem-rec")
+			return first.status
+		}, "30s", "100ms").Should(Equal(http.StatusOK))
 		again := once(node, key, `{"id":"rec"}`, "idem-rec")
 		Expect(again.body).To(Equal(first.body))
 		Expect(again.header.Get("Idempotent-Replayed")).To(Equal("true"))
 		Expect(once(node, key, `{"id":"other"}`, "idem-rec").status).To(Equal(http.StatusUnprocessableEntity))
-		Expect(cluster.Servers[2].Service.Executions("rec")).To(Equal(1))
-		Expect(cluster.Servers[2].Service.Executions("other")).To(BeZero())
+		Expect(d.service().Executions("rec")).To(Equal(1))
+		Expect(d.service().Executions("other")).To(BeZero())
 	})
 
 	It("cuts a stream whose key is withdrawn, and no other", func() {
@@ -282,8 +256,8 @@
 		go func() { staying <- call(node, key, ask("narrate", 200)) }()
 		_, err := leaving.Body.Read(make([]byte, 10))
 		Expect(err).NotTo(HaveOccurred())
-		set.Keys[1].Withdrawn = true
-		node.Publish(set)
+		d.set.Keys[1].Withdrawn = true
+		node.Publish(d.set)
 		text, err := io.ReadAll(leaving.Body)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(leaving.Body.Close()).To(Succeed())
@@ -293,13 +267,6 @@
 		Expect((<-staying).body).To(HaveSuffix("[DONE]\n\n"))
 	})
 
-	It("retries elsewhere when a server is gone", func() {
-		cluster.Servers[0].Kill()
-		for range 4 {
-			Expect(call(node, key, ask("narrate", 5)).body).To(HaveSuffix("[DONE]\n\n"))
-		}
-	})
-
 	It("stops without cutting a running stream", func() {
 		const streams = 10
 		running := make([]*http.Response, streams)
@@ -322,11 +289,11 @@
 
 	It("has shown no key to a backend server or in a log", func() {
 		var dump string
-		for _, seen := range cluster.Servers[2].Service.Seen() {
+		for _, seen := range d.service().Seen() {
 			dump += fmt.Sprint(seen.URL, seen.Header)
 		}
-		for _, s := range cluster.Servers[:2] {
-			for _, seen := range s.Engine.Seen() {
+		for _, e := range d.engines() {
+			for _, seen := range e.Seen() {
 				dump += fmt.Sprint(seen.Path, seen.Header, string(seen.Body))
 			}
 		}
@@ -341,6 +308,76 @@
 	})
 })
 
+var _ = Describe("answers that go wrong", Ordered, func() {
+	var (
+		d    *deployment
+		node *tdtest.Node
+		key  string
+	)
+
+	BeforeAll(func() {
+		// The simplest dispatcher goes on sending to a server that failed.
+		d = start("roundRobin")
+		node, key = d.node, d.key
+	})
+
+	AfterEach(func() {
+		for _, e := range d.engines() {
+			e.Fail(tdengine.FaultNone, 0)
+			e.Straggle(1)
+		}
+	})
+
+	for _, c := range []struct {
+		name  string
+		fault tdengine.Fault
+		route string
+		tries bool // Another attempt answers.
+	}{
+		{"another request's id", tdengine.FaultWrongID, "narrate", true},
+		{"a stream that ends early", tdengine.FaultShort, "narrate", true},
+		{"a stream that breaks", tdengine.FaultCut, "narrate", true},
+		{"no answer", tdengine.FaultNever, "brief", false},
+	} {
+		It("answers whole or says so when a backend server gives "+c.name, func() {
+			d.engines()[0].Fail(c.fault, 1)
+			for _, tokens := range []int{10, 1, 10, 1} { // One token breaks before the first byte.
+				got := call(node, key, ask(c.route, tokens))
+				if c.tries || got.status == http.StatusOK {
+					Expect(got.body).To(HaveSuffix("data: [DONE]\n\n"), got.body)
+					Expect(words(got.body)).To(Equal(strings.Join(tdengine.Words([]byte(prompt), tokens), "")))
+				} else {
+					Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+					Expect(got.body).To(ContainSubstring(`"ran":"unknown"`))
+				}
+			}
+			for _, e := range d.engines() {
+				e.Fail(c.fault, 1)
+			}
+			got := call(node, key, strings.Replace(ask(c.route, 10), `"stream":true`, `"stream":false`, 1))
+			Expect(got.status).To(BeElementOf(http.StatusBadGateway, http.StatusGatewayTimeout))
+			Expect(got.body).To(ContainSubstring(`"ran":"unknown"`))
+		})
+	}
+
+	It("ends a late stream with an error", func() {
+		for _, e := range d.engines() {
+			e.Straggle(20)
+		}
+		got := call(node, key, ask("brief", 1000))
+		Expect(got.body).To(ContainSubstring("event: error\ndata: "))
+		Expect(got.body).To(ContainSubstring(`"code":"deadline"`))
+		Expect(got.body).NotTo(ContainSubstring("[DONE]"))
+	})
+
+	It("retries elsewhere when a server is gone", func() {
+		d.cluster.Servers[0].Kill()
+		for range 4 {
+			Expect(call(node, key, ask("narrate", 5)).body).To(HaveSuffix("[DONE]\n\n"))
+		}
+	})
+})
+
 const prompt = `[{"role":"user","content":"hi"}]`
 
 func ask(model string, tokens int) string {
