--- a/entry.go
+++ b/entry.go
@@ -4,6 +4,6 @@
 const (
 	ReasonKeyMisplaced Reason = "keyMisplaced" // A key outside Authorization: Bearer.
 	ReasonTooLarge     Reason = "tooLarge"     // The body is over its limit.
-	ReasonSlow         Reason = "slow"         // The body did not come in time.
+	ReasonSlow         Reason = "slowSender"   // The body did not come in time.
 	ReasonConnections  Reason = "connections"  // The key has too many requests open at a node.
 )
--- a/internal/entry/tdflow/account.go
+++ b/internal/entry/tdflow/account.go
@@ -12,8 +12,10 @@
 const (
 	// meterEvery is how many tokens of a running stream are metered at once.
 	meterEvery = 512
-	// meterWait bounds one call of the meter.
-	meterWait = 2 * time.Second
+	// meterWait bounds the meter's part of a request that has ended, and
+	// meterPause that of a stream that runs.
+	meterWait  = 2 * time.Second
+	meterPause = 250 * time.Millisecond
 	// tellEvery is how often the owner of a server is told of progress.
 	tellEvery = 100 * time.Millisecond
 )
@@ -67,22 +69,26 @@
 	}
 }
 
-// meter brings what has been metered up to the figures given. The answer is
-// not lost when the meter fails: the difference goes with the next call.
+// meter brings what has been metered up to the figures given. The meter
+// counts them even if it fails, and then the node's death may lose them; the
+// answer is not lost for that.
 func (r *run) meter(input, output int, last bool) {
-	input, output = max(input, r.bill.input), max(output, r.bill.output)
-	ctx, cancel := context.WithTimeout(context.Background(), meterWait)
+	wait := meterPause
+	if last {
+		wait = meterWait
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
+	before := r.bill
+	r.bill = bill{input: max(input, before.input), output: max(output, before.output)}
 	err := r.f.Meter.Add(ctx, tarragondeal.Usage{
 		Request: r.q.ID, Workspace: r.q.Workspace.Name, Route: r.q.Route.Name, Class: r.q.Class.Name,
-		At: r.f.Clock.Wall(), InputTokens: input - r.bill.input, OutputTokens: output - r.bill.output, Last: last,
+		At: r.f.Clock.Wall(), InputTokens: r.bill.input - before.input, OutputTokens: r.bill.output - before.output, Last: last,
 	})
 	if err != nil {
-		r.f.Metrics.Counter("usageNotMetered").Inc(1)
-		r.f.Log.Warn().Err(err).Str("request", string(r.q.ID)).Msg("usage not metered")
-		return
+		r.f.Metrics.Counter("usageAtRisk").Inc(1)
+		r.f.Log.Warn().Err(err).Str("request", string(r.q.ID)).Msg("usage has no second copy")
 	}
-	r.bill.input, r.bill.output = input, output
 }
 
 // billEnd meters what was delivered when a request has ended. A stream that
--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -159,6 +159,11 @@
 	if q.Model == nil {
 		return c
 	}
+	c.Header = q.Header.Clone()
+	if c.Header == nil {
+		c.Header = make(http.Header)
+	}
+	c.Header.Set("Content-Type", "application/json")
 	c.Salt = Salt(q.Workspace.Name)
 	model := q.Model.Model
 	if pool := q.View.ServerPools[a.grant.Server.Pool]; pool != nil && pool.Model != "" {
@@ -213,6 +218,10 @@
 		r.stream.s = tdrelay.NewStream(r.w, r.streamOptions())
 	}
 	defer r.stream.s.Close()
+	if r.stream.delivered {
+		s := a.grant.Server
+		r.stream.s.Note(fmt.Sprintf("run again by %s in %s", s.ID, s.DataCentre))
+	}
 	out := a.part(ctx, answer, r.stream.s.Events())
 	if Next(r.state(out.failure)) == StepResume {
 		out = a.resume(ctx, out)
--- a/internal/entry/tdflow/course_test.go
+++ b/internal/entry/tdflow/course_test.go
@@ -181,6 +181,7 @@
 }
 
 var (
+	again   = ": run again by s2 in duluth\n\n"
 	crashed = step{err: &tarragondeal.BackendError{Ran: tarragondeal.RanUnknown, Crashed: true, Err: io.EOF}}
 	unsent  = step{err: &tarragondeal.BackendError{Ran: tarragondeal.RanNot, Err: io.EOF}}
 	gone    = plain(http.StatusNotFound, "{}")
@@ -221,8 +222,8 @@
 		{name: "passes on a server's refusal of what was asked", steps: []step{plain(400, `{"bad":1}`)}, want: expect{body: `{"bad":1}`, calls: 1, outcomes: kinds{served}}},
 		{name: "follows no redirect", steps: []step{plain(307, `{}`)}, want: expect{code: "backendFailed", ran: tarragondeal.RanUnknown, calls: 1, outcomes: kinds{refused}, waste: []string{"redirect"}}},
 		{name: "resumes at the same server", stream: true, steps: []step{broken, part(io.EOF, "c", ".", "[DONE]")}, want: expect{body: sse("a", "b", "c", ".", "[DONE]"), calls: 2, outcomes: kinds{served}}},
-		{name: "runs again elsewhere and goes on", stream: true, steps: []step{broken, gone, whole("a", "b", "c")}, want: expect{body: sse("a", "b", "c", ".", "[DONE]"), calls: 3, outcomes: kinds{crash, served}, waste: []string{"crashed"}}},
-		{name: "tells of a break that can't be mended", stream: true, steps: []step{broken, gone, whole("a", "x", "c")}, want: expect{body: sse("a", "b"), code: "backendFailed", ran: tarragondeal.RanYes, event: true, calls: 3, outcomes: kinds{crash, cancelled}, waste: []string{"crashed", "differs"}}},
+		{name: "runs again elsewhere and goes on", stream: true, steps: []step{broken, gone, whole("a", "b", "c")}, want: expect{body: sse("a", "b") + again + sse("c", ".", "[DONE]"), calls: 3, outcomes: kinds{crash, served}, waste: []string{"crashed"}}},
+		{name: "tells of a break that can't be mended", stream: true, steps: []step{broken, gone, whole("a", "x", "c")}, want: expect{body: sse("a", "b") + again, code: "backendFailed", ran: tarragondeal.RanYes, event: true, calls: 3, outcomes: kinds{crash, cancelled}, waste: []string{"crashed", "differs"}}},
 		{name: "stops when its caller goes away", stream: true, setup: func(o *world, cancel context.CancelFunc) {
 			o.backend = append(o.backend, step{media: eventStream, body: io.MultiReader(strings.NewReader(sse("a")), &after{cancel}, iotest.ErrReader(errHang))})
 		}, want: expect{body: sse("a"), calls: 1, outcomes: kinds{cancelled}, waste: []string{"cancelled"}}},
@@ -324,23 +325,25 @@
 		})
 	}
 
-	It("meters a long stream while it runs", func() {
-		words := slices.Repeat([]string{"a"}, 3*meterEvery)
-		o := &world{view: tarragondeal.NewView(1, &tarragondeal.Set{DataCentres: []tarragondeal.DataCentre{{Name: "duluth"}}}), backend: []step{part(io.ErrUnexpectedEOF, words...), gone}, noRetry: true}
-		body, _ := ParseBody([]byte(`{"stream":true}`))
-		clock := tdclock.New()
-		flow := New(Deps{Dispatch: o, Backend: o, Claims: o, Meter: o, Burn: o, Clock: clock, Metrics: tally.NoopScope, Log: zerolog.Nop()}, Options{Attempts: 3})
-		Expect(flow.Run(context.Background(), httptest.NewRecorder(), &Request{
-			ID: "q", View: o.view, Workspace: &tarragondeal.Workspace{}, Model: body, Arrived: clock.Now(),
-			Route: &tarragondeal.Route{Pools: []string{"p"}}, Class: &tarragondeal.RequestClass{},
-		})).To(Succeed())
-		Expect(o.usage).To(HaveLen(4))
-		total := 0
-		for _, u := range o.usage {
-			total += u.OutputTokens
+	It("meters a long stream while it runs, and each token once", func() {
+		for _, fails := range []bool{false, true} {
+			words := slices.Repeat([]string{"a"}, 3*meterEvery)
+			o := &world{view: tarragondeal.NewView(1, &tarragondeal.Set{DataCentres: []tarragondeal.DataCentre{{Name: "duluth"}}}), backend: []step{part(io.ErrUnexpectedEOF, words...), gone}, noRetry: true, noMeter: fails}
+			body, _ := ParseBody([]byte(`{"stream":true}`))
+			clock := tdclock.New()
+			flow := New(Deps{Dispatch: o, Backend: o, Claims: o, Meter: o, Burn: o, Clock: clock, Metrics: tally.NoopScope, Log: zerolog.Nop()}, Options{Attempts: 3})
+			Expect(flow.Run(context.Background(), httptest.NewRecorder(), &Request{
+				ID: "q", View: o.view, Workspace: &tarragondeal.Workspace{}, Model: body, Arrived: clock.Now(),
+				Route: &tarragondeal.Route{Pools: []string{"p"}}, Class: &tarragondeal.RequestClass{},
+			})).To(Succeed())
+			Expect(o.usage).To(HaveLen(4))
+			total := 0
+			for _, u := range o.usage {
+				total += u.OutputTokens
+			}
+			Expect(total).To(Equal(3 * meterEvery))
+			Expect(o.usage[3].Last).To(BeTrue())
 		}
-		Expect(total).To(Equal(3 * meterEvery))
-		Expect(o.usage[3].Last).To(BeTrue())
 	})
 })
 
--- a/internal/entry/tdrelay/stream.go
+++ b/internal/entry/tdrelay/stream.go
@@ -305,6 +305,12 @@
 	s.copy = append(s.copy, raw...)
 }
 
+// Note tells the caller something beside the answer, as a comment that
+// clients pass over.
+func (s *Stream) Note(text string) {
+	_, _, _ = s.deliver(Event{Raw: []byte(": " + text + "\n\n")}, false)
+}
+
 // Fail ends a stream that has begun with an error in place of the end
 // marker.
 func (s *Stream) Fail(err error) {
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -257,8 +257,10 @@
 		_, err := leaving.Body.Read(make([]byte, 10))
 		Expect(err).NotTo(HaveOccurred())
 		d.set.Keys[1].Withdrawn = true
+		published := time.Now()
 		node.Publish(d.set)
 		text, err := io.ReadAll(leaving.Body)
+		AddReportEntry("from publishing to the end of the stream", time.Since(published))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(leaving.Body.Close()).To(Succeed())
 		Expect(string(text)).To(ContainSubstring(`event: error` + "\n" + `data: {"error":`))
