Let the benchmark of the entry side build with the baselines' loads

Change: the benchmark names the interval that round robin does not use.

Result: the package builds again.

--- a/test/entry/bench_test.go
+++ b/test/entry/bench_test.go
@@ -60,7 +60,7 @@
 		ID: "e", Pool: "narrator", DataCentre: "duluth", Addr: netip.MustParseAddrPort(engine), State: tarragondeal.VMLive,
 	}}}
 	flow := tdflow.New(tdflow.Deps{
-		Dispatch: tdbaseline.New(tdbaseline.RoundRobin, p), Backend: tdbackend.New(), Meter: tdusage.New(), Burn: p,
+		Dispatch: tdbaseline.New(tdbaseline.RoundRobin, p, nil, time.Second), Backend: tdbackend.New(), Meter: tdusage.New(), Burn: p,
 		Guard: tdkey.NewGuard(p), Clock: tdclock.New(), Metrics: tally.NoopScope, Log: zerolog.Nop(),
 	}, tdflow.Options{Attempts: 3, Write: time.Minute})
 	return tdfront.New(tdfront.Deps{
