Show the router at work in one process: quickstart

A newcomer had nothing to run. 'go run ./cmd/tarragondeal quickstart' starts stand-ins and three nodes in one process, publishes a set, and sends requests along the real path: streamed, refused for place, entered twice with one idempotency key, with a withdrawn key. -stay keeps it up and prints a request that works.

Histograms of latency now travel and rest as the cells that are not empty: the library's compressed form allocated a compressor for each of 72 histograms a report.

--- a/cmd/tarragondeal/main.go
+++ b/cmd/tarragondeal/main.go
@@ -65,7 +65,7 @@
 
 func (t *tool) root() *ffcli.Command {
 	return t.group("tarragondeal", "The router for language-model traffic, and its operators' tool.",
-		t.serve(), t.config(), t.key(), t.entry(), t.status(), t.report())
+		t.quickstart(), t.serve(), t.config(), t.key(), t.entry(), t.status(), t.report())
 }
 
 // group returns a command that only has subcommands.
--- /dev/null
+++ b/cmd/tarragondeal/quickstart.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"tarragondeal/internal/node/tdquickstart"
+)
+
+func (t *tool) quickstart() *ffcli.Command {
+	fs := t.flags("quickstart")
+	stay := fs.Bool("stay", false, "keep everything running and print a request to send by hand")
+	verbose := fs.Bool("verbose", false, "print the nodes' logs")
+	return &ffcli.Command{
+		Name: "quickstart", ShortUsage: "tarragondeal quickstart [flags]",
+		ShortHelp: "Show the router at work in this process, with stand-ins for everything around it.",
+		LongHelp:  example("go run ./cmd/tarragondeal quickstart", "go run ./cmd/tarragondeal quickstart -stay"),
+		FlagSet:   fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			logs := io.Discard
+			if *verbose {
+				logs = t.err
+			}
+			return tdquickstart.Run(ctx, tdquickstart.Options{Out: t.out, Logs: logs, Stay: *stay})
+		},
+	}
+}
--- a/internal/account/tdburn/collect.go
+++ b/internal/account/tdburn/collect.go
@@ -89,4 +89,4 @@
 }
 
 // errMalformed is an answer that another version of the program gave.
-var errMalformed = errors.New("the measures have other windows than this node's")
+var errMalformed = errors.New("the measures are not of the form that this node knows")
--- a/internal/account/tdburn/latency.go
+++ b/internal/account/tdburn/latency.go
@@ -4,7 +4,6 @@
 	"time"
 
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/rotisserie/eris"
 
 	"tarragondeal"
 )
@@ -25,9 +24,6 @@
 	histCoarseSpan  = 72 * time.Hour
 )
 
-// maxPackedBytes bounds a histogram on the wire.
-const maxPackedBytes = 64 << 10
-
 // measure is a kind of latency.
 type measure int
 
@@ -42,7 +38,7 @@
 // newest, and packed, which takes a small part of the memory, afterwards.
 type bucket struct {
 	open   [measures]*hdr.Histogram
-	packed [measures][]byte
+	packed [measures]*LatencyCounts
 }
 
 func newHistogram() *hdr.Histogram { return hdr.New(1, latencyMax, latencyDigits) }
@@ -61,41 +57,60 @@
 func (b *bucket) pack() {
 	for m, h := range b.open {
 		if h != nil {
-			b.packed[m] = packHistogram(h)
+			b.packed[m] = cells(h.Export().Counts).pack()
 			b.open[m] = nil
 		}
 	}
 }
 
-// packHistogram returns a histogram in the library's compressed form, and
-// nil for an empty one.
-func packHistogram(h *hdr.Histogram) []byte {
-	if h == nil || h.TotalCount() == 0 {
-		return nil
-	}
-	b, err := h.Encode(hdr.V2CompressedEncodingCookieBase)
-	if err != nil {
-		return nil // Only a wrong version number does that.
+// cells are the counts of a histogram, one for each of its ranges.
+type cells []int64
+
+// cellCount is how many cells every histogram here has.
+var cellCount = len(newHistogram().Export().Counts)
+
+func newCells() cells { return make(cells, cellCount) }
+
+func (c cells) pack() *LatencyCounts {
+	out := &LatencyCounts{}
+	last := 0
+	for n, count := range c {
+		if count > 0 {
+			out.Step = append(out.Step, uint32(n-last))
+			out.Count = append(out.Count, uint64(count))
+			last = n
+		}
 	}
-	return b
+	return out
 }
 
-// unpackInto adds a packed histogram to another.
-func unpackInto(h *hdr.Histogram, packed []byte) error {
-	if len(packed) == 0 {
-		return nil
+// add adds packed counts. When it returns an error, some may be added.
+func (c cells) add(in *LatencyCounts) error {
+	if len(in.GetStep()) != len(in.GetCount()) {
+		return errMalformed
 	}
-	if len(packed) > maxPackedBytes {
-		return eris.Errorf("histogram of %d bytes", len(packed))
-	}
-	from, err := hdr.Decode(packed)
-	if err != nil {
-		return eris.Wrap(err, "histogram")
+	n := uint64(0)
+	for k, step := range in.GetStep() {
+		n += uint64(step)
+		if n >= uint64(len(c)) || in.Count[k] > maxCount {
+			return errMalformed
+		}
+		c[n] += int64(in.Count[k])
 	}
-	h.Merge(from)
 	return nil
 }
 
+// maxCount bounds a count that another node sends, so that sums of them
+// can't overflow.
+const maxCount = 1 << 40
+
+// histogram returns the cells as a histogram, for its quantiles.
+func (c cells) histogram() *hdr.Histogram {
+	return hdr.Import(&hdr.Snapshot{
+		LowestTrackableValue: 1, HighestTrackableValue: latencyMax, SignificantFigures: latencyDigits, Counts: c,
+	})
+}
+
 // latencies is what is kept of the latencies of a class.
 type latencies struct{ fine, coarse *ring[bucket] }
 
@@ -120,26 +135,23 @@
 	}
 }
 
-// sum returns the merged histograms of a window, packed.
-func (l *latencies) sum(now tarragondeal.Instant, window time.Duration) (out [measures][]byte) {
+// sum returns the counts of a window.
+func (l *latencies) sum(now tarragondeal.Instant, window time.Duration) (out [measures]*LatencyCounts) {
 	r := l.coarse
 	if window <= histFineSpan {
 		r = l.fine
 	}
-	var merged [measures]*hdr.Histogram
-	for m := range merged {
-		merged[m] = newHistogram()
-	}
-	r.last(now, window, func(b *bucket) {
-		for m := range merged {
+	for m := range out {
+		merged := newCells()
+		r.last(now, window, func(b *bucket) {
 			if b.open[m] != nil {
-				merged[m].Merge(b.open[m])
+				for n, count := range b.open[m].Export().Counts {
+					merged[n] += count
+				}
 			}
-			_ = unpackInto(merged[m], b.packed[m]) // This node packed it.
-		}
-	})
-	for m := range out {
-		out[m] = packHistogram(merged[m])
+			_ = merged.add(b.packed[m]) // This node packed it.
+		})
+		out[m] = merged.pack()
 	}
 	return out
 }
--- a/internal/account/tdburn/merge.go
+++ b/internal/account/tdburn/merge.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	hdr "github.com/HdrHistogram/hdrhistogram-go"
-
 	"tarragondeal"
 )
 
@@ -28,7 +26,7 @@
 type mergedWindow struct {
 	good, bad, refused, failed, reclaimable int64
 	work, reclaimableWork                   time.Duration
-	latency                                 [measures]*hdr.Histogram
+	latency                                 [measures]cells
 }
 
 type mergedPair struct{ good, bad [3]int64 } // In the order of pairWindows.
@@ -66,14 +64,14 @@
 
 // check decodes everything that can fail before anything is added.
 func check(in *Measures) error {
-	scratch := newHistogram()
+	scratch := newCells()
 	for _, c := range in.Classes {
 		if len(c.Windows) != len(Windows) || len(c.TimelineGood) != timelinePoints || len(c.TimelineBad) != timelinePoints {
 			return errMalformed
 		}
 		for _, w := range c.Windows {
-			for _, packed := range [][]byte{w.FirstToken, w.BetweenTokens, w.Total} {
-				if err := unpackInto(scratch, packed); err != nil {
+			for _, packed := range []*LatencyCounts{w.FirstToken, w.BetweenTokens, w.Total} {
+				if err := scratch.add(packed); err != nil {
 					return err
 				}
 			}
@@ -95,7 +93,7 @@
 	c = &mergedClass{windows: make([]mergedWindow, len(Windows))}
 	for k := range c.windows {
 		for n := range c.windows[k].latency {
-			c.windows[k].latency[n] = newHistogram()
+			c.windows[k].latency[n] = newCells()
 		}
 	}
 	m.classes[name] = c
@@ -113,9 +111,9 @@
 		to.work += time.Duration(w.WorkNanos)
 		to.reclaimableWork += time.Duration(w.ReclaimableWorkNanos)
 		// The errors were looked for by check.
-		_ = unpackInto(to.latency[firstToken], w.FirstToken)
-		_ = unpackInto(to.latency[betweenTokens], w.BetweenTokens)
-		_ = unpackInto(to.latency[total], w.Total)
+		_ = to.latency[firstToken].add(w.FirstToken)
+		_ = to.latency[betweenTokens].add(w.BetweenTokens)
+		_ = to.latency[total].add(w.Total)
 	}
 	for k := range c.good {
 		c.good[k] += int64(in.TimelineGood[k])
--- a/internal/account/tdburn/report.go
+++ b/internal/account/tdburn/report.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	hdr "github.com/HdrHistogram/hdrhistogram-go"
-
 	"tarragondeal"
 )
 
@@ -204,7 +202,8 @@
 	return out
 }
 
-func quantile(h *hdr.Histogram) *Quantile {
+func quantile(c cells) *Quantile {
+	h := c.histogram()
 	if h.TotalCount() == 0 {
 		return nil
 	}
--- a/internal/node/tdnode/operator.go
+++ b/internal/node/tdnode/operator.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 
 	"tarragondeal/internal/base/tdlog"
@@ -58,3 +60,13 @@
 	}
 	return out, nil
 }
+
+// Addresses returns where the node listens for callers, other nodes and
+// operators.
+func (n *Node) Addresses() (callers, peers, operators netip.AddrPort) {
+	at := func(ln net.Listener) netip.AddrPort {
+		a, _ := netip.ParseAddrPort(ln.Addr().String()) // Listeners on TCP have such addresses.
+		return a
+	}
+	return at(n.listeners.callers), at(n.listeners.peers), at(n.listeners.operators)
+}
--- /dev/null
+++ b/internal/node/tdquickstart/quickstart.go
@@ -0,0 +1,210 @@
+package tdquickstart
+
+import (
+	"context"
+	"crypto/rand"
+	_ "embed" // The set.
+	"fmt"
+	"io"
+	"time"
+
+	"tarragondeal"
+	"tarragondeal/internal/entry/tdkey"
+	"tarragondeal/internal/entry/tdoperator"
+	"tarragondeal/internal/standin/tdcluster"
+	"tarragondeal/internal/standin/tdengine"
+	"tarragondeal/internal/standin/tdservice"
+)
+
+//go:embed set.yaml
+var setText string
+
+const (
+	nodeCount = 3
+	// startTimeout bounds the time until the nodes know each other.
+	startTimeout = 30 * time.Second
+	// stepTimeout bounds each of the other steps.
+	stepTimeout = 30 * time.Second
+)
+
+// Options say where the quickstart writes, and whether it stays.
+type Options struct {
+	Out  io.Writer
+	Logs io.Writer // Where the nodes' logs go.
+	// Stay keeps everything running until the context ends.
+	Stay bool
+}
+
+// StepError is a step that did not end as it should.
+type StepError struct {
+	Step string
+	Err  error
+}
+
+func (e *StepError) Error() string { return fmt.Sprintf("%s: %v", e.Step, e.Err) }
+
+// Unwrap returns the cause.
+func (e *StepError) Unwrap() error { return e.Err }
+
+// demo is a running quickstart.
+type demo struct {
+	Options
+	cluster *tdcluster.Cluster
+	fleet   *fleet
+	client  *tdoperator.Client
+	token   string
+	keys    map[string]string // Texts, by name.
+}
+
+// Run starts everything, sends the example requests, and stops again.
+func Run(ctx context.Context, o Options) error {
+	if o.Logs == nil {
+		o.Logs = io.Discard
+	}
+	d := &demo{Options: o, token: rand.Text(), keys: make(map[string]string)}
+	cluster, err := tdcluster.Start(spec())
+	if err != nil {
+		return &StepError{Step: "start the stand-ins", Err: err}
+	}
+	defer cluster.Close()
+	d.cluster = cluster
+	if d.fleet, err = startFleet(cluster.PlatformURL, d.token, o.Logs); err != nil {
+		return &StepError{Step: "start the nodes", Err: err}
+	}
+	defer d.fleet.stop()
+	d.client = tdoperator.NewClient(d.fleet.operators(0).String(), d.token)
+	for _, s := range d.steps() {
+		if err := d.step(ctx, s); err != nil {
+			return err
+		}
+	}
+	if o.Stay {
+		d.stay(ctx)
+	}
+	return nil
+}
+
+func spec() tdcluster.Spec {
+	engine := &tdengine.Options{Slots: 4, Prefill: 20 * time.Millisecond, PerToken: 5 * time.Millisecond}
+	service := &tdservice.Options{Slots: 8, Work: 5 * time.Millisecond}
+	var out tdcluster.Spec
+	for _, place := range []string{"duluth", "sarnia", "toledo", "erie"} {
+		out.Groups = append(out.Groups, tdcluster.Group{Pool: "narrator", DataCentre: place, Count: 2, Engine: engine})
+	}
+	out.Groups = append(out.Groups,
+		tdcluster.Group{Pool: "narrator-spot", DataCentre: "erie", Count: 1, Engine: engine},
+		tdcluster.Group{Pool: "records", DataCentre: "duluth", Count: 1, Service: service},
+		tdcluster.Group{Pool: "records", DataCentre: "toledo", Count: 1, Service: service})
+	return out
+}
+
+// step is one part of the quickstart. It returns a line that says what came
+// of it.
+type step struct {
+	name string
+	run  func(context.Context) (string, error)
+}
+
+func (d *demo) steps() []step {
+	return []step{
+		{fmt.Sprintf("start %d nodes before %d backend servers in 4 data centres", nodeCount, len(d.cluster.Servers)), d.start},
+		{"publish a set of objects", d.publish},
+		{"issue two keys", d.issue},
+		{"wait until the nodes have taken the backend servers over", d.warm},
+		{"stream a narrative", d.stream},
+		{"ask for a place that is not permitted", d.abroad},
+		{"enter a certificate twice with one idempotency key, at two nodes", d.certificate},
+		{"withdraw a key and use it again", d.withdraw},
+		{"look for keys at the backend servers", d.noKeys},
+		{"send 60 requests of three classes at once", d.burst},
+	}
+}
+
+func (d *demo) step(ctx context.Context, s step) error {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	d.printf("%s\n", s.name)
+	line, err := s.run(ctx)
+	if err != nil {
+		return &StepError{Step: s.name, Err: err}
+	}
+	d.printf("    %s\n", line)
+	return nil
+}
+
+func (d *demo) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.Out, format, args...)
+}
+
+func (d *demo) start(ctx context.Context) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := d.fleet.ready(ctx, d.token, len(d.cluster.Servers)); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("they know each other; callers may use any of %s", d.fleet), nil
+}
+
+func (d *demo) publish(ctx context.Context) (string, error) {
+	start := time.Now()
+	res, err := d.client.Publish(ctx, tdoperator.Published{Text: setText, Note: "quickstart"})
+	if err != nil {
+		return "", err
+	}
+	if len(res.Lagging) > 0 {
+		return "", fmt.Errorf("not in force at %v", res.Lagging)
+	}
+	return fmt.Sprintf("version %d was in force at all nodes after %s", res.Version, time.Since(start).Round(time.Millisecond)), nil
+}
+
+func (d *demo) issue(ctx context.Context) (string, error) {
+	for name, workspace := range map[string]string{"technician": "benches", "auditor": "auditors"} {
+		text, key, err := tdkey.Issue(name, workspace)
+		if err != nil {
+			return "", err
+		}
+		if _, err := d.client.Issue(ctx, tdoperator.NewKey{Key: key}); err != nil {
+			return "", err
+		}
+		d.keys[name] = text
+	}
+	return "technician for benches, auditor for auditors; only salted digests were published", nil
+}
+
+func (d *demo) withdraw(ctx context.Context) (string, error) {
+	res, err := d.client.Withdraw(ctx, "auditor", "quickstart", tdoperator.DefaultWait)
+	if err != nil {
+		return "", err
+	}
+	if len(res.Lagging) > 0 {
+		return "", fmt.Errorf("not in force at %v", res.Lagging)
+	}
+	for n := range nodeCount {
+		a, err := d.chat(ctx, n, "auditor", "summarise", "still there?", 4)
+		if err != nil {
+			return "", err
+		}
+		if err := a.refused(tarragondeal.ReasonKeyWithdrawn); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("refused at all %d nodes: %s, ran: %s", nodeCount, tarragondeal.ReasonKeyWithdrawn, tarragondeal.RanNot), nil
+}
+
+// stay prints how to go on by hand and waits.
+func (d *demo) stay(ctx context.Context) {
+	d.printf(`
+It stays up until you press Ctrl-C. A streamed request:
+
+  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \
+    -d '{"model":"narrate","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"meter 7, bench 3"}]}'
+
+The operators' side:
+
+  export TARRAGONDEAL_NODE=%s TARRAGONDEAL_TOKEN=%s
+  go run ./cmd/tarragondeal status
+  go run ./cmd/tarragondeal config show
+  go run ./cmd/tarragondeal report
+`, d.fleet.callers(0), d.keys["technician"], d.fleet.operators(0), d.token)
+	<-ctx.Done()
+}
