--- a/cmd/tarragondeal/entry.go
+++ b/cmd/tarragondeal/entry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,12 +15,14 @@
 	"tarragondeal/internal/entry/tdaddress"
 )
 
+const defaultEntry = "127.0.0.1:8080"
+
 // maxEntryBytes bounds the answer to which addresses to use.
 const maxEntryBytes = 1 << 20
 
 func (t *tool) entry() *ffcli.Command {
 	fs := t.flags("entry")
-	node := fs.String("node", "127.0.0.1:8080", "callers' address of any node")
+	node := fs.String("node", "", "callers' address of any node; else TARRAGONDEAL_ENTRY, else "+defaultEntry)
 	dataCentre := fs.String("dataCentre", "", "where the caller is")
 	return &ffcli.Command{
 		Name: "entry", ShortUsage: "tarragondeal entry [flags]",
@@ -29,7 +32,7 @@
 		Exec: func(ctx context.Context, _ []string) error {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			a, err := askEntry(ctx, *node, *dataCentre)
+			a, err := askEntry(ctx, cmp.Or(*node, t.env("ENTRY"), defaultEntry), *dataCentre)
 			if err != nil {
 				return err
 			}
--- a/cmd/tarragondeal/show.go
+++ b/cmd/tarragondeal/show.go
@@ -19,10 +19,11 @@
 	f.register(fs)
 	version := fs.Uint64("version", 0, "version to show; 0 for the one in force")
 	format := fs.String("format", "yaml", "yaml or json")
+	noKeys := fs.Bool("noKeys", false, "leave the keys out; applying the file then leaves the keys as they are")
 	return &ffcli.Command{
 		Name: "show", ShortUsage: "tarragondeal config show [flags]",
 		ShortHelp: "Show the set in force, or an earlier one.",
-		LongHelp:  example("tarragondeal config show > set.yaml", "tarragondeal config show -version 7"),
+		LongHelp:  example("tarragondeal config show > set.yaml", "tarragondeal config show -version 7 -noKeys"),
 		FlagSet:   fs,
 		Exec: func(ctx context.Context, _ []string) error {
 			if *format != "yaml" && *format != "json" {
@@ -37,6 +38,9 @@
 			if err != nil {
 				return err
 			}
+			if *noKeys {
+				p.Set.Keys = nil
+			}
 			return t.printSet(p, *format)
 		},
 	}
--- a/cmd/tarragondeal/status.go
+++ b/cmd/tarragondeal/status.go
@@ -58,6 +58,10 @@
 		return err
 	}
 	t.printf("\n")
+	if len(s.Duties) == 0 && s.DutiesError == "" {
+		t.printf("no duty is held by lease\n")
+		return nil
+	}
 	duties := [][]any{{"DUTY", "HELD BY"}}
 	for _, d := range s.Duties {
 		duties = append(duties, []any{d.Name, d.Holder})
--- a/internal/account/tdburn/burn.go
+++ b/internal/account/tdburn/burn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/uber-go/tally/v4"
 
 	"tarragondeal"
 )
@@ -23,6 +24,8 @@
 type Deps struct {
 	Config tarragondeal.Config // For the classes' targets.
 	Clock  tarragondeal.Clock
+	// Scope counts requests by class and result for scrapers. It may be nil.
+	Scope tally.Scope
 }
 
 // Burn measures one node. It implements tarragondeal.Burn.
@@ -44,6 +47,9 @@
 
 // New returns a measuring that has seen nothing yet.
 func New(d Deps) *Burn {
+	if d.Scope == nil {
+		d.Scope = tally.NoopScope
+	}
 	b := &Burn{
 		Deps: d, start: d.Clock.Now(), classes: make(map[string]*class),
 		others: make(map[string]*pair), waste: make(map[wasteKey]*ring[wasted]),
@@ -72,14 +78,16 @@
 	if rc == nil || b.classes[name] == nil && len(b.classes) >= maxClasses {
 		name = Other
 	}
-	b.class(name).add(b.now, &s, countsOf(&s, ok))
+	c := b.class(name)
+	c.add(b.now, &s, countsOf(&s, ok))
+	c.count(ok)
 	b.pair(pairKey{s.Workspace, name}).add(b.now, n)
 }
 
 func (b *Burn) class(name string) *class {
 	c := b.classes[name]
 	if c == nil {
-		c = newClass()
+		c = newClass(b.Scope.Tagged(map[string]string{"class": name}))
 		b.classes[name] = c
 	}
 	return c
@@ -142,10 +150,10 @@
 	}
 	for _, key := range b.pairs.Keys() {
 		p, _ := b.pairs.Peek(key)
-		out.Pairs = append(out.Pairs, pairMeasures(b.now, key, p))
+		out.addPair(b.now, key, p)
 	}
 	for name, p := range b.others {
-		out.Pairs = append(out.Pairs, pairMeasures(b.now, pairKey{Other, name}, p))
+		out.addPair(b.now, pairKey{Other, name}, p)
 	}
 	for key, r := range b.waste {
 		w := &WasteMeasures{Cause: key.cause, Class: key.class}
@@ -174,12 +182,17 @@
 	return out
 }
 
-func pairMeasures(now tarragondeal.Instant, key pairKey, p *pair) *PairMeasures {
+// addPair adds a pair unless it had no request in any window.
+func (m *Measures) addPair(now tarragondeal.Instant, key pairKey, p *pair) {
 	out := &PairMeasures{Workspace: key.workspace, Class: key.class}
+	any := false
 	for _, window := range pairWindows {
 		n := p.sum(now, window)
 		out.Good = append(out.Good, n.good)
 		out.Bad = append(out.Bad, n.bad)
+		any = any || n != goodBad{}
+	}
+	if any {
+		m.Pairs = append(m.Pairs, out)
 	}
-	return out
 }
--- a/internal/account/tdburn/burn_test.go
+++ b/internal/account/tdburn/burn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"runtime"
@@ -300,6 +301,32 @@
 	}
 })
 
+// FuzzMeasures feeds a merge with what another node might send.
+func FuzzMeasures(f *testing.F) {
+	b := newBurn(&fixedClock{})
+	b.Observe(sample("bench", 200*time.Millisecond, time.Second))
+	b.Waste("retry", "bench", 3)
+	seed, err := proto.Marshal(b.measures())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		in := &Measures{}
+		if proto.Unmarshal(text, in) != nil {
+			return
+		}
+		m := newMerged()
+		if m.add("n", in) != nil && len(m.classes)+len(m.pairs)+len(m.waste)+len(m.nodes) > 0 {
+			t.Fatal("a part of a refused answer was taken in")
+		}
+		if _, err := json.Marshal(m.report(config().view, nil, time.Time{})); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 func BenchmarkObserve(b *testing.B) {
 	clock := &fixedClock{}
 	burn := newBurn(clock)
--- a/internal/account/tdburn/counts.go
+++ b/internal/account/tdburn/counts.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"tarragondeal"
 )
 
@@ -89,12 +91,24 @@
 type class struct {
 	fine, coarse *ring[counts]
 	latencies    *latencies
+	good, bad    tally.Counter // For scrapers.
 }
 
-func newClass() *class {
+func newClass(s tally.Scope) *class {
+	result := func(name string) tally.Counter {
+		return s.Tagged(map[string]string{"result": name}).Counter("requests")
+	}
 	return &class{
 		fine: newRing[counts](fineWidth, fineSpan), coarse: newRing[counts](coarseWidth, coarseSpan),
-		latencies: newLatencies(),
+		latencies: newLatencies(), good: result("good"), bad: result("bad"),
+	}
+}
+
+func (c *class) count(good bool) {
+	if good {
+		c.good.Inc(1)
+	} else {
+		c.bad.Inc(1)
 	}
 }
 
--- a/internal/entry/tdoperator/operator_test.go
+++ b/internal/entry/tdoperator/operator_test.go
@@ -23,6 +23,7 @@
 	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/entry/tdkey"
 	"tarragondeal/internal/entry/tdoperator"
+	"tarragondeal/internal/object/tdset"
 )
 
 func TestOperator(t *testing.T) {
@@ -289,6 +290,22 @@
 		Expect(pub.history[0].Note).To(Equal("lost"))
 	})
 
+	It("refuses a set that gives a withdrawn key back", func() {
+		publish()
+		_, err := client.Issue(ctx, newKey("depot", "auditors"))
+		Expect(err).NotTo(HaveOccurred())
+		before, err := client.Set(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Withdraw(ctx, "depot", "", 0)
+		Expect(err).NotTo(HaveOccurred())
+		text, err := tdset.Format(before.Set)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Publish(ctx, tdoperator.Published{Version: 3, Text: string(text)})
+		Expect(codeOf(err)).To(Equal(tdoperator.CodeFaults))
+		Expect(err).To(MatchError(ContainSubstring(`keys[0].withdrawn: key "depot" has been withdrawn`)))
+		Expect(pub.View().Version).To(BeEquivalentTo(3))
+	})
+
 	It("tells nodes, servers and that the duties can't be read", func() {
 		s, err := client.Status(ctx)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/entry/tdoperator/set.go
+++ b/internal/entry/tdoperator/set.go
@@ -59,6 +59,9 @@
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
+	if err := o.keepWithdrawn(r.Context(), in.Version, doc.Set); err != nil {
+		return nil, err
+	}
 	version, err := o.Config.Publish(r.Context(), in.Version, doc.Set, o.publication(r.Context(), in.Note))
 	if err != nil {
 		return nil, err
@@ -69,6 +72,44 @@
 	return out, nil
 }
 
+// keepWithdrawn returns the faults of a set that would give withdrawn keys
+// back, as one made from an old version does.
+func (o *Operator) keepWithdrawn(ctx context.Context, base tarragondeal.Version, set *tarragondeal.Set) error {
+	before, err := o.setOf(ctx, base)
+	if err != nil || before == nil {
+		return err
+	}
+	withdrawn := make(map[string]bool)
+	for _, k := range before.Keys {
+		if k.Withdrawn {
+			withdrawn[k.Digest] = true
+		}
+	}
+	var faults []tdset.Fault
+	for n, k := range set.Keys {
+		if !k.Withdrawn && withdrawn[k.Digest] {
+			faults = append(faults, tdset.Fault{
+				Path: fmt.Sprintf("keys[%d].withdrawn", n), Text: fmt.Sprintf("key %q has been withdrawn and can't be given back", k.Name),
+			})
+		}
+	}
+	if len(faults) > 0 {
+		return &tdset.FaultsError{File: "set", Faults: faults}
+	}
+	return nil
+}
+
+// setOf returns the set of a version, or nil where there was none.
+func (o *Operator) setOf(ctx context.Context, v tarragondeal.Version) (*tarragondeal.Set, error) {
+	if now := o.Config.View(); now != nil && now.Version == v {
+		return now.Set, nil
+	}
+	if v == 0 || v < o.version() {
+		return nil, nil // Publishing meets a conflict, or is the first.
+	}
+	return o.Config.Published(ctx, v)
+}
+
 func (o *Operator) publication(ctx context.Context, note string) tarragondeal.Publication {
 	return tarragondeal.Publication{At: o.Clock.Wall(), By: nameOf(ctx), Note: note}
 }
--- a/internal/node/tdnode/burn.go
+++ b/internal/node/tdnode/burn.go
@@ -10,7 +10,7 @@
 // buildBurn measures how the classes fare. It comes after buildAccount,
 // because wasted work goes to the meter and to the report.
 func (n *Node) buildBurn() error {
-	burn := tdburn.New(tdburn.Deps{Config: n.fleet.config, Clock: n.clock})
+	burn := tdburn.New(tdburn.Deps{Config: n.fleet.config, Clock: n.clock, Scope: n.metrics.Scope.SubScope("burn")})
 	collector := tdburn.NewCollector(burn, tdburn.Fleet{
 		Members: n.fleet.members, Links: n.fleet.links, Servers: n.dispatch.servers.Servers,
 	})
--- a/internal/node/tdquickstart/fleet.go
+++ b/internal/node/tdquickstart/fleet.go
@@ -77,6 +77,11 @@
 	return a
 }
 
+func (f *fleet) peers(n int) netip.AddrPort {
+	_, a, _ := f.nodes[n].Addresses()
+	return a
+}
+
 func (f *fleet) operators(n int) netip.AddrPort {
 	_, _, a := f.nodes[n].Addresses()
 	return a
--- a/internal/node/tdquickstart/quickstart.go
+++ b/internal/node/tdquickstart/quickstart.go
@@ -201,10 +201,16 @@
 
 The operators' side:
 
-  export TARRAGONDEAL_NODE=%s TARRAGONDEAL_TOKEN=%s
+  export TARRAGONDEAL_NODE=%s TARRAGONDEAL_TOKEN=%s TARRAGONDEAL_ENTRY=%s
   go run ./cmd/tarragondeal status
   go run ./cmd/tarragondeal config show
   go run ./cmd/tarragondeal report
-`, d.fleet.callers(0), d.keys["technician"], d.fleet.operators(0), d.token)
+
+A node more, in a process of its own:
+
+  export TARRAGONDEAL_PLATFORM_URL=%s TARRAGONDEAL_PEERS=%s TARRAGONDEAL_OPERATOR_TOKEN=%s
+  go run ./cmd/tarragondeal serve -name node4 -dataCentre sarnia
+`, d.fleet.callers(0), d.keys["technician"], d.fleet.operators(0), d.token, d.fleet.callers(0),
+		d.cluster.PlatformURL, d.fleet.peers(0), d.token)
 	<-ctx.Done()
 }
--- a/test/operator/quickstart_test.go
+++ b/test/operator/quickstart_test.go
@@ -27,7 +27,7 @@
 		s, err := gexec.Start(exec.Command(binary, "quickstart", "-stay"), GinkgoWriter, GinkgoWriter)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { s.Kill().Wait("10s") })
-		Eventually(s.Out, "60s").Should(gbytes.Say("tarragondeal report"))
+		Eventually(s.Out, "60s").Should(gbytes.Say("serve -name node4"))
 		m := curlForm.FindStringSubmatch(string(s.Out.Contents()))
 		Expect(m).To(HaveLen(4))
 		req, err := http.NewRequest(http.MethodPost, m[1], strings.NewReader(m[3]))
