Let no lower request wait while a higher one is refused

Change: a refusal takes the waiting lower requests with it, and for a second after that lower ones run at once in a place kept for their earned share, or are refused. A request counts as late by the time its first token would come, and late ones of a workspace get one start in 16, not in four.

--- a/internal/dispatch/tdowner/report.go
+++ b/internal/dispatch/tdowner/report.go
@@ -68,6 +68,9 @@
 	case tarragondeal.OutcomeServed:
 		b.rates.Observe(now, st.server.ID, st.server.Pool, sample(e))
 	}
+	if run, ok := st.queue.Running()[k]; ok && e.GetFirstTokenMs() > 0 {
+		st.queue.FirstToken(run.Class, milliseconds(e.GetFirstTokenMs()))
+	}
 	b.finish(now, st, k, int(e.GetTokens()), kind == tarragondeal.OutcomeServed)
 	return true
 }
--- a/internal/dispatch/tdqueue/doc.go
+++ b/internal/dispatch/tdqueue/doc.go
@@ -24,7 +24,7 @@
 // first. The estimated work is charged at the start, and replaced by the
 // tokens that really come as they are told. Within a workspace, requests that
 // can still meet their target go before those that have missed it, but every
-// fourth start takes one of the latter.
+// sixteenth start takes one of the latter.
 //
 // A tier whose next request has missed its target earns credit with every
 // start of a higher tier: its share of that start's expected duration. Once
@@ -38,4 +38,9 @@
 // request whose expected wait and run do not fit before its deadline is
 // refused when it arrives; nothing of a lower tier counts into that wait, so
 // a higher tier is never refused for a lower one.
+//
+// With a refused request go the lower ones that wait. For a while after that
+// requests of lower tiers do not wait at all: each runs at once in the place
+// that is kept for its tier's share, or is refused. So no request is refused
+// while a lower one waits that is started later, and still no tier starves.
 package tdqueue
--- a/internal/dispatch/tdqueue/flow.go
+++ b/internal/dispatch/tdqueue/flow.go
@@ -2,18 +2,20 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"tarragondeal"
 )
 
 // lateEvery is how many starts of a workspace there are for one that takes a
 // request which has missed its target while others have not.
-const lateEvery = 4
+const lateEvery = 16
 
 // item is a request that waits.
 type item struct {
 	Request
 	last       tarragondeal.Instant // The latest start that is of any use.
+	first      time.Duration        // From the start to the first token.
 	tier       *tier
 	flow       *flow
 	list       *list
@@ -90,7 +92,7 @@
 
 // peek returns the next request of the workspace.
 func (f *flow) peek(now tarragondeal.Instant) *item {
-	for f.fresh.head != nil && f.fresh.head.Target < now {
+	for f.fresh.head != nil && f.fresh.head.Target < now.Add(f.fresh.head.first) {
 		it := f.fresh.head
 		f.fresh.remove(it)
 		f.late.push(it)
@@ -133,6 +135,9 @@
 	queued float64     // Sum of the costs of waiting requests.
 	count  int
 	credit float64
+	class  string // Of its last request.
+	sheds  bool   // It was refused at shedAt.
+	shedAt tarragondeal.Instant
 }
 
 const (
@@ -161,6 +166,9 @@
 	return f
 }
 
+// active reports whether the tier's requests have come of late.
+func (t *tier) active(now tarragondeal.Instant) bool { return now.Sub(t.seen) < tierMemory }
+
 func (t *tier) waiting(name string) int {
 	if f, ok := t.flows[name]; ok {
 		return f.len()
--- a/internal/dispatch/tdqueue/order.go
+++ b/internal/dispatch/tdqueue/order.go
@@ -15,9 +15,8 @@
 	// maxCredit is the most credit that a tier holds, over the price of its
 	// next request. At that much its request runs in any case.
 	maxCredit = 2
-	// topTierMemory is how long the highest tier's headroom is kept after its
-	// last request.
-	topTierMemory = 10 * time.Second
+	// tierMemory is how long a tier counts as in use after its last request.
+	tierMemory = 10 * time.Second
 	// minHeadroomRoom is the smallest room of which a part is kept.
 	minHeadroomRoom = 4
 )
@@ -41,10 +40,10 @@
 		return Request{}, false
 	}
 	it, overdue := q.pick(now)
-	if it == nil || !overdue && free <= q.headroom(now, it.Tier) {
+	if it == nil || !overdue && free <= max(q.headroom(now, it.Tier), q.kept(now, it.Tier)) {
 		return Request{}, false
 	}
-	q.settle(it)
+	q.settle(now, it)
 	q.remove(it)
 	f := it.tier.flow(it.Workspace, it.Weight)
 	f.starts++
@@ -98,7 +97,13 @@
 	}
 	it := f.peek(now)
 	price := q.expected(it.Class)
-	if it.Target >= now || t.credit < price {
+	if t.credit < price {
+		return nil
+	}
+	if q.shedding(now, t.number) {
+		return it // It was let in because its tier has paid.
+	}
+	if it.Target >= now {
 		return nil
 	}
 	gap := seconds(q.gap())
@@ -111,14 +116,14 @@
 
 // settle moves credit at a start: lower tiers that wait earn their share,
 // and a tier that ran before a higher one pays.
-func (q *Queue) settle(it *item) {
+func (q *Queue) settle(now tarragondeal.Instant, it *item) {
 	price := q.expected(it.Class)
 	for _, t := range q.tiers {
 		switch {
 		case t.number < it.Tier:
 		case t.number == it.Tier:
 			t.credit = max(0, t.credit-price)
-		case t.len() > 0:
+		case t.len() > 0 || t.active(now) && q.shedding(now, t.number):
 			q.earn(t, price)
 		default:
 			t.credit = 0
@@ -128,11 +133,7 @@
 
 // earn gives a tier its share of what a higher one's start cost.
 func (q *Queue) earn(t *tier, price float64) {
-	f := t.least()
-	if f == nil {
-		return
-	}
-	most := maxCredit * q.expected(f.oldest().Class)
+	most := maxCredit * q.expected(t.class)
 	t.credit = min(t.credit+max(t.share, DefaultMinShare)*price, most)
 }
 
@@ -146,7 +147,7 @@
 		if t.number >= number {
 			return 0
 		}
-		if now.Sub(t.seen) < topTierMemory {
+		if t.active(now) {
 			return max(1, q.room/q.opt.HeadroomPart)
 		}
 	}
--- /dev/null
+++ b/internal/dispatch/tdqueue/policy_test.go
@@ -0,0 +1,388 @@
+package tdqueue_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdqueue"
+)
+
+// The benchmark below runs generated arrivals through the queues of a few
+// servers in virtual time, and through simple policies, so that a change of
+// the order or of refusals is judged in seconds. It says nothing of messages
+// between nodes or of real servers.
+
+const (
+	benchServers = 9
+	benchSlots   = 16
+	benchLength  = 60 * time.Second
+	perToken     = 20 * time.Millisecond
+	prefill      = 100 * time.Millisecond
+	breadth      = 3
+)
+
+// arrival is one generated request.
+type arrival struct {
+	tdqueue.Request
+	at      tarragondeal.Instant
+	tokens  int
+	done    bool
+	started tarragondeal.Instant
+	ran     bool
+	refused tarragondeal.Instant
+	queues  map[int]bool
+}
+
+func (a *arrival) service() time.Duration { return prefill + time.Duration(a.tokens)*perToken }
+
+// generate makes arrivals at a multiple of the servers' capacity; the burst
+// tier brings all that is above 0.7.
+func generate(seed uint64, load float64, burst int) []*arrival {
+	r := rand.New(rand.NewPCG(seed, 1))
+	targets := []time.Duration{330 * time.Millisecond, time.Second, 3 * time.Second}
+	deadlines := []time.Duration{8 * time.Second, 15 * time.Second, 30 * time.Second}
+	mean := prefill + 40*perToken
+	capacity := float64(benchServers*benchSlots) / mean.Seconds()
+	shares := []float64{0.15, 0.25, 0.3}
+	var out []*arrival
+	for tier := 1; tier <= 3; tier++ {
+		rate := capacity * shares[tier-1]
+		if tier == burst {
+			rate += capacity * (load - 0.7)
+		}
+		for at := r.ExpFloat64() / rate; at < benchLength.Seconds(); at += r.ExpFloat64() / rate {
+			now := tarragondeal.Instant(at * float64(time.Second))
+			out = append(out, &arrival{
+				at: now, tokens: max(1, int(math.Exp(r.NormFloat64()*0.8+math.Log(40)-0.32))), queues: map[int]bool{},
+				Request: tdqueue.Request{
+					Tier: tier, Class: fmt.Sprint(tier), Workspace: workspace(r), Work: 40, Copies: breadth,
+					MinShare: []float64{0, 0.05, 0.05}[tier-1],
+					Target:   now.Add(targets[tier-1]), Deadline: now.Add(deadlines[tier-1]),
+				},
+			})
+		}
+	}
+	return out
+}
+
+// workspace draws one of ten: the first sends half of all requests.
+func workspace(r *rand.Rand) string {
+	if r.IntN(2) == 0 {
+		return "depot0"
+	}
+	return fmt.Sprintf("depot%d", 1+r.IntN(9))
+}
+
+// event is something that happens in virtual time.
+type event struct {
+	at     tarragondeal.Instant
+	a      *arrival
+	server int // -1 for an arrival.
+	tick   bool
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(a, b int) bool { return e[a].at < e[b].at }
+func (e events) Swap(a, b int)      { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any          { old := *e; x := old[len(old)-1]; *e = old[:len(old)-1]; return x }
+
+// policy takes arrivals and ends of runs.
+type policy interface {
+	arrive(w *world, a *arrival)
+	end(w *world, server int, a *arrival)
+	tick(w *world)
+}
+
+type world struct {
+	now    tarragondeal.Instant
+	events events
+	all    []*arrival
+	byID   map[tdqueue.Ticket]*arrival
+	starts []*arrival
+}
+
+func (w *world) start(server int, a *arrival) {
+	a.ran, a.started = true, w.now
+	w.starts = append(w.starts, a)
+	heap.Push(&w.events, event{at: w.now.Add(a.service()), a: a, server: server})
+}
+
+func simulate(p policy, all []*arrival) *world {
+	w := &world{all: all, byID: map[tdqueue.Ticket]*arrival{}}
+	for n, a := range all {
+		a.Ticket = tdqueue.Ticket(n + 1)
+		w.byID[a.Ticket] = a
+		heap.Push(&w.events, event{at: a.at, a: a, server: -1})
+	}
+	for at := tarragondeal.Instant(0); at < tarragondeal.Instant(2*benchLength); at = at.Add(50 * time.Millisecond) {
+		heap.Push(&w.events, event{at: at, tick: true})
+	}
+	for w.events.Len() > 0 {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		switch {
+		case e.tick:
+			p.tick(w)
+		case e.server < 0:
+			p.arrive(w, e.a)
+		default:
+			e.a.done = true
+			p.end(w, e.server, e.a)
+		}
+	}
+	return w
+}
+
+// owners is the product's order: each request waits in up to three queues.
+type owners struct {
+	queues []*tdqueue.Queue
+	random *rand.Rand
+}
+
+func newOwners() *owners {
+	o := &owners{random: rand.New(rand.NewPCG(3, 4))}
+	for range benchServers {
+		q := tdqueue.New(tdqueue.Options{Bound: 4096, HeadroomPart: 8})
+		q.SetRoom(benchSlots)
+		o.queues = append(o.queues, q)
+	}
+	return o
+}
+
+func (o *owners) arrive(w *world, a *arrival) {
+	order := o.random.Perm(benchServers)
+	for n := range order { // The freest first.
+		if o.queues[order[n]].Free()-o.queues[order[n]].Len() > o.queues[order[0]].Free()-o.queues[order[0]].Len() {
+			order[0], order[n] = order[n], order[0]
+		}
+	}
+	for _, n := range order {
+		if len(a.queues) == breadth || a.ran {
+			return
+		}
+		o.add(w, n, a)
+	}
+	if len(a.queues) == 0 && !a.ran {
+		a.refused = w.now
+	}
+}
+
+func (o *owners) add(w *world, n int, a *arrival) {
+	shed, refusal := o.queues[n].Add(w.now, a.Request)
+	if refusal == nil {
+		a.queues[n] = true
+	}
+	o.shed(w, n, shed)
+	o.serve(w, n)
+}
+
+func (o *owners) shed(w *world, n int, shed []tdqueue.Refusal) {
+	for _, x := range shed {
+		b := w.byID[x.Request.Ticket]
+		delete(b.queues, n)
+		if len(b.queues) == 0 && !b.ran {
+			b.refused = w.now
+		}
+	}
+}
+
+func (o *owners) serve(w *world, n int) {
+	for {
+		r, ok := o.queues[n].Next(w.now)
+		if !ok {
+			return
+		}
+		a := w.byID[r.Ticket]
+		delete(a.queues, n)
+		for m := range a.queues {
+			o.queues[m].Cancel(r.Ticket)
+		}
+		clear(a.queues)
+		w.start(n, a)
+	}
+}
+
+func (o *owners) end(w *world, n int, a *arrival) {
+	o.queues[n].FirstToken(a.Class, prefill)
+	o.queues[n].End(w.now, a.Ticket, a.tokens, true)
+	o.serve(w, n)
+}
+
+func (o *owners) tick(w *world) {
+	for n, q := range o.queues {
+		o.shed(w, n, q.Expire(w.now))
+		o.serve(w, n)
+	}
+}
+
+// direct sends each request to a server at once, which runs its requests in
+// order of their arrival.
+type direct struct {
+	choose func(d *direct) int
+	load   [benchServers]int
+	lagged [benchServers]int
+	lists  [benchServers][]*arrival
+	turn   int
+	ticks  int
+	random *rand.Rand
+}
+
+func (d *direct) arrive(w *world, a *arrival) {
+	n := d.choose(d)
+	d.load[n]++
+	d.lists[n] = append(d.lists[n], a)
+	d.serve(w, n)
+}
+
+func (d *direct) serve(w *world, n int) {
+	for len(d.lists[n]) > 0 && d.load[n]-len(d.lists[n]) < benchSlots {
+		a := d.lists[n][0]
+		d.lists[n] = d.lists[n][1:]
+		if w.now > a.Deadline {
+			a.refused = w.now
+			d.load[n]--
+			continue
+		}
+		w.start(n, a)
+	}
+}
+
+func (d *direct) end(w *world, n int, _ *arrival) {
+	d.load[n]--
+	d.serve(w, n)
+}
+
+func (d *direct) tick(*world) {
+	if d.ticks++; d.ticks%10 == 0 {
+		d.lagged = d.load
+	}
+}
+
+func least(d *direct) int {
+	best := d.random.IntN(benchServers)
+	for n := range d.load {
+		if d.load[n] < d.load[best] {
+			best = n
+		}
+	}
+	return best
+}
+
+func powerOfTwo(d *direct) int {
+	a, b := d.random.IntN(benchServers), d.random.IntN(benchServers)
+	if d.lagged[b] < d.lagged[a] {
+		return b
+	}
+	return a
+}
+
+func roundRobin(d *direct) int { d.turn++; return d.turn % benchServers }
+
+// inversions counts refused requests after which one of a lower tier that
+// was in the system was started before the refused one's deadline.
+func (w *world) inversions() int {
+	n := 0
+	for _, a := range w.all {
+		if a.ran {
+			continue
+		}
+		for _, b := range w.starts {
+			if b.Tier > a.Tier && b.at <= a.refused && b.started > a.refused && b.started < a.Deadline {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// worst returns the least service of a workspace over its fair share within
+// the burst tier.
+func (w *world) worst(tier int) float64 {
+	want, got := map[string]float64{}, map[string]float64{}
+	total := 0.0
+	for _, a := range w.all {
+		if a.Tier != tier {
+			continue
+		}
+		want[a.Workspace] += float64(a.tokens)
+		if a.ran {
+			got[a.Workspace] += float64(a.tokens)
+			total += float64(a.tokens)
+		}
+	}
+	level := fairLevel(want, total)
+	worst := math.Inf(1)
+	for name := range want {
+		worst = min(worst, got[name]/min(want[name], level))
+	}
+	return worst
+}
+
+// fairLevel is the share at which all that was served would be divided
+// equally among those that want it.
+func fairLevel(want map[string]float64, total float64) float64 {
+	low, high := 0.0, total
+	for range 60 {
+		level, sum := (low+high)/2, 0.0
+		for _, d := range want {
+			sum += min(d, level)
+		}
+		if sum < total {
+			low = level
+		} else {
+			high = level
+		}
+	}
+	return low
+}
+
+func BenchmarkPolicy(b *testing.B) {
+	cases := []struct {
+		name  string
+		load  float64
+		burst int
+	}{{"steady", 0.7, 3}, {"lowBurst", 3, 3}, {"middleBurst", 3, 2}, {"topBurst", 2, 1}}
+	policies := []struct {
+		name string
+		new  func() policy
+	}{
+		{"owner", func() policy { return newOwners() }},
+		{"roundRobin", func() policy { return &direct{choose: roundRobin} }},
+		{"leastOutstanding", func() policy { return &direct{choose: least, random: rand.New(rand.NewPCG(1, 1))} }},
+		{"powerOfTwo", func() policy { return &direct{choose: powerOfTwo, random: rand.New(rand.NewPCG(1, 1))} }},
+	}
+	for _, c := range cases {
+		for _, p := range policies {
+			b.Run(c.name+"/"+p.name, func(b *testing.B) {
+				var w *world
+				for b.Loop() {
+					w = simulate(p.new(), generate(7, c.load, c.burst))
+				}
+				for tier := 1; tier <= 3; tier++ {
+					met, all := 0, 0
+					for _, a := range w.all {
+						if a.Tier == tier {
+							all++
+							if a.ran && a.started.Add(prefill) <= a.Target {
+								met++
+							}
+						}
+					}
+					b.ReportMetric(float64(met)/float64(all), fmt.Sprintf("tier%d", tier))
+				}
+				b.ReportMetric(float64(w.inversions()), "inversions")
+				b.ReportMetric(w.worst(c.burst), "worst")
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(len(w.all)), "ns/request")
+			})
+		}
+	}
+}
--- a/internal/dispatch/tdqueue/queue.go
+++ b/internal/dispatch/tdqueue/queue.go
@@ -107,32 +107,32 @@
 	return 0
 }
 
-// Add queues a request. It returns the requests that were refused to make
-// room for it, or why it was refused itself.
+// Add queues a request. It returns the requests that were refused on its
+// account, and why it was refused itself if it was.
 func (q *Queue) Add(now tarragondeal.Instant, r Request) ([]Refusal, *Refusal) {
 	t := q.tier(r.Tier)
-	t.seen = now
+	t.seen, t.class = now, r.Class
 	t.share = max(t.share, r.MinShare)
+	if q.shedding(now, r.Tier) && !q.onCredit(t, &r) {
+		return q.purge(now, r.Tier), &Refusal{Request: r, Reason: tarragondeal.ReasonOverload, RetryAfter: q.later(&r)}
+	}
 	if wait, late := q.late(&r, now); late {
-		return nil, &Refusal{Request: r, Reason: tarragondeal.ReasonDeadline, RetryAfter: wait}
+		return q.purge(now, r.Tier), &Refusal{Request: r, Reason: tarragondeal.ReasonDeadline, RetryAfter: wait}
 	}
 	var shed []Refusal
 	if len(q.items) >= q.opt.Bound {
 		victim := q.victim(&r)
 		if victim == nil {
-			return nil, &Refusal{Request: r, Reason: tarragondeal.ReasonOverload, RetryAfter: q.wait(&r)}
+			return q.purge(now, r.Tier), &Refusal{Request: r, Reason: tarragondeal.ReasonOverload, RetryAfter: q.later(&r)}
 		}
-		shed = append(shed, Refusal{
-			Request: victim.Request, Reason: tarragondeal.ReasonOverload, RetryAfter: q.wait(&victim.Request),
-		})
-		q.remove(victim)
+		shed = append(shed, q.shed(victim))
 	}
 	q.insert(now, t, r)
 	return shed, nil
 }
 
 func (q *Queue) insert(now tarragondeal.Instant, t *tier, r Request) {
-	it := &item{Request: r, tier: t, cost: q.share(&r)}
+	it := &item{Request: r, tier: t, cost: q.share(&r), first: q.class(r.Class).first}
 	it.last = r.Deadline.Add(-q.shortest(now, &r))
 	q.items[r.Ticket] = it
 	heap.Push(&q.deadlines, it)
@@ -192,7 +192,7 @@
 }
 
 // Expire refuses the waiting requests that can't meet their deadline any
-// more.
+// more, and with them the lower ones that wait.
 func (q *Queue) Expire(now tarragondeal.Instant) []Refusal {
 	var out []Refusal
 	for len(q.deadlines) > 0 {
@@ -202,6 +202,7 @@
 		}
 		q.remove(it)
 		out = append(out, Refusal{Request: it.Request, Reason: tarragondeal.ReasonDeadline, RetryAfter: q.wait(&it.Request)})
+		out = append(out, q.purge(now, it.Tier)...)
 	}
 	for _, t := range q.tiers {
 		t.prune()
--- a/internal/dispatch/tdqueue/wait.go
+++ b/internal/dispatch/tdqueue/wait.go
@@ -11,7 +11,15 @@
 
 // class is what is known of a class's runs on this server.
 type class struct {
-	mean float64 // Seconds; zero until one ended.
+	mean  float64 // Seconds; zero until one ended.
+	first time.Duration
+}
+
+// FirstToken takes how long a request of a class waited for its first token
+// after its start.
+func (q *Queue) FirstToken(name string, d time.Duration) {
+	c := q.class(name)
+	c.first += time.Duration(durationWeight * float64(d-c.first))
 }
 
 func (c *class) observe(d time.Duration) {
--- a/internal/dispatch/tdreserve/dispatcher.go
+++ b/internal/dispatch/tdreserve/dispatcher.go
@@ -54,6 +54,7 @@
 	request *tdowner.Request
 	ask     tarragondeal.Ask
 	tokens  int
+	granted tarragondeal.Instant
 	unknown bool // The owner asked what this grant is.
 }
 
@@ -165,7 +166,7 @@
 	}
 	d.runs[g.ID] = &run{
 		grant: g, key: tdowner.Key{Server: a.server.ID, Ticket: a.request.GetTicket()},
-		request: a.request, ask: *c.ask,
+		request: a.request, ask: *c.ask, granted: now,
 	}
 	return g, true
 }
@@ -218,6 +219,12 @@
 		return
 	}
 	d.table.Ended(r.key.Server)
+	// The server's times begin with the grant, not with the wait for it.
+	held := d.Clock.Now().Sub(r.granted)
+	if o.FirstToken > 0 {
+		o.FirstToken = max(time.Millisecond, o.FirstToken-max(0, o.Total-held))
+	}
+	o.Total = held
 	if o.Kind == tarragondeal.OutcomeServed {
 		d.Prefixes.Ran(r.key.Server, r.ask.Prefix)
 		if d.Quarantine != nil && r.ask.Fingerprint != 0 {
