--- a/internal/fleet/tdconfig/config.go
+++ b/internal/fleet/tdconfig/config.go
@@ -24,6 +24,8 @@
 	// Known returns how many other nodes are remembered, dead ones included.
 	Known() int
 	Resumed() <-chan struct{}
+	// Late reports that the process was paused and Resumed is about to say so.
+	Late() bool
 }
 
 // Links reach nodes by their addresses.
@@ -120,7 +122,7 @@
 	c.mu.Lock()
 	confirmed, last := c.confirmed, c.stored
 	c.mu.Unlock()
-	if !confirmed {
+	if !confirmed || c.Members.Late() {
 		return true
 	}
 	heard, ok := c.Members.Heard()
--- a/internal/fleet/tdlease/lease.go
+++ b/internal/fleet/tdlease/lease.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,7 +76,7 @@
 			sleep(ctx, l.wait(name, err))
 			continue
 		}
-		l.opt.Log.Info().Str("lease", name).Uint64("fence", t.Fence()).Str("predecessor", t.predecessor).Msg("lease acquired")
+		l.opt.Log.Info().Str("lease", name).Uint64("fence", t.Fence()).Strs("predecessors", t.predecessors).Msg("lease acquired")
 		l.serve(ctx, t, duty)
 		sleep(ctx, jitter(retryWait))
 	}
@@ -114,11 +115,15 @@
 type record struct {
 	Holder string `json:"holder"` // Empty after a holder that stopped in order.
 	Fence  uint64 `json:"fence"`
-	// Predecessor is kept so that an acquisition whose answer was lost still
-	// knows whom it followed.
-	Predecessor string `json:"predecessor,omitempty"`
+	// Predecessors are holders before this one, oldest first, of whom this
+	// one has not made sure that they no longer act: it has not acted itself.
+	Predecessors []string `json:"predecessors,omitempty"`
 }
 
+// maxPredecessors bounds how many holders in a row that never acted are
+// remembered.
+const maxPredecessors = 8
+
 func recordKey(name string) string { return "lease/" + name + "/holder" }
 
 // begin acquires a lease and puts this process on record as its holder. The
@@ -129,36 +134,60 @@
 		return nil, err
 	}
 	t := &term{clock: l.clock, margin: l.opt.Margin, lease: lease}
-	if t.predecessor, err = l.enter(ctx, t); err != nil {
+	if t.predecessors, err = l.enter(ctx, t); err != nil {
 		return nil, err
 	}
-	return t, t.Check(0)
+	return t, t.check(0)
 }
 
-// enter swaps the record beside the lease and returns the last holder.
-func (l *Leases) enter(ctx context.Context, t *term) (string, error) {
+// enter swaps the record beside the lease and returns the holders before.
+func (l *Leases) enter(ctx context.Context, t *term) ([]string, error) {
 	key := recordKey(t.lease.Name)
-	var last record
-	e, err := l.store.Get(ctx, key)
+	e, last, err := l.read(ctx, key)
 	if err != nil {
-		return "", err
-	}
-	if len(e.Value) > 0 {
-		if err := json.Unmarshal(e.Value, &last); err != nil {
-			return "", eris.Wrapf(err, "%s", key)
-		}
+		return nil, err
 	}
 	if last.Fence > t.lease.Fence {
-		return "", &tarragondeal.ConflictError{Op: "acquire", Key: t.lease.Name, Current: e, Holder: last.Holder}
+		return nil, &tarragondeal.ConflictError{Op: "acquire", Key: t.lease.Name, Current: e, Holder: last.Holder}
 	}
 	if last.Holder == l.holder && last.Fence == t.lease.Fence {
-		return last.Predecessor, nil
+		return last.Predecessors, nil
+	}
+	next := record{Holder: l.holder, Fence: t.lease.Fence, Predecessors: successors(last, l.holder)}
+	return next.Predecessors, l.write(ctx, key, next, e.Revision)
+}
+
+// successors returns the predecessors of a holder that follows a record. A
+// process's own duty has ended when the process acquires again.
+func successors(last record, holder string) []string {
+	out := slices.Clone(last.Predecessors)
+	if last.Holder != "" {
+		out = append(out, last.Holder)
+	}
+	out = slices.DeleteFunc(out, func(h string) bool { return h == holder })
+	return out[max(0, len(out)-maxPredecessors):]
+}
+
+// settle drops the predecessors from the record once this holder has acted.
+func (l *Leases) settle(ctx context.Context, t *term) error {
+	key := recordKey(t.now().Name)
+	e, last, err := l.read(ctx, key)
+	if err != nil {
+		return err
+	}
+	if last.Holder != l.holder || last.Fence != t.Fence() {
+		return &tarragondeal.ConflictError{Op: "settle", Key: t.now().Name, Current: e, Holder: last.Holder}
 	}
-	next := record{Holder: l.holder, Fence: t.lease.Fence}
-	if last.Holder != l.holder {
-		next.Predecessor = last.Holder
+	return l.write(ctx, key, record{Holder: l.holder, Fence: last.Fence}, e.Revision)
+}
+
+func (l *Leases) read(ctx context.Context, key string) (tarragondeal.Entry, record, error) {
+	var r record
+	e, err := l.store.Get(ctx, key)
+	if err != nil || len(e.Value) == 0 {
+		return e, r, err
 	}
-	return next.Predecessor, l.write(ctx, key, next, e.Revision)
+	return e, r, eris.Wrapf(json.Unmarshal(e.Value, &r), "%s", key)
 }
 
 func (l *Leases) write(ctx context.Context, key string, r record, prev tarragondeal.Revision) error {
@@ -180,7 +209,7 @@
 		l.keep(inner, t)
 	})
 	err := duty(inner, t)
-	held := t.Check(0) == nil
+	held := t.check(0) == nil
 	t.end()
 	cancel()
 	wg.Wait()
@@ -202,6 +231,7 @@
 		if ctx.Err() != nil || t.left() <= 0 {
 			return
 		}
+		l.settleIfActed(ctx, t)
 		next, err := l.renew(ctx, t)
 		var conflict *tarragondeal.ConflictError
 		switch {
@@ -220,6 +250,15 @@
 	}
 }
 
+func (l *Leases) settleIfActed(ctx context.Context, t *term) {
+	if t.settled || len(t.predecessors) == 0 || !t.acted.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.left())
+	defer cancel()
+	t.settled = l.settle(ctx, t) == nil
+}
+
 func (l *Leases) renew(ctx context.Context, t *term) (tarragondeal.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.left())
 	defer cancel()
@@ -232,10 +271,13 @@
 	defer cancel()
 	lease := t.now()
 	key := recordKey(lease.Name)
-	e, err := l.store.Get(ctx, key)
-	var last record
-	if err == nil && json.Unmarshal(e.Value, &last) == nil && last.Holder == l.holder && last.Fence == lease.Fence {
-		err = l.write(ctx, key, record{Fence: lease.Fence}, e.Revision)
+	e, last, err := l.read(ctx, key)
+	if err == nil && last.Holder == l.holder && last.Fence == lease.Fence {
+		next := record{Fence: lease.Fence}
+		if !t.acted.Load() {
+			next.Predecessors = t.predecessors
+		}
+		err = l.write(ctx, key, next, e.Revision)
 	}
 	if err == nil {
 		err = l.store.Release(ctx, lease)
--- a/internal/fleet/tdlease/term.go
+++ b/internal/fleet/tdlease/term.go
@@ -1,7 +1,9 @@
 package tdlease
 
 import (
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tarragondeal"
@@ -9,9 +11,11 @@
 
 // term is one holding of a lease, from its acquisition to its loss.
 type term struct {
-	clock       tarragondeal.Clock
-	margin      time.Duration
-	predecessor string
+	clock        tarragondeal.Clock
+	margin       time.Duration
+	predecessors []string
+	acted        atomic.Bool // A check before a write has passed.
+	settled      bool        // The record was told so; the keeper's own.
 
 	mu    sync.Mutex
 	lease tarragondeal.Lease
@@ -25,12 +29,29 @@
 	return t.lease.Fence
 }
 
-// Predecessor returns who held the lease before.
-func (t *term) Predecessor() string { return t.predecessor }
+// Predecessor returns who held the lease before, and may still act.
+func (t *term) Predecessor() string {
+	if len(t.predecessors) == 0 {
+		return ""
+	}
+	return t.predecessors[len(t.predecessors)-1]
+}
+
+// Predecessors returns all who held the lease before and may still act,
+// oldest first: holders that never acted did not make sure of theirs.
+func (t *term) Predecessors() []string { return slices.Clone(t.predecessors) }
 
 // Check returns an error unless a write that takes up to within, begun now,
 // ends before the lease does.
 func (t *term) Check(within time.Duration) error {
+	if err := t.check(within); err != nil {
+		return err
+	}
+	t.acted.Store(true)
+	return nil
+}
+
+func (t *term) check(within time.Duration) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	left := remaining(t.lease, t.over, t.clock.Now())
--- a/internal/fleet/tdmember/member.go
+++ b/internal/fleet/tdmember/member.go
@@ -127,12 +127,26 @@
 func (m *Members) Fresh() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.opt.Clock.Now().Sub(m.lastRun) > pauseBeats*m.opt.Every {
+	if m.late(m.opt.Clock.Now()) {
 		return false
 	}
 	return m.heard || len(m.snapshot.Load().members) == 1
 }
 
+// Late reports whether this membership has not run for so long that the
+// process must have been paused. It is true from the end of a pause until
+// Resumed says so.
+func (m *Members) Late() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.late(m.opt.Clock.Now())
+}
+
+// late is the decision; the lock is held.
+func (m *Members) late(now tarragondeal.Instant) bool {
+	return now.Sub(m.lastRun) > pauseBeats*m.opt.Every
+}
+
 // Heard returns when a peer was last heard, and false when none was since
 // the process started or was last paused.
 func (m *Members) Heard() (tarragondeal.Instant, bool) {
--- a/internal/fleet/tdmember/run.go
+++ b/internal/fleet/tdmember/run.go
@@ -70,7 +70,7 @@
 	m := r.m
 	m.mu.Lock()
 	now := m.opt.Clock.Now()
-	if now.Sub(m.lastRun) > pauseBeats*m.opt.Every {
+	if m.late(now) {
 		m.resume(now)
 	}
 	m.lastRun = now
