--- a/internal/fleet/tdstore/store.go
+++ b/internal/fleet/tdstore/store.go
@@ -52,7 +52,7 @@
 	maxBackoff     = time.Second
 	maxTries       = 5
 	awayFailures   = 4
-	bulkShare      = 0.1                   // Of the writes.
+	bulkShare      = 0.2                   // Of the writes.
 	probeWait      = 50 * time.Millisecond // Of a watch while the service is away.
 )
 
