--- a/internal/node/tdnode/node.go
+++ b/internal/node/tdnode/node.go
@@ -68,8 +68,8 @@
 // New makes a node and opens its listeners. The error says which setting is
 // wrong or which address can't be used.
 func New(s tdsettings.Settings, logTo io.Writer) (*Node, error) {
-	if s.Name == "" || s.DataCentre == "" || s.PlatformURL == "" || s.OperatorToken == "" {
-		return nil, eris.New("settings name, dataCentre, platform.url and operator.token must be given")
+	if err := s.Check(); err != nil {
+		return nil, err
 	}
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
@@ -99,7 +99,7 @@
 // each other.
 func (n *Node) builders() []func() error {
 	return []func() error{
-		n.buildFleet, n.buildDispatch, n.buildAccount, n.buildCapacity, n.buildEntry, n.buildOperator,
+		n.buildFleet, n.buildDispatch, n.buildAccount, n.buildBurn, n.buildCapacity, n.buildEntry, n.buildOperator,
 	}
 }
 
@@ -164,7 +164,7 @@
 }
 
 func (n *Node) serveHTTP(g *tdtask.Group, name string, ln net.Listener, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
 	g.Go(name, func(context.Context) error {
 		if err := srv.Serve(ln); err != nil && err != http.ErrServerClosed {
 			return err
@@ -177,6 +177,7 @@
 func (n *Node) drain(front *http.Server) {
 	n.nodeLog.Info().Msg("leaving")
 	n.fleet.leave()
+	n.entry.leave()
 	time.Sleep(n.cfg.DrainWait)
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainMax)
 	defer cancel()
