--- a/internal/entry/tdflow/account.go
+++ b/internal/entry/tdflow/account.go
@@ -12,10 +12,8 @@
 const (
 	// meterEvery is how many tokens of a running stream are metered at once.
 	meterEvery = 512
-	// meterWait bounds the meter's part of a request that has ended, and
-	// meterPause that of a stream that runs.
-	meterWait  = 2 * time.Second
-	meterPause = 250 * time.Millisecond
+	// meterWait bounds one call of the meter.
+	meterWait = 2 * time.Second
 	// tellEvery is how often the owner of a server is told of progress.
 	tellEvery = 100 * time.Millisecond
 )
@@ -69,28 +67,34 @@
 	}
 }
 
-// meter brings what has been metered up to the figures given. The meter
-// counts them even if it fails, and then the node's death may lose them; the
-// answer is not lost for that.
+// meter brings what has been metered up to the figures given. The answer does
+// not wait for the meter, which counts the figures at once and then makes a
+// second copy of them.
 func (r *run) meter(input, output int, last bool) {
-	wait := meterPause
-	if last {
-		wait = meterWait
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
 	before := r.bill
 	r.bill = bill{input: max(input, before.input), output: max(output, before.output)}
-	err := r.f.Meter.Add(ctx, tarragondeal.Usage{
+	u := tarragondeal.Usage{
 		Request: r.q.ID, Workspace: r.q.Workspace.Name, Route: r.q.Route.Name, Class: r.q.Class.Name,
 		At: r.f.Clock.Wall(), InputTokens: r.bill.input - before.input, OutputTokens: r.bill.output - before.output, Last: last,
-	})
-	if err != nil {
-		r.f.Metrics.Counter("usageAtRisk").Inc(1)
-		r.f.Log.Warn().Err(err).Str("request", string(r.q.ID)).Msg("usage has no second copy")
 	}
+	r.f.metering.Go(func() { r.f.add(u) })
 }
 
+// add hands figures to the meter. The meter counts them even if it fails, and
+// then only the node's death may lose them.
+func (f *Flow) add(u tarragondeal.Usage) {
+	ctx, cancel := context.WithTimeout(context.Background(), meterWait)
+	defer cancel()
+	if err := f.Meter.Add(ctx, u); err != nil {
+		f.Metrics.Counter("usageAtRisk").Inc(1)
+		f.Log.Warn().Err(err).Str("request", string(u.Request)).Msg("usage has no second copy")
+	}
+}
+
+// Wait returns when the meter has got the figures of all requests that have
+// ended. No request may start meanwhile.
+func (f *Flow) Wait() { f.metering.Wait() }
+
 // billEnd meters what was delivered when a request has ended. A stream that
 // broke is metered as far as the caller got it; a plain answer that broke is
 // of no use and costs nothing.
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"tarragondeal"
@@ -46,7 +47,8 @@
 // Flow leads requests to their answers.
 type Flow struct {
 	Deps
-	opt Options
+	opt      Options
+	metering conc.WaitGroup
 }
 
 // New returns a flow.
--- a/internal/node/tdnode/entry.go
+++ b/internal/node/tdnode/entry.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"tarragondeal"
 	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/entry/tdaddress"
 	"tarragondeal/internal/entry/tdflow"
@@ -16,19 +15,20 @@
 // entry is what callers reach.
 type entry struct {
 	front   *tdfront.Front
+	flow    *tdflow.Flow
 	callers http.Handler
 }
 
 func (n *Node) buildEntry() error {
 	guard := tdkey.NewGuard(n.fleet.config)
 	n.add("follow withdrawn keys", guard.Run)
-	flow := tdflow.New(tdflow.Deps{
+	n.entry.flow = tdflow.New(tdflow.Deps{
 		Dispatch: n.dispatch.dispatcher, Backend: n.backend,
 		Claims: n.account.claims, Meter: n.account.meter, Burn: n.account.burn, Guard: guard,
 		Clock: n.clock, Metrics: n.metrics.Scope.SubScope("entry"), Log: tdlog.Part(n.log, "flow"),
 	}, tdflow.Options{Attempts: n.cfg.Attempts, Write: n.cfg.CallersWrite})
 	n.entry.front = tdfront.New(tdfront.Deps{
-		Config: n.fleet.config, Limiter: noLimiter{}, Flow: flow,
+		Config: n.fleet.config, Limiter: n.dispatch.limiter, Flow: n.entry.flow,
 		Addresses: tdaddress.New(n.fleet.members, n.fleet.config, n.cfg.EntryTTL),
 		Clock:     n.clock, Log: tdlog.Part(n.log, "front"),
 	}, tdfront.Options{MaxBody: n.cfg.CallersMaxBody, Body: n.cfg.CallersBody, PerKey: n.cfg.CallersPerKey})
@@ -69,9 +69,5 @@
 // leave tells callers that the node is stopping.
 func (e *entry) leave() { e.front.Leave() }
 
-// noLimiter admits all.
-type noLimiter struct{}
-
-func (noLimiter) Admit(*tarragondeal.Workspace, *tarragondeal.Key, *tarragondeal.Route, int) (func(int), error) {
-	return func(int) {}, nil
-}
+// settle returns when the figures of all requests have been metered.
+func (e *entry) settle() { e.flow.Wait() }
--- a/internal/node/tdnode/node.go
+++ b/internal/node/tdnode/node.go
@@ -183,5 +183,7 @@
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
 		n.nodeLog.Error().Err(err).Msg("requests still ran at the bound")
+		return
 	}
+	n.entry.settle()
 }
