--- a/internal/node/tdquickstart/request.go
+++ b/internal/node/tdquickstart/request.go
@@ -169,7 +169,7 @@
 			return "", err
 		}
 		for name, text := range d.keys {
-			if secret := text[strings.LastIndexByte(text, '_')+1:]; bytes.Contains(dump, []byte(secret)) {
+			if secret := strings.TrimPrefix(text, "td_"+name+"_"); bytes.Contains(dump, []byte(secret)) {
 				return "", fmt.Errorf("a backend server saw the key %s", name)
 			}
 		}
--- a/internal/node/tdsettings/settings_test.go
+++ b/internal/node/tdsettings/settings_test.go
@@ -27,7 +27,7 @@
 listen:
   callers: 10.0.0.5:8080 # For callers.
 drain:
-  wait: 3s
+  wait: 12s
 operator:
   token: 0123456789abcdef
 `
@@ -52,12 +52,12 @@
 var _ = Describe("settings", func() {
 	It("come from flags, the environment and the file, in this order", func() {
 		path := write("node.yaml", goodFile)
-		GinkgoT().Setenv("TARRAGONDEAL_DRAIN_WAIT", "5s")
+		GinkgoT().Setenv("TARRAGONDEAL_DRAIN_WAIT", "15s")
 		GinkgoT().Setenv("TARRAGONDEAL_NAME", "node2")
 		s, err := parse("-config", path, "-name", "node3")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Name).To(Equal("node3"))
-		Expect(s.DrainWait).To(Equal(5 * time.Second))
+		Expect(s.DrainWait).To(Equal(15 * time.Second))
 		Expect(s.ListenCallers).To(Equal("10.0.0.5:8080"))
 		Expect(s.ListenPeers).To(Equal("127.0.0.1:8081"))
 	})
@@ -66,7 +66,7 @@
 		name, text string
 		want       []string
 	}{
-		{"unknown and wrong ones together", strings.NewReplacer("wait: 3s", "wait: soon\n  wiat: 3s", "callers: 10.0.0.5:8080 # For callers.", "callers: {a: b}").Replace(goodFile),
+		{"unknown and wrong ones together", strings.NewReplacer("wait: 12s", "wait: soon\n  wiat: 3s", "callers: 10.0.0.5:8080 # For callers.", "callers: {a: b}").Replace(goodFile),
 			[]string{"node.yaml:6: listen.callers.a: no such setting", "node.yaml:8: drain.wait: soon is no value for it", "node.yaml:9: drain.wiat: no such setting"}},
 		{"values that parse and can't be", strings.NewReplacer("10.0.0.5:8080", "depot:8080", "http://10.0.0.9:2379", "10.0.0.9", "0123456789abcdef", "short").Replace(goodFile),
 			[]string{"node.yaml:4: platform.url: expected a URL", "node.yaml:6: listen.callers: expected an address and port", "node.yaml:10: operator.token: the token of operator is shorter"}},
