--- a/internal/node/tdsettings/settings_test.go
+++ b/internal/node/tdsettings/settings_test.go
@@ -27,7 +27,7 @@
 listen:
   callers: 10.0.0.5:8080 # For callers.
 drain:
-  wait: 20s
+  wait: 12s
 operator:
   token: 0123456789abcdef
 `
@@ -66,7 +66,7 @@
 		name, text string
 		want       []string
 	}{
-		{"unknown and wrong ones together", strings.NewReplacer("wait: 20s", "wait: soon\n  wiat: 3s", "callers: 10.0.0.5:8080 # For callers.", "callers: {a: b}").Replace(goodFile),
+		{"unknown and wrong ones together", strings.NewReplacer("wait: 12s", "wait: soon\n  wiat: 3s", "callers: 10.0.0.5:8080 # For callers.", "callers: {a: b}").Replace(goodFile),
 			[]string{"node.yaml:6: listen.callers.a: no such setting", "node.yaml:8: drain.wait: soon is no value for it", "node.yaml:9: drain.wiat: no such setting"}},
 		{"values that parse and can't be", strings.NewReplacer("10.0.0.5:8080", "depot:8080", "http://10.0.0.9:2379", "10.0.0.9", "0123456789abcdef", "short").Replace(goodFile),
 			[]string{"node.yaml:4: platform.url: expected a URL", "node.yaml:6: listen.callers: expected an address and port", "node.yaml:10: operator.token: the token of operator is shorter"}},
--- a/test/entry/bench_test.go
+++ b/test/entry/bench_test.go
@@ -41,9 +41,9 @@
 func (p *parts) Servers() []tarragondeal.Server { return p.servers }
 func (p *parts) Observe(tarragondeal.Sample)    {}
 func (p *parts) Waste(tarragondeal.Waste)       {}
-func (p *parts) Add(context.Context, tarragondeal.Usage) error {
-	return nil
-}
+
+func (p *parts) Add(context.Context, tarragondeal.Usage) error { return nil }
+
 func (p *parts) Admit(*tarragondeal.Workspace, *tarragondeal.Key, *tarragondeal.Route, int) (func(int), error) {
 	return func(int) {}, nil
 }
