Split files that had grown large

Cause: attempts, their failures and three kinds of integration test shared files.

No behaviour changes.

--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -21,7 +20,6 @@
 	"github.com/onsi/gomega/gexec"
 
 	"tarragondeal"
-	"tarragondeal/internal/entry/tdaddress"
 	"tarragondeal/internal/entry/tdkey"
 	"tarragondeal/internal/object/tdset"
 	"tarragondeal/internal/standin/tdcluster"
@@ -312,108 +310,6 @@
 	})
 })
 
-var _ = Describe("answers that go wrong", Ordered, func() {
-	var (
-		d    *deployment
-		node *tdtest.Node
-		key  string
-	)
-
-	BeforeAll(func() {
-		// The simplest dispatcher goes on sending to a server that failed.
-		d = start("roundRobin")
-		node, key = d.node, d.key
-	})
-
-	AfterEach(func() {
-		for _, e := range d.engines() {
-			e.Fail(tdengine.FaultNone, 0)
-			e.Straggle(1)
-		}
-	})
-
-	for _, c := range []struct {
-		name  string
-		fault tdengine.Fault
-		route string
-		tries bool // Another attempt answers.
-	}{
-		{"another request's id", tdengine.FaultWrongID, "narrate", true},
-		{"a stream that ends early", tdengine.FaultShort, "narrate", true},
-		{"a stream that breaks", tdengine.FaultCut, "narrate", true},
-		{"no answer", tdengine.FaultNever, "brief", false},
-	} {
-		It("answers whole or says so when a backend server gives "+c.name, func() {
-			d.engines()[0].Fail(c.fault, 1)
-			for _, tokens := range []int{10, 1, 10, 1} { // One token breaks before the first byte.
-				got := call(node, key, ask(c.route, tokens))
-				if c.tries || got.status == http.StatusOK {
-					Expect(got.body).To(HaveSuffix("data: [DONE]\n\n"), got.body)
-					Expect(words(got.body)).To(Equal(strings.Join(tdengine.Words([]byte(prompt), tokens), "")))
-				} else {
-					Expect(got.status).To(Equal(http.StatusGatewayTimeout))
-					Expect(got.body).To(ContainSubstring(`"ran":"unknown"`))
-				}
-			}
-			for _, e := range d.engines() {
-				e.Fail(c.fault, 1)
-			}
-			got := call(node, key, strings.Replace(ask(c.route, 10), `"stream":true`, `"stream":false`, 1))
-			Expect(got.status).To(BeElementOf(http.StatusBadGateway, http.StatusGatewayTimeout))
-			Expect(got.body).To(ContainSubstring(`"ran":"unknown"`))
-		})
-	}
-
-	It("ends a late stream with an error", func() {
-		for _, e := range d.engines() {
-			e.Straggle(20)
-		}
-		got := call(node, key, ask("brief", 1000))
-		Expect(got.body).To(ContainSubstring("event: error\ndata: "))
-		Expect(got.body).To(ContainSubstring(`"code":"deadline"`))
-		Expect(got.body).NotTo(ContainSubstring("[DONE]"))
-	})
-
-	It("retries elsewhere when a server is gone", func() {
-		d.cluster.Servers[0].Kill()
-		for range 4 {
-			Expect(call(node, key, ask("narrate", 5)).body).To(HaveSuffix("[DONE]\n\n"))
-		}
-	})
-})
-
-var _ = Describe("two nodes", func() {
-	It("name each other to callers until one begins to stop, and cut nothing", func() {
-		d := start("", "-drain.wait", "3s")
-		second := tdtest.StartNode(binary, tdtest.NodeSpec{
-			Name: "node2", DataCentre: "duluth", PlatformURL: d.cluster.PlatformURL, Peers: []netip.AddrPort{d.node.Peers},
-		})
-		DeferCleanup(second.Kill)
-		named := func(n *tdtest.Node) []netip.AddrPort {
-			var got tdaddress.Answer
-			res, err := http.Get("http://" + n.Callers.String() + "/entry?dataCentre=duluth")
-			Expect(err).NotTo(HaveOccurred())
-			defer func() { _ = res.Body.Close() }()
-			Expect(json.NewDecoder(res.Body).Decode(&got)).To(Succeed())
-			return got.Addresses
-		}
-		for _, n := range []*tdtest.Node{d.node, second} {
-			Eventually(func() []netip.AddrPort { return named(n) }, "30s", "50ms").Should(ConsistOf(d.node.Callers, second.Callers))
-		}
-		running := open(context.Background(), d.node, d.key, ask("narrate", 300))
-		d.node.Session.Terminate()
-		Eventually(func() int { return get(d.node, "/readyz") }, "10s", "10ms").Should(Equal(http.StatusServiceUnavailable))
-		Expect(named(d.node)).To(Equal([]netip.AddrPort{second.Callers}))
-		Eventually(func() []netip.AddrPort { return named(second) }, "30s", "50ms").Should(Equal([]netip.AddrPort{second.Callers}))
-		// While servers change their owner a request may be refused as not run.
-		Eventually(func() string { return call(second, d.key, ask("narrate", 1)).body }, "30s").Should(HaveSuffix("[DONE]\n\n"))
-		text, err := io.ReadAll(running.Body)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(string(text)).To(HaveSuffix("[DONE]\n\n"))
-		Eventually(d.node.Session, "20s").Should(gexec.Exit(0))
-	})
-})
-
 const prompt = `[{"role":"user","content":"hi"}]`
 
 func ask(model string, tokens int) string {
