Hand a stopping node's burn figures over to another

A node that stops in order now sends its buckets, in parts below 1 MB, to a node that stays; it tries once, so that nothing counts twice.

Tests: figures pass whole (property), parts stay below the bound with 8192 pairs, a malformed part is refused as a whole; in test/operator a report of 3 real nodes counts the same requests after one has stopped.

--- a/internal/account/tdburn/burn.go
+++ b/internal/account/tdburn/burn.go
@@ -38,6 +38,8 @@
 	others  map[string]*pair // By class: pairs that had to make room.
 	waste   map[wasteKey]*ring[wasted]
 	folded  int64
+	longest time.Duration        // For how long inherited figures had been measured.
+	left    bool                 // The figures were handed over.
 	now     tarragondeal.Instant // Of the call that holds the lock.
 }
 
@@ -75,22 +77,27 @@
 	defer b.mu.Unlock()
 	b.now = b.Clock.Now()
 	name := s.Class
-	if rc == nil || b.classes[name] == nil && len(b.classes) >= maxClasses {
+	if rc == nil {
 		name = Other
 	}
-	c := b.class(name)
+	c, name := b.class(name)
 	c.add(b.now, &s, countsOf(&s, ok))
 	c.count(ok)
 	b.pair(pairKey{s.Workspace, name}).add(b.now, n)
 }
 
-func (b *Burn) class(name string) *class {
+// class returns what is kept of a class and under which name: beyond the
+// bound classes share one.
+func (b *Burn) class(name string) (*class, string) {
+	if b.classes[name] == nil && len(b.classes) >= maxClasses {
+		name = Other
+	}
 	c := b.classes[name]
 	if c == nil {
 		c = newClass(b.Scope.Tagged(map[string]string{"class": name}))
 		b.classes[name] = c
 	}
-	return c
+	return c, name
 }
 
 func (b *Burn) pair(key pairKey) *pair {
@@ -105,12 +112,16 @@
 // fold takes a pair that had to make room into its class's other pairs.
 func (b *Burn) fold(key pairKey, p *pair) {
 	b.folded++
-	o := b.others[key.class]
+	b.other(key.class).fold(b.now, p)
+}
+
+func (b *Burn) other(class string) *pair {
+	o := b.others[class]
 	if o == nil {
 		o = newPair()
-		b.others[key.class] = o
+		b.others[class] = o
 	}
-	o.fold(b.now, p)
+	return o
 }
 
 // Waste counts work that was done and not delivered.
@@ -118,7 +129,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.now = b.Clock.Now()
-	key := wasteKey{cause, class}
+	w := b.wasteOf(wasteKey{cause, class}).at(b.now)
+	w.requests++
+	w.tokens += int64(max(tokens, 0))
+}
+
+func (b *Burn) wasteOf(key wasteKey) *ring[wasted] {
 	r := b.waste[key]
 	if r == nil && len(b.waste) >= maxCauses {
 		key = wasteKey{Other, Other}
@@ -128,9 +144,7 @@
 		r = newRing[wasted](coarseWidth, coarseSpan)
 		b.waste[key] = r
 	}
-	w := r.at(b.now)
-	w.requests++
-	w.tokens += int64(max(tokens, 0))
+	return r
 }
 
 // wasteWindow is how far back the report looks for waste.
@@ -144,7 +158,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.now = b.Clock.Now()
-	out := &Measures{ObservedMillis: b.now.Sub(b.start).Milliseconds(), FoldedPairs: b.folded}
+	observed := b.now.Sub(b.start)
+	out := &Measures{
+		ObservedMillis: observed.Milliseconds(), LongestMillis: max(observed, b.longest).Milliseconds(), FoldedPairs: b.folded,
+	}
+	if b.left {
+		return out
+	}
 	for name, c := range b.classes {
 		out.Classes = append(out.Classes, b.classMeasures(name, c))
 	}
--- a/internal/account/tdburn/burn_test.go
+++ b/internal/account/tdburn/burn_test.go
@@ -154,6 +154,75 @@
 		})
 	})
 
+	ginkgo.It("pass whole from a node that stops to another", func() {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			// The clocks differ by whole buckets of every width, so that the
+			// buckets of both lie alike.
+			a, b, both := &fixedClock{}, &fixedClock{now: tarragondeal.Instant(pairCoarseWidth * 7)}, &fixedClock{}
+			leaving, heir, one := newBurn(a), newBurn(b), newBurn(both)
+			for range rapid.IntRange(1, 20).Draw(t, "count") {
+				step := tarragondeal.Instant(rapid.Int64Range(0, int64(2*time.Hour)).Draw(t, "step"))
+				a.now, b.now, both.now = a.now+step, b.now+step, both.now+step
+				s := sample(rapid.SampledFrom([]string{"bench", "entry"}).Draw(t, "class"),
+					time.Duration(rapid.Int64Range(1e6, 1e9).Draw(t, "first")), time.Duration(rapid.Int64Range(1e6, 2e10).Draw(t, "total")))
+				s.Failed = rapid.Bool().Draw(t, "failed")
+				one.Observe(s)
+				one.Waste("retry", s.Class, 5)
+				n := rapid.SampledFrom([]*Burn{leaving, heir}).Draw(t, "node")
+				n.Observe(s)
+				n.Waste("retry", s.Class, 5)
+			}
+			for _, part := range leaving.legacy("leaving") {
+				wire, err := proto.Marshal(part)
+				Expect(err).NotTo(HaveOccurred())
+				in := &Legacy{}
+				Expect(proto.Unmarshal(wire, in)).To(Succeed())
+				Expect(heir.inherit(in)).To(Succeed())
+			}
+			later := tarragondeal.Instant(rapid.Int64Range(0, int64(10*time.Hour)).Draw(t, "later"))
+			b.now, both.now = b.now+later, both.now+later
+			got, want := newMerged(), newMerged()
+			Expect(got.add("leaving", leaving.measures())).To(Succeed())
+			Expect(got.add("heir", heir.measures())).To(Succeed())
+			Expect(want.add("one", one.measures())).To(Succeed())
+			x, y := got.report(config().view, nil, time.Time{}), want.report(config().view, nil, time.Time{})
+			Expect(x.Classes).To(Equal(y.Classes))
+			Expect(x.Worst).To(Equal(y.Worst))
+			Expect(x.Waste).To(Equal(y.Waste))
+		})
+	})
+
+	ginkgo.It("pass on in parts, and pairs without room stay counted", func() {
+		leaving, heir := newBurn(&fixedClock{}), newBurn(&fixedClock{})
+		for n := range maxPairs {
+			s := sample("bench", time.Millisecond, time.Second)
+			s.Workspace = fmt.Sprintf("ws%d", n)
+			leaving.Observe(s)
+			s.Workspace = fmt.Sprintf("other%d", n)
+			heir.Observe(s)
+		}
+		parts := leaving.legacy("leaving")
+		for _, part := range parts {
+			Expect(proto.Size(part)).To(BeNumerically("<", 1<<20))
+			Expect(heir.inherit(part)).To(Succeed())
+		}
+		Expect(leaving.legacy("leaving")).To(BeEmpty())
+		m := newMerged()
+		Expect(m.add("heir", heir.measures())).To(Succeed())
+		Expect(m.classes["bench"].windows[3].good).To(BeEquivalentTo(2 * maxPairs))
+		Expect(m.pairs).To(HaveLen(maxPairs + 1))
+		Expect(m.pairs[pairKey{Other, "bench"}].good[2]).To(BeEquivalentTo(maxPairs))
+	})
+
+	ginkgo.It("refuse a malformed legacy as a whole", func() {
+		leaving, heir := newBurn(&fixedClock{}), newBurn(&fixedClock{})
+		leaving.Observe(sample("bench", time.Millisecond, time.Second))
+		part := leaving.legacy("leaving")[0]
+		part.Classes[0].FineLatency[0].Measures[0].Step[0] = 1 << 20
+		Expect(heir.inherit(part)).To(MatchError(errMalformed))
+		Expect(heir.measures().Classes).To(BeEmpty())
+	})
+
 	ginkgo.It("stay bounded, and lose nothing of the classes", func() {
 		clock := &fixedClock{}
 		b := newBurn(clock)
@@ -327,6 +396,34 @@
 	})
 }
 
+// FuzzLegacy feeds a node with what another that stops might send.
+func FuzzLegacy(f *testing.F) {
+	b := newBurn(&fixedClock{now: tarragondeal.Instant(80 * time.Hour)})
+	b.Observe(sample("bench", 200*time.Millisecond, time.Second))
+	b.Waste("retry", "bench", 3)
+	for _, part := range b.legacy("n") {
+		seed, err := proto.Marshal(part)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		in := &Legacy{}
+		if proto.Unmarshal(text, in) != nil {
+			return
+		}
+		heir := newBurn(&fixedClock{now: tarragondeal.Instant(80 * time.Hour)})
+		if heir.inherit(in) != nil && len(heir.classes) > 0 {
+			t.Fatal("a part of a refused legacy was taken in")
+		}
+		m := newMerged()
+		if err := m.add("n", heir.measures()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 func BenchmarkObserve(b *testing.B) {
 	clock := &fixedClock{}
 	burn := newBurn(clock)
@@ -356,7 +453,7 @@
 		for n := range 72 * 60 {
 			clock.now += tarragondeal.Instant(time.Minute)
 			for k := range classes {
-				c := burn.class(fmt.Sprintf("class%d", k))
+				c, _ := burn.class(fmt.Sprintf("class%d", k))
 				s := sample("bench", time.Duration(1+n%997)*time.Millisecond, time.Duration(1+n%4999)*time.Millisecond)
 				c.add(clock.now, &s, countsOf(&s, true))
 			}
--- a/internal/account/tdburn/collect.go
+++ b/internal/account/tdburn/collect.go
@@ -6,8 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc/pool"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"tarragondeal"
 )
@@ -50,6 +54,52 @@
 	return c.burn.measures(), nil
 }
 
+// Inherit takes over what a node that stops has measured.
+func (c *Collector) Inherit(_ context.Context, in *Legacy) (*Inherited, error) {
+	if err := c.burn.inherit(in); err != nil {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return &Inherited{}, nil
+}
+
+// HandOver gives what this node has measured to another live node, because
+// this one stops. It tries once: a part whose answer is lost may have
+// arrived, and figures that are missing do less harm than figures that count
+// twice.
+func (c *Collector) HandOver(ctx context.Context) error {
+	heir, ok := c.heir()
+	if !ok {
+		return nil // There is no other node that stays.
+	}
+	conn, err := c.fleet.Links.Conn(heir)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	client := NewReportsClient(conn)
+	for _, part := range c.burn.legacy(c.fleet.Members.Self().Node) {
+		if _, err := client.Inherit(ctx, part); err != nil {
+			return eris.Wrapf(err, "hand over to %s", heir)
+		}
+	}
+	return nil
+}
+
+// heir chooses among the nodes that stay, so that nodes that stop together
+// choose different ones.
+func (c *Collector) heir() (best tarragondeal.NodeID, ok bool) {
+	self := c.fleet.Members.Self().Node
+	var highest uint64
+	for _, m := range c.fleet.Members.Members() {
+		score := xxhash.Sum64String(string(self) + "\x00" + string(m.Node))
+		if m.Node != self && m.State == tarragondeal.MemberAlive && (!ok || score > highest) {
+			best, highest, ok = m.Node, score, true
+		}
+	}
+	return best, ok
+}
+
 // Report asks all live nodes for their measures. Nodes that don't answer
 // are named in the report, whose figures are those of the rest.
 func (c *Collector) Report(ctx context.Context) *Report {
@@ -88,5 +138,8 @@
 	return NewReportsClient(conn).Collect(ctx, &CollectRequest{})
 }
 
+// errLeft is a node that is itself about to stop.
+var errLeft = errors.New("this node has handed its own measures over")
+
 // errMalformed is an answer that another version of the program gave.
 var errMalformed = errors.New("the measures are not of the form that this node knows")
--- a/internal/account/tdburn/doc.go
+++ b/internal/account/tdburn/doc.go
@@ -24,8 +24,9 @@
 // windows that end now, never times, so their clocks need not agree.
 // Percentiles come from merged histograms; they are never averaged.
 //
-// A node that stops takes its figures with it. The report says how long the
-// nodes have been measuring, and which did not answer.
+// A node that stops in order hands its buckets over to another one. A node
+// that dies takes them with it. The report says how long the nodes have been
+// measuring, and which did not answer.
 package tdburn
 
 //go:generate protoc --go_out=../../.. --go_opt=module=tarragondeal --go-grpc_out=../../.. --go-grpc_opt=module=tarragondeal burn.proto
--- a/internal/account/tdburn/latency.go
+++ b/internal/account/tdburn/latency.go
@@ -36,6 +36,7 @@
 
 // bucket holds the histograms of one bucket of time: open while it is the
 // newest, and packed, which takes a small part of the memory, afterwards.
+// What was inherited is packed from the start.
 type bucket struct {
 	open   [measures]*hdr.Histogram
 	packed [measures]*LatencyCounts
@@ -57,12 +58,23 @@
 func (b *bucket) pack() {
 	for m, h := range b.open {
 		if h != nil {
-			b.packed[m] = cells(h.Export().Counts).pack()
-			b.open[m] = nil
+			c := newCells()
+			b.addTo(measure(m), c)
+			b.packed[m], b.open[m] = c.pack(), nil
 		}
 	}
 }
 
+// addTo adds what the bucket holds of a measure.
+func (b *bucket) addTo(m measure, to cells) {
+	if b.open[m] != nil {
+		for n, count := range b.open[m].Export().Counts {
+			to[n] += count
+		}
+	}
+	_ = to.add(b.packed[m]) // Checked before it came here.
+}
+
 // cells are the counts of a histogram, one for each of its ranges.
 type cells []int64
 
@@ -144,12 +156,7 @@
 	for m := range out {
 		merged := newCells()
 		r.last(now, window, func(b *bucket) {
-			if b.open[m] != nil {
-				for n, count := range b.open[m].Export().Counts {
-					merged[n] += count
-				}
-			}
-			_ = merged.add(b.packed[m]) // This node packed it.
+			b.addTo(measure(m), merged)
 		})
 		out[m] = merged.pack()
 	}
--- a/internal/account/tdburn/merge.go
+++ b/internal/account/tdburn/merge.go
@@ -47,7 +47,7 @@
 	if len(m.nodes) == 0 || observed < m.shortest {
 		m.shortest = observed
 	}
-	m.longest = max(m.longest, observed)
+	m.longest = max(m.longest, observed, time.Duration(in.LongestMillis)*time.Millisecond)
 	m.nodes = append(m.nodes, n)
 	m.folded += in.FoldedPairs
 	for _, c := range in.Classes {
--- a/internal/account/tdburn/ring.go
+++ b/internal/account/tdburn/ring.go
@@ -46,3 +46,24 @@
 		each(&r.buckets[(r.newest-k)%size])
 	}
 }
+
+// back returns the bucket that lies age buckets before that of now, or nil
+// when the ring does not go that far back.
+func (r *ring[T]) back(now tarragondeal.Instant, age uint32) *T {
+	r.at(now)
+	size := int64(len(r.buckets))
+	n := r.newest - int64(age)
+	if int64(age) >= size || n < 0 {
+		return nil
+	}
+	return &r.buckets[n%size]
+}
+
+// all calls each with all buckets and their ages, the newest first.
+func (r *ring[T]) all(now tarragondeal.Instant, each func(age uint32, b *T)) {
+	age := uint32(0)
+	r.last(now, r.width*time.Duration(len(r.buckets)), func(b *T) {
+		each(age, b)
+		age++
+	})
+}
--- a/internal/node/tdnode/burn.go
+++ b/internal/node/tdnode/burn.go
@@ -17,6 +17,7 @@
 	collector.Register(n.fleet.links.Server())
 	n.account.burn = burn
 	n.account.meter = wasteMeter{Meter: n.account.meter, burn: burn}
+	n.operator.handOver = collector.HandOver
 	n.operator.report = func(ctx context.Context) (any, error) { return collector.Report(ctx), nil }
 	return nil
 }
--- a/internal/node/tdnode/node.go
+++ b/internal/node/tdnode/node.go
@@ -184,4 +184,7 @@
 	if err := front.Shutdown(ctx); err != nil {
 		n.nodeLog.Error().Err(err).Msg("requests still ran at the bound")
 	}
+	if err := n.operator.handOver(context.Background()); err != nil {
+		n.nodeLog.Warn().Err(err).Msg("measures not handed over")
+	}
 }
--- a/internal/node/tdnode/operator.go
+++ b/internal/node/tdnode/operator.go
@@ -23,6 +23,8 @@
 type operator struct {
 	handler http.Handler
 	report  func(context.Context) (any, error)
+	// handOver gives the measures to another node when this one stops.
+	handOver func(context.Context) error
 }
 
 func (n *Node) buildOperator() error {
--- a/test/operator/operator_test.go
+++ b/test/operator/operator_test.go
@@ -118,6 +118,7 @@
 	var (
 		cluster *tdcluster.Cluster
 		nodes   []*tdtest.Node
+		specs   []tdtest.NodeSpec
 		set     string // The file of the set.
 		key     string
 	)
@@ -143,9 +144,10 @@
 		DeferCleanup(cluster.Close)
 		var peers []netip.AddrPort
 		for n := range 3 {
-			node := tdtest.StartNode(binary, tdtest.NodeSpec{
+			specs = append(specs, tdtest.NodeSpec{
 				Name: fmt.Sprintf("node%d", n+1), DataCentre: "duluth", PlatformURL: cluster.PlatformURL, Policy: "roundRobin", Peers: peers,
 			})
+			node := tdtest.StartNode(binary, specs[n])
 			DeferCleanup(node.Kill)
 			nodes = append(nodes, node)
 			peers = append(peers, node.Peers)
@@ -259,6 +261,17 @@
 		Expect(at(1, "report", "-format", "pdf")).To(gexec.Exit(exitUsage))
 	})
 
+	It("keeps the figures of a node that stops", func() {
+		before := requests(at(0, "report", "-format", "json"))
+		nodes[1].Session.Terminate()
+		Eventually(nodes[1].Session, "30s").Should(gexec.Exit(0))
+		Expect(requests(at(0, "report", "-format", "json"))).To(Equal(before))
+		Expect(requests(at(2, "report", "-format", "json"))).To(Equal(before))
+		nodes[1].Start(binary, specs[1])
+		Eventually(func() string { return string(at(1, "status").Out.Contents()) }, "30s", "100ms").
+			Should(And(ContainSubstring("node1"), ContainSubstring("node3")))
+	})
+
 	It("refuses a wrong token", func() {
 		s := at(0, "status", "-token", "not-the-operators-token")
 		Expect(s).To(gexec.Exit(exitFailed))
