--- a/internal/fleet/tdconfig/root.go
+++ b/internal/fleet/tdconfig/root.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -25,12 +26,15 @@
 // digest is the SHA-256 of a piece's content.
 type digest [sha256.Size]byte
 
-// MarshalText writes d in hexadecimal.
-func (d digest) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(d[:])), nil }
+// MarshalText writes d in base64, which is shorter than hexadecimal: a root
+// is mostly digests.
+func (d digest) MarshalText() ([]byte, error) {
+	return base64.RawURLEncoding.AppendEncode(nil, d[:]), nil
+}
 
 // UnmarshalText reads what MarshalText writes.
 func (d *digest) UnmarshalText(text []byte) error {
-	b, err := hex.DecodeString(string(text))
+	b, err := base64.RawURLEncoding.DecodeString(string(text))
 	if err != nil || len(b) != len(d) {
 		return fmt.Errorf("%.80q is no digest", text)
 	}
--- a/internal/test/tdtest/node.go
+++ b/internal/test/tdtest/node.go
@@ -13,10 +13,12 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os/exec"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -49,12 +51,28 @@
 	Session                   *gexec.Session
 }
 
+// Ports of listeners are taken from below those that the kernel gives to
+// outgoing connections, one of which could otherwise take a port between its
+// choice and its use.
+const (
+	firstPort = 10_240
+	lastPort  = 32_767
+)
+
 // FreeAddr returns a loopback address that nobody listened on just now.
 func FreeAddr() netip.AddrPort {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = ln.Close() }()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	const tries = 100
+	for range tries {
+		port := firstPort + rand.N(lastPort-firstPort+1)
+		ln, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			continue
+		}
+		gomega.Expect(ln.Close()).To(gomega.Succeed())
+		return netip.MustParseAddrPort(ln.Addr().String())
+	}
+	ginkgo.Fail("no free port was found")
+	return netip.AddrPort{}
 }
 
 // StartNode starts a node on free addresses.
