Order backend servers from demand, under a lease

Cause: nobody ordered servers or told engines what to serve.

Change: a planner without clocks or sockets works out how many servers each pool should have in each data centre: servers that are not reclaimable carry the classes with a target by themselves, all together carry everything with room to spare, cheapest first; numbers rise at most to double at once and fall by one after the need was lower for long; what the list or the load reports don't show lowers nothing; pools without a max are left alone. The duty puts what is wanted on record before it sends, and sends through the gate.

Conclusion: orders are given by one holder and continue across holders.

--- /dev/null
+++ b/internal/capacity/tdplanner/planner_test.go
@@ -0,0 +1,279 @@
+package tdplanner
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"tarragondeal"
+)
+
+func TestPlanner(t *testing.T) {
+	RegisterFailHandler(Fail)
+	if err := flag.Set("rapid.checks", "30"); err != nil {
+		t.Fatal(err)
+	}
+	RunSpecs(t, "Planner")
+}
+
+var policy = Config{
+	Use: 0.7, FirmUse: 0.95, StartUp: time.Minute, DownAfter: 10 * time.Minute, DownEvery: 5 * time.Minute,
+	UpEvery: 30 * time.Second, StartsPerMinute: 60,
+}
+
+const every = 10 * time.Second
+
+func viewOf(pools ...tarragondeal.ServerPool) *tarragondeal.View {
+	set := &tarragondeal.Set{
+		DataCentres: []tarragondeal.DataCentre{{Name: "duluth"}, {Name: "erie"}},
+		ServerPools: pools,
+		Routes:      []tarragondeal.Route{{Name: "narrate"}},
+	}
+	for _, p := range pools {
+		set.Routes[0].Pools = append(set.Routes[0].Pools, p.Name)
+	}
+	return tarragondeal.NewView(1, set)
+}
+
+var (
+	firm  = tarragondeal.ServerPool{Name: "firm", Kind: tarragondeal.PoolModel, Slots: 4, CostPerHour: 4, Min: 1, Max: 50}
+	cheap = tarragondeal.ServerPool{Name: "cheap", Kind: tarragondeal.PoolModel, Slots: 4, CostPerHour: 1, Max: 50, Reclaimable: true}
+)
+
+func serversOf(wants []Want) []tarragondeal.Server {
+	var out []tarragondeal.Server
+	for _, w := range wants {
+		for n := range w.Servers {
+			out = append(out, tarragondeal.Server{
+				ID: tarragondeal.ServerID(fmt.Sprint(w.Pool, w.DataCentre, n)), Pool: w.Pool, DataCentre: w.DataCentre,
+			})
+		}
+	}
+	return out
+}
+
+func demandOf(running, promised int) []tarragondeal.Demand {
+	var out []tarragondeal.Demand
+	for _, place := range []string{"duluth", "erie"} {
+		out = append(out,
+			tarragondeal.Demand{Pool: "firm", DataCentre: place, Running: running, Promised: promised},
+			tarragondeal.Demand{Pool: "cheap", DataCentre: place})
+	}
+	return out
+}
+
+func wanted(wants []Want) map[Key]int {
+	out := make(map[Key]int)
+	for _, w := range wants {
+		out[w.Key] = w.Servers
+	}
+	return out
+}
+
+var _ = Describe("the planner", func() {
+	It("does not thrash, whatever the demand", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			v := viewOf(firm, cheap)
+			p := New(policy)
+			var wants []Want
+			falls, rises := map[Key]int{}, map[Key]int{}
+			var now tarragondeal.Instant
+			for range int(time.Hour / every) {
+				running := rapid.IntRange(0, 300).Draw(t, "running")
+				servers := serversOf(wants)
+				servers = servers[:rapid.IntRange(0, len(servers)).Draw(t, "listed")]
+				next := p.Plan(now, Input{View: v, Demand: demandOf(running, running/2), Servers: servers})
+				before := wanted(wants)
+				for k, n := range wanted(next) {
+					pool := v.ServerPools[k.Pool]
+					if n < pool.Min || n > pool.Max {
+						t.Fatalf("%v wants %d", k, n)
+					}
+					if n > before[k] {
+						rises[k]++
+					}
+					if n < before[k] {
+						falls[k]++
+						if before[k]-n > 1 {
+							t.Fatalf("%v fell from %d to %d", k, before[k], n)
+						}
+					}
+				}
+				wants, now = next, now.Add(every)
+			}
+			for k, n := range falls {
+				if n > int(time.Hour/policy.DownEvery) {
+					t.Fatalf("%v fell %d times in an hour", k, n)
+				}
+			}
+			for k, n := range rises {
+				if n > v.ServerPools[k.Pool].Max+falls[k] {
+					t.Fatalf("%v rose %d times in an hour", k, n)
+				}
+			}
+		})
+	})
+
+	It("comes to rest at enough servers and no more", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			v := viewOf(firm, cheap)
+			p := New(policy)
+			running := rapid.IntRange(0, 100).Draw(t, "running")
+			promised := rapid.IntRange(0, running).Draw(t, "promised")
+			start := rapid.IntRange(0, 20).Draw(t, "start")
+			wants := []Want{{Key{"firm", "duluth"}, start}, {Key{"firm", "erie"}, start}, {Key{"cheap", "erie"}, start}}
+			var now tarragondeal.Instant
+			for range int(4 * time.Hour / time.Minute) {
+				wants = p.Plan(now, Input{View: v, Demand: demandOf(running, promised), Servers: serversOf(wants)})
+				now = now.Add(time.Minute)
+			}
+			w := wanted(wants)
+			for _, place := range []string{"duluth", "erie"} {
+				f, c := w[Key{"firm", place}], w[Key{"cheap", place}]
+				if float64(4*f)*policy.FirmUse < float64(promised)-1e-6 {
+					t.Fatalf("%d firm servers for %d requests with a target", f, promised)
+				}
+				if float64(4*(f+c))*policy.Use < float64(running)-1e-6 {
+					t.Fatalf("%d servers for %d requests", f+c, running)
+				}
+				if f > firm.Min && float64(4*(f-1))*policy.FirmUse >= float64(promised) {
+					t.Fatalf("%d firm servers for %d requests with a target", f, promised)
+				}
+				if c > 0 && float64(4*(f+c-1))*policy.Use >= float64(running) {
+					t.Fatalf("%d servers for %d requests", f+c, running)
+				}
+			}
+		})
+	})
+
+	settled := func(v *tarragondeal.View, running int) (*Planner, []Want, tarragondeal.Instant) {
+		p := New(policy)
+		var wants []Want
+		var now tarragondeal.Instant
+		for range 200 {
+			wants = p.Plan(now, Input{View: v, Demand: demandOf(running, running), Servers: serversOf(wants)})
+			now = now.Add(every)
+		}
+		return p, wants, now
+	}
+
+	cases := []struct {
+		what  string
+		input func(v *tarragondeal.View, wants []Want) Input
+	}{
+		{"the list shows no servers", func(v *tarragondeal.View, _ []Want) Input {
+			return Input{View: v, Demand: demandOf(40, 40)}
+		}},
+		{"the list shows servers that are not ordered yet", func(v *tarragondeal.View, wants []Want) Input {
+			return Input{View: v, Demand: demandOf(40, 40), Servers: append(serversOf(wants), serversOf(wants)...)}
+		}},
+		{"demand is not known", func(v *tarragondeal.View, wants []Want) Input {
+			return Input{View: v, Servers: serversOf(wants)}
+		}},
+		{"demand of one pool is not known", func(v *tarragondeal.View, wants []Want) Input {
+			return Input{View: v, Demand: []tarragondeal.Demand{{Pool: "cheap", DataCentre: "duluth"}}, Servers: serversOf(wants)}
+		}},
+	}
+	for _, c := range cases {
+		It("keeps its numbers when "+c.what, func() {
+			v := viewOf(firm, cheap)
+			p, wants, now := settled(v, 40)
+			for range int(2 * time.Hour / every) {
+				next := p.Plan(now, c.input(v, wants))
+				for k, n := range wanted(wants) {
+					Expect(wanted(next)[k]).To(BeNumerically(">=", n))
+				}
+				now = now.Add(every)
+			}
+		})
+	}
+
+	It("goes on from the numbers of an earlier holder", func() {
+		v := viewOf(firm, cheap)
+		_, wants, now := settled(v, 40)
+		p := New(policy)
+		p.Restore(wants, now)
+		Expect(p.Plan(now, Input{View: v, Demand: demandOf(0, 0)})).To(Equal(wants))
+	})
+
+	It("orders firm servers when reclaimable ones can't be had", func() {
+		v := viewOf(firm, cheap)
+		p := New(policy)
+		var wants []Want
+		var now tarragondeal.Instant
+		for range int(time.Hour / every) {
+			var had []tarragondeal.Server
+			for _, s := range serversOf(wants) {
+				if s.Pool == "firm" {
+					had = append(had, s)
+				}
+			}
+			wants = p.Plan(now, Input{View: v, Demand: demandOf(40, 0), Servers: had})
+			now = now.Add(every)
+		}
+		Expect(wanted(wants)[Key{"firm", "erie"}]).To(Equal(15))
+	})
+
+	It("leaves a pool without a largest number alone", func() {
+		left := firm
+		left.Min, left.Max = 0, 0
+		p := New(policy)
+		Expect(p.Plan(0, Input{View: viewOf(left), Demand: demandOf(40, 40)})).To(BeEmpty())
+	})
+
+	It("starts no more servers than the weight store has room for", func() {
+		slow := policy
+		slow.StartsPerMinute = 2
+		p := New(slow)
+		var now tarragondeal.Instant
+		sum := func(wants []Want) (n int) {
+			for _, w := range wants {
+				n += w.Servers
+			}
+			return n
+		}
+		first := sum(p.Plan(now, Input{View: viewOf(firm), Demand: demandOf(100, 100)}))
+		for range 30 {
+			now = now.Add(every)
+			n := sum(p.Plan(now, Input{View: viewOf(firm), Demand: demandOf(100, 100)}))
+			Expect(n).To(BeNumerically("<=", first+2+int(2*time.Duration(now).Minutes())))
+		}
+	})
+})
+
+func BenchmarkPlan(b *testing.B) {
+	set := &tarragondeal.Set{}
+	var demand []tarragondeal.Demand
+	var servers []tarragondeal.Server
+	for d := range 7 {
+		set.DataCentres = append(set.DataCentres, tarragondeal.DataCentre{Name: fmt.Sprint("dataCentre", d)})
+	}
+	for m := range 8 {
+		for _, kind := range []string{"firm", "cheap"} {
+			pool := firm
+			pool.Name, pool.Reclaimable = fmt.Sprint(kind, m), kind == "cheap"
+			set.ServerPools = append(set.ServerPools, pool)
+			for d := range 7 {
+				place := fmt.Sprint("dataCentre", d)
+				demand = append(demand, tarragondeal.Demand{Pool: pool.Name, DataCentre: place, Running: 20, Promised: 10})
+				for n := range 5 {
+					servers = append(servers, tarragondeal.Server{ID: tarragondeal.ServerID(fmt.Sprint(n)), Pool: pool.Name, DataCentre: place})
+				}
+			}
+		}
+		set.Routes = append(set.Routes, tarragondeal.Route{Name: fmt.Sprint("route", m), Pools: []string{fmt.Sprint("firm", m), fmt.Sprint("cheap", m)}})
+	}
+	v := tarragondeal.NewView(1, set)
+	p := New(policy)
+	var now tarragondeal.Instant
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Plan(now, Input{View: v, Demand: demand, Servers: servers})
+		now = now.Add(every)
+	}
+}
--- a/internal/node/tdnode/capacity.go
+++ b/internal/node/tdnode/capacity.go
@@ -1,4 +1,34 @@
 package tdnode
 
-// buildCapacity makes the duty that orders backend servers.
-func (n *Node) buildCapacity() error { return nil }
+import (
+	"github.com/rotisserie/eris"
+
+	"tarragondeal"
+	"tarragondeal/internal/base/tdlog"
+	"tarragondeal/internal/capacity/tdorder"
+	"tarragondeal/internal/capacity/tdplanner"
+)
+
+// buildCapacity makes the duty that orders backend servers. It is built after
+// the account, whose gates it shares.
+func (n *Node) buildCapacity() error {
+	c := n.cfg.Capacity
+	if c.OrdersUse <= 0 || c.OrdersUse > 1 || c.OrdersFirmUse <= 0 || c.OrdersFirmUse > 1 {
+		return eris.New("settings orders.use and orders.firmUse must be above 0 and at most 1")
+	}
+	duty := tdorder.New(tdorder.Deps{
+		Store: n.fleet.store, Leases: n.fleet.leases, Gates: n.account.gates, Config: n.fleet.config,
+		VMs: n.site, Loads: n.site, Orders: n.site, Clock: n.clock, Self: tarragondeal.NodeID(n.cfg.Name),
+		Log: tdlog.Part(n.log, "orders"), Scope: n.metrics.Scope.SubScope("orders"),
+	}, tdorder.Config{
+		Plan: tdplanner.Config{
+			Use: c.OrdersUse, FirmUse: c.OrdersFirmUse, StartUp: c.OrdersStartUp,
+			DownAfter: c.OrdersDownAfter, DownEvery: c.OrdersDownEvery, UpEvery: c.OrdersUpEvery,
+			StartsPerMinute: c.OrdersStartsPerMinute,
+		},
+		Every: c.OrdersEvery, Refresh: c.OrdersRefresh, SendTimeout: c.OrdersSendTimeout,
+		PlatformChecksFencing: c.OrdersPlatformFencing,
+	})
+	n.add("order servers", duty.Run)
+	return nil
+}
