--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -1,9 +1,11 @@
 package tdflow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -83,6 +85,7 @@
 	bounds   time.Duration // The class's deadline.
 	ran      tarragondeal.Ran
 	attempts int
+	before   Failure // Of the attempt before this one.
 	current  *attempt
 	stream   streamState
 	usage    *tdrelay.Usage // What a plain answer took.
@@ -147,10 +150,19 @@
 	return &tarragondeal.RefusedError{Reason: reason, Ran: r.ran, Detail: detail}
 }
 
+// owed are refusals that are the answer a caller is owed: they do not count
+// against the class.
+var owed = []tarragondeal.Reason{
+	tarragondeal.ReasonNeedsIdemKey, tarragondeal.ReasonBodyDiffers, tarragondeal.ReasonBadRequest,
+	tarragondeal.ReasonAlreadyRunning, tarragondeal.ReasonAlreadyRan, tarragondeal.ReasonKeyWithdrawn,
+}
+
 // note keeps for the sample how the request ended.
 func (r *run) note(reason tarragondeal.Reason) {
-	r.sample.Refused = r.ran == tarragondeal.RanNot
-	r.sample.Failed = !r.sample.Refused
+	if !slices.Contains(owed, reason) {
+		r.sample.Refused = r.ran == tarragondeal.RanNot
+		r.sample.Failed = !r.sample.Refused
+	}
 	r.f.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("refused").Inc(1)
 }
 
@@ -171,6 +183,7 @@
 		if step != StepRetry {
 			return r.conclude(step, failed)
 		}
+		r.before = failed.failure
 		r.f.Metrics.Counter("retries").Inc(1)
 		r.ask.Avoid = append(r.ask.Avoid, r.current.grant.Server.ID)
 		pause(ctx, r.attempts)
@@ -187,7 +200,12 @@
 // conclude ends a request after its last attempt.
 func (r *run) conclude(step Step, failed failed) error {
 	r.billEnd(step)
-	if step == StepDone {
+	switch step {
+	case StepDone:
+		return nil
+	case StepGone:
+		// The caller waited so long at least.
+		r.sample.FirstToken = cmp.Or(r.sample.FirstToken, r.elapsed())
 		return nil
 	}
 	r.f.Log.Debug().Str("request", string(r.q.ID)).Int("failure", int(failed.failure)).
@@ -200,15 +218,18 @@
 		r.stream.s.Fail(err)
 	case StepCut:
 		panic(http.ErrAbortHandler) // The caller must see that it is short.
-	case StepGone:
-		r.sample.Refused, r.sample.Failed = false, false
 	}
 	return nil
 }
 
 // explain returns what the caller is told of a failure.
 func (r *run) explain(failed failed) error {
-	if refused, ok := errors.AsType[*tarragondeal.RefusedError](failed.err); ok {
+	refused, ok := errors.AsType[*tarragondeal.RefusedError](failed.err)
+	if ok && refused.Reason == tarragondeal.ReasonNoServer && r.before != FailNone {
+		// Why the first server failed says more than that there is no other.
+		failed.failure, ok = r.before, false
+	}
+	if ok {
 		r.note(refused.Reason)
 		out := *refused
 		out.Ran = r.ran
