Bill delivered tokens once when a second copy is late

Cause: the meter counts usage even when no second copy was made in time, while the callers' side added the same figures again with the next call; the benchmark of the entry side still made the meter the old way.

Change: the contract of Meter.Add says that figures are counted either way, and the callers' side relies on it. The benchmark meters into its own fake, as it measures the entry side alone.

--- a/account.go
+++ b/account.go
@@ -63,7 +63,8 @@
 // Meter counts what is billed and what is wasted.
 type Meter interface {
 	// Add counts delivered work. It returns once the figures will survive
-	// this VM's death, or with an error when they may not.
+	// this VM's death, or with an error when they may not. They are counted
+	// either way, so they must not be added again.
 	Add(ctx context.Context, u Usage) error
 	// Waste counts work that nobody is billed for.
 	Waste(w Waste)
--- a/internal/entry/tdflow/account.go
+++ b/internal/entry/tdflow/account.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// meter brings what has been metered up to the figures given. The answer is
-// not lost when the meter fails: the difference goes with the next call.
+// meter brings what has been metered up to the figures given. The meter has
+// counted them when it fails, too; only a second copy may be missing then.
 func (r *run) meter(input, output int, last bool) {
 	input, output = max(input, r.bill.input), max(output, r.bill.output)
 	ctx, cancel := context.WithTimeout(context.Background(), meterWait)
@@ -77,12 +77,11 @@
 		Request: r.q.ID, Workspace: r.q.Workspace.Name, Route: r.q.Route.Name, Class: r.q.Class.Name,
 		At: r.f.Clock.Wall(), InputTokens: input - r.bill.input, OutputTokens: output - r.bill.output, Last: last,
 	})
+	r.bill.input, r.bill.output = input, output
 	if err != nil {
-		r.f.Metrics.Counter("usageNotMetered").Inc(1)
-		r.f.Log.Warn().Err(err).Str("request", string(r.q.ID)).Msg("usage not metered")
-		return
+		r.f.Metrics.Counter("usageNotCopied").Inc(1)
+		r.f.Log.Warn().Err(err).Str("request", string(r.q.ID)).Msg("usage has no second copy yet")
 	}
-	r.bill.input, r.bill.output = input, output
 }
 
 // billEnd meters what was delivered when a request has ended. A stream that
--- a/test/entry/bench_test.go
+++ b/test/entry/bench_test.go
@@ -19,7 +19,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"tarragondeal"
-	"tarragondeal/internal/account/tdusage"
 	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/dispatch/tdbaseline"
 	"tarragondeal/internal/entry/tdflow"
@@ -37,10 +36,12 @@
 	servers []tarragondeal.Server
 }
 
-func (p *parts) View() *tarragondeal.View       { return p.view }
-func (p *parts) Changed() <-chan struct{}       { return nil }
-func (p *parts) Servers() []tarragondeal.Server { return p.servers }
-func (p *parts) Observe(tarragondeal.Sample)    {}
+func (p *parts) View() *tarragondeal.View                      { return p.view }
+func (p *parts) Changed() <-chan struct{}                      { return nil }
+func (p *parts) Servers() []tarragondeal.Server                { return p.servers }
+func (p *parts) Observe(tarragondeal.Sample)                   {}
+func (p *parts) Waste(tarragondeal.Waste)                      {}
+func (p *parts) Add(context.Context, tarragondeal.Usage) error { return nil }
 func (p *parts) Admit(*tarragondeal.Workspace, *tarragondeal.Key, *tarragondeal.Route, int) (func(int), error) {
 	return func(int) {}, nil
 }
@@ -60,7 +61,7 @@
 		ID: "e", Pool: "narrator", DataCentre: "duluth", Addr: netip.MustParseAddrPort(engine), State: tarragondeal.VMLive,
 	}}}
 	flow := tdflow.New(tdflow.Deps{
-		Dispatch: tdbaseline.New(tdbaseline.RoundRobin, p, nil, time.Second), Backend: tdbackend.New(), Meter: tdusage.New(), Burn: p,
+		Dispatch: tdbaseline.New(tdbaseline.RoundRobin, p, nil, time.Second), Backend: tdbackend.New(), Meter: p, Burn: p,
 		Guard: tdkey.NewGuard(p), Clock: tdclock.New(), Metrics: tally.NoopScope, Log: zerolog.Nop(),
 	}, tdflow.Options{Attempts: 3, Write: time.Second})
 	return tdfront.New(tdfront.Deps{
