Leave requests that a paused node held up out of inversions

Change: the history holds pauses; a shed request that was in flight at a paused node during its pause is no inversion. All others still count. Runs can dump their history.

--- a/internal/measure/tdinject/inject.go
+++ b/internal/measure/tdinject/inject.go
@@ -46,6 +46,7 @@
 	rand  *rand.Rand
 	busy  map[*tdfleet.Node]bool
 	stops []tdcheck.Stop
+	pause []tdcheck.Pause
 }
 
 // New returns an injector whose choices follow from the seed.
@@ -62,6 +63,13 @@
 	return append([]tdcheck.Stop(nil), i.stops...)
 }
 
+// Pauses returns the pauses of nodes so far.
+func (i *Injector) Pauses() []tdcheck.Pause {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]tdcheck.Pause(nil), i.pause...)
+}
+
 // Run brings all faults about and returns when the last one is undone.
 func (i *Injector) Run(ctx context.Context, start time.Time, s *tdscenario.Scenario) {
 	var wg conc.WaitGroup
@@ -205,9 +213,13 @@
 		i.stop(ctx, n)
 		i.replace(ctx, n, time.Duration(f.For))
 	case tdscenario.PauseNode:
+		from := time.Now()
 		n.Pause()
 		sleep(ctx, time.Duration(f.For))
 		n.Resume()
+		i.mu.Lock()
+		i.pause = append(i.pause, tdcheck.Pause{Node: n.Name, From: from, To: time.Now()})
+		i.mu.Unlock()
 	case tdscenario.CutNode:
 		n.CutPeers()
 		sleep(ctx, time.Duration(f.For))
--- a/internal/measure/tdrun/run.go
+++ b/internal/measure/tdrun/run.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"time"
@@ -31,6 +32,7 @@
 	Seed     uint64
 	Args     []string // Further flags of every node.
 	NodeLog  io.Writer
+	Dump     io.Writer // Takes the history as JSON, unless nil.
 	Log      zerolog.Logger
 }
 
@@ -69,7 +71,13 @@
 	elapsed := time.Since(start)
 	used := usageOf(f).since(before)
 	time.Sleep(settle)
-	h := history(f, requests, watch.stop(), inject.Stops())
+	h := history(f, requests, watch.stop())
+	h.Stops, h.Pauses = inject.Stops(), inject.Pauses()
+	if o.Dump != nil {
+		if err := json.NewEncoder(o.Dump).Encode(h); err != nil {
+			return none, err
+		}
+	}
 	r := tdresult.Of(d, h, elapsed)
 	r.Scenario, r.Policy, r.Seed = o.Scenario.Name, o.Policy, o.Seed
 	r.Cost = cost(f, d, elapsed)
--- a/internal/standin/tdcheck/check_test.go
+++ b/internal/standin/tdcheck/check_test.go
@@ -125,6 +125,15 @@
 		}
 	})
 
+	It("count a shed request that no paused node held up, and only that", func() {
+		h := sound()
+		planted[0].Plant(&h)
+		h.Pauses = []tdcheck.Pause{{Node: "node1", From: at(2 * time.Second), To: at(3 * time.Second)}}
+		Expect(tdcheck.Inversions(h)).To(HaveLen(1))
+		h.Pauses[0].From = at(500 * time.Millisecond)
+		Expect(tdcheck.Inversions(h)).To(BeEmpty())
+	})
+
 	It("compare bills with what callers got", func() {
 		short, excess := tdcheck.Billing(sound(), map[string]int64{"auditors": 7, "other": 2})
 		Expect(short).To(Equal(int64(3)))
--- a/internal/standin/tdcheck/history.go
+++ b/internal/standin/tdcheck/history.go
@@ -42,6 +42,17 @@
 	Replayed   bool // The answer is the recorded one of an earlier request.
 }
 
+// heldUp reports whether the request's node stood still while it had it. No
+// order of service reaches such a request.
+func (q *Request) heldUp(pauses []Pause) bool {
+	for _, p := range pauses {
+		if p.Node == q.Node && q.Sent.Before(p.To) && q.Ended.After(p.From) {
+			return true
+		}
+	}
+	return false
+}
+
 // Refused reports whether the system refused the request.
 func (q *Request) Refused() bool { return q.Code != "" }
 
@@ -98,6 +109,12 @@
 	ExitCode int
 }
 
+// Pause says that a node's process stood still.
+type Pause struct {
+	Node     string
+	From, To time.Time
+}
+
 // History is what was recorded in a run.
 type History struct {
 	Requests []Request
@@ -107,6 +124,7 @@
 	InForce  []InForce
 	Leaving  []Leaving
 	Stops    []Stop
+	Pauses   []Pause
 	// WithdrawalBound is within what a withdrawn key must stop working.
 	WithdrawalBound time.Duration
 	// LeavingBound is within what a leaving server must get no new work.
