Lose at most two servers to one request, and spare bystanders

Cause: with three real nodes and four engines a poison request crashed up to four engines, since a retry, and a repeat at another node, ran before the notice of the last crash came; bystanders were refused, since the owner made suspects of requests that never reached the crashed server; three crashes in a row passed for an outage and counted for nothing.

Change: the node that saw its run break gives the account itself, at once, and only for runs that broke; a suspect compares what all nodes know before it runs again, so no final answer waits for that; the rule of outages is gone, a suspect prefers another data centre instead. A suspected node owns nothing where others can, so a dead owner's servers move sooner.

--- a/internal/dispatch/tdchoose/choose.go
+++ b/internal/dispatch/tdchoose/choose.go
@@ -20,6 +20,8 @@
 	useCost = 0.05
 	// slowCost is what a server costs that is half as fast as its pool.
 	slowCost = 1.0
+	// sameCentreCost keeps a suspect from the data centre where it met a crash.
+	sameCentreCost = 2.0
 	// noise spreads the choices of nodes that know the same.
 	noise = 0.005
 	// unknownWait is what a busy server of which nothing is known costs.
@@ -32,9 +34,11 @@
 
 // Query is what is looked for.
 type Query struct {
-	Ask      *tarragondeal.Ask
-	Match    tdprefix.Match
-	Suspect  bool // It may crash servers: prefer one that runs little else.
+	Ask     *tarragondeal.Ask
+	Match   tdprefix.Match
+	Suspect bool // It may crash servers: prefer one that runs little else.
+	// Failed are the data centres of the servers to avoid.
+	Failed   []string
 	Promised bool // Its class has a target.
 	// Tried are servers that were asked already.
 	Tried []tarragondeal.ServerID
@@ -113,6 +117,12 @@
 	return n
 }
 
+// met reports whether the request failed in a data centre before. Its
+// servers may be going down together.
+func (q *Query) met(dataCentre string) bool {
+	return slices.Contains(q.Failed, dataCentre)
+}
+
 // passed reports whether a server was tried, or failed the request before.
 func (q *Query) passed(id tarragondeal.ServerID) bool {
 	return len(q.Tried) > 0 && slices.Contains(q.Tried, id) ||
@@ -207,6 +217,9 @@
 	}
 	if q.Suspect {
 		score += e.use
+		if q.met(e.server.DataCentre) {
+			score += sameCentreCost
+		}
 	}
 	if len(q.Ask.Avoid) > 0 && slices.Contains(q.Ask.Avoid, e.server.ID) {
 		score += time.Hour.Seconds()
--- a/internal/dispatch/tdowner/book.go
+++ b/internal/dispatch/tdowner/book.go
@@ -57,7 +57,7 @@
 	seats   map[tarragondeal.ServerID]*seat
 	epoch   uint64
 	rates   *tdhealth.Rates
-	crashes []Crash
+	crashes []tarragondeal.ServerID
 }
 
 // NewBook returns a book without servers. Epochs start after the given one.
@@ -283,8 +283,8 @@
 	}
 }
 
-// Crashes returns the crashes since the last call.
-func (b *Book) Crashes() []Crash {
+// Crashes returns the servers that crashed since the last call.
+func (b *Book) Crashes() []tarragondeal.ServerID {
 	out := b.crashes
 	b.crashes = nil
 	return out
--- a/internal/dispatch/tdowner/message.go
+++ b/internal/dispatch/tdowner/message.go
@@ -26,13 +26,6 @@
 // tarragondeal.OutcomeKind.
 const Withdrawn = 100
 
-// Crash is one crash of a server, with the fingerprints of what ran on it.
-type Crash struct {
-	Server       tarragondeal.ServerID
-	ID           uint64
-	Fingerprints []uint64
-}
-
 // queued turns a message into what the queue keeps.
 func queued(now tarragondeal.Instant, r *Request) tdqueue.Request {
 	deadline := milliseconds(r.GetDeadlineMs())
@@ -43,7 +36,7 @@
 	return tdqueue.Request{
 		Ticket: tdqueue.Ticket(r.GetTicket()), Tier: int(r.GetTier()), Class: r.GetClass(),
 		MinShare: float64(r.GetMinShare()), Workspace: r.GetWorkspace(), Weight: float64(r.GetWeight()),
-		Work: float64(r.GetWork()), Copies: int(r.GetCopies()), Fingerprint: r.GetFingerprint(),
+		Work: float64(r.GetWork()), Copies: int(r.GetCopies()),
 		Suspect: r.GetSuspect(), Promised: r.GetPromised(),
 		Target: now.Add(target), Deadline: now.Add(deadline),
 	}
@@ -56,7 +49,7 @@
 		Request: &Request{
 			Ticket: uint64(run.Ticket), Tier: int32(run.Tier), Class: run.Class, MinShare: float32(run.MinShare),
 			Workspace: run.Workspace, Weight: float32(run.Weight), Work: float32(run.Work),
-			Fingerprint: run.Fingerprint, Suspect: run.Suspect, Promised: run.Promised,
+			Suspect: run.Suspect, Promised: run.Promised,
 		},
 	}
 }
--- a/internal/dispatch/tdowner/owner.go
+++ b/internal/dispatch/tdowner/owner.go
@@ -57,8 +57,6 @@
 	Loads   tarragondeal.LoadReader
 	Clock   tarragondeal.Clock
 	Log     zerolog.Logger
-	// Crashed is told of every crash of a server. It must not block.
-	Crashed func(Crash)
 }
 
 // Options are an owner's times.
@@ -151,9 +149,8 @@
 	crashes := o.book.Crashes()
 	hints := o.book.Hints("")
 	o.mu.Unlock()
-	for _, c := range crashes {
-		o.Log.Warn().Str("server", string(c.Server)).Int("running", len(c.Fingerprints)).Msg("backend server crashed")
-		o.Crashed(c)
+	for _, id := range crashes {
+		o.Log.Warn().Str("server", string(id)).Msg("backend server crashed")
 	}
 	return &ReportReply{Unknown: unknown, Elsewhere: elsewhere, Hints: hints}, nil
 }
--- a/internal/dispatch/tdowner/placement.go
+++ b/internal/dispatch/tdowner/placement.go
@@ -15,7 +15,8 @@
 }
 
 // Place works out the owners of servers. Region returns a data centre's
-// region.
+// region. A suspected node owns nothing where others can, but counts as live:
+// what it holds goes on running.
 func Place(servers []tarragondeal.Server, members []tarragondeal.Member, region func(string) string) *Placement {
 	p := &Placement{
 		servers: servers,
@@ -26,6 +27,8 @@
 	for _, m := range members {
 		if m.State == tarragondeal.MemberAlive || m.State == tarragondeal.MemberSuspect {
 			p.live[m.Node] = true
+		}
+		if m.State == tarragondeal.MemberAlive {
 			near[m.DataCentre] = append(near[m.DataCentre], m)
 		}
 	}
@@ -33,7 +36,7 @@
 		s := &servers[n]
 		nodes := near[s.DataCentre]
 		if len(nodes) == 0 {
-			nodes = within(members, p.live, region, region(s.DataCentre))
+			nodes = within(members, region, region(s.DataCentre))
 		}
 		p.owner[s.ID] = highest(s.ID, nodes)
 	}
@@ -42,10 +45,10 @@
 
 // within returns the live nodes of a region, or all live nodes where it has
 // none.
-func within(members []tarragondeal.Member, live map[tarragondeal.NodeID]bool, region func(string) string, name string) []tarragondeal.Member {
+func within(members []tarragondeal.Member, region func(string) string, name string) []tarragondeal.Member {
 	var near, all []tarragondeal.Member
 	for _, m := range members {
-		if !live[m.Node] {
+		if m.State != tarragondeal.MemberAlive {
 			continue
 		}
 		all = append(all, m)
--- a/internal/dispatch/tdowner/poll.go
+++ b/internal/dispatch/tdowner/poll.go
@@ -43,8 +43,14 @@
 	defer cancel()
 	l, err := o.Loads.Load(ctx, s)
 	o.mu.Lock()
-	defer o.mu.Unlock()
+	before := o.book.Usable(s.ID)
 	o.book.Probed(o.Clock.Now(), s.ID, l, alive(err))
+	after := o.book.Usable(s.ID)
+	o.mu.Unlock()
+	if before != after {
+		o.Log.Warn().Err(err).Str("server", string(s.ID)).Bool("usable", after).Bool("leaving", l.Leaving).
+			Msg("backend server changed")
+	}
 }
 
 // alive reports whether a server answered, be it that it has no report.
--- a/internal/dispatch/tdowner/report.go
+++ b/internal/dispatch/tdowner/report.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// crash takes the server out and makes suspects of everything that runs
-// there. Requests that were started before the last crash met that one.
+// crash takes the server out. Requests that were started before the last
+// crash met that one.
 func (b *Book) crash(now tarragondeal.Instant, st *seat, k tdqueue.Ticket) {
 	run, ok := st.queue.Running()[k]
 	if !ok || st.crashed && run.Started <= st.crashedAt {
@@ -90,14 +90,7 @@
 	}
 	st.status.Crashed(now)
 	st.crashed, st.crashedAt = true, now
-	b.epoch++
-	c := Crash{Server: st.server.ID, ID: b.epoch}
-	for _, other := range st.queue.Running() {
-		if other.Fingerprint != 0 {
-			c.Fingerprints = append(c.Fingerprints, other.Fingerprint)
-		}
-	}
-	b.crashes = append(b.crashes, c)
+	b.crashes = append(b.crashes, st.server.ID)
 	st.refuseAll(b.unusable(st))
 }
 
@@ -129,6 +122,12 @@
 	b.serve(now, st)
 }
 
+// Usable reports whether requests may wait for a server.
+func (b *Book) Usable(id tarragondeal.ServerID) bool {
+	st, ok := b.seats[id]
+	return ok && st.status.Usable()
+}
+
 func (b *Book) unusable(st *seat) *ReserveReply {
 	return &ReserveReply{
 		Verdict: Verdict_VERDICT_UNUSABLE, RetryAfterMs: Milliseconds(retryUnusable), Hints: []*Hint{b.hint(st)},
--- a/internal/dispatch/tdowner/takeover.go
+++ b/internal/dispatch/tdowner/takeover.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"tarragondeal"
 )
@@ -132,7 +134,7 @@
 }
 
 func (o *Owner) answered(a answer) {
-	if a.err != nil {
+	if a.err != nil && !o.gone(a) {
 		return
 	}
 	now := o.Clock.Now()
@@ -154,6 +156,20 @@
 	}
 }
 
+// gone reports whether a node that other nodes suspect takes no calls any
+// more. One that is paused or cut off gives no such answer.
+func (o *Owner) gone(a answer) bool {
+	if status.Code(a.err) != codes.Unavailable {
+		return false
+	}
+	for _, m := range o.Members.Members() {
+		if m.Node == a.node {
+			return m.State == tarragondeal.MemberSuspect
+		}
+	}
+	return true
+}
+
 // settle lets servers be granted of which every live node has told.
 func (o *Owner) settle() {
 	now, p := o.Clock.Now(), o.placement.Load()
--- a/internal/dispatch/tdquarantine/doc.go
+++ b/internal/dispatch/tdquarantine/doc.go
@@ -1,8 +1,8 @@
 // Package tdquarantine finds requests that crash the backend servers that run
-// them. Everything that runs on a server when it crashes is a suspect. A
-// suspect's next run is apart from other suspects, so that the guilty request
-// is told from those that merely ran beside it. After two crashes the request
-// is refused at every node for a stated time.
+// them. Every request that broke with its server is a suspect. A suspect's
+// next run is apart from other suspects, so that the guilty request is told
+// from those that merely ran beside it. After two crashes the request is
+// refused at every node for a stated time.
 //
 // # Usage
 //
@@ -11,6 +11,9 @@
 //	go func() { done <- q.Run(ctx) }()
 //	q.Crashed(notice)
 //	verdict, left := q.Check(fingerprint)
+//	if verdict == tdquarantine.Suspect {
+//		verdict, left = q.Confirm(ctx, fingerprint)
+//	}
 package tdquarantine
 
 //go:generate protoc --go_out=../../.. --go_opt=module=tarragondeal --go-grpc_out=../../.. --go-grpc_opt=module=tarragondeal quarantine.proto
--- a/internal/dispatch/tdquarantine/quarantine.go
+++ b/internal/dispatch/tdquarantine/quarantine.go
@@ -60,7 +60,8 @@
 // Register registers the quarantine's calls with the server for peers.
 func (k *Keeper) Register(s *grpc.Server) { RegisterQuarantineServer(s, k) }
 
-// Crashed takes a crash that this node has seen, and tells the others.
+// Crashed takes a run of this node that broke with its server, and tells the
+// others.
 func (k *Keeper) Crashed(n Notice) {
 	k.add(n)
 	if !k.ring.Push(n) {
@@ -93,35 +94,35 @@
 
 // Run tells other nodes of crashes until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
+	tells := pool.New().WithMaxGoroutines(tellsAtOnce)
+	defer tells.Wait()
 	for {
 		n, err := k.ring.Pop(ctx)
 		if err != nil {
 			return nil
 		}
-		k.tell(ctx, n)
+		k.tell(ctx, tells, n)
 	}
 }
 
-func (k *Keeper) tell(ctx context.Context, n Notice) {
-	in := &CrashNotice{Server: string(n.Server), Crash: n.Crash, Fingerprints: n.Fingerprints}
+func (k *Keeper) tell(ctx context.Context, tells *pool.Pool, n Notice) {
+	in := &CrashNotice{Server: string(n.Server), Run: n.Run, Fingerprint: n.Fingerprint}
 	if k.Spread != nil {
 		if b, err := proto.Marshal(in); err == nil {
 			k.Spread.Send(Topic, b)
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-	defer cancel()
-	tells := pool.New().WithMaxGoroutines(tellsAtOnce)
 	self := k.Members.Self().Node
 	for _, m := range k.Members.Members() {
 		if m.Node != self {
 			tells.Go(func() { k.tellNode(ctx, m.Node, in) })
 		}
 	}
-	tells.Wait()
 }
 
 func (k *Keeper) tellNode(ctx context.Context, node tarragondeal.NodeID, in *CrashNotice) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
 	conn, err := k.Links.Conn(node)
 	if err == nil {
 		_, err = NewQuarantineClient(conn).Tell(ctx, in)
@@ -133,7 +134,7 @@
 
 // Tell serves a peer's call.
 func (k *Keeper) Tell(_ context.Context, in *CrashNotice) (*CrashNoticeReply, error) {
-	k.add(Notice{Server: tarragondeal.ServerID(in.GetServer()), Crash: in.GetCrash(), Fingerprints: in.GetFingerprints()})
+	k.add(Notice{Server: tarragondeal.ServerID(in.GetServer()), Run: in.GetRun(), Fingerprint: in.GetFingerprint()})
 	return &CrashNoticeReply{}, nil
 }
 
--- a/internal/dispatch/tdquarantine/table.go
+++ b/internal/dispatch/tdquarantine/table.go
@@ -18,11 +18,9 @@
 	convict = 2
 	// tableSize bounds the fingerprints that are remembered.
 	tableSize = 16384
-	// outageWindow and outageCrashes tell an outage, such as a reclaimed data
-	// centre, from a request that crashes servers: so many servers within so
-	// short a time are not taken down by requests that run apart.
-	outageWindow  = 2 * time.Second
-	outageCrashes = 3
+	// sameCrash is for how long runs of one request that broke on one server
+	// are taken to have met the same crash.
+	sameCrash = time.Second
 )
 
 // Verdict is what is thought of a request.
@@ -35,32 +33,30 @@
 	Refused         // It is not run.
 )
 
-// Notice is one crash and what ran during it.
+// Notice is one run of a request that broke with its server.
 type Notice struct {
-	Server       tarragondeal.ServerID
-	Crash        uint64 // Unique to the crash.
-	Fingerprints []uint64
+	Server      tarragondeal.ServerID
+	Run         uint64 // Unique to the run.
+	Fingerprint uint64
+}
+
+// crash is one crash during which a request ran.
+type crash struct {
+	server tarragondeal.ServerID
+	run    uint64
+	at     tarragondeal.Instant
 }
 
 // record is what is known of one fingerprint.
 type record struct {
-	crashes []uint64
+	crashes []crash
 	until   tarragondeal.Instant
 }
 
-// event is one recent crash.
-type event struct {
-	id     uint64
-	server tarragondeal.ServerID
-	at     tarragondeal.Instant
-}
-
 // Table is what one node knows of crashes. It is not safe for concurrent
 // use.
 type Table struct {
 	records *lru.Cache[uint64, *record]
-	recent  []event
-	outage  map[uint64]tarragondeal.Instant // Crashes that count for nothing.
 }
 
 // NewTable returns an empty table.
@@ -69,67 +65,37 @@
 	if err != nil {
 		panic("tdquarantine: " + err.Error()) // The size is a positive constant.
 	}
-	return &Table{records: c, outage: make(map[uint64]tarragondeal.Instant)}
-}
-
-// Add takes a notice. It reports whether it was new.
-func (t *Table) Add(now tarragondeal.Instant, n Notice) bool {
-	for _, e := range t.recent {
-		if e.id == n.Crash {
-			return false
-		}
-	}
-	t.note(now, n)
-	for _, f := range n.Fingerprints {
-		r, ok := t.records.Get(f)
-		if !ok || now > r.until {
-			r = &record{}
-			t.records.Add(f, r)
-		}
-		r.crashes = append(r.crashes, n.Crash)
-		r.until = max(r.until, now.Add(SuspectFor))
-		if t.counted(r) >= convict {
-			r.until = now.Add(RefusedFor)
-		}
-	}
-	return true
+	return &Table{records: c}
 }
 
-// note remembers the crash, and recognises an outage.
-func (t *Table) note(now tarragondeal.Instant, n Notice) {
-	keep := t.recent[:0]
-	for _, e := range t.recent {
-		if now.Sub(e.at) < SuspectFor {
-			keep = append(keep, e)
-		}
-	}
-	t.recent = append(keep, event{id: n.Crash, server: n.Server, at: now})
-	for id, at := range t.outage {
-		if now.Sub(at) > RefusedFor {
-			delete(t.outage, id)
-		}
-	}
-	first := len(t.recent)
-	for first > 0 && now.Sub(t.recent[first-1].at) < outageWindow {
-		first--
+// Add takes a notice, which may come more than once.
+func (t *Table) Add(now tarragondeal.Instant, n Notice) {
+	r, ok := t.records.Get(n.Fingerprint)
+	if !ok || now > r.until {
+		r = &record{}
+		t.records.Add(n.Fingerprint, r)
 	}
-	if len(t.recent)-first < outageCrashes {
+	if !r.add(crash{server: n.Server, run: n.Run, at: now}) {
 		return
 	}
-	for _, e := range t.recent[first:] {
-		t.outage[e.id] = now
+	r.until = max(r.until, now.Add(SuspectFor))
+	if len(r.crashes) >= convict {
+		r.until = now.Add(RefusedFor)
 	}
 }
 
-// counted is the number of crashes that tell against a request.
-func (t *Table) counted(r *record) int {
-	n := 0
-	for _, id := range r.crashes {
-		if _, outage := t.outage[id]; !outage {
-			n++
+// add reports whether the crash was not known yet.
+func (r *record) add(c crash) bool {
+	for _, old := range r.crashes {
+		near := old.server == c.server && c.at.Sub(old.at) < sameCrash
+		if near || old.run == c.run {
+			return false
 		}
 	}
-	return n
+	if len(r.crashes) < convict {
+		r.crashes = append(r.crashes, c)
+	}
+	return true
 }
 
 // Check returns what is thought of a request, and for how long.
@@ -138,12 +104,20 @@
 	if !ok || now > r.until {
 		return Clear, 0
 	}
-	if t.counted(r) >= convict {
+	if len(r.crashes) >= convict {
 		return Refused, r.until.Sub(now)
 	}
 	return Suspect, r.until.Sub(now)
 }
 
+// met returns the crashes that a request met.
+func (t *Table) met(fingerprint uint64) []crash {
+	if r, ok := t.records.Get(fingerprint); ok {
+		return r.crashes
+	}
+	return nil
+}
+
 // Served takes it that a request ran to its end: it is no suspect.
 func (t *Table) Served(fingerprint uint64) {
 	if t.records.Len() > 0 {
--- a/internal/dispatch/tdqueue/queue.go
+++ b/internal/dispatch/tdqueue/queue.go
@@ -12,19 +12,18 @@
 
 // Request is a request that wants to run on the queue's server.
 type Request struct {
-	Ticket      Ticket
-	Tier        int
-	Class       string
-	MinShare    float64 // Of its class; zero counts as DefaultMinShare.
-	Workspace   string
-	Weight      float64 // Of its workspace; zero counts as one.
-	Work        float64 // Estimated tokens.
-	Copies      int     // The number of queues in which it waits.
-	Fingerprint uint64
-	Suspect     bool // A server crashed while it ran.
-	Promised    bool // Its class has a target.
-	Target      tarragondeal.Instant
-	Deadline    tarragondeal.Instant
+	Ticket    Ticket
+	Tier      int
+	Class     string
+	MinShare  float64 // Of its class; zero counts as DefaultMinShare.
+	Workspace string
+	Weight    float64 // Of its workspace; zero counts as one.
+	Work      float64 // Estimated tokens.
+	Copies    int     // The number of queues in which it waits.
+	Suspect   bool    // A server crashed while it ran.
+	Promised  bool    // Its class has a target.
+	Target    tarragondeal.Instant
+	Deadline  tarragondeal.Instant
 }
 
 // Refusal is a request that will not run on this server.
--- a/internal/dispatch/tdreserve/call.go
+++ b/internal/dispatch/tdreserve/call.go
@@ -66,6 +66,11 @@
 		d: d, ask: a, start: d.Clock.Now(), replies: make(chan replied, breadth),
 		query: tdchoose.Query{Ask: a, Suspect: suspect, Promised: a.Target > 0},
 	}
+	for _, id := range a.Avoid {
+		if s, ok := d.table.Server(id); ok {
+			c.query.Failed = append(c.query.Failed, s.DataCentre)
+		}
+	}
 	c.query.Match = match(d.Prefixes, a.Prefix)
 	return c
 }
@@ -170,7 +175,7 @@
 	return &tdowner.Request{
 		Ticket: newTicket(), Tier: int32(a.Tier), Class: a.Class, MinShare: float32(a.MinShare),
 		Workspace: a.Workspace, Weight: float32(a.Weight), Work: float32(a.Work), Copies: int32(copies),
-		Fingerprint: a.Fingerprint, Suspect: c.query.Suspect, Promised: c.query.Promised,
+		Suspect: c.query.Suspect, Promised: c.query.Promised,
 		TargetMs: target, DeadlineMs: tdowner.Milliseconds(a.Deadline - passed),
 	}
 }
--- a/internal/dispatch/tdreserve/dispatcher.go
+++ b/internal/dispatch/tdreserve/dispatcher.go
@@ -123,6 +123,9 @@
 	}
 	d.count(func(c *Counts) { c.Requests++ })
 	verdict, left := d.check(a.Fingerprint)
+	if verdict == tdquarantine.Suspect {
+		verdict, left = d.Quarantine.Confirm(ctx, a.Fingerprint)
+	}
 	if verdict == tdquarantine.Refused {
 		d.count(func(c *Counts) { c.Refused++ })
 		return tarragondeal.Grant{}, &tarragondeal.RefusedError{
@@ -227,13 +230,24 @@
 	o.Total = held
 	if o.Kind == tarragondeal.OutcomeServed {
 		d.Prefixes.Ran(r.key.Server, r.ask.Prefix)
-		if d.Quarantine != nil && r.ask.Fingerprint != 0 {
-			d.Quarantine.Served(r.ask.Fingerprint)
-		}
 	}
+	d.judge(r, o.Kind)
 	d.ended(r.grant.Owner, r.key, o)
 }
 
+// judge makes a suspect of a request that broke with its server, at once, so
+// that its retry runs apart, and clears one that ran to its end.
+func (d *Dispatcher) judge(r *run, kind tarragondeal.OutcomeKind) {
+	f := r.ask.Fingerprint
+	switch {
+	case d.Quarantine == nil || f == 0:
+	case kind == tarragondeal.OutcomeServed:
+		d.Quarantine.Served(f)
+	case kind == tarragondeal.OutcomeCrashed:
+		d.Quarantine.Crashed(tdquarantine.Notice{Server: r.key.Server, Run: r.key.Ticket, Fingerprint: f})
+	}
+}
+
 // MayRetry takes one retry from the fleet's budget.
 func (d *Dispatcher) MayRetry(a tarragondeal.Ask) bool {
 	if verdict, _ := d.check(a.Fingerprint); verdict == tdquarantine.Refused {
--- a/internal/node/tdnode/dispatch.go
+++ b/internal/node/tdnode/dispatch.go
@@ -71,7 +71,7 @@
 	quarantine := n.buildQuarantine()
 	owner := tdowner.New(tdowner.Deps{
 		Members: n.fleet.members, Links: n.fleet.links, Site: site, Loads: n.site, Clock: n.clock,
-		Log: tdlog.Part(n.log, "owner"), Crashed: crashed(quarantine),
+		Log: tdlog.Part(n.log, "owner"),
 	}, tdowner.Options{StartWait: n.cfg.OwnerStartWait, PollEvery: n.cfg.LoadEvery})
 	owner.Register(n.fleet.links.Server())
 	d := tdreserve.New(tdreserve.Deps{
@@ -108,15 +108,6 @@
 	}, n.clock)
 }
 
-func crashed(q *tdquarantine.Keeper) func(tdowner.Crash) {
-	if q == nil {
-		return func(tdowner.Crash) {}
-	}
-	return func(c tdowner.Crash) {
-		q.Crashed(tdquarantine.Notice{Server: c.Server, Crash: c.ID, Fingerprints: c.Fingerprints})
-	}
-}
-
 // site tells the dispatch what is configured and listed.
 type site struct {
 	list   *tdserver.List
