--- a/internal/dispatch/tdowner/placement.go
+++ b/internal/dispatch/tdowner/placement.go
@@ -15,43 +15,59 @@
 }
 
 // Place works out the owners of servers. Region returns a data centre's
-// region. A suspected node owns nothing where others can, but counts as live:
-// what it holds goes on running.
+// region. Nodes that are suspected or leaving own nothing where others can,
+// but count as live: what they hold goes on running.
 func Place(servers []tarragondeal.Server, members []tarragondeal.Member, region func(string) string) *Placement {
 	p := &Placement{
 		servers: servers,
 		owner:   make(map[tarragondeal.ServerID]tarragondeal.NodeID, len(servers)),
 		live:    make(map[tarragondeal.NodeID]bool, len(members)),
 	}
-	near := make(map[string][]tarragondeal.Member)
 	for _, m := range members {
-		if m.State == tarragondeal.MemberAlive || m.State == tarragondeal.MemberSuspect {
+		if m.State != tarragondeal.MemberDead {
 			p.live[m.Node] = true
 		}
-		if m.State == tarragondeal.MemberAlive {
-			near[m.DataCentre] = append(near[m.DataCentre], m)
-		}
+	}
+	able := owners(members)
+	near := make(map[string][]tarragondeal.Member)
+	for _, m := range able {
+		near[m.DataCentre] = append(near[m.DataCentre], m)
 	}
 	for n := range servers {
 		s := &servers[n]
 		nodes := near[s.DataCentre]
 		if len(nodes) == 0 {
-			nodes = within(members, region, region(s.DataCentre))
+			nodes = within(able, region, region(s.DataCentre))
 		}
 		p.owner[s.ID] = highest(s.ID, nodes)
 	}
 	return p
 }
 
-// within returns the live nodes of a region, or all live nodes where it has
-// none.
-func within(members []tarragondeal.Member, region func(string) string, name string) []tarragondeal.Member {
-	var near, all []tarragondeal.Member
-	for _, m := range members {
-		if m.State != tarragondeal.MemberAlive {
-			continue
+// owners returns the members that may own servers. The last nodes go on
+// owning them while they are suspected or leave, since they still take
+// requests.
+func owners(members []tarragondeal.Member) []tarragondeal.Member {
+	for _, state := range []tarragondeal.MemberState{
+		tarragondeal.MemberAlive, tarragondeal.MemberSuspect, tarragondeal.MemberLeaving,
+	} {
+		var out []tarragondeal.Member
+		for _, m := range members {
+			if m.State == state {
+				out = append(out, m)
+			}
 		}
-		all = append(all, m)
+		if len(out) > 0 {
+			return out
+		}
+	}
+	return nil
+}
+
+// within returns the nodes of a region, or all nodes where it has none.
+func within(nodes []tarragondeal.Member, region func(string) string, name string) []tarragondeal.Member {
+	var near []tarragondeal.Member
+	for _, m := range nodes {
 		if region(m.DataCentre) == name {
 			near = append(near, m)
 		}
@@ -59,7 +75,7 @@
 	if len(near) > 0 {
 		return near
 	}
-	return all
+	return nodes
 }
 
 // highest returns the node with the highest hash for a server.
