--- a/internal/account/tdburn/burn_test.go
+++ b/internal/account/tdburn/burn_test.go
@@ -435,6 +435,53 @@
 	}
 }
 
+// filled returns measures of six classes and a number of pairs.
+func filled(pairs int) *Burn {
+	clock := &fixedClock{}
+	b := newBurn(clock)
+	for n := range max(pairs, 1) {
+		clock.now += tarragondeal.Instant(time.Second)
+		s := sample("bench", time.Duration(1+n%997)*time.Millisecond, time.Duration(1+n%4999)*time.Millisecond)
+		s.Workspace = fmt.Sprintf("workspace%d", n)
+		b.Observe(s)
+		for k := range 6 {
+			c, _ := b.class(fmt.Sprintf("class%d", k))
+			c.add(clock.now, &s, countsOf(&s, true))
+		}
+	}
+	return b
+}
+
+// BenchmarkAnswer makes a node's answer to a report.
+func BenchmarkAnswer(b *testing.B) {
+	for _, pairs := range []int{64, 1024, 4096, 8192} {
+		b.Run(fmt.Sprint(pairs), func(b *testing.B) {
+			burn := filled(pairs)
+			b.ReportAllocs()
+			for b.Loop() {
+				burn.measures()
+			}
+			b.ReportMetric(float64(proto.Size(burn.measures())), "B/answer")
+		})
+	}
+}
+
+// BenchmarkMerge adds one node's answer to a report.
+func BenchmarkMerge(b *testing.B) {
+	for _, pairs := range []int{64, 8192} {
+		b.Run(fmt.Sprint(pairs), func(b *testing.B) {
+			in := filled(pairs).measures()
+			m := newMerged()
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := m.add("n", in); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkPairState reports the bytes that one pair of workspace and class
 // keeps, and those of a class.
 func BenchmarkPairState(b *testing.B) {
--- a/internal/node/tdquickstart/quickstart.go
+++ b/internal/node/tdquickstart/quickstart.go
@@ -8,6 +8,8 @@
 	"io"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"tarragondeal"
 	"tarragondeal/internal/entry/tdkey"
 	"tarragondeal/internal/entry/tdoperator"
@@ -61,6 +63,7 @@
 	if o.Logs == nil {
 		o.Logs = io.Discard
 	}
+	o.Logs = zerolog.SyncWriter(o.Logs) // Three nodes write to it.
 	d := &demo{Options: o, token: rand.Text(), keys: make(map[string]string)}
 	cluster, err := tdcluster.Start(spec())
 	if err != nil {
