--- /dev/null
+++ b/internal/account/tdburn/legacy_test.go
@@ -0,0 +1,84 @@
+package tdburn
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"tarragondeal"
+)
+
+var _ = ginkgo.Describe("figures", func() {
+	ginkgo.It("pass whole from a node that stops to another", func() {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			// The clocks differ by whole buckets of every width, so that the
+			// buckets of both lie alike.
+			a, b, both := &fixedClock{}, &fixedClock{now: tarragondeal.Instant(pairCoarseWidth * 7)}, &fixedClock{}
+			leaving, heir, one := newBurn(a), newBurn(b), newBurn(both)
+			for range rapid.IntRange(1, 20).Draw(t, "count") {
+				step := tarragondeal.Instant(rapid.Int64Range(0, int64(2*time.Hour)).Draw(t, "step"))
+				a.now, b.now, both.now = a.now+step, b.now+step, both.now+step
+				s := sample(rapid.SampledFrom([]string{"bench", "entry"}).Draw(t, "class"),
+					time.Duration(rapid.Int64Range(1e6, 1e9).Draw(t, "first")), time.Duration(rapid.Int64Range(1e6, 2e10).Draw(t, "total")))
+				s.Failed = rapid.Bool().Draw(t, "failed")
+				one.Observe(s)
+				one.Waste("retry", s.Class, 5)
+				n := rapid.SampledFrom([]*Burn{leaving, heir}).Draw(t, "node")
+				n.Observe(s)
+				n.Waste("retry", s.Class, 5)
+			}
+			for _, part := range leaving.legacy("leaving") {
+				wire, err := proto.Marshal(part)
+				Expect(err).NotTo(HaveOccurred())
+				in := &Legacy{}
+				Expect(proto.Unmarshal(wire, in)).To(Succeed())
+				Expect(heir.inherit(in)).To(Succeed())
+			}
+			later := tarragondeal.Instant(rapid.Int64Range(0, int64(10*time.Hour)).Draw(t, "later"))
+			b.now, both.now = b.now+later, both.now+later
+			got, want := newMerged(), newMerged()
+			Expect(got.add("leaving", leaving.measures())).To(Succeed())
+			Expect(got.add("heir", heir.measures())).To(Succeed())
+			Expect(want.add("one", one.measures())).To(Succeed())
+			x, y := got.report(config().view, nil, time.Time{}), want.report(config().view, nil, time.Time{})
+			Expect(x.Classes).To(Equal(y.Classes))
+			Expect(x.Worst).To(Equal(y.Worst))
+			Expect(x.Waste).To(Equal(y.Waste))
+		})
+	})
+
+	ginkgo.It("pass on in parts, and pairs without room stay counted", func() {
+		leaving, heir := newBurn(&fixedClock{}), newBurn(&fixedClock{})
+		for n := range maxPairs {
+			s := sample("bench", time.Millisecond, time.Second)
+			s.Workspace = fmt.Sprintf("ws%d", n)
+			leaving.Observe(s)
+			s.Workspace = fmt.Sprintf("other%d", n)
+			heir.Observe(s)
+		}
+		parts := leaving.legacy("leaving")
+		for _, part := range parts {
+			Expect(proto.Size(part)).To(BeNumerically("<", 1<<20))
+			Expect(heir.inherit(part)).To(Succeed())
+		}
+		Expect(leaving.legacy("leaving")).To(BeEmpty())
+		m := newMerged()
+		Expect(m.add("heir", heir.measures())).To(Succeed())
+		Expect(m.classes["bench"].windows[3].good).To(BeEquivalentTo(2 * maxPairs))
+		Expect(m.pairs).To(HaveLen(maxPairs + 1))
+		Expect(m.pairs[pairKey{Other, "bench"}].good[2]).To(BeEquivalentTo(maxPairs))
+	})
+
+	ginkgo.It("refuse a malformed legacy as a whole", func() {
+		leaving, heir := newBurn(&fixedClock{}), newBurn(&fixedClock{})
+		leaving.Observe(sample("bench", time.Millisecond, time.Second))
+		part := leaving.legacy("leaving")[0]
+		part.Classes[0].FineLatency[0].Measures[0].Step[0] = 1 << 20
+		Expect(heir.inherit(part)).To(MatchError(errMalformed))
+		Expect(heir.measures().Classes).To(BeEmpty())
+	})
+})
--- a/internal/node/tdnode/node.go
+++ b/internal/node/tdnode/node.go
@@ -7,7 +7,7 @@
 //	err = n.Run(ctx)
 //
 // Each area has its own file here that makes its parts: fleet.go,
-// dispatch.go, account.go, capacity.go, entry.go and operator.go.
+// dispatch.go, account.go, burn.go, capacity.go, entry.go and operator.go.
 package tdnode
 
 import (
