--- a/internal/account/tdburn/burn_test.go
+++ b/internal/account/tdburn/burn_test.go
@@ -298,4 +298,3 @@
 		})
 	}
 })
-
