Refuse unknown variables, and replace a set's file as a whole

A variable such as TARRAGONDEAL_LISTEN_CALLER was passed over in silence, though an unknown setting in the file is refused; it is refused now too. 'config apply -update' rewrote the file in place, and a failure half-way would have lost it; it now renames a new file over the old one.

--- a/cmd/tarragondeal/apply.go
+++ b/cmd/tarragondeal/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -125,11 +126,33 @@
 	} else {
 		text = append([]byte(line), text...)
 	}
+	return replace(file, text)
+}
+
+// replace writes a file as a whole, so that a failure leaves the old one.
+func replace(file string, text []byte) error {
 	info, err := os.Stat(file)
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(file, text, info.Mode().Perm())
+	next, err := os.CreateTemp(filepath.Dir(file), filepath.Base(file)+".*")
+	if err != nil {
+		return err
+	}
+	_, err = next.Write(text)
+	if cerr := next.Close(); err == nil {
+		err = cerr
+	}
+	if err == nil {
+		err = os.Chmod(next.Name(), info.Mode().Perm())
+	}
+	if err == nil {
+		err = os.Rename(next.Name(), file)
+	}
+	if err != nil {
+		_ = os.Remove(next.Name())
+	}
+	return err
 }
 
 func trimNewline(b []byte) []byte {
--- a/internal/node/tdsettings/check.go
+++ b/internal/node/tdsettings/check.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/netip"
 	"net/url"
+	"os"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -12,7 +13,7 @@
 // Check returns a *SettingsError that names every setting that is missing
 // or wrong on its own.
 func (s *Settings) Check() error {
-	var faults []*SettingError
+	faults := checkEnvironment(s.source.flags, os.Environ())
 	wrong := func(path string, err error) {
 		if err != nil {
 			faults = append(faults, s.source.wrong(path, err))
--- a/internal/node/tdsettings/parse.go
+++ b/internal/node/tdsettings/parse.go
@@ -55,6 +55,7 @@
 type source struct {
 	file  string
 	lines map[string]int
+	flags *flag.FlagSet // Nil when the environment was not read.
 }
 
 func (s *source) wrong(path string, err error) *SettingError {
@@ -73,6 +74,7 @@
 
 // Options declares the flag -config and returns how to parse the rest.
 func (s *Settings) Options(fs *flag.FlagSet) []ff.Option {
+	s.source.flags = fs
 	fs.StringVar(&s.source.file, "config", "", "YAML file of settings")
 	return []ff.Option{
 		ff.WithEnvVarPrefix(EnvPrefix),
--- a/internal/node/tdsettings/settings_test.go
+++ b/internal/node/tdsettings/settings_test.go
@@ -87,6 +87,14 @@
 		})
 	}
 
+	It("are refused in the environment too when they are unknown", func() {
+		path := write("node.yaml", goodFile)
+		GinkgoT().Setenv("TARRAGONDEAL_LISTEN_CALLER", "10.0.0.5:8080")
+		GinkgoT().Setenv("TARRAGONDEAL_TOKENFILE", "anna.token") // Of the operators' commands.
+		_, err := parse("-config", path)
+		Expect(err).To(MatchError("setting TARRAGONDEAL_LISTEN_CALLER: no setting has this variable"))
+	})
+
 	It("take operators' tokens from files, by name", func() {
 		token := write("token", "token-of-all-operators\n")
 		named := write("tokens.yaml", "bjorn: token-of-bjorn-1234\nanna: token-of-anna-1234\n")
