--- /dev/null
+++ b/test/account/claim_test.go
@@ -0,0 +1,102 @@
+package account_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragondeal/internal/standin/tdplatform"
+	"tarragondeal/internal/test/tdtest"
+)
+
+var _ = Describe("a request that may run once", Ordered, func() {
+	var s *site
+
+	BeforeAll(func() { s = start(3, tdplatform.Options{}) })
+
+	It("is told as running, and then answered from the record, at another node", func() {
+		first := make(chan answer, 1)
+		go func() { first <- s.enter(s.nodes[0], "meter1") }()
+		Eventually(func() int { return s.service().Executions("meter1") }, "10s", "5ms").Should(Equal(1))
+		repeat := s.enter(s.nodes[1], "meter1")
+		if repeat.status != http.StatusOK { // The first may have ended by now.
+			code, ran := repeat.refusal()
+			Expect([]string{code, ran}).To(Equal([]string{"alreadyRunning", "unknown"}))
+		}
+		Expect((<-first).status).To(Equal(http.StatusOK))
+		Eventually(func() int { return s.enter(s.nodes[1], "meter1").status }, "10s", "50ms").Should(Equal(http.StatusOK))
+		Expect(s.enter(s.nodes[2], "meter1").body).To(ContainSubstring(`"executions":1`))
+		Expect(s.service().Executions("meter1")).To(Equal(1))
+	})
+
+	It("is refused when the key comes back with another body", func() {
+		Expect(s.enter(s.nodes[0], "meter2").status).To(Equal(http.StatusOK))
+		other := s.post(s.nodes[1], "/services/certificate/enter", `{"id":"meter3"}`, "key of meter2")
+		code, _ := other.refusal()
+		Expect(code).To(Equal("bodyDiffers"))
+		Expect(s.service().Executions("meter3")).To(Equal(0))
+	})
+
+	It("does not run while the store is away, and runs after", func() {
+		s.cluster.Platform.SetOutage(true)
+		refused := s.enter(s.nodes[0], "meter4")
+		s.cluster.Platform.SetOutage(false)
+		Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+		code, _ := refused.refusal()
+		Expect(code).To(Equal("storeAway"))
+		Expect(s.service().Executions("meter4")).To(Equal(0))
+		Eventually(func() int { return s.enter(s.nodes[1], "meter4").status }, "30s", "100ms").Should(Equal(http.StatusOK))
+		Expect(s.service().Executions("meter4")).To(Equal(1))
+	})
+
+	It("runs once when answers of the store are lost and callers repeat at two nodes at once", func() {
+		s.cluster.Platform.LoseAnswers(3)
+		defer s.cluster.Platform.LoseAnswers(0)
+		var wg sync.WaitGroup
+		for n := range 12 {
+			for k := range 3 {
+				wg.Go(func() {
+					defer GinkgoRecover()
+					s.enter(s.nodes[k], fmt.Sprint("lost", n))
+				})
+			}
+		}
+		wg.Wait()
+		for n := range 12 {
+			id := fmt.Sprint("lost", n)
+			Expect(s.service().Executions(id)).To(BeNumerically("<=", 1), id)
+		}
+	})
+
+	It("never runs again when its node died in the middle", func() {
+		done := make(chan answer, 1)
+		go func() { done <- s.enterUntilAgreed(s.nodes[0], "meter5") }()
+		Eventually(func() int { return s.service().Executions("meter5") }, "30s", "2ms").Should(Equal(1))
+		s.nodes[0].Kill()
+		Expect((<-done).err).To(HaveOccurred(), "the service works for longer than it takes to kill a node")
+		Eventually(func() string {
+			code, ran := s.enter(s.nodes[1], "meter5").refusal()
+			return code + " " + ran
+		}, "30s", "100ms").Should(Equal("outcomeUnknown unknown"))
+		for range 5 {
+			s.enter(s.nodes[2], "meter5")
+		}
+		Expect(s.service().Executions("meter5")).To(Equal(1))
+	})
+})
+
+// enterUntilAgreed repeats an entry while the node takes the store for away,
+// as it does for a while after calls that had no answer.
+func (s *site) enterUntilAgreed(n *tdtest.Node, id string) answer {
+	for {
+		a := s.enter(n, id)
+		if code, _ := a.refusal(); code != "storeAway" && code != "alreadyRunning" {
+			return a
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
