--- a/internal/account/tdclaim/finish.go
+++ b/internal/account/tdclaim/finish.go
@@ -118,17 +118,35 @@
 }
 
 // Run ends claims that could not be ended at once, until the context ends.
+// Then it tries each that is left once more.
 func (c *Claims) Run(ctx context.Context) error {
 	for {
 		j, err := c.pending.Pop(ctx)
 		if err != nil {
-			return nil // The node stops.
+			break // The node stops.
+		}
+		if !c.retry(ctx, &j) {
+			c.later(j)
+			break
+		}
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.cfg.Wait)
+	defer cancel()
+	for range c.pending.Len() {
+		j, err := c.pending.Pop(last)
+		if err != nil {
+			break
+		}
+		if done, err := c.write(last, &j); !done {
+			c.Log.Warn().Err(err).Msg("claim stays open")
 		}
-		c.retry(ctx, &j)
 	}
+	return nil
 }
 
-func (c *Claims) retry(ctx context.Context, j *job) {
+// retry tries a job until it is done. It reports false when the context ended
+// first.
+func (c *Claims) retry(ctx context.Context, j *job) bool {
 	wait := retryMin
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, c.cfg.Wait)
@@ -138,11 +156,12 @@
 			if err != nil {
 				c.Log.Warn().Err(err).Msg("can't end a claim")
 			}
-			return
+			return true
 		}
 		c.sleep(ctx, rand.N(wait))
 		wait = min(2*wait, retryMax)
 	}
+	return false
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/account/tdreporter/ledger.go
+++ b/internal/account/tdreporter/ledger.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -55,6 +54,7 @@
 	entries map[int]Closing // Those that are kept.
 	windows map[int64]int   // The entry of each window.
 	billed  map[string]int
+	looked  int64 // The newest ended window when nothing was left to close.
 }
 
 func newLedger(store tarragondeal.Store) *ledger {
@@ -182,11 +182,9 @@
 	return out
 }
 
-// plan chooses the next window to close and what it bills. Windows close
-// once they have ended before cutoff. Usage of windows that are in the log
-// is late and goes along.
-func (l *ledger) plan(all []due, length time.Duration, cutoff time.Time) (window int64, own, late []due, ok bool) {
-	newest := tdusage.Cut(cutoff.Add(-length), length)
+// plan chooses the next window to close, up to the newest that has ended, and
+// what it bills. Usage of windows that are in the log is late and goes along.
+func (l *ledger) plan(all []due, newest int64) (window int64, own, late []due, ok bool) {
 	for _, d := range all {
 		_, logged := l.windows[d.id.Window]
 		switch {
--- a/internal/account/tdreporter/reporter.go
+++ b/internal/account/tdreporter/reporter.go
@@ -114,8 +114,14 @@
 	return r.clean(ctx, l, sent)
 }
 
-// closeNext closes one window, if one is due.
+// closeNext closes one window, if one is due. It looks at the sources only
+// when a window has ended since it last found nothing to close.
 func (r *Duty) closeNext(ctx context.Context, l *ledger, fence uint64) (bool, error) {
+	cutoff := r.Clock.Wall().Add(-r.cfg.Grace)
+	newest := tdusage.Cut(cutoff.Add(-r.cfg.Window), r.cfg.Window)
+	if newest == l.looked {
+		return false, nil
+	}
 	horizon, _, err := tdusage.Horizon(ctx, r.Store)
 	if err != nil {
 		return false, err
@@ -127,8 +133,9 @@
 	if err := r.dropVoid(ctx, l, sources, horizon); err != nil {
 		return false, err
 	}
-	window, own, late, ok := l.plan(l.due(sources, horizon), r.cfg.Window, r.Clock.Wall().Add(-r.cfg.Grace))
+	window, own, late, ok := l.plan(l.due(sources, horizon), newest)
 	if !ok {
+		l.looked = newest
 		return false, nil
 	}
 	for _, all := range [][]due{own, late} {
--- a/internal/account/tdreporter/reporter_test.go
+++ b/internal/account/tdreporter/reporter_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -22,9 +21,6 @@
 
 func TestReporter(t *testing.T) {
 	RegisterFailHandler(Fail)
-	if err := flag.Set("rapid.checks", "300"); err != nil {
-		t.Fatal(err)
-	}
 	RunSpecs(t, "Reporter")
 }
 
--- a/internal/account/tdusage/usage_test.go
+++ b/internal/account/tdusage/usage_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,18 +13,23 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdtask"
 	"tarragondeal/internal/test/tdmemstore"
 )
 
 func TestUsage(t *testing.T) {
 	RegisterFailHandler(Fail)
-	if err := flag.Set("rapid.checks", "400"); err != nil {
-		t.Fatal(err)
+	// The flag, where it is given, sets the number of runs.
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("400"); err != nil {
+			t.Fatal(err)
+		}
 	}
 	RunSpecs(t, "Usage")
 }
@@ -286,6 +293,34 @@
 		Expect(f.total(ctx)).To(Equal(Lines{first: {1, 2, 3}, second: {5, 6, 7}}))
 	})
 
+	It("are acknowledged to many callers at once while the meters run", func() {
+		defer goleak.VerifyNone(GinkgoT(), goleak.IgnoreCurrent())
+		f := newFleet(3)
+		ctx, cancel := context.WithCancel(context.Background())
+		g := tdtask.New(ctx)
+		for k := range f.meters {
+			g.Go("meter", f.meters[k].Run)
+		}
+		var adders sync.WaitGroup
+		for n := range 12 {
+			adders.Go(func() {
+				defer GinkgoRecover()
+				for k := range 50 {
+					u := tarragondeal.Usage{Workspace: fmt.Sprint("workspace", k%7), Route: "narrate", OutputTokens: 3, Last: true}
+					Expect(f.meters[n%3].Add(ctx, u)).To(Succeed())
+				}
+			})
+		}
+		adders.Wait()
+		cancel()
+		g.Close()
+		sum := Figures{}
+		for _, figures := range f.total(context.Background()) {
+			sum = sum.Add(figures)
+		}
+		Expect(sum).To(Equal(Figures{Requests: 600, OutputTokens: 1800}))
+	})
+
 	It("go to the store when there is no peer", func(ctx context.Context) {
 		f := newFleet(1)
 		line := LineKey{"auditors", "narrate"}
@@ -446,3 +481,33 @@
 	}
 	return proto.Size(&KeepRequest{Origin: m.process, Seq: m.seq, Parts: parts})
 }
+
+// BenchmarkMemory holds one window of 6,600 workspaces on two routes, at the
+// process that counts and at its peer.
+func BenchmarkMemory(b *testing.B) {
+	const routes = 2
+	for b.Loop() {
+		f := newFleet(2)
+		before := heap()
+		for _, w := range workspaces {
+			for r := range routes {
+				f.meters[0].count(3600, LineKey{w, routeNames[r]}, Figures{1, 100, 200})
+			}
+		}
+		counted := heap()
+		f.meters[0].commit(b.Context())
+		kept := heap()
+		b.ReportMetric(float64(counted-before)/float64(routes*len(workspaces)), "B/line")
+		b.ReportMetric(float64(kept-counted)/float64(routes*len(workspaces)), "B/copiedLine")
+		runtime.KeepAlive(f)
+	}
+}
+
+var routeNames = []string{"narrate", "summarise"}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/capacity/tdplanner/planner_test.go
+++ b/internal/capacity/tdplanner/planner_test.go
@@ -15,8 +15,11 @@
 
 func TestPlanner(t *testing.T) {
 	RegisterFailHandler(Fail)
-	if err := flag.Set("rapid.checks", "30"); err != nil {
-		t.Fatal(err)
+	// The flag, where it is given, sets the number of runs.
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("30"); err != nil {
+			t.Fatal(err)
+		}
 	}
 	RunSpecs(t, "Planner")
 }
--- a/test/account/account_test.go
+++ b/test/account/account_test.go
@@ -64,6 +64,7 @@
 type site struct {
 	cluster *tdcluster.Cluster
 	nodes   []*tdtest.Node
+	specs   []tdtest.NodeSpec
 	key     string
 	set     *tarragondeal.Set
 }
@@ -92,9 +93,11 @@
 	var vms []tdwire.VM
 	for n := range nodes {
 		place := []string{"duluth", "erie"}[n%2]
-		node := tdtest.StartNode(binary, tdtest.NodeSpec{
+		spec := tdtest.NodeSpec{
 			Name: fmt.Sprint("node", n+1), DataCentre: place, PlatformURL: s.cluster.PlatformURL, Peers: peers, Args: args,
-		})
+		}
+		node := tdtest.StartNode(binary, spec)
+		s.specs = append(s.specs, spec)
 		DeferCleanup(node.Kill)
 		s.nodes = append(s.nodes, node)
 		peers = append(peers, node.Peers)
@@ -195,3 +198,18 @@
 	}
 	s.cluster.SetEntryVMs(vms)
 }
+
+// restart starts a node that ended again, on the addresses it had.
+func (s *site) restart(n *tdtest.Node) {
+	for k := range s.nodes {
+		if s.nodes[k] != n {
+			continue
+		}
+		for _, other := range s.nodes {
+			if other != n {
+				s.specs[k].Peers = append(s.specs[k].Peers, other.Peers)
+			}
+		}
+		n.Start(binary, s.specs[k])
+	}
+}
--- a/test/account/duty_test.go
+++ b/test/account/duty_test.go
@@ -124,6 +124,19 @@
 		inTurn(sent())
 	})
 
+	It("are told apart when another process answers at the node of the one that died", func() {
+		s := start(3, tdplatform.Options{IgnoresFence: true})
+		sent := func() []sending { return orders(s.cluster.Platform) }
+		Eventually(sent, "40s", "50ms").ShouldNot(BeEmpty())
+		old := s.node(sent()[0].sender)
+		old.Kill()
+		Eventually(func() string { return s.holder("orders") }, "40s", "50ms").ShouldNot(Or(Equal(old.Name), BeEmpty()))
+		count := len(sent())
+		s.restart(old)
+		Eventually(func() int { return len(sent()) }, "40s", "50ms").Should(BeNumerically(">", count))
+		inTurn(sent())
+	})
+
 	It("don't stand in each other's way when answers of the store are lost and it is slow", func() {
 		s := start(3, tdplatform.Options{IgnoresFence: true})
 		s.cluster.Platform.LoseAnswers(4)
