--- a/internal/dispatch/tdowner/placement.go
+++ b/internal/dispatch/tdowner/placement.go
@@ -15,23 +15,29 @@
 }
 
 // Place works out the owners of servers. Region returns a data centre's
-// region.
+// region. Nodes that are suspected or leaving own nothing where others can,
+// but count as live: what they hold goes on running.
 func Place(servers []tarragondeal.Server, members []tarragondeal.Member, region func(string) string) *Placement {
 	p := &Placement{
 		servers: servers,
 		owner:   make(map[tarragondeal.ServerID]tarragondeal.NodeID, len(servers)),
 		live:    make(map[tarragondeal.NodeID]bool, len(members)),
 	}
+	for _, m := range members {
+		if m.State != tarragondeal.MemberDead {
+			p.live[m.Node] = true
+		}
+	}
+	able := owners(members)
 	near := make(map[string][]tarragondeal.Member)
-	for _, m := range owners(members) {
-		p.live[m.Node] = true
+	for _, m := range able {
 		near[m.DataCentre] = append(near[m.DataCentre], m)
 	}
 	for n := range servers {
 		s := &servers[n]
 		nodes := near[s.DataCentre]
 		if len(nodes) == 0 {
-			nodes = within(members, p.live, region, region(s.DataCentre))
+			nodes = within(able, region, region(s.DataCentre))
 		}
 		p.owner[s.ID] = highest(s.ID, nodes)
 	}
@@ -39,32 +45,29 @@
 }
 
 // owners returns the members that may own servers. The last nodes go on
-// owning them while they leave, since they still take requests.
+// owning them while they are suspected or leave, since they still take
+// requests.
 func owners(members []tarragondeal.Member) []tarragondeal.Member {
-	var live, leaving []tarragondeal.Member
-	for _, m := range members {
-		switch m.State {
-		case tarragondeal.MemberAlive, tarragondeal.MemberSuspect:
-			live = append(live, m)
-		case tarragondeal.MemberLeaving:
-			leaving = append(leaving, m)
+	for _, state := range []tarragondeal.MemberState{
+		tarragondeal.MemberAlive, tarragondeal.MemberSuspect, tarragondeal.MemberLeaving,
+	} {
+		var out []tarragondeal.Member
+		for _, m := range members {
+			if m.State == state {
+				out = append(out, m)
+			}
+		}
+		if len(out) > 0 {
+			return out
 		}
 	}
-	if len(live) > 0 {
-		return live
-	}
-	return leaving
+	return nil
 }
 
-// within returns the live nodes of a region, or all live nodes where it has
-// none.
-func within(members []tarragondeal.Member, live map[tarragondeal.NodeID]bool, region func(string) string, name string) []tarragondeal.Member {
-	var near, all []tarragondeal.Member
-	for _, m := range members {
-		if !live[m.Node] {
-			continue
-		}
-		all = append(all, m)
+// within returns the nodes of a region, or all nodes where it has none.
+func within(nodes []tarragondeal.Member, region func(string) string, name string) []tarragondeal.Member {
+	var near []tarragondeal.Member
+	for _, m := range nodes {
 		if region(m.DataCentre) == name {
 			near = append(near, m)
 		}
@@ -72,7 +75,7 @@
 	if len(near) > 0 {
 		return near
 	}
-	return all
+	return nodes
 }
 
 // highest returns the node with the highest hash for a server.
