Find stragglers by their running streams, and waste fewer late starts

Cause: a straggler showed only when its slow streams had ended, and requests were started so late before their deadline that half of them ended after it.

Change: the owner measures running streams between reports; a request is started only if one and a half times its class's usual run still fits, half of what is left at most.

Two cases of the queue's test had their durations shortened to fit the wider margin; the one on lower tiers could not fail before and can now.

--- a/internal/dispatch/tdhealth/rate.go
+++ b/internal/dispatch/tdhealth/rate.go
@@ -54,8 +54,12 @@
 	if s.Tokens < minTokens || d <= 0 {
 		return
 	}
+	t.Running(now, id, pool, float64(s.Tokens-1)/d.Seconds())
+}
+
+// Running takes the rate of a stream that goes on.
+func (t *Rates) Running(now tarragondeal.Instant, id tarragondeal.ServerID, pool string, perSecond float64) {
 	r := t.rate(id, pool)
-	perSecond := float64(s.Tokens-1) / d.Seconds()
 	r.samples++
 	r.at = now
 	if r.samples == 1 {
--- a/internal/dispatch/tdowner/book.go
+++ b/internal/dispatch/tdowner/book.go
@@ -32,6 +32,9 @@
 type holder struct {
 	node  tarragondeal.NodeID
 	heard tarragondeal.Instant
+	// The tokens it told of at an instant, from which its rate is measured.
+	tokens int
+	since  tarragondeal.Instant
 }
 
 // seat is one server that this node owns.
--- a/internal/dispatch/tdowner/report.go
+++ b/internal/dispatch/tdowner/report.go
@@ -41,11 +41,30 @@
 		st.adopt(now, node, p.GetRequest(), int(p.GetTokens()))
 		return true
 	}
-	st.holders[k] = holder{node: node, heard: now}
+	h := st.holders[k]
+	h.node, h.heard = node, now
+	st.holders[k] = b.pace(now, st, h, int(p.GetTokens()))
 	st.queue.Progress(k, int(p.GetTokens()))
 	return true
 }
 
+// paceOver is the time over which the rate of a running stream is measured.
+const paceOver = 500 * time.Millisecond
+
+// pace takes the rate of a running stream, so that a straggler is found
+// before its streams have ended.
+func (b *Book) pace(now tarragondeal.Instant, st *seat, h holder, tokens int) holder {
+	passed := now.Sub(h.since)
+	if h.since != 0 && passed < paceOver {
+		return h
+	}
+	if h.tokens > 0 && h.since != 0 {
+		b.rates.Running(now, st.server.ID, st.server.Pool, float64(tokens-h.tokens)/passed.Seconds())
+	}
+	h.tokens, h.since = tokens, now
+	return h
+}
+
 // ended takes the end of a grant, and reports false when another node owns
 // the server.
 func (b *Book) ended(now tarragondeal.Instant, e *Ended) bool {
--- a/internal/dispatch/tdqueue/wait.go
+++ b/internal/dispatch/tdqueue/wait.go
@@ -82,10 +82,15 @@
 	return q.busy / (n * n)
 }
 
-// shortest is the least time that a run is taken to need, so that a request
-// is not held until its deadline.
+// runMargin is how much longer than usual a run may take that is started just
+// in time. What ends after its deadline is wasted.
+const runMargin = 1.5
+
+// shortest is the least time before its deadline at which a request is
+// started. It is half of what is left at most, so that a class whose runs
+// have been long is still tried.
 func (q *Queue) shortest(now tarragondeal.Instant, r *Request) time.Duration {
-	return min(seconds(q.known(r.Class)), r.Deadline.Sub(now)) / 2
+	return min(seconds(runMargin*q.known(r.Class)), r.Deadline.Sub(now)/2)
 }
 
 func (q *Queue) known(name string) float64 {
