--- a/internal/node/tdnode/node.go
+++ b/internal/node/tdnode/node.go
@@ -183,5 +183,10 @@
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
 		n.nodeLog.Error().Err(err).Msg("requests still ran at the bound")
+	} else {
+		n.entry.settle()
+	}
+	if err := n.operator.handOver(context.Background()); err != nil {
+		n.nodeLog.Warn().Err(err).Msg("measures not handed over")
 	}
 }
--- a/internal/node/tdnode/operator.go
+++ b/internal/node/tdnode/operator.go
@@ -23,6 +23,8 @@
 type operator struct {
 	handler http.Handler
 	report  func(context.Context) (any, error)
+	// handOver gives the measures to another node when this one stops.
+	handOver func(context.Context) error
 }
 
 func (n *Node) buildOperator() error {
@@ -39,7 +41,11 @@
 		deps.Tokens = append(deps.Tokens, tdoperator.Token{Name: t.Name, Text: t.Text})
 	}
 	n.operator.handler = tdoperator.New(deps).Handler()
-	return nil
+	if n.cfg.OperatorCert == "" {
+		return nil
+	}
+	n.listeners.operators, err = tdoperator.Secure(n.listeners.operators, n.cfg.OperatorCert, n.cfg.OperatorKey, deps.Log)
+	return err
 }
 
 // duties returns who is on record as the holder of each lease.
