--- a/internal/dispatch/tdowner/book.go
+++ b/internal/dispatch/tdowner/book.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdhealth"
 	"tarragondeal/internal/dispatch/tdload"
@@ -19,8 +21,21 @@
 	retryUnusable = time.Second
 )
 
-// queueOptions bound each server's queue.
-var queueOptions = tdqueue.Options{Bound: 4096, HeadroomPart: 8}
+const (
+	// queueBound is how many requests may wait for one server.
+	queueBound = 4096
+	// headroomPart is the part of all places, one over this number, that only
+	// the highest tier may use.
+	headroomPart = 12
+)
+
+// queueOptions are those of one server's queue. The hash rounds the headroom
+// up at some servers and down at others.
+func queueOptions(id tarragondeal.ServerID) tdqueue.Options {
+	const steps = 1 << 16
+	round := float64(xxhash.Sum64String(string(id))%steps) / steps
+	return tdqueue.Options{Bound: queueBound, HeadroomPart: headroomPart, HeadroomRound: round}
+}
 
 // Waiter is a request that waits at the owner.
 type Waiter struct {
@@ -78,7 +93,7 @@
 	b.epoch++
 	b.seats[s.ID] = &seat{
 		server: s, epoch: b.epoch, slots: slots,
-		queue: tdqueue.New(queueOptions), load: tdload.New(),
+		queue: tdqueue.New(queueOptions(s.ID)), load: tdload.New(),
 		waiters: make(map[tdqueue.Ticket]*Waiter), holders: make(map[tdqueue.Ticket]holder),
 		settleBy: now.Add(settleBound),
 	}
--- a/internal/dispatch/tdqueue/order.go
+++ b/internal/dispatch/tdqueue/order.go
@@ -138,7 +138,8 @@
 }
 
 // headroom is the number of places that a tier leaves free for the highest
-// tier seen of late.
+// tier seen of late. The part of a place is rounded up at some servers and
+// down at others.
 func (q *Queue) headroom(now tarragondeal.Instant, number int) int {
 	if q.opt.HeadroomPart <= 0 || q.room < minHeadroomRoom {
 		return 0
@@ -148,7 +149,7 @@
 			return 0
 		}
 		if t.active(now) {
-			return max(1, q.room/q.opt.HeadroomPart)
+			return int(float64(q.room)/float64(q.opt.HeadroomPart) + q.opt.HeadroomRound)
 		}
 	}
 	return 0
--- a/internal/dispatch/tdqueue/policy_test.go
+++ b/internal/dispatch/tdqueue/policy_test.go
@@ -19,11 +19,10 @@
 
 const (
 	benchServers = 9
-	benchSlots   = 16
+	benchSlots   = 4
 	benchLength  = 60 * time.Second
 	perToken     = 20 * time.Millisecond
 	prefill      = 100 * time.Millisecond
-	breadth      = 3
 )
 
 // arrival is one generated request.
@@ -60,7 +59,7 @@
 			out = append(out, &arrival{
 				at: now, tokens: max(1, int(math.Exp(r.NormFloat64()*0.8+math.Log(40)-0.32))), queues: map[int]bool{},
 				Request: tdqueue.Request{
-					Tier: tier, Class: fmt.Sprint(tier), Workspace: workspace(r), Work: 40, Copies: breadth,
+					Tier: tier, Class: fmt.Sprint(tier), Workspace: workspace(r), Work: 40, Copies: []int{6, 3, 3}[tier-1],
 					MinShare: []float64{0, 0.05, 0.05}[tier-1],
 					Target:   now.Add(targets[tier-1]), Deadline: now.Add(deadlines[tier-1]),
 				},
@@ -141,7 +140,8 @@
 	return w
 }
 
-// owners is the product's order: each request waits in up to three queues.
+// owners is the product's order: each request waits in up to three
+// queues, one of the highest tier in up to six.
 type owners struct {
 	queues []*tdqueue.Queue
 	random *rand.Rand
@@ -149,8 +149,8 @@
 
 func newOwners() *owners {
 	o := &owners{random: rand.New(rand.NewPCG(3, 4))}
-	for range benchServers {
-		q := tdqueue.New(tdqueue.Options{Bound: 4096, HeadroomPart: 8})
+	for n := range benchServers {
+		q := tdqueue.New(tdqueue.Options{Bound: 4096, HeadroomPart: 12, HeadroomRound: float64(n) / benchServers})
 		q.SetRoom(benchSlots)
 		o.queues = append(o.queues, q)
 	}
@@ -165,7 +165,7 @@
 		}
 	}
 	for _, n := range order {
-		if len(a.queues) == breadth || a.ran {
+		if len(a.queues) == a.Copies || a.ran {
 			return
 		}
 		o.add(w, n, a)
--- a/internal/dispatch/tdqueue/queue.go
+++ b/internal/dispatch/tdqueue/queue.go
@@ -40,6 +40,9 @@
 	// HeadroomPart is the part of the room, one over this number, that only
 	// the highest tier of late may use. Zero keeps nothing.
 	HeadroomPart int
+	// HeadroomRound, from zero to one, is added before the part is rounded
+	// down.
+	HeadroomRound float64
 }
 
 // Running is a request that runs on the server.
--- a/internal/dispatch/tdreserve/call.go
+++ b/internal/dispatch/tdreserve/call.go
@@ -18,8 +18,11 @@
 const (
 	// hedgeAfter is how long the first owner has before others are asked.
 	hedgeAfter = 10 * time.Millisecond
-	// breadth is in how many queues a request waits at most.
-	breadth = 3
+	// breadth is in how many queues a request waits at most, and
+	// urgentBreadth one whose target is closer than urgent.
+	breadth       = 3
+	urgentBreadth = 6
+	urgent        = 500 * time.Millisecond
 	// maxAsks bounds the servers that are asked for one request.
 	maxAsks = 64
 	// ownerChange is how often servers that had no reachable owner are asked
@@ -53,6 +56,7 @@
 	start   tarragondeal.Instant
 	replies chan replied
 	wg      conc.WaitGroup
+	breadth int
 	asks    int
 	// lost are servers that had no reachable owner: the owners are changing.
 	lost    []tarragondeal.ServerID
@@ -63,9 +67,12 @@
 
 func newCall(d *Dispatcher, a *tarragondeal.Ask, suspect bool) *call {
 	c := &call{
-		d: d, ask: a, start: d.Clock.Now(), replies: make(chan replied, breadth),
+		d: d, ask: a, start: d.Clock.Now(), replies: make(chan replied, urgentBreadth), breadth: breadth,
 		query: tdchoose.Query{Ask: a, Suspect: suspect, Promised: a.Target > 0},
 	}
+	if a.Target > 0 && a.Target < urgent {
+		c.breadth = urgentBreadth
+	}
 	for _, id := range a.Avoid {
 		if s, ok := d.table.Server(id); ok {
 			c.query.Failed = append(c.query.Failed, s.DataCentre)
@@ -99,7 +106,7 @@
 			}
 			c.next(ctx, 1)
 		case <-hedge.C:
-			c.next(ctx, breadth)
+			c.next(ctx, c.breadth)
 		case <-renew.C:
 			c.renew(ctx)
 		case <-ctx.Done():
@@ -131,11 +138,11 @@
 // next asks for up to n more servers, as long as the request waits for less
 // than breadth.
 func (c *call) next(ctx context.Context, n int) {
-	n = min(n, breadth-len(c.pending))
+	n = min(n, c.breadth-len(c.pending))
 	if n <= 0 || c.asks >= maxAsks {
 		return
 	}
-	var best [breadth]tdchoose.Choice
+	var best [urgentBreadth]tdchoose.Choice
 	now := c.d.Clock.Now()
 	k := c.d.table.Choose(now, &c.query, best[:n])
 	if k == 0 && len(c.pending) == 0 {
@@ -145,7 +152,7 @@
 		c.query.Tried = append(c.query.Tried, choice.Server.ID)
 		copies := 1
 		if choice.Busy || len(c.pending) > 0 {
-			copies = breadth
+			copies = c.breadth
 		}
 		c.reserve(ctx, choice.Server, copies)
 	}
--- a/internal/dispatch/tdreserve/doc.go
+++ b/internal/dispatch/tdreserve/doc.go
@@ -14,7 +14,8 @@
 //
 // The best server's owner is asked first. If it has not granted the request
 // within a few milliseconds, the owners of two more servers are asked as
-// well: the request then waits in three queues, and the first grant wins. A
+// well, or of five more if its target is close: the request then waits in
+// several queues, and the first grant wins. A
 // refusal is answered by asking the next server, until every permitted server
 // has refused, so that a request is refused only when no server would
 // displace a lower one for it.
