--- a/internal/dispatch/tdowner/owner.go
+++ b/internal/dispatch/tdowner/owner.go
@@ -147,7 +147,10 @@
 	o.mu.Lock()
 	unknown, elsewhere := o.book.Report(o.Clock.Now(), in)
 	crashes := o.book.Crashes()
-	hints := o.book.Hints("")
+	var hints []*Hint
+	if len(in.GetRunning()) > 0 {
+		hints = o.book.Hints()
+	}
 	o.mu.Unlock()
 	for _, id := range crashes {
 		o.Log.Warn().Str("server", string(id)).Msg("backend server crashed")
--- a/internal/dispatch/tdowner/report.go
+++ b/internal/dispatch/tdowner/report.go
@@ -156,20 +156,18 @@
 func (b *Book) refusal(st *seat, x *tdqueue.Refusal) *ReserveReply {
 	return &ReserveReply{
 		Verdict: Verdict_VERDICT_REFUSED, Reason: string(x.Reason),
-		RetryAfterMs: Milliseconds(x.RetryAfter), Hints: b.Hints(st.server.Pool),
+		RetryAfterMs: Milliseconds(x.RetryAfter), Hints: []*Hint{b.hint(st)},
 	}
 }
 
-// Hints tells of some servers of a pool, and of all pools if it is "".
-func (b *Book) Hints(pool string) []*Hint {
+// Hints tells of some servers.
+func (b *Book) Hints() []*Hint {
 	var out []*Hint
 	for _, st := range b.seats {
 		if len(out) == maxHints {
 			break
 		}
-		if pool == "" || st.server.Pool == pool {
-			out = append(out, b.hint(st))
-		}
+		out = append(out, b.hint(st))
 	}
 	return out
 }
