--- a/internal/fleet/tdconfig/config.go
+++ b/internal/fleet/tdconfig/config.go
@@ -64,6 +64,7 @@
 
 	mu        sync.Mutex
 	confirmed bool                 // Asked around since the start or the last pause.
+	ready     bool                 // Asked around since the start.
 	stored    tarragondeal.Instant // Last answer of the store.
 
 	parallel int // Calls of the store made at once for pieces.
@@ -73,7 +74,8 @@
 
 // state is the version in force. It is immutable.
 type state struct {
-	view     *tarragondeal.View // Nil before the first.
+	view     *tarragondeal.View // Nil while nothing is in force.
+	held     *tarragondeal.View // That of the root.
 	root     *root
 	value    []byte // The root as it is stored.
 	contents map[digest][]byte
@@ -112,7 +114,8 @@
 	storeCalls = 4
 )
 
-// View returns the set in force, or nil.
+// View returns the set in force, or nil. Nothing is in force before the node
+// has asked around, so that it begins with the newest set that it can learn.
 func (c *Config) View() *tarragondeal.View { return c.now.Load().view }
 
 // Changed returns a channel that is closed at the next change.
@@ -148,6 +151,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.confirmed = ok
+	if !ok || c.ready {
+		return
+	}
+	c.ready = true
+	last := c.now.Load()
+	if last.root == nil {
+		return
+	}
+	next := *last
+	next.changed = make(chan struct{})
+	c.inForce(last, &next)
+}
+
+// inForce puts a state that is held back or new into force. The lock is held.
+func (c *Config) inForce(last, next *state) {
+	next.view = next.held
+	c.now.Store(next)
+	close(last.changed)
+	c.Members.SetConfig(next.version())
+	c.Log.Info().Uint64("version", uint64(next.version())).Msg("set in force")
 }
 
 // InForce waits until every live node has version v or a later one in force,
@@ -180,22 +203,22 @@
 		return err
 	}
 	next := &state{
-		view: tarragondeal.NewView(r.Version, set), root: r, value: value, changed: make(chan struct{}),
+		held: tarragondeal.NewView(r.Version, set), root: r, value: value, changed: make(chan struct{}),
 		contents: make(map[digest][]byte), parts: make(map[digest]*tarragondeal.Set),
 	}
 	for _, d := range r.digests() {
 		next.contents[d], next.parts[d] = contents[d], parts[d]
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	last := c.now.Load()
-	if r.Version <= last.version() {
-		c.mu.Unlock()
-		return nil
+	switch {
+	case r.Version <= last.version():
+	case c.ready:
+		c.inForce(last, next)
+	default:
+		next.changed = last.changed
+		c.now.Store(next)
 	}
-	c.now.Store(next)
-	c.mu.Unlock()
-	close(last.changed)
-	c.Members.SetConfig(r.Version)
-	c.Log.Info().Uint64("version", uint64(r.Version)).Msg("set in force")
 	return nil
 }
--- a/internal/fleet/tdconfig/publish.go
+++ b/internal/fleet/tdconfig/publish.go
@@ -49,7 +49,7 @@
 	if err := c.swapRoot(ctx, made, last, e.Revision); err != nil {
 		return 0, err
 	}
-	c.cleanUp(ctx, made.root, last)
+	c.cleanUp(ctx, p.Version)
 	return p.Version, nil
 }
 
@@ -187,7 +187,8 @@
 	}
 }
 
-func (c *Config) remove(ctx context.Context, key string) {
+// remove deletes a key, and reports whether it is gone.
+func (c *Config) remove(ctx context.Context, key string) bool {
 	e, err := c.Store.Get(ctx, key)
 	if err == nil && e.Revision != 0 {
 		err = c.Store.Delete(ctx, key, e.Revision)
@@ -195,34 +196,47 @@
 	if err != nil {
 		c.Log.Warn().Err(err).Str("key", key).Msg("can't remove what is no longer used")
 	}
+	return err == nil
 }
 
-// cleanUp removes the oldest kept version and the pieces that only it had. A
-// piece belongs to an unbroken run of versions, so that one which the next
-// version lacks is in no later one either.
-func (c *Config) cleanUp(ctx context.Context, r *root, last *state) {
-	if r.Version <= tarragondeal.Version(c.Keep)+1 || last.root == nil {
-		return
-	}
-	drop := r.Version - tarragondeal.Version(c.Keep) - 1
-	old, err := c.archived(ctx, drop)
+// cleanUpAtOnce bounds how many old versions one publication removes.
+const cleanUpAtOnce = 3
+
+// cleanUp removes the oldest kept versions beyond the bound and the pieces
+// that only they had. A piece belongs to an unbroken run of versions, so that
+// one which the next version lacks is in no later one either. A version's
+// record goes last, so that what was broken off is done by the next
+// publication.
+func (c *Config) cleanUp(ctx context.Context, newest tarragondeal.Version) {
+	oldest, err := c.Store.List(ctx, historyPrefix, "", cleanUpAtOnce+1)
 	if err != nil {
+		c.Log.Warn().Err(err).Msg("can't look for old versions")
 		return
 	}
-	next, err := c.archived(ctx, drop+1)
-	if err != nil {
-		return
+	for n := 0; n+1 < len(oldest); n++ {
+		old, err := decodeRoot(oldest[n].Value)
+		if err != nil || old.Version+tarragondeal.Version(c.Keep) >= newest {
+			return
+		}
+		next, err := decodeRoot(oldest[n+1].Value)
+		if err != nil || !c.removeVersion(ctx, old, next) {
+			return
+		}
 	}
+}
+
+// removeVersion removes what a version has and the next one has not.
+func (c *Config) removeVersion(ctx context.Context, old, next *root) bool {
 	used := make(map[digest]bool)
 	for _, d := range next.digests() {
 		used[d] = true
 	}
 	for _, d := range old.digests() {
-		if !used[d] {
-			c.remove(ctx, d.key())
+		if !used[d] && !c.remove(ctx, d.key()) {
+			return false
 		}
 	}
-	c.remove(ctx, historyKey(drop))
+	return c.remove(ctx, historyKey(old.Version))
 }
 
 // archived reads a superseded root.
--- a/internal/fleet/tdconfig/publish_test.go
+++ b/internal/fleet/tdconfig/publish_test.go
@@ -48,7 +48,9 @@
 
 func publisher(store tarragondeal.Store, keep int) *Config {
 	m := &fakeMembers{}
-	return New(Deps{Store: store, Members: m, Links: m, Clock: tdclock.New(), Keep: keep})
+	c := New(Deps{Store: store, Members: m, Links: m, Clock: tdclock.New(), Keep: keep})
+	c.confirm(true)
+	return c
 }
 
 // try is one publication and what was said of it.
@@ -143,7 +145,7 @@
 		}
 	}
 	used := make(map[string]bool)
-	for v := tarragondeal.Version(7); v <= 9; v++ {
+	for v := tarragondeal.Version(7); v <= 9; v++ { // Keep is 3 and 10 is in force.
 		r, err := c.archived(ctx, v)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/fleet/tdmember/bench_test.go
+++ b/internal/fleet/tdmember/bench_test.go
@@ -26,7 +26,7 @@
 			var seeds []netip.AddrPort
 			for n := range size {
 				scope := tally.NewTestScope("", nil)
-				x := start(n, 500*time.Millisecond, scope, seeds...)
+				x := start(n, 500*time.Millisecond, scope, nil, seeds...)
 				defer x.stop()
 				seeds = append(seeds, x.members.Self().Peer)[:min(len(seeds)+1, 3)]
 				nodes, scopes = append(nodes, x), append(scopes, scope)
--- a/internal/fleet/tdmember/join.go
+++ b/internal/fleet/tdmember/join.go
@@ -17,7 +17,7 @@
 	anchors      = 5
 	anchorPrefix = "anchor/"
 	anchorsEvery = 5 * time.Minute
-	seedEvery    = 10 * time.Second // While other nodes are known.
+	seedBeats    = 20 // Heartbeats between two greetings while others are known.
 )
 
 // anchor is the record of one node in the store, for nodes that know nobody.
@@ -34,11 +34,11 @@
 	lonely := r.m.opt.Every
 	for ctx.Err() == nil {
 		alone := len(r.m.Members()) == 1
-		wait := seedEvery
+		wait := seedBeats * r.m.opt.Every
 		if alone {
 			r.greet(ctx, r.candidates(ctx, true))
 			wait = lonely
-			lonely = min(2*lonely, seedEvery)
+			lonely = min(2*lonely, seedBeats*r.m.opt.Every)
 		} else {
 			lonely = r.m.opt.Every
 			r.greet(ctx, some(r.candidates(ctx, false)))
--- a/internal/fleet/tdmember/member_test.go
+++ b/internal/fleet/tdmember/member_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdclock"
@@ -25,6 +29,29 @@
 	RunSpecs(t, "Member")
 }
 
+// region is a part of a fleet that can be cut off from the other part.
+type region struct {
+	cut   *atomic.Bool
+	first bool
+	of    map[netip.AddrPort]bool // Whether an address is in the first part.
+	mu    *sync.Mutex
+}
+
+// cutLinks are links that don't cross a cut.
+type cutLinks struct {
+	*tdpeer.Links
+	r region
+}
+
+func (l cutLinks) Dial(a netip.AddrPort) (grpc.ClientConnInterface, error) {
+	l.r.mu.Lock()
+	defer l.r.mu.Unlock()
+	if l.r.cut.Load() && l.r.of[a] != l.r.first {
+		return nil, errors.New("cut off")
+	}
+	return l.Links.Dial(a)
+}
+
 // node is a node of which only membership and spreading run.
 type node struct {
 	members *tdmember.Members
@@ -33,7 +60,7 @@
 	stop    func()
 }
 
-func start(n int, every time.Duration, scope tally.Scope, seeds ...netip.AddrPort) *node {
+func start(n int, every time.Duration, scope tally.Scope, r *region, seeds ...netip.AddrPort) *node {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	addr := netip.MustParseAddrPort(ln.Addr().String())
@@ -45,14 +72,21 @@
 	links, err := tdpeer.New(m, tdpeer.Options{Scope: scope})
 	Expect(err).NotTo(HaveOccurred())
 	s := tdspread.New(m, tdspread.Options{})
-	m.Register(links.Server(), links)
+	var reach tdmember.Links = links
+	if r != nil {
+		r.mu.Lock()
+		r.of[addr] = r.first
+		r.mu.Unlock()
+		reach = cutLinks{Links: links, r: *r}
+	}
+	m.Register(links.Server(), reach)
 	s.Register(links.Server())
 	x := &node{members: m, spread: s, got: make(chan string, 64)}
 	s.Subscribe("test", func(from tarragondeal.NodeID, payload []byte) { x.got <- string(from) + " " + string(payload) })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 3)
 	go func() { done <- links.Serve(ctx, ln) }()
-	go func() { done <- m.Run(ctx, links) }()
+	go func() { done <- m.Run(ctx, reach) }()
 	go func() { done <- s.Run(ctx, links) }()
 	stopped := false
 	x.stop = func() {
@@ -87,7 +121,7 @@
 		nodes = nil
 		var seeds []netip.AddrPort
 		for n := range 9 {
-			x := start(n, 50*time.Millisecond, nil, seeds...)
+			x := start(n, 50*time.Millisecond, nil, nil, seeds...)
 			DeferCleanup(x.stop)
 			if n == 0 {
 				seeds = []netip.AddrPort{x.members.Self().Peer}
@@ -108,6 +142,33 @@
 		}
 	})
 
+	It("keeps both parts of a fleet that is cut in two, and joins them again", func() {
+		r := region{cut: &atomic.Bool{}, of: map[netip.AddrPort]bool{}, mu: &sync.Mutex{}}
+		var both []*node
+		var seeds []netip.AddrPort
+		for n := range 8 {
+			r.first = n < 4
+			part := r
+			x := start(20+n, 50*time.Millisecond, nil, &part, seeds...)
+			DeferCleanup(x.stop)
+			seeds = []netip.AddrPort{x.members.Self().Peer}
+			both = append(both, x)
+		}
+		for _, x := range both {
+			Eventually(x.names, "30s", "10ms").Should(HaveLen(8))
+		}
+		r.cut.Store(true)
+		for _, x := range both {
+			Eventually(x.names, "30s", "10ms").Should(HaveLen(4))
+		}
+		both[6].members.SetConfig(3)
+		r.cut.Store(false)
+		for _, x := range both {
+			Eventually(x.names, "60s", "10ms").Should(HaveLen(8))
+			Eventually(func() tarragondeal.Version { return x.members.Members()[6].Config }, "30s", "10ms").Should(Equal(tarragondeal.Version(3)))
+		}
+	})
+
 	It("tells all of a node's leaving and configuration", func() {
 		nodes[3].members.SetConfig(17)
 		nodes[3].members.Leave()
--- a/internal/node/tdnode/fleet.go
+++ b/internal/node/tdnode/fleet.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/netip"
+	"runtime/debug"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -67,12 +69,36 @@
 	f.spread.Register(f.links.Server())
 	f.config.Register(f.links.Server())
 	n.add("follow config", f.config.Run)
+	n.add("return memory", func(ctx context.Context) error { return returnMemory(ctx, f.config) })
 	n.add("serve peers", func(ctx context.Context) error { return f.links.Serve(ctx, n.listeners.peers) })
 	n.add("membership", func(ctx context.Context) error { return f.members.Run(ctx, f.links) })
 	n.add("spread", func(ctx context.Context) error { return f.spread.Run(ctx, f.links) })
 	return nil
 }
 
+// returnWait is how long after a change of configuration the old one's memory
+// is returned, and so how often at most.
+const returnWait = 5 * time.Second
+
+// returnMemory gives the memory of superseded sets back to the VM, which is
+// small and needs it for requests. The runtime itself would keep up to as
+// much again as is in use.
+func returnMemory(ctx context.Context, c tarragondeal.Config) error {
+	for {
+		select {
+		case <-c.Changed():
+		case <-ctx.Done():
+			return nil
+		}
+		select {
+		case <-time.After(returnWait):
+			debug.FreeOSMemory()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // addresses reads the setting peers.
 func addresses(text string) ([]netip.AddrPort, error) {
 	var out []netip.AddrPort
