--- a/internal/fleet/tdpeer/tls_test.go
+++ b/internal/fleet/tdpeer/tls_test.go
@@ -2,14 +2,7 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
-	"math/big"
 	"net"
 	"net/netip"
 	"os"
@@ -27,6 +20,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/fleet/tdpeer"
+	"tarragondeal/internal/test/tdcert"
 )
 
 func TestPeer(t *testing.T) {
@@ -36,50 +30,17 @@
 
 const name = "nodes.test"
 
-// authority signs certificates.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority() *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	Expect(err).NotTo(HaveOccurred())
-	t := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
-		KeyUsage: x509.KeyUsageCertSign, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
-	Expect(err).NotTo(HaveOccurred())
-	cert, err := x509.ParseCertificate(der)
+func newAuthority() *tdcert.Authority {
+	a, err := tdcert.New()
 	Expect(err).NotTo(HaveOccurred())
-	return &authority{cert: cert, key: key}
+	return a
 }
 
 // issue writes a certificate for dns into dir.
-func (a *authority) issue(dir, dns string, serial int64) tdpeer.Files {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+func issue(a *tdcert.Authority, dir, dns string, serial int64) tdpeer.Files {
+	f, err := a.Issue(dir, dns, serial)
 	Expect(err).NotTo(HaveOccurred())
-	t := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), DNSNames: []string{dns}, KeyUsage: x509.KeyUsageDigitalSignature,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		NotBefore:   time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, t, a.cert, &key.PublicKey, a.key)
-	Expect(err).NotTo(HaveOccurred())
-	secret, err := x509.MarshalECPrivateKey(key)
-	Expect(err).NotTo(HaveOccurred())
-	f := tdpeer.Files{
-		Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem"), Name: name,
-	}
-	write(f.CA, "CERTIFICATE", a.cert.Raw)
-	write(f.Key, "EC PRIVATE KEY", secret)
-	write(f.Cert, "CERTIFICATE", der)
-	return f
-}
-
-func write(path, kind string, der []byte) {
-	Expect(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)).To(Succeed())
+	return tdpeer.Files{Cert: f.Cert, Key: f.Key, CA: f.CA, Name: name}
 }
 
 // nobody is a membership without members.
@@ -125,7 +86,7 @@
 
 var _ = Describe("links", func() {
 	var (
-		own, foreign *authority
+		own, foreign *tdcert.Authority
 		server       netip.AddrPort
 		files        tdpeer.Files
 		dir          string
@@ -134,12 +95,12 @@
 	BeforeEach(func() {
 		own, foreign = newAuthority(), newAuthority()
 		dir = GinkgoT().TempDir()
-		files = own.issue(dir, name, 7)
+		files = issue(own, dir, name, 7)
 		server = serve(files)
 	})
 
 	It("pass between nodes of one authority", func() {
-		Expect(call(own.issue(GinkgoT().TempDir(), name, 8), server)).To(Equal(int64(7)))
+		Expect(call(issue(own, GinkgoT().TempDir(), name, 8), server)).To(Equal(int64(7)))
 	})
 
 	for _, c := range []struct {
@@ -148,11 +109,11 @@
 	}{
 		{"a caller without a certificate", func() tdpeer.Files { return tdpeer.Files{} }},
 		{"another authority's certificate", func() tdpeer.Files {
-			f := foreign.issue(GinkgoT().TempDir(), name, 8)
+			f := issue(foreign, GinkgoT().TempDir(), name, 8)
 			f.CA = files.CA
 			return f
 		}},
-		{"a certificate for another name", func() tdpeer.Files { return own.issue(GinkgoT().TempDir(), "backend.test", 8) }},
+		{"a certificate for another name", func() tdpeer.Files { return issue(own, GinkgoT().TempDir(), "backend.test", 8) }},
 	} {
 		It("refuse "+c.name, func() {
 			_, err := call(c.files(), server)
@@ -161,13 +122,13 @@
 	}
 
 	It("refuse a server of another authority", func() {
-		_, err := call(own.issue(GinkgoT().TempDir(), name, 8), serve(foreign.issue(GinkgoT().TempDir(), name, 9)))
+		_, err := call(issue(own, GinkgoT().TempDir(), name, 8), serve(issue(foreign, GinkgoT().TempDir(), name, 9)))
 		Expect(err).To(HaveOccurred())
 	})
 
 	It("show a renewed certificate without a restart, and keep the last one over a broken one", func() {
-		client := own.issue(GinkgoT().TempDir(), name, 8)
-		own.issue(dir, name, 17)
+		client := issue(own, GinkgoT().TempDir(), name, 8)
+		issue(own, dir, name, 17)
 		Eventually(func() (int64, error) { return call(client, server) }, "20s").Should(Equal(int64(17)))
 		Expect(os.WriteFile(files.Cert, []byte("broken"), 0o600)).To(Succeed())
 		Consistently(func() (int64, error) { return call(client, server) }, "1500ms", "100ms").Should(Equal(int64(17)))
