--- a/internal/dispatch/tdowner/report.go
+++ b/internal/dispatch/tdowner/report.go
@@ -41,11 +41,30 @@
 		st.adopt(now, node, p.GetRequest(), int(p.GetTokens()))
 		return true
 	}
-	st.holders[k] = holder{node: node, heard: now}
+	h := st.holders[k]
+	h.node, h.heard = node, now
+	st.holders[k] = b.pace(now, st, h, int(p.GetTokens()))
 	st.queue.Progress(k, int(p.GetTokens()))
 	return true
 }
 
+// paceOver is the time over which the rate of a running stream is measured.
+const paceOver = 500 * time.Millisecond
+
+// pace takes the rate of a running stream, so that a straggler is found
+// before its streams have ended.
+func (b *Book) pace(now tarragondeal.Instant, st *seat, h holder, tokens int) holder {
+	passed := now.Sub(h.since)
+	if h.since != 0 && passed < paceOver {
+		return h
+	}
+	if h.tokens > 0 && h.since != 0 {
+		b.rates.Running(now, st.server.ID, st.server.Pool, float64(tokens-h.tokens)/passed.Seconds())
+	}
+	h.tokens, h.since = tokens, now
+	return h
+}
+
 // ended takes the end of a grant, and reports false when another node owns
 // the server.
 func (b *Book) ended(now tarragondeal.Instant, e *Ended) bool {
@@ -81,8 +100,8 @@
 	}
 }
 
-// crash takes the server out and makes suspects of everything that runs
-// there. Requests that were started before the last crash met that one.
+// crash takes the server out. Requests that were started before the last
+// crash met that one.
 func (b *Book) crash(now tarragondeal.Instant, st *seat, k tdqueue.Ticket) {
 	run, ok := st.queue.Running()[k]
 	if !ok || st.crashed && run.Started <= st.crashedAt {
@@ -90,14 +109,7 @@
 	}
 	st.status.Crashed(now)
 	st.crashed, st.crashedAt = true, now
-	b.epoch++
-	c := Crash{Server: st.server.ID, ID: b.epoch}
-	for _, other := range st.queue.Running() {
-		if other.Fingerprint != 0 {
-			c.Fingerprints = append(c.Fingerprints, other.Fingerprint)
-		}
-	}
-	b.crashes = append(b.crashes, c)
+	b.crashes = append(b.crashes, st.server.ID)
 	st.refuseAll(b.unusable(st))
 }
 
@@ -129,6 +141,12 @@
 	b.serve(now, st)
 }
 
+// Usable reports whether requests may wait for a server.
+func (b *Book) Usable(id tarragondeal.ServerID) bool {
+	st, ok := b.seats[id]
+	return ok && st.status.Usable()
+}
+
 func (b *Book) unusable(st *seat) *ReserveReply {
 	return &ReserveReply{
 		Verdict: Verdict_VERDICT_UNUSABLE, RetryAfterMs: Milliseconds(retryUnusable), Hints: []*Hint{b.hint(st)},
@@ -138,20 +156,18 @@
 func (b *Book) refusal(st *seat, x *tdqueue.Refusal) *ReserveReply {
 	return &ReserveReply{
 		Verdict: Verdict_VERDICT_REFUSED, Reason: string(x.Reason),
-		RetryAfterMs: Milliseconds(x.RetryAfter), Hints: b.Hints(st.server.Pool),
+		RetryAfterMs: Milliseconds(x.RetryAfter), Hints: []*Hint{b.hint(st)},
 	}
 }
 
-// Hints tells of some servers of a pool, and of all pools if it is "".
-func (b *Book) Hints(pool string) []*Hint {
+// Hints tells of some servers.
+func (b *Book) Hints() []*Hint {
 	var out []*Hint
 	for _, st := range b.seats {
 		if len(out) == maxHints {
 			break
 		}
-		if pool == "" || st.server.Pool == pool {
-			out = append(out, b.hint(st))
-		}
+		out = append(out, b.hint(st))
 	}
 	return out
 }
--- a/internal/node/tdnode/node.go
+++ b/internal/node/tdnode/node.go
@@ -7,7 +7,7 @@
 //	err = n.Run(ctx)
 //
 // Each area has its own file here that makes its parts: fleet.go,
-// dispatch.go, account.go, capacity.go, entry.go and operator.go.
+// dispatch.go, account.go, burn.go, capacity.go, entry.go and operator.go.
 package tdnode
 
 import (
@@ -183,7 +183,10 @@
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
 		n.nodeLog.Error().Err(err).Msg("requests still ran at the bound")
-		return
+	} else {
+		n.entry.settle()
+	}
+	if err := n.operator.handOver(context.Background()); err != nil {
+		n.nodeLog.Warn().Err(err).Msg("measures not handed over")
 	}
-	n.entry.settle()
 }
