Read demand from the nodes for the orders

Cause: demand came from the servers' own reports, which know neither what waits at the nodes nor what was refused.

Change: each node counts its callers' requests as they pass the dispatcher, and the holder of the orders sums what all live nodes tell. When one does not tell, it takes the servers' reports.

--- /dev/null
+++ b/internal/capacity/tddemand/demand_test.go
@@ -0,0 +1,188 @@
+package tddemand
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+	"pgregory.net/rapid"
+
+	"tarragondeal"
+)
+
+func TestDemand(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Demand")
+}
+
+// dispatcher grants or refuses as told, after meanwhile was called.
+type dispatcher struct {
+	tarragondeal.Dispatcher
+	server    tarragondeal.Server
+	refuse    tarragondeal.Reason
+	meanwhile func()
+	last      tarragondeal.GrantID
+}
+
+func (d *dispatcher) Reserve(context.Context, tarragondeal.Ask) (tarragondeal.Grant, error) {
+	if d.meanwhile != nil {
+		d.meanwhile()
+	}
+	if d.refuse != "" {
+		return tarragondeal.Grant{}, &tarragondeal.RefusedError{Reason: d.refuse}
+	}
+	d.last += "i"
+	return tarragondeal.Grant{ID: d.last, Server: d.server}, nil
+}
+
+func (d *dispatcher) Done(tarragondeal.Grant, tarragondeal.Outcome) {}
+
+var ask = tarragondeal.Ask{Pools: []string{"firm", "cheap"}, DataCentres: []string{"duluth", "erie"}, Target: time.Second}
+
+func lines(c *Counter) []tarragondeal.Demand {
+	a, err := c.Read(context.Background(), &ReadRequest{})
+	Expect(err).NotTo(HaveOccurred())
+	var out []tarragondeal.Demand
+	for _, l := range a.GetLines() {
+		d := tarragondeal.Demand{Pool: l.GetPool(), DataCentre: l.GetDataCentre()}
+		add(&d, l)
+		out = append(out, d)
+	}
+	return out
+}
+
+var _ = Describe("demand", func() {
+	It("counts a request where it waits, where it runs, and no more when it has ended", func(ctx context.Context) {
+		d := &dispatcher{server: tarragondeal.Server{Pool: "cheap", DataCentre: "duluth"}}
+		c := New(d, "erie")
+		d.meanwhile = func() {
+			Expect(lines(c)).To(ConsistOf(tarragondeal.Demand{Pool: "firm", DataCentre: "erie", Queued: 1, Promised: 1}))
+		}
+		g, err := c.Reserve(ctx, ask)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lines(c)).To(ContainElement(tarragondeal.Demand{Pool: "cheap", DataCentre: "duluth", Running: 1, Promised: 1}))
+		c.Done(g, tarragondeal.Outcome{})
+		c.Done(g, tarragondeal.Outcome{})
+		lines(c)
+		Expect(lines(c)).To(BeEmpty())
+	})
+
+	reasons := []struct {
+		reason tarragondeal.Reason
+		shed   int
+	}{
+		{tarragondeal.ReasonOverload, 1},
+		{tarragondeal.ReasonDeadline, 1},
+		{tarragondeal.ReasonQuarantined, 0},
+		{tarragondeal.ReasonLimit, 0},
+	}
+	for _, r := range reasons {
+		It("counts what more servers would have served: "+string(r.reason), func(ctx context.Context) {
+			c := New(&dispatcher{refuse: r.reason}, "erie")
+			_, err := c.Reserve(ctx, ask)
+			Expect(err).To(HaveOccurred())
+			Expect(lines(c)).To(ConsistOf(tarragondeal.Demand{Pool: "firm", DataCentre: "erie", Shed: r.shed}))
+			Expect(lines(c)).To(BeEmpty())
+		})
+	}
+
+	It("comes back to nothing, whatever the order of ends", func(ctx context.Context) {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			d := &dispatcher{server: tarragondeal.Server{Pool: "firm", DataCentre: "erie"}}
+			c := New(d, "erie")
+			var open []tarragondeal.Grant
+			for range rapid.IntRange(0, 30).Draw(t, "steps") {
+				if len(open) > 0 && rapid.Bool().Draw(t, "end") {
+					k := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+					c.Done(open[k], tarragondeal.Outcome{})
+					open = append(open[:k], open[k+1:]...)
+					continue
+				}
+				g, err := c.Reserve(ctx, ask)
+				if err != nil {
+					t.Fatal(err)
+				}
+				open = append(open, g)
+			}
+			running := 0
+			for _, l := range lines(c) {
+				running += l.Running
+			}
+			if running != len(open) {
+				t.Fatalf("%d run, %d are counted", len(open), running)
+			}
+		})
+	})
+
+	It("is not known when one node does not tell", func(ctx context.Context) {
+		f := &fleet{counters: map[tarragondeal.NodeID]*Counter{"node1": New(&dispatcher{}, "erie"), "node2": New(&dispatcher{}, "erie")}}
+		for _, c := range f.counters {
+			_, err := c.Reserve(ctx, ask)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		reader := NewFleet(f.counters["node1"], f, f)
+		d, err := reader.Demand(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d).To(ContainElement(tarragondeal.Demand{Running: 2, Promised: 2}))
+		f.silent = "node2"
+		_, err = reader.Demand(ctx)
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+// fleet is some counters that reach each other.
+type fleet struct {
+	counters map[tarragondeal.NodeID]*Counter
+	silent   tarragondeal.NodeID
+}
+
+func (f *fleet) Self() tarragondeal.Member { return tarragondeal.Member{Node: "node1"} }
+func (f *fleet) Members() []tarragondeal.Member {
+	return []tarragondeal.Member{{Node: "node1"}, {Node: "node2"}}
+}
+func (f *fleet) Changed() <-chan struct{} { return nil }
+
+func (f *fleet) Conn(n tarragondeal.NodeID) (grpc.ClientConnInterface, error) {
+	if n == f.silent {
+		return nil, errors.New("no answer")
+	}
+	return conn{c: f.counters[n]}, nil
+}
+
+type conn struct {
+	grpc.ClientConnInterface
+	c *Counter
+}
+
+func (c conn) Invoke(ctx context.Context, _ string, in, out any, _ ...grpc.CallOption) error {
+	a, err := c.c.Read(ctx, in.(*ReadRequest))
+	out.(*ReadAnswer).Lines = a.GetLines()
+	return err
+}
+
+func BenchmarkCount(b *testing.B) {
+	c := New(&dispatcher{server: tarragondeal.Server{Pool: "firm", DataCentre: "erie"}}, "erie")
+	b.ReportAllocs()
+	ctx := context.Background()
+	c.Dispatcher = still{}
+	for b.Loop() {
+		g, err := c.Reserve(ctx, ask)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.Done(g, tarragondeal.Outcome{})
+	}
+}
+
+// still grants the same again.
+type still struct{ tarragondeal.Dispatcher }
+
+func (still) Reserve(context.Context, tarragondeal.Ask) (tarragondeal.Grant, error) {
+	return tarragondeal.Grant{ID: "grant", Server: tarragondeal.Server{Pool: "firm", DataCentre: "erie"}}, nil
+}
+
+func (still) Done(tarragondeal.Grant, tarragondeal.Outcome) {}
--- /dev/null
+++ b/internal/capacity/tddemand/doc.go
@@ -0,0 +1,18 @@
+// Package tddemand counts what callers ask backend servers for, at each node,
+// and sums it for the node that orders servers.
+//
+// # Usage
+//
+//	counter := tddemand.New(dispatcher, members.Self().DataCentre)
+//	tddemand.RegisterDemandsServer(links.Server(), counter)
+//	// Use counter as the dispatcher.
+//	fleet := tddemand.NewFleet(counter, members, links)
+//	demand, err := fleet.Demand(ctx)
+//
+// Each request is counted once, at the node that its caller reached, however
+// many owners of servers it asked. A running one counts where it runs. One
+// that waits, or was refused for want of servers, counts for the first of its
+// pools, in the node's own data centre if it is permitted there.
+package tddemand
+
+//go:generate protoc --go_out=../../.. --go_opt=module=tarragondeal --go-grpc_out=../../.. --go-grpc_opt=module=tarragondeal -I . demand.proto
--- a/internal/capacity/tdorder/order.go
+++ b/internal/capacity/tdorder/order.go
@@ -151,15 +151,7 @@
 	if err != nil {
 		return err
 	}
-	demand := s.demand(v)
-	if t.Demand != nil {
-		told, err := t.Demand.Demand(ctx)
-		if err != nil {
-			return err
-		}
-		demand = merge(told, demand)
-	}
-	wants := t.planner.Plan(t.Clock.Now(), tdplanner.Input{View: v, Demand: demand, Servers: s.servers})
+	wants := t.planner.Plan(t.Clock.Now(), tdplanner.Input{View: v, Demand: t.demand(ctx, v, s), Servers: s.servers})
 	if err := t.save(ctx, wants); err != nil {
 		return err
 	}
@@ -173,6 +165,21 @@
 	return errors.Join(failed, t.orderEngines(ctx, v, s))
 }
 
+// demand returns what the reader tells and, where it tells nothing or fails,
+// what the servers report.
+func (t *term) demand(ctx context.Context, v *tarragondeal.View, s survey) []tarragondeal.Demand {
+	surveyed := s.demand(v)
+	if t.Demand == nil {
+		return surveyed
+	}
+	told, err := t.Demand.Demand(ctx)
+	if err != nil {
+		t.Log.Warn().Err(err).Msg("demand at the nodes is not known; taking the servers' reports")
+		return surveyed
+	}
+	return merge(told, surveyed)
+}
+
 // save puts what is wanted on record before anybody is told.
 func (t *term) save(ctx context.Context, wants []tdplanner.Want) error {
 	if t.at != 0 && t.record.Fence == t.fence && slices.Equal(wants, t.record.Wants) {
