--- /dev/null
+++ b/internal/dispatch/tdload/load_test.go
@@ -0,0 +1,80 @@
+package tdload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdload"
+)
+
+// TestLag runs grants and foreign work on a server whose reports lag, and
+// checks that no granted work is taken for foreign, and that foreign work
+// that lasts is counted once it has stood in two reports.
+func TestLag(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type span struct{ start, end tarragondeal.Instant }
+		var spans []span
+		foreign := rapid.IntRange(0, 5).Draw(t, "foreign")
+		lag := time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "lag"))
+		l := tdload.New()
+		open := map[uint64]int{}
+		var now tarragondeal.Instant
+		running := func(at tarragondeal.Instant) int {
+			n := 0
+			for _, s := range spans {
+				if s.start <= at && (s.end == 0 || s.end > at) {
+					n++
+				}
+			}
+			return n
+		}
+		const second = tarragondeal.Instant(time.Second)
+		for step := range uint64(40) {
+			now += tarragondeal.Instant(rapid.Int64Range(int64(time.Millisecond), int64(time.Second)).Draw(t, "wait"))
+			if rapid.Bool().Draw(t, "start") {
+				l.Start(step, now)
+				open[step] = len(spans)
+				spans = append(spans, span{start: now})
+			}
+			for ticket, n := range open {
+				if ticket%3 == step%3 {
+					l.End(ticket, now)
+					spans[n].end = now
+					delete(open, ticket)
+				}
+			}
+			at := now.Add(-lag)
+			l.Report(now, tarragondeal.Load{Running: running(at) + foreign, Age: lag})
+			if l.Foreign() > foreign {
+				t.Fatalf("%d foreign, really %d", l.Foreign(), foreign)
+			}
+		}
+		// Quiet: all grants have ended long ago, so the count is exact.
+		for range 3 {
+			now += 10 * second
+			for ticket := range open {
+				l.End(ticket, now)
+				delete(open, ticket)
+			}
+			l.Report(now, tarragondeal.Load{Running: foreign, Age: lag})
+		}
+		if l.Foreign() != foreign {
+			t.Fatalf("%d foreign at rest, really %d", l.Foreign(), foreign)
+		}
+	})
+}
+
+func ExampleLedger() {
+	l := tdload.New()
+	now := tarragondeal.Instant(time.Minute)
+	l.Start(1, now)
+	later := now.Add(2 * time.Second)
+	l.Report(later, tarragondeal.Load{Running: 3, Age: time.Second})
+	l.Report(later.Add(time.Second), tarragondeal.Load{Running: 3, Age: time.Second})
+	fmt.Println(l.Foreign(), "of 3 are not ours")
+	// Output: 2 of 3 are not ours
+}
