Count what a workspace is served in higher tiers, and start in time for targets

Half of the lowest tier's requests had their first token just after their target.

Change: a workspace that waits in a lower tier is charged there for what ends in a higher one; a request counts as late 5% of its target and half of its usual first token time earlier.

--- a/internal/dispatch/tdqueue/doc.go
+++ b/internal/dispatch/tdqueue/doc.go
@@ -22,7 +22,8 @@
 // A lower tier runs only when no higher one waits. Within a tier the
 // workspace that has been served least, in tokens over its weight, goes
 // first. The estimated work is charged at the start, and replaced by the
-// tokens that really come as they are told. Within a workspace, requests that
+// tokens that really come as they are told. What a workspace is served in a
+// higher tier while it waits in a lower one counts there too. Within a workspace, requests that
 // can still meet their target go before those that have missed it, but every
 // sixteenth start takes one of the latter.
 //
--- a/internal/dispatch/tdqueue/order.go
+++ b/internal/dispatch/tdqueue/order.go
@@ -137,6 +137,19 @@
 	t.credit = min(t.credit+max(t.share, DefaultMinShare)*price, most)
 }
 
+// chargeLower charges a workspace for what it was served in a higher tier
+// while it waited in lower ones, so that fairness there is by all its work.
+func (q *Queue) chargeLower(f *flow, tokens float64) {
+	for _, t := range q.tiers {
+		if t.number <= f.tier.number {
+			continue
+		}
+		if g, ok := t.flows[f.name]; ok && g.len() > 0 {
+			g.charge(tokens)
+		}
+	}
+}
+
 // headroom is the number of places that a tier leaves free for the highest
 // tier seen of late. The part of a place is rounded up at some servers and
 // down at others.
--- a/internal/dispatch/tdqueue/queue.go
+++ b/internal/dispatch/tdqueue/queue.go
@@ -134,7 +134,7 @@
 }
 
 func (q *Queue) insert(now tarragondeal.Instant, t *tier, r Request) {
-	it := &item{Request: r, tier: t, cost: q.share(&r), first: q.class(r.Class).first}
+	it := &item{Request: r, tier: t, cost: q.share(&r), first: q.untilFirst(now, &r)}
 	it.last = r.Deadline.Add(-q.shortest(now, &r))
 	q.items[r.Ticket] = it
 	heap.Push(&q.deadlines, it)
@@ -265,8 +265,10 @@
 	}
 	delete(q.running, k)
 	q.busy = max(0, q.busy-run.cost)
-	run.flow.charge(float64(max(tokens, run.Tokens)) - run.charged)
+	used := float64(max(tokens, run.Tokens))
+	run.flow.charge(used - run.charged)
 	run.flow.running--
+	q.chargeLower(run.flow, used)
 	if run.Suspect {
 		q.suspected--
 	}
--- a/internal/dispatch/tdqueue/wait.go
+++ b/internal/dispatch/tdqueue/wait.go
@@ -30,6 +30,19 @@
 	c.mean += durationWeight * (d.Seconds() - c.mean)
 }
 
+const (
+	// firstMargin and targetMargin keep a start from being just too late for
+	// its target: what a first token takes varies, and so does the way back.
+	firstMargin  = 1.5
+	targetMargin = 0.05
+)
+
+// untilFirst is how long before its target a request is started at the
+// latest to meet it.
+func (q *Queue) untilFirst(now tarragondeal.Instant, r *Request) time.Duration {
+	return time.Duration(firstMargin*float64(q.class(r.Class).first) + targetMargin*float64(r.Target.Sub(now)))
+}
+
 func (q *Queue) class(name string) *class {
 	c, ok := q.classes[name]
 	if !ok {
