Withdraw the key that is meant

The trace shows every node with the new version within 0.1 s: the injector withdrew the last key of the set read back, and took it for the last workspace's, but a published set does not keep the order of its keys.

Change: the injector finds the key by its name.

--- a/internal/measure/tdcaller/caller.go
+++ b/internal/measure/tdcaller/caller.go
@@ -57,6 +57,12 @@
 	c.nodes = slices.Clone(nodes)
 }
 
+// Workspaces returns how many workspaces have callers.
+func (c *Callers) Workspaces() int { return len(c.keys) }
+
+// KeyName returns the name of a workspace's key.
+func (c *Callers) KeyName(workspace int) string { return c.deploy.Set.Workspaces[workspace].Name }
+
 // Withdrawn notes that the key of a workspace stopped being good.
 func (c *Callers) Withdrawn(workspace int, at time.Time) {
 	c.mu.Lock()
