--- a/internal/fleet/tdconfig/publish.go
+++ b/internal/fleet/tdconfig/publish.go
@@ -19,6 +19,14 @@
 // *tarragondeal.StoreError when nothing could be agreed; unless that is
 // settled the set may have been published.
 func (c *Config) Publish(ctx context.Context, base tarragondeal.Version, set *tarragondeal.Set, p tarragondeal.Publication) (tarragondeal.Version, error) {
+	v, err := c.publish(ctx, base, set, p)
+	if err != nil {
+		c.Log.Warn().Err(err).Uint64("base", uint64(base)).Msg("set was not published")
+	}
+	return v, err
+}
+
+func (c *Config) publish(ctx context.Context, base tarragondeal.Version, set *tarragondeal.Set, p tarragondeal.Publication) (tarragondeal.Version, error) {
 	e, err := c.Store.Get(ctx, rootKey)
 	if err != nil {
 		return 0, err
--- a/internal/fleet/tdstore/store.go
+++ b/internal/fleet/tdstore/store.go
@@ -273,8 +273,14 @@
 	lost := false // An earlier try may have taken effect.
 	var last error
 	op := func() (v T, err error) {
-		// The library reports the context's end in place of the last error.
-		defer func() { last = err }()
+		// The library reports the context's end in place of the last error, and
+		// a try without time left says less than the one before it.
+		defer func() {
+			var late *BudgetError
+			if last == nil || !errors.As(err, &late) {
+				last = err
+			}
+		}()
 		v, err = try(ctx, s, c, func(ctx context.Context) (T, error) { return f(ctx, lost) })
 		var failed *tarragondeal.StoreError
 		if err == nil || !errors.As(err, &failed) {
--- a/test/fleet/measure/main.go
+++ b/test/fleet/measure/main.go
@@ -43,6 +43,7 @@
 	idle       time.Duration
 	seed       uint64
 	dataCentre int
+	level      string
 	verbose    bool
 	args       string
 }
@@ -81,6 +82,7 @@
 	flag.DurationVar(&o.idle, "idle", 10*time.Second, "how long the idle fleet is watched")
 	flag.Uint64Var(&o.seed, "seed", 1, "of which keys are withdrawn where")
 	flag.IntVar(&o.dataCentre, "dataCentres", 7, "number of data centres")
+	flag.StringVar(&o.level, "log.level", "error", "of the nodes' logs")
 	flag.BoolVar(&o.verbose, "v", false, "show the nodes' logs")
 	flag.StringVar(&o.args, "args", "", "further flags of the nodes, separated by blanks")
 	flag.Parse()
@@ -169,7 +171,7 @@
 	for n := range count {
 		s := tdtest.NodeSpec{
 			Name: fmt.Sprintf("node%03d", n), DataCentre: fmt.Sprintf("dc%d", n%o.dataCentre), PlatformURL: c.PlatformURL,
-			Args: append([]string{"-log.level", "error"}, strings.Fields(o.args)...),
+			Args: append([]string{"-log.level", o.level}, strings.Fields(o.args)...),
 		}
 		for k := range min(n, 3) {
 			s.Peers = append(s.Peers, f.nodes[k].Peers)
@@ -373,6 +375,10 @@
 // sampleSize is how many nodes are asked all along whether they have a set.
 const sampleSize = 6
 
+// pollEvery is how often they are asked. An answer costs a node calls of the
+// store, of which it has a share.
+const pollEvery = 50 * time.Millisecond
+
 // timing is how long one publication took, in seconds.
 type timing struct {
 	own    float64   // Until the publishing node had it in force.
@@ -407,7 +413,7 @@
 		}
 		wg.Go(func() {
 			for status(n).Version <= base && time.Since(began) < time.Minute {
-				time.Sleep(5 * time.Millisecond)
+				time.Sleep(pollEvery)
 			}
 			seen[k] = time.Since(began).Seconds()
 		})
