--- a/cmd/tarragondeal/apply.go
+++ b/cmd/tarragondeal/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -79,7 +80,9 @@
 		t.printf("version %d stays in force\n", now.Version)
 		return nil
 	}
-	res, err := t.publish(ctx, c, f, base, doc.Set)
+	res, err := c.Publish(ctx, tdoperator.Published{
+		Version: base, Set: doc.Set, Note: f.note, Wait: tarragondeal.Duration(f.wait),
+	})
 	if err != nil {
 		return err
 	}
@@ -91,16 +94,6 @@
 	return t.inForce(res)
 }
 
-func (t *tool) publish(ctx context.Context, c *tdoperator.Client, f *applyFlags, base tarragondeal.Version, set *tarragondeal.Set) (tdoperator.Result, error) {
-	text, err := tdset.Format(set)
-	if err != nil {
-		return tdoperator.Result{}, err
-	}
-	return c.Publish(ctx, tdoperator.Published{
-		Version: base, Text: string(text), Note: f.note, Wait: tarragondeal.Duration(f.wait),
-	})
-}
-
 // conflict says what came between the version a set was made from and the
 // one in force.
 func (t *tool) conflict(ctx context.Context, c *tdoperator.Client, base tarragondeal.Version, now tdoperator.Published) error {
@@ -133,11 +126,33 @@
 	} else {
 		text = append([]byte(line), text...)
 	}
+	return replace(file, text)
+}
+
+// replace writes a file as a whole, so that a failure leaves the old one.
+func replace(file string, text []byte) error {
 	info, err := os.Stat(file)
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(file, text, info.Mode().Perm())
+	next, err := os.CreateTemp(filepath.Dir(file), filepath.Base(file)+".*")
+	if err != nil {
+		return err
+	}
+	_, err = next.Write(text)
+	if cerr := next.Close(); err == nil {
+		err = cerr
+	}
+	if err == nil {
+		err = os.Chmod(next.Name(), info.Mode().Perm())
+	}
+	if err == nil {
+		err = os.Rename(next.Name(), file)
+	}
+	if err != nil {
+		_ = os.Remove(next.Name())
+	}
+	return err
 }
 
 func trimNewline(b []byte) []byte {
--- a/internal/dispatch/tdqueue/queue.go
+++ b/internal/dispatch/tdqueue/queue.go
@@ -12,19 +12,18 @@
 
 // Request is a request that wants to run on the queue's server.
 type Request struct {
-	Ticket      Ticket
-	Tier        int
-	Class       string
-	MinShare    float64 // Of its class; zero counts as DefaultMinShare.
-	Workspace   string
-	Weight      float64 // Of its workspace; zero counts as one.
-	Work        float64 // Estimated tokens.
-	Copies      int     // The number of queues in which it waits.
-	Fingerprint uint64
-	Suspect     bool // A server crashed while it ran.
-	Promised    bool // Its class has a target.
-	Target      tarragondeal.Instant
-	Deadline    tarragondeal.Instant
+	Ticket    Ticket
+	Tier      int
+	Class     string
+	MinShare  float64 // Of its class; zero counts as DefaultMinShare.
+	Workspace string
+	Weight    float64 // Of its workspace; zero counts as one.
+	Work      float64 // Estimated tokens.
+	Copies    int     // The number of queues in which it waits.
+	Suspect   bool    // A server crashed while it ran.
+	Promised  bool    // Its class has a target.
+	Target    tarragondeal.Instant
+	Deadline  tarragondeal.Instant
 }
 
 // Refusal is a request that will not run on this server.
@@ -41,6 +40,9 @@
 	// HeadroomPart is the part of the room, one over this number, that only
 	// the highest tier of late may use. Zero keeps nothing.
 	HeadroomPart int
+	// HeadroomRound, from zero to one, is added before the part is rounded
+	// down.
+	HeadroomRound float64
 }
 
 // Running is a request that runs on the server.
@@ -132,7 +134,7 @@
 }
 
 func (q *Queue) insert(now tarragondeal.Instant, t *tier, r Request) {
-	it := &item{Request: r, tier: t, cost: q.share(&r), first: q.class(r.Class).first}
+	it := &item{Request: r, tier: t, cost: q.share(&r), first: q.untilFirst(now, &r)}
 	it.last = r.Deadline.Add(-q.shortest(now, &r))
 	q.items[r.Ticket] = it
 	heap.Push(&q.deadlines, it)
@@ -263,8 +265,10 @@
 	}
 	delete(q.running, k)
 	q.busy = max(0, q.busy-run.cost)
-	run.flow.charge(float64(max(tokens, run.Tokens)) - run.charged)
+	used := float64(max(tokens, run.Tokens))
+	run.flow.charge(used - run.charged)
 	run.flow.running--
+	q.chargeLower(run.flow, used)
 	if run.Suspect {
 		q.suspected--
 	}
