--- a/internal/fleet/tdconfig/run.go
+++ b/internal/fleet/tdconfig/run.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	watchWait  = 20 * time.Second
+	watchWait  = 20 * time.Second       // At most.
 	askWait    = 200 * time.Millisecond // Between two rounds of asking around.
 	askPatient = 3 * time.Second        // For enough answers, before fewer do.
 )
@@ -47,7 +47,7 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() {
-		tdstore.Follow(ctx, &observed{Store: c.Store, answered: func() { c.reached(false) }}, rootKey, watchWait,
+		tdstore.Follow(ctx, &observed{Store: c.Store, answered: func() { c.reached(false) }}, rootKey, min(watchWait, c.StaleMax/3),
 			func(e tarragondeal.Entry) {
 				if e.Key == rootKey && !e.Deleted {
 					_ = c.rootsC.Send(ctx, e.Value)
--- /dev/null
+++ b/internal/fleet/tdmember/table_test.go
@@ -0,0 +1,135 @@
+package tdmember
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragondeal"
+)
+
+// TestTablesAgree lets live nodes suspect each other, take each other for
+// dead, start anew and change, while records come late, twice and out of
+// order. Once records flow, all tables are the same and nobody is dead.
+func TestTablesAgree(t *testing.T) {
+	const size = 4
+	rapid.Check(t, func(t *rapid.T) {
+		now := tarragondeal.Instant(1)
+		var tables []*table
+		fresh := func(n int, incarnation uint64) *table {
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(n + 1)}), 1)
+			return newTable(tarragondeal.Member{
+				Node: tarragondeal.NodeID(fmt.Sprintf("node%d", n)), DataCentre: "duluth", Incarnation: incarnation, Peer: addr, Entry: addr,
+			}, time.Second, time.Hour)
+		}
+		for n := range size {
+			tables = append(tables, fresh(n, 10))
+		}
+		share(tables, now)
+		var late []entry // Records on their way.
+		configs := make([]tarragondeal.Version, size)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(100 * time.Millisecond)
+			a, b := rapid.IntRange(0, size-1).Draw(t, "a"), rapid.IntRange(0, size-1).Draw(t, "b")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				tables[a].suspect(tables[b].self, now)
+			case 1:
+				now = now.Add(time.Second)
+				tables[a].expire(now)
+			case 2:
+				configs[a]++
+				tables[a].change(func(m *tarragondeal.Member) { m.Config = configs[a] })
+			case 3:
+				for _, e := range tables[a].entries {
+					late = append(late, e)
+				}
+			case 4:
+				if len(late) > 0 {
+					tables[a].merge(late[rapid.IntRange(0, len(late)-1).Draw(t, "record")], now)
+				}
+			case 5:
+				configs[a] = 0
+				tables[a] = fresh(a, 11+uint64(rapid.IntRange(0, 3).Draw(t, "clock")))
+			}
+		}
+		for round := 0; share(tables, now); round++ {
+			if round > 50 {
+				t.Fatal("records flow without end")
+			}
+		}
+		for n, one := range tables {
+			for _, other := range tables {
+				e := other.entries[one.self]
+				if e.State != tarragondeal.MemberAlive || e.Config != configs[n] {
+					t.Fatalf("%s believes %+v of %s, which has version %d", other.self, e, one.self, configs[n])
+				}
+			}
+			if one.digests() != tables[0].digests() {
+				t.Fatalf("digests of %s and %s differ", one.self, tables[0].self)
+			}
+		}
+	})
+}
+
+// share gives every table's records to every other, and reports whether that
+// changed anything.
+func share(tables []*table, now tarragondeal.Instant) (changed bool) {
+	for _, from := range tables {
+		for _, to := range tables {
+			for _, e := range from.entries {
+				if to != from && to.merge(e, now) {
+					changed = true
+				}
+			}
+		}
+	}
+	return changed
+}
+
+// TestGraph checks of fleets of several sizes that the graph is connected,
+// that every node has a watcher, and that edges stay few.
+func TestGraph(t *testing.T) {
+	for _, size := range []int{2, 7, 50, 350} {
+		var members []tarragondeal.Member
+		for n := range size {
+			members = append(members, tarragondeal.Member{
+				Node: tarragondeal.NodeID(fmt.Sprintf("node%03d", n)), DataCentre: fmt.Sprintf("dc%d", n%7),
+			})
+		}
+		watched := make(map[tarragondeal.NodeID]int)
+		next := make(map[tarragondeal.NodeID][]tarragondeal.Member)
+		for _, m := range members {
+			next[m.Node] = neighbours(m, members)
+			if len(next[m.Node]) > 9 {
+				t.Errorf("of %d nodes one has %d neighbours", size, len(next[m.Node]))
+			}
+			for _, o := range next[m.Node] {
+				watched[o.Node]++
+			}
+		}
+		if len(watched) != size {
+			t.Errorf("of %d nodes %d are watched", size, len(watched))
+		}
+		reached := map[tarragondeal.NodeID]bool{members[0].Node: true}
+		hops := 0
+		for edge := []tarragondeal.NodeID{members[0].Node}; len(edge) > 0; hops++ {
+			var out []tarragondeal.NodeID
+			for _, n := range edge {
+				for _, o := range next[n] {
+					if !reached[o.Node] {
+						reached[o.Node] = true
+						out = append(out, o.Node)
+					}
+				}
+			}
+			edge = out
+		}
+		if len(reached) != size || hops > 7 {
+			t.Errorf("of %d nodes %d are reached in %d hops", size, len(reached), hops)
+		}
+	}
+}
