--- a/test/fleet/measure/main.go
+++ b/test/fleet/measure/main.go
@@ -70,6 +70,8 @@
 	Lagging         int     `json:"lagging"`
 	ChangeSentKB    float64 `json:"changeSentKB"` // On links, a node, for one change.
 	WritesPerChange float64 `json:"writesPerChange"`
+	OutageCalls     float64 `json:"outageCalls"` // Of the store, a node a second, while it is away.
+	ReturnPeak      float64 `json:"returnPeak"`  // Of the fleet, in the busiest second of the ten after.
 }
 
 func main() {
@@ -185,7 +187,31 @@
 	if err := f.idle(o, &r); err != nil {
 		return r, err
 	}
-	return r, f.publish(o, &r)
+	if err := f.publish(o, &r); err != nil {
+		return r, err
+	}
+	f.outage(&r)
+	return r, nil
+}
+
+// outage takes the store away for a while and counts what the fleet calls.
+func (f *fleet) outage(r *result) {
+	const away, settle, after = 10, 5, 10 // Seconds.
+	calls := func() int64 {
+		rec := f.cluster.Platform.Recorded()
+		return rec.Reads + rec.Writes
+	}
+	f.cluster.Platform.SetOutage(true)
+	time.Sleep(settle * time.Second)
+	before := calls()
+	time.Sleep(away * time.Second)
+	r.OutageCalls = float64(calls()-before) / away / float64(len(f.nodes))
+	f.cluster.Platform.SetOutage(false)
+	for range after {
+		before = calls()
+		time.Sleep(time.Second)
+		r.ReturnPeak = max(r.ReturnPeak, float64(calls()-before))
+	}
 }
 
 func (f *fleet) kill() {
