Admit nobody by a set that may be out of date

Cause: a node that reached neither the store nor another node went on admitting keys without end; nothing asked whether the configuration is stale.

Change: the callers' side refuses with notReady while the configuration says that it is stale, and is not ready then.

Result: with processes: a node whose store is away goes on while it hears another node, refuses 3 s (as set) after that one was killed, and admits again when the store is back.

--- a/internal/entry/tdfront/admit.go
+++ b/internal/entry/tdfront/admit.go
@@ -64,8 +64,8 @@
 	if id != "" {
 		w.Header().Set(HeaderRequest, id)
 	}
-	if q.View = f.Config.View(); q.View == nil {
-		return refused(tarragondeal.ReasonNotReady, "no set of objects is in force yet")
+	if q.View, err = f.view(); err != nil {
+		return err
 	}
 	// A caller without a valid key is turned away before its body is read,
 	// unless its route may be an open one.
--- a/internal/entry/tdfront/front.go
+++ b/internal/entry/tdfront/front.go
@@ -118,11 +118,12 @@
 }
 
 func (f *Front) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	_, err := f.view()
 	switch {
 	case f.leaving.Load():
 		tdrelay.WriteError(w, refused(tarragondeal.ReasonLeaving, "the node is stopping"))
-	case f.Config.View() == nil:
-		tdrelay.WriteError(w, refused(tarragondeal.ReasonNotReady, "no set of objects is in force yet"))
+	case err != nil:
+		tdrelay.WriteError(w, err)
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
@@ -149,12 +150,12 @@
 
 // models lists the routes to models that the caller may use.
 func (f *Front) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	v := f.Config.View()
-	if v == nil {
-		tdrelay.WriteError(w, refused(tarragondeal.ReasonNotReady, "no set of objects is in force yet"))
+	v, err := f.view()
+	if err != nil {
+		tdrelay.WriteError(w, err)
 		return
 	}
-	err := misplaced(r)
+	err = misplaced(r)
 	var key *tarragondeal.Key
 	if err == nil && r.Header.Get("Authorization") != "" {
 		key, err = bearer(v, r)
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -230,37 +231,58 @@
 		everywhere(4, f.nodes...)
 	})
 
+	It("admits nobody at a node that has long reached neither the store nor another node", func() {
+		f := newFleet(2, "-config.staleMax", "3s")
+		see(f.nodes...)
+		key := f.issue()
+		Expect(ask(f.nodes[0], key)).NotTo(ContainSubstring("notReady"))
+		f.cluster.Platform.SetOutage(true)
+		Consistently(func() string { return ask(f.nodes[0], key) }, "5s", "100ms").ShouldNot(ContainSubstring("notReady"))
+		f.nodes[1].Kill()
+		Eventually(func() string { return ask(f.nodes[0], key) }, limit, "100ms").Should(ContainSubstring("notReady"))
+		f.cluster.Platform.SetOutage(false)
+		Eventually(func() string { return ask(f.nodes[0], key) }, limit, "100ms").ShouldNot(ContainSubstring("notReady"))
+	})
+
 	It("refuses a withdrawn key at every node", func() {
 		f := newFleet(4)
 		see(f.nodes...)
-		text, key, err := tdkey.Issue("auditor", "auditors")
-		Expect(err).NotTo(HaveOccurred())
-		set, err := tdset.Parse("set", []byte(setText))
-		Expect(err).NotTo(HaveOccurred())
-		set.Keys = []tarragondeal.Key{key}
-		f.nodes[0].Publish(set)
-		for _, n := range f.nodes {
-			Eventually(func() int { return ask(n, text) }, limit, "50ms").ShouldNot(Equal(http.StatusUnauthorized))
-		}
+		text := f.issue()
 		var out tdoperator.Result
 		Expect(f.nodes[2].Operator(http.MethodPost, "/operator/keys/auditor/withdraw", tdoperator.NewKey{}, &out)).To(Equal(http.StatusOK))
 		Expect(out.Lagging).To(BeEmpty())
 		for _, n := range f.nodes {
-			Expect(ask(n, text)).To(Equal(http.StatusUnauthorized), n.Name)
+			Expect(ask(n, text)).To(ContainSubstring("keyWithdrawn"), n.Name)
 		}
 	})
 })
 
-// ask sends a request with a key. No backend server is there to serve it, so
-// an admitted one is refused for another reason.
-func ask(n *tdtest.Node, key string) int {
+// issue publishes a set with a key and returns the key once all nodes admit
+// it.
+func (f *fleet) issue() string {
+	text, key, err := tdkey.Issue("auditor", "auditors")
+	Expect(err).NotTo(HaveOccurred())
+	set, err := tdset.Parse("set", []byte(setText))
+	Expect(err).NotTo(HaveOccurred())
+	set.Keys = []tarragondeal.Key{key}
+	f.nodes[0].Publish(set)
+	for _, n := range f.nodes {
+		Eventually(func() string { return ask(n, text) }, limit, "50ms").ShouldNot(
+			Or(ContainSubstring("badKey"), ContainSubstring("notReady")))
+	}
+	return text
+}
+
+// ask sends a request with a key and returns the answer. No backend server is
+// there to serve it, so that an admitted one is refused for want of one.
+func ask(n *tdtest.Node, key string) string {
 	req, err := http.NewRequest(http.MethodPost, "http://"+n.Callers.String()+"/services/certificate/enter", strings.NewReader("{}"))
 	Expect(err).NotTo(HaveOccurred())
 	req.Header.Set("Authorization", "Bearer "+key)
 	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return http.StatusUnauthorized
-	}
-	Expect(res.Body.Close()).To(Succeed())
-	return res.StatusCode
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(body)
 }
