Stop test servers only after asking them to

Cause: on a busy machine a TestPeer spec failed once of eight runs: its cleanup can stop a server before its goroutine serves, which gRPC reports as an error.

Result: eight runs side by side pass.

--- a/internal/fleet/tdmember/member_test.go
+++ b/internal/fleet/tdmember/member_test.go
@@ -94,8 +94,8 @@
 			return
 		}
 		stopped = true
+		cancel() // First: a server that is stopped before it serves reports that.
 		links.Server().Stop()
-		cancel()
 		for range 3 {
 			Expect(<-done).To(Succeed())
 		}
--- a/internal/fleet/tdpeer/tls_test.go
+++ b/internal/fleet/tdpeer/tls_test.go
@@ -60,8 +60,8 @@
 	done := make(chan error, 1)
 	go func() { done <- l.Serve(ctx, ln) }()
 	DeferCleanup(func() {
+		cancel() // First: a server that is stopped before it serves reports that.
 		l.Server().Stop()
-		cancel()
 		Expect(<-done).To(Succeed())
 	})
 	return netip.MustParseAddrPort(ln.Addr().String())
