Tell callers of claims when to come back, and that an unknown outcome stays

Cause: the callers' side dropped the time after which a repeat may learn more, and answered 503 for an outcome that stays unknown.

Change: 409 for an unknown outcome, without Retry-After; Retry-After of a running claim from its longest run. Counters of claims by outcome.

Result: the specs of test/account on claims pass with both checked.

--- a/internal/account/tdclaim/claim.go
+++ b/internal/account/tdclaim/claim.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdring"
@@ -21,6 +22,7 @@
 	Members tarragondeal.Members
 	Clock   tarragondeal.Clock
 	Log     zerolog.Logger
+	Scope   tally.Scope // Nil for no metrics.
 }
 
 // Config bounds claims.
@@ -47,6 +49,9 @@
 
 // New returns claims kept in the store.
 func New(d Deps, cfg Config) *Claims {
+	if d.Scope == nil {
+		d.Scope = tally.NoopScope
+	}
 	return &Claims{
 		Deps: d, cfg: cfg, pending: tdring.New[job](cfg.Pending),
 		sleep: sleep, newMark: uuid.NewString,
@@ -74,6 +79,7 @@
 			break
 		}
 	}
+	c.count(err)
 	if err == nil {
 		return t.claim, nil
 	}
@@ -85,6 +91,18 @@
 	return tarragondeal.Claim{}, err
 }
 
+func (c *Claims) count(err error) {
+	outcome := "storeAway"
+	var taken *tarragondeal.ClaimError
+	switch {
+	case err == nil:
+		outcome = "taken"
+	case errors.As(err, &taken):
+		outcome = string(taken.Reason)
+	}
+	c.Scope.Tagged(map[string]string{"outcome": outcome}).Counter("asked").Inc(1)
+}
+
 // taking is one call's attempt to get a claim.
 type taking struct {
 	claim     tarragondeal.Claim
--- a/internal/account/tdclaim/finish.go
+++ b/internal/account/tdclaim/finish.go
@@ -62,6 +62,7 @@
 // later keeps a job for when the store can be reached.
 func (c *Claims) later(j job) bool {
 	if c.pending.Push(j) {
+		c.Scope.Gauge("waiting").Update(float64(c.pending.Len()))
 		return true
 	}
 	c.Log.Error().Str("state", string(j.target.State)).Msg("too many claims wait for the store")
--- a/internal/entry/tdrelay/error.go
+++ b/internal/entry/tdrelay/error.go
@@ -42,6 +42,7 @@
 	tarragondeal.ReasonNeedsIdemKey:   http.StatusBadRequest,
 	tarragondeal.ReasonAlreadyRunning: http.StatusConflict,
 	tarragondeal.ReasonAlreadyRan:     http.StatusConflict,
+	tarragondeal.ReasonOutcomeUnknown: http.StatusConflict,
 	tarragondeal.ReasonBodyDiffers:    http.StatusUnprocessableEntity,
 	tarragondeal.ReasonQuarantined:    http.StatusUnprocessableEntity,
 	tarragondeal.ReasonBackend:        http.StatusBadGateway,
@@ -121,7 +122,7 @@
 		if claim.Answer != nil {
 			d.Digest = claim.Answer.Digest
 		}
-		return claim.Reason, d, 0
+		return claim.Reason, d, claim.RetryAfter
 	default:
 		return reasonInternal, errorDetail{Message: "internal error", Ran: string(tarragondeal.RanUnknown)}, 0
 	}
@@ -133,6 +134,8 @@
 		return "the idempotency key was used with another request"
 	case tarragondeal.ReasonAlreadyRan:
 		return "the request has run; its answer was too large to keep"
+	case tarragondeal.ReasonOutcomeUnknown:
+		return "a request with this idempotency key may have run and will not run again"
 	default:
 		return "a request with this idempotency key runs or may have run"
 	}
--- a/internal/node/tdnode/account.go
+++ b/internal/node/tdnode/account.go
@@ -28,6 +28,7 @@
 func (n *Node) buildClaims() {
 	d := tdclaim.Deps{
 		Store: n.fleet.store, Members: n.fleet.members, Clock: n.clock, Log: tdlog.Part(n.log, "claims"),
+		Scope: n.metrics.Scope.SubScope("claims"),
 	}
 	claims := tdclaim.New(d, tdclaim.Config{
 		MaxRun: n.cfg.ClaimsMaxRun, MaxAnswer: n.cfg.ClaimsMaxAnswer,
--- a/test/account/claim_test.go
+++ b/test/account/claim_test.go
@@ -26,6 +26,8 @@
 		if repeat.status != http.StatusOK { // The first may have ended by now.
 			code, ran := repeat.refusal()
 			Expect([]string{code, ran}).To(Equal([]string{"alreadyRunning", "unknown"}))
+			Expect(repeat.status).To(Equal(http.StatusConflict))
+			Expect(repeat.header.Get("Retry-After")).NotTo(BeEmpty())
 		}
 		Expect((<-first).status).To(Equal(http.StatusOK))
 		Eventually(func() int { return s.enter(s.nodes[1], "meter1").status }, "10s", "50ms").Should(Equal(http.StatusOK))
@@ -83,7 +85,9 @@
 			return code + " " + ran
 		}, "30s", "100ms").Should(Equal("outcomeUnknown unknown"))
 		for range 5 {
-			s.enter(s.nodes[2], "meter5")
+			again := s.enter(s.nodes[2], "meter5")
+			Expect(again.status).To(Equal(http.StatusConflict))
+			Expect(again.header.Get("Retry-After")).To(BeEmpty())
 		}
 		Expect(s.service().Executions("meter5")).To(Equal(1))
 	})
