--- a/internal/account/tdreporter/reporter.go
+++ b/internal/account/tdreporter/reporter.go
@@ -145,7 +145,13 @@
 			}
 		}
 	}
-	return true, r.bill(ctx, l, window, own, late, fence)
+	if err := r.bill(ctx, l, window, own, late, fence); err != nil {
+		return false, err
+	}
+	if window == newest {
+		l.looked = newest // What comes from now on is late.
+	}
+	return true, nil
 }
 
 // close closes a source generation: its figures never change again.
