Tell of running grants every half second

Cause: at 8 requests a second a node, steady, nodes exchanged 11.5 KB/s each, most of it reports of running grants every 250 ms and their hints.

Change: at most one report to an owner every 500 ms, and its cost is counted as 300 bytes where the interval grows with the owners.

--- a/internal/dispatch/tdreserve/report.go
+++ b/internal/dispatch/tdreserve/report.go
@@ -18,10 +18,10 @@
 	// Reports of running grants are sent to each owner at an interval that
 	// grows with the number of owners, so that they cost a node no more than
 	// reportBudget bytes a second.
-	minReportEvery = 250 * time.Millisecond
+	minReportEvery = 500 * time.Millisecond
 	maxReportEvery = 2 * time.Second
 	reportBudget   = 4 << 10
-	reportBytes    = 150 // One report and its reply, with headers.
+	reportBytes    = 300 // One report and its reply, with headers.
 	reportTimeout  = time.Second
 	// maxEnded bounds the ended grants that wait for one owner.
 	maxEnded = 4096
