--- a/test/dispatch/dispatch_test.go
+++ b/test/dispatch/dispatch_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -60,6 +61,7 @@
 	nodes   []*tdtest.Node
 	specs   []tdtest.NodeSpec
 	key     string
+	keys    []tarragondeal.Key
 }
 
 // start starts nodes before engines, and waits until each node serves.
@@ -89,7 +91,8 @@
 	Expect(err).NotTo(HaveOccurred())
 	text, key, err := tdkey.Issue("auditor", "auditors")
 	Expect(err).NotTo(HaveOccurred())
-	set.Keys = []tarragondeal.Key{key}
+	s.keys = []tarragondeal.Key{key}
+	set.Keys = s.keys
 	s.key = text
 	s.nodes[0].Publish(set)
 	for _, n := range s.nodes {
@@ -133,12 +136,16 @@
 	return out.Error
 }
 
-// load keeps callers asking nodes until stop is called, which returns how
-// many answers came and the refusals.
+// refusedPause is how long a caller waits after a refusal.
+const refusedPause = 5 * time.Millisecond
+
+// load keeps callers asking nodes until stop is called, which returns the
+// refusals.
 func (s *site) load(nodes []*tdtest.Node, callers int) (answered *atomic.Int64, stop func() []answer) {
 	answered = &atomic.Int64{}
 	var done atomic.Bool
-	refused := make(chan answer, 10000)
+	var mu sync.Mutex
+	var refused []answer
 	var wg conc.WaitGroup
 	for k := range callers {
 		wg.Go(func() {
@@ -146,21 +153,19 @@
 				a := s.post(nodes[k%len(nodes)], fmt.Sprintf("%d.%d", k, n), 5)
 				if a.Code == "" {
 					answered.Add(1)
-				} else {
-					refused <- a
+					continue
 				}
+				mu.Lock()
+				refused = append(refused, a)
+				mu.Unlock()
+				time.Sleep(refusedPause)
 			}
 		})
 	}
 	return answered, func() []answer {
 		done.Store(true)
 		wg.Wait()
-		close(refused)
-		var out []answer
-		for a := range refused {
-			out = append(out, a)
-		}
-		return out
+		return refused
 	}
 }
 
