Measure what a node costs as a deployment grows

Change: tarragondeal-measure capacity starts real nodes at several sizes of one axis at a time (nodes, listed VMs, backend servers, workspaces, requests, tokens, open streams, claims), reads processor time, memory, bytes on links by method, bytes to the platform and store calls by kind, and fits lines.

--- a/cmd/tarragondeal-measure/main.go
+++ b/cmd/tarragondeal-measure/main.go
@@ -35,7 +35,7 @@
 	root := &ffcli.Command{
 		ShortUsage:  "tarragondeal-measure <command> [flags]",
 		FlagSet:     flag.NewFlagSet("tarragondeal-measure", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{compareCommand(), soakCommand()},
+		Subcommands: []*ffcli.Command{compareCommand(), soakCommand(), capacityCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(ctx, args)
--- /dev/null
+++ b/internal/measure/tdslope/deploy.go
@@ -0,0 +1,100 @@
+package tdslope
+
+import (
+	"fmt"
+	"time"
+
+	"tarragondeal"
+	"tarragondeal/internal/measure/tddeploy"
+	"tarragondeal/internal/standin/tdcluster"
+	"tarragondeal/internal/standin/tdengine"
+	"tarragondeal/internal/standin/tdplatform"
+	"tarragondeal/internal/standin/tdservice"
+)
+
+const (
+	dataCentres    = 4
+	engineSlots    = 64
+	serviceSlots   = 64
+	storeWrites    = 400
+	storeReads     = 2000
+	prefill        = 5 * time.Millisecond
+	fastToken      = 10 * time.Millisecond
+	slowToken      = 2 * time.Second
+	serviceWork    = 5 * time.Millisecond
+	deadline       = 5 * time.Minute
+	maxTokens      = 4096
+	cacheBlocks    = 512
+	prefixBytes    = 256
+	fastRoute      = "fast"
+	slowRoute      = "slow"
+	bookRoute      = "book"
+	smallWorkspace = 10
+)
+
+// size is what a fleet of the stand-ins has.
+type size struct {
+	nodes      int
+	engines    int // Of the fast pool.
+	workspaces int
+	load       bool // Whether there are servers for slow streams and bookings.
+}
+
+// deployment describes a fleet with two regions of two data centres each.
+func deployment(s size) *tddeploy.Deployment {
+	d := &tddeploy.Deployment{
+		Name: "capacity", Set: &tarragondeal.Set{},
+		Spec: tdcluster.Spec{Platform: tdplatform.Options{WritesPerSecond: storeWrites, ReadsPerSecond: storeReads}},
+	}
+	for n := range dataCentres {
+		dc := tarragondeal.DataCentre{Name: fmt.Sprintf("dc%d", n), Region: fmt.Sprintf("region%d", n%2)}
+		d.Set.DataCentres = append(d.Set.DataCentres, dc)
+		d.Spec.Groups = append(d.Spec.Groups, groups(dc.Name, s.engines/dataCentres, s.load)...)
+	}
+	for n := range s.nodes {
+		d.Nodes = append(d.Nodes, fmt.Sprintf("dc%d", n%dataCentres))
+	}
+	for n := range max(s.workspaces, smallWorkspace) {
+		ws := tarragondeal.Workspace{Name: fmt.Sprintf("workspace%d", n)}
+		for _, dc := range d.Set.DataCentres {
+			ws.DataCentres = append(ws.DataCentres, dc.Name)
+		}
+		d.Set.Workspaces = append(d.Set.Workspaces, ws)
+	}
+	objects(d.Set)
+	return d
+}
+
+func groups(dataCentre string, engines int, load bool) []tdcluster.Group {
+	engine := func(perToken time.Duration) *tdengine.Options {
+		return &tdengine.Options{Slots: engineSlots, Prefill: prefill, PerToken: perToken, CacheBlocks: cacheBlocks, ChecksFence: true}
+	}
+	out := []tdcluster.Group{{Pool: fastRoute, DataCentre: dataCentre, Count: engines, Engine: engine(fastToken)}}
+	if load {
+		out = append(out,
+			tdcluster.Group{Pool: slowRoute, DataCentre: dataCentre, Count: 2, Engine: engine(slowToken)},
+			tdcluster.Group{Pool: bookRoute, DataCentre: dataCentre, Count: 1,
+				Service: &tdservice.Options{Slots: serviceSlots, Work: serviceWork}})
+	}
+	return out
+}
+
+func objects(s *tarragondeal.Set) {
+	class := func(name string, tier int) tarragondeal.RequestClass {
+		return tarragondeal.RequestClass{
+			Name: name, Tier: tier, Completion: tarragondeal.Duration(deadline),
+			Deadline: tarragondeal.Duration(deadline), Objective: 0.95,
+		}
+	}
+	s.RequestClasses = []tarragondeal.RequestClass{class(fastRoute, 1), class(slowRoute, 2), class(bookRoute, 1)}
+	s.ServerPools = []tarragondeal.ServerPool{
+		{Name: fastRoute, Kind: tarragondeal.PoolModel, Model: "fast", Slots: engineSlots, ChecksFencing: true},
+		{Name: slowRoute, Kind: tarragondeal.PoolModel, Model: "slow", Slots: engineSlots, ChecksFencing: true},
+		{Name: bookRoute, Kind: tarragondeal.PoolService, Slots: serviceSlots},
+	}
+	s.Routes = []tarragondeal.Route{
+		{Name: fastRoute, Class: fastRoute, Pools: []string{fastRoute}},
+		{Name: slowRoute, Class: slowRoute, Pools: []string{slowRoute}},
+		{Name: bookRoute, Class: bookRoute, Pools: []string{bookRoute}, NonIdempotent: true},
+	}
+}
--- /dev/null
+++ b/internal/measure/tdslope/fit.go
@@ -0,0 +1,92 @@
+package tdslope
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Line is a straight line through the points of one figure.
+type Line struct {
+	Figure    string  `json:"figure"`
+	Intercept float64 `json:"intercept"`
+	Slope     float64 `json:"slope"`
+	R2        float64 `json:"r2"`
+}
+
+// At returns the line's value at a size.
+func (l Line) At(x float64) float64 { return l.Intercept + l.Slope*x }
+
+// Result is one sweep.
+type Result struct {
+	Axis       string  `json:"axis"`
+	Points     []Point `json:"points"`
+	Lines      []Line  `json:"lines"`
+	LoadBefore string  `json:"loadBefore"` // The machine's load averages.
+	LoadAfter  string  `json:"loadAfter"`
+}
+
+// Fit returns a line for each figure that any of the points has, none for
+// less than two points. R2 is 0 for a figure that does not change.
+func Fit(points []Point) []Line {
+	if len(points) < 2 {
+		return nil
+	}
+	var out []Line
+	for _, name := range names(points) {
+		var x, y []float64
+		for _, p := range points {
+			x, y = append(x, p.X), append(y, p.Value(name))
+		}
+		l := Line{Figure: name}
+		l.Intercept, l.Slope = stat.LinearRegression(x, y, nil, false)
+		if stat.Variance(y, nil) > 0 {
+			l.R2 = stat.RSquared(x, y, nil, l.Intercept, l.Slope)
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// names returns the figures' names in the order in which they first come.
+func names(points []Point) []string {
+	var out []string
+	seen := make(map[string]bool)
+	for _, p := range points {
+		for _, f := range p.Figures {
+			if !seen[f.Name] {
+				seen[f.Name] = true
+				out = append(out, f.Name)
+			}
+		}
+	}
+	return out
+}
+
+// Table writes a sweep as a readable table, a row for each figure.
+func Table(w io.Writer, r Result) error {
+	_, _ = fmt.Fprintf(w, "axis %s, load averages %s before, %s after\n", r.Axis, r.LoadBefore, r.LoadAfter)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	head := []string{"figure"}
+	for _, p := range r.Points {
+		head = append(head, fmt.Sprintf("%.4g", p.X))
+	}
+	_, _ = fmt.Fprintln(t, strings.Join(append(head, "intercept", "slope", "r2"), "\t"))
+	for _, l := range r.Lines {
+		row := []string{l.Figure}
+		for _, p := range r.Points {
+			row = append(row, fmt.Sprintf("%.4g", p.Value(l.Figure)))
+		}
+		row = append(row, fmt.Sprintf("%.4g", l.Intercept), fmt.Sprintf("%.4g", l.Slope), fmt.Sprintf("%.2f", l.R2))
+		_, _ = fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	for _, p := range r.Points {
+		if p.Sent > 0 {
+			_, _ = fmt.Fprintf(t, "at %.4g: %d requests, %d failed\n", p.X, p.Sent, p.Failed)
+		}
+	}
+	return t.Flush()
+}
