Measure busy fleets of several sizes

Cause: links, owners and their memory grow with the nodes only when requests cross them. Change: an axis busyNodes at 8 requests a second and node with two servers a node, and a flag for the nodes of other axes.

--- a/cmd/tarragondeal-measure/capacity.go
+++ b/cmd/tarragondeal-measure/capacity.go
@@ -22,6 +22,7 @@
 	o.register(fs)
 	axes := fs.String("axis", strings.Join(tdslope.Axes(), ","), "sizes to change, one after the other, separated by commas")
 	sizes := fs.String("sizes", "", "the sizes, separated by commas, when one axis is given")
+	nodes := fs.Int("nodes", 4, "nodes of the sweeps that change another size")
 	window := fs.Duration("window", 5*time.Second, "how long each point is watched")
 	settle := fs.Duration("settle", 3*time.Second, "how long a fleet rests before it is watched")
 	return &ffcli.Command{
@@ -40,7 +41,7 @@
 			}
 			defer end()
 			slope := tdslope.Options{
-				Binary: binary, Window: *window, Settle: *settle, Sizes: list, LogTo: logTo, Args: strings.Fields(o.args),
+				Binary: binary, Window: *window, Settle: *settle, Sizes: list, Nodes: *nodes, LogTo: logTo, Args: strings.Fields(o.args),
 			}
 			return sweep(ctx, strings.Split(*axes, ","), slope, o.asJSON)
 		},
--- a/internal/measure/tdslope/deploy.go
+++ b/internal/measure/tdslope/deploy.go
@@ -15,6 +15,7 @@
 const (
 	dataCentres    = 4
 	engineSlots    = 64
+	slowSlots      = 512
 	serviceSlots   = 64
 	storeWrites    = 400
 	storeReads     = 2000
@@ -66,13 +67,13 @@
 }
 
 func groups(dataCentre string, engines int, load bool) []tdcluster.Group {
-	engine := func(perToken time.Duration) *tdengine.Options {
-		return &tdengine.Options{Slots: engineSlots, Prefill: prefill, PerToken: perToken, CacheBlocks: cacheBlocks, ChecksFence: true}
+	engine := func(slots int, perToken time.Duration) *tdengine.Options {
+		return &tdengine.Options{Slots: slots, Prefill: prefill, PerToken: perToken, CacheBlocks: cacheBlocks, ChecksFence: true}
 	}
-	out := []tdcluster.Group{{Pool: fastRoute, DataCentre: dataCentre, Count: engines, Engine: engine(fastToken)}}
+	out := []tdcluster.Group{{Pool: fastRoute, DataCentre: dataCentre, Count: engines, Engine: engine(engineSlots, fastToken)}}
 	if load {
 		out = append(out,
-			tdcluster.Group{Pool: slowRoute, DataCentre: dataCentre, Count: 2, Engine: engine(slowToken)},
+			tdcluster.Group{Pool: slowRoute, DataCentre: dataCentre, Count: 2, Engine: engine(slowSlots, slowToken)},
 			tdcluster.Group{Pool: bookRoute, DataCentre: dataCentre, Count: 1,
 				Service: &tdservice.Options{Slots: serviceSlots, Work: serviceWork}})
 	}
@@ -89,7 +90,7 @@
 	s.RequestClasses = []tarragondeal.RequestClass{class(fastRoute, 1), class(slowRoute, 2), class(bookRoute, 1)}
 	s.ServerPools = []tarragondeal.ServerPool{
 		{Name: fastRoute, Kind: tarragondeal.PoolModel, Model: "fast", Slots: engineSlots, ChecksFencing: true},
-		{Name: slowRoute, Kind: tarragondeal.PoolModel, Model: "slow", Slots: engineSlots, ChecksFencing: true},
+		{Name: slowRoute, Kind: tarragondeal.PoolModel, Model: "slow", Slots: slowSlots, ChecksFencing: true},
 		{Name: bookRoute, Kind: tarragondeal.PoolService, Slots: serviceSlots},
 	}
 	s.Routes = []tarragondeal.Route{
--- a/internal/measure/tdslope/load.go
+++ b/internal/measure/tdslope/load.go
@@ -18,6 +18,11 @@
 	// tokensRate is the rate of requests of the sweep of tokens, a second and
 	// node.
 	tokensRate = 5
+	// requestsRate is the rate of the sweep of busy nodes, a second and node.
+	requestsRate = 8
+	// serversPerNode is how many servers each node of that sweep owns, on
+	// average.
+	serversPerNode = 2
 	// promptBytes is the length of a prompt without its prefix.
 	promptBytes = 200
 )
--- a/internal/measure/tdslope/sweep.go
+++ b/internal/measure/tdslope/sweep.go
@@ -19,6 +19,7 @@
 // The sizes that a sweep can change.
 const (
 	AxisNodes      = "nodes"      // Nodes of an idle fleet.
+	AxisBusyNodes  = "busyNodes"  // Nodes of a fleet at one rate of requests a node.
 	AxisListed     = "listed"     // Further VMs on the platform's list.
 	AxisServers    = "servers"    // Backend servers for each node.
 	AxisWorkspaces = "workspaces" // Workspaces with a key each.
@@ -30,7 +31,10 @@
 
 // Axes returns all axes.
 func Axes() []string {
-	return []string{AxisNodes, AxisListed, AxisServers, AxisWorkspaces, AxisRequests, AxisTokens, AxisStreams, AxisClaims}
+	return []string{
+		AxisNodes, AxisBusyNodes, AxisListed, AxisServers, AxisWorkspaces,
+		AxisRequests, AxisTokens, AxisStreams, AxisClaims,
+	}
 }
 
 // Options say how to sweep.
@@ -39,6 +43,7 @@
 	Window time.Duration // How long each point is watched.
 	Settle time.Duration // How long a fleet rests before.
 	Sizes  []float64     // In place of an axis's own.
+	Nodes  int           // Where another size is changed; 4 if zero.
 	LogTo  io.Writer
 	Args   []string // Further flags of every node.
 }
@@ -50,14 +55,24 @@
 	return fmt.Sprintf("axis %q is not known: %s", e.Axis, strings.Join(Axes(), ", "))
 }
 
-// few is how many nodes the sweeps have that change another size.
+// few is how many nodes the sweeps have that change another size, unless the
+// options say.
 const few = 4
 
+func (o Options) nodes() int {
+	if o.Nodes > 0 {
+		return o.Nodes
+	}
+	return few
+}
+
 // sizes are each axis's own.
 func sizes(axis string) []float64 {
 	switch axis {
 	case AxisNodes:
 		return []float64{4, 8, 16, 32, 48}
+	case AxisBusyNodes:
+		return []float64{4, 12, 24, 40}
 	case AxisListed:
 		return []float64{0, 300, 600, 900}
 	case AxisServers:
@@ -86,7 +101,7 @@
 	}
 	var err error
 	switch axis {
-	case AxisNodes, AxisServers, AxisWorkspaces:
+	case AxisNodes, AxisBusyNodes, AxisServers, AxisWorkspaces:
 		r.Points, err = fleets(ctx, axis, xs, o)
 	case AxisListed, AxisRequests, AxisTokens, AxisStreams, AxisClaims:
 		r.Points, err = oneFleet(ctx, axis, xs, o)
@@ -105,20 +120,22 @@
 	return strings.Join(strings.Fields(string(text))[:3], " ")
 }
 
-// fleets measures one idle fleet for each size.
+// fleets measures one fleet for each size.
 func fleets(ctx context.Context, axis string, xs []float64, o Options) ([]Point, error) {
 	var out []Point
 	for _, x := range xs {
-		s := size{nodes: few, engines: few}
+		s := size{nodes: o.nodes(), engines: dataCentres}
 		switch axis {
 		case AxisNodes:
 			s.nodes = int(x)
+		case AxisBusyNodes:
+			s.nodes, s.engines = int(x), serversPerNode*int(x)
 		case AxisServers:
-			s.engines = int(x) * few
+			s.engines = int(x) * s.nodes
 		case AxisWorkspaces:
 			s.workspaces = int(x)
 		}
-		p, err := idle(ctx, s, o)
+		p, err := alone(ctx, axis, s, o)
 		if err != nil {
 			return out, err
 		}
@@ -128,12 +145,16 @@
 	return out, nil
 }
 
-func idle(ctx context.Context, s size, o Options) (Point, error) {
-	f, _, err := start(ctx, s, o)
+// alone measures one point at a fleet of its own.
+func alone(ctx context.Context, axis string, s size, o Options) (Point, error) {
+	f, keys, err := start(ctx, s, o)
 	if err != nil {
 		return Point{}, err
 	}
 	defer f.Close()
+	if axis == AxisBusyNodes {
+		return underLoad(ctx, f, keys, axis, requestsRate, o)
+	}
 	return around(ctx, f, o.Window)
 }
 
@@ -160,7 +181,7 @@
 
 // oneFleet measures all sizes at one fleet.
 func oneFleet(ctx context.Context, axis string, xs []float64, o Options) ([]Point, error) {
-	f, keys, err := start(ctx, size{nodes: few, engines: 2 * few, load: axis != AxisListed}, o)
+	f, keys, err := start(ctx, size{nodes: o.nodes(), engines: 2 * dataCentres, load: axis != AxisListed}, o)
 	if err != nil {
 		return nil, err
 	}
