Measure what limited workspaces in use cost

Cause: each node asks a keeper every second for each limited workspace in use, and keepers differ at many nodes. Change: an axis limits. Result: go test ./internal/measure/tdslope passes; not run yet.

--- a/internal/measure/tdslope/deploy.go
+++ b/internal/measure/tdslope/deploy.go
@@ -31,6 +31,7 @@
 	slowRoute      = "slow"
 	bookRoute      = "book"
 	smallWorkspace = 10
+	wideLimit      = 1000 // Requests a second that no load here reaches.
 )
 
 // size is what a fleet of the stand-ins has.
@@ -38,6 +39,7 @@
 	nodes      int
 	engines    int // Of the fast pool.
 	workspaces int
+	limited    int  // Workspaces with a limit, if the others are fewer.
 	load       bool // Whether there are servers for slow streams and bookings.
 }
 
@@ -55,8 +57,11 @@
 	for n := range s.nodes {
 		d.Nodes = append(d.Nodes, fmt.Sprintf("dc%d", n%dataCentres))
 	}
-	for n := range max(s.workspaces, smallWorkspace) {
+	for n := range max(s.workspaces, s.limited, smallWorkspace) {
 		ws := tarragondeal.Workspace{Name: fmt.Sprintf("workspace%d", n)}
+		if n < s.limited {
+			ws.Limits.RequestsPerSecond = wideLimit
+		}
 		for _, dc := range d.Set.DataCentres {
 			ws.DataCentres = append(ws.DataCentres, dc.Name)
 		}
--- a/internal/measure/tdslope/load.go
+++ b/internal/measure/tdslope/load.go
@@ -15,8 +15,8 @@
 	lead = 3 * time.Second
 	// openWithin is how long it takes to open the streams.
 	openWithin = 2 * time.Second
-	// tokensRate is the rate of requests of the sweep of tokens, a second and
-	// node.
+	// tokensRate is the rate of requests of the sweeps of tokens and limits, a
+	// second and node.
 	tokensRate = 5
 	// requestsRate is the rate of the sweep of busy nodes, a second and node.
 	requestsRate = 8
@@ -29,7 +29,7 @@
 
 // underLoad measures a fleet under a load of one size.
 func underLoad(ctx context.Context, f *tdfleet.Fleet, keys []string, axis string, x float64, o Options) (Point, error) {
-	d := deployment(size{nodes: len(f.Nodes), load: true})
+	d := deployment(size{nodes: len(f.Nodes), workspaces: len(keys), load: true})
 	var nodes []tdcaller.Node
 	for _, n := range f.Nodes {
 		nodes = append(nodes, tdcaller.Node{Name: n.Name, Addr: n.Callers})
@@ -64,8 +64,10 @@
 func schedule(axis string, x float64, nodes int, length time.Duration) []tdcaller.Arrival {
 	rate := x * float64(nodes)
 	demand := tddeploy.Demand{Route: fastRoute, Stream: true, MaxTokens: maxTokens, PrefixBytes: prefixBytes}
-	tokens := 1
+	tokens, workspaces := 1, smallWorkspace
 	switch axis {
+	case AxisLimits:
+		rate, workspaces = tokensRate*float64(nodes), int(x)
 	case AxisTokens:
 		rate = tokensRate * float64(nodes)
 		tokens = max(1, int(x/tokensRate))
@@ -82,7 +84,7 @@
 	var out []tdcaller.Arrival
 	for at := time.Duration(0); at < length; at += step {
 		out = append(out, tdcaller.Arrival{
-			At: at, Demand: demand, Workspace: len(out) % smallWorkspace, Prompt: promptBytes, Tokens: tokens,
+			At: at, Demand: demand, Workspace: len(out) % workspaces, Prompt: promptBytes, Tokens: tokens,
 		})
 	}
 	return out
--- a/internal/measure/tdslope/slope_test.go
+++ b/internal/measure/tdslope/slope_test.go
@@ -96,6 +96,7 @@
 		{AxisTokens, 500, 200, 100},
 		{AxisStreams, 32, 128, maxTokens},
 		{AxisClaims, 5, 200, 1},
+		{AxisLimits, 50, 200, 1},
 		{AxisRequests, 0, 0, 0},
 	} {
 		It("of "+c.axis+" has the size that is asked for", func() {
--- a/internal/measure/tdslope/sweep.go
+++ b/internal/measure/tdslope/sweep.go
@@ -26,6 +26,7 @@
 	AxisRequests   = "requests"   // Requests of one token a second and node.
 	AxisTokens     = "tokens"     // Tokens a second and node, at one rate of requests.
 	AxisStreams    = "streams"    // Open streams at each node.
+	AxisLimits     = "limits"     // Limited workspaces in use, at one rate of requests.
 	AxisClaims     = "claims"     // Non-idempotent requests a second and node.
 )
 
@@ -33,7 +34,7 @@
 func Axes() []string {
 	return []string{
 		AxisNodes, AxisBusyNodes, AxisListed, AxisServers, AxisWorkspaces,
-		AxisRequests, AxisTokens, AxisStreams, AxisClaims,
+		AxisRequests, AxisTokens, AxisStreams, AxisLimits, AxisClaims,
 	}
 }
 
@@ -85,6 +86,8 @@
 		return []float64{5, 250, 500, 1000}
 	case AxisStreams:
 		return []float64{0, 32, 64, 96}
+	case AxisLimits:
+		return []float64{1, 20, 50, 100}
 	case AxisClaims:
 		return []float64{0, 2, 5, 10}
 	default:
@@ -103,7 +106,7 @@
 	switch axis {
 	case AxisNodes, AxisBusyNodes, AxisServers, AxisWorkspaces:
 		r.Points, err = fleets(ctx, axis, xs, o)
-	case AxisListed, AxisRequests, AxisTokens, AxisStreams, AxisClaims:
+	case AxisListed, AxisRequests, AxisTokens, AxisStreams, AxisLimits, AxisClaims:
 		r.Points, err = oneFleet(ctx, axis, xs, o)
 	default:
 		err = &AxisError{Axis: axis}
@@ -181,7 +184,11 @@
 
 // oneFleet measures all sizes at one fleet.
 func oneFleet(ctx context.Context, axis string, xs []float64, o Options) ([]Point, error) {
-	f, keys, err := start(ctx, size{nodes: o.nodes(), engines: 2 * dataCentres, load: axis != AxisListed}, o)
+	s := size{nodes: o.nodes(), engines: 2 * dataCentres, load: axis != AxisListed}
+	if axis == AxisLimits {
+		s.limited = int(slices.Max(xs))
+	}
+	f, keys, err := start(ctx, s, o)
 	if err != nil {
 		return nil, err
 	}
