--- a/internal/account/tdusage/bench_test.go
+++ b/internal/account/tdusage/bench_test.go
@@ -1,11 +1,18 @@
 package tdusage
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"runtime"
+	"sync/atomic"
 	"testing"
 
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
+
+	"tarragondeal"
 )
 
 func BenchmarkAdd(b *testing.B) {
@@ -31,6 +38,63 @@
 	b.ReportMetric(float64(bytes)/float64(b.N), "B/request")
 }
 
+// countingConn counts what passes a connection, in both directions.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// wire is a link to one peer over loopback.
+type wire struct{ grpc.ClientConnInterface }
+
+func (w wire) Conn(tarragondeal.NodeID) (grpc.ClientConnInterface, error) {
+	return w.ClientConnInterface, nil
+}
+
+// BenchmarkWire commits one request at a time to a peer over loopback and
+// counts all bytes of the connection.
+func BenchmarkWire(b *testing.B) {
+	f := newFleet(2)
+	srv := grpc.NewServer()
+	RegisterCopiesServer(srv, f.copies[1])
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = srv.Serve(ln) }()
+	defer srv.Stop()
+	var bytes atomic.Int64
+	conn, err := grpc.NewClient("passthrough:///"+ln.Addr().String(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(_ context.Context, addr string) (net.Conn, error) {
+			c, err := net.Dial("tcp", addr)
+			return countingConn{c, &bytes}, err
+		}))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	m := f.meters[0]
+	m.Links = wire{conn}
+	for n := 0; b.Loop(); n++ {
+		m.count(3600, LineKey{workspaces[n%len(workspaces)], "narrate"}, Figures{1, 100, 200})
+		m.commit(b.Context())
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/request")
+}
+
 // BenchmarkRecord is what one flush of a full segment writes.
 func BenchmarkRecord(b *testing.B) {
 	l := make(Lines)
