--- a/internal/measure/tdslope/sweep.go
+++ b/internal/measure/tdslope/sweep.go
@@ -161,13 +161,24 @@
 	return around(ctx, f, o.Window)
 }
 
+// startTries is how often a fleet is started at most: another process may
+// take a port between its choice and its use.
+const startTries = 10
+
 // start starts a fleet, publishes its set and lets it rest. The nodes read
 // the list of VMs as often as the product does by default.
 func start(ctx context.Context, s size, o Options) (*tdfleet.Fleet, []string, error) {
-	f, err := tdfleet.Start(ctx, tdfleet.Options{
-		Binary: o.Binary, Deploy: deployment(s), Policy: "owner", LogTo: o.LogTo,
-		Args: append([]string{"-platform.listEvery", "1s", "-log.level", "error"}, o.Args...),
-	})
+	var f *tdfleet.Fleet
+	var err error
+	for range startTries {
+		f, err = tdfleet.Start(ctx, tdfleet.Options{
+			Binary: o.Binary, Deploy: deployment(s), Policy: "owner", LogTo: o.LogTo,
+			Args: append([]string{"-platform.listEvery", "1s", "-log.level", "error"}, o.Args...),
+		})
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+	}
 	if err != nil {
 		return nil, nil, err
 	}
