Take tests' ports from where no outgoing connection takes them

Change: processes that are started again, and backend servers, get ports below the range that the kernel hands out.

--- a/cmd/tarragondeal-measure/options.go
+++ b/cmd/tarragondeal-measure/options.go
@@ -63,7 +63,8 @@
 	return binary, logTo, end, nil
 }
 
-// one runs one scenario, and prints its schedule and its broken promises.
+// one runs one scenario, and then prints its schedule and its broken promises
+// together, as other runs may go on beside it.
 func (o *options) one(ctx context.Context, s *tdscenario.Scenario, run tdrun.Options) (tdresult.Result, error) {
 	run.Scenario = s
 	run.Log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, TimeFormat: "15:04:05.000"}).With().Timestamp().Logger()
@@ -75,8 +76,8 @@
 		defer func() { _ = f.Close() }()
 		run.Dump = f
 	}
-	tdrun.Describe(os.Stderr, s, run.Seed)
 	r, err := tdrun.Run(ctx, run)
+	tdrun.Describe(os.Stderr, s, run.Seed)
 	for _, v := range r.Violations {
 		fmt.Fprintln(os.Stderr, "  broken:", v)
 	}
--- a/cmd/tarragondeal-measure/soak.go
+++ b/cmd/tarragondeal-measure/soak.go
@@ -7,18 +7,23 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/sourcegraph/conc/pool"
 
 	"tarragondeal/internal/measure/tdresult"
 	"tarragondeal/internal/measure/tdrun"
 	"tarragondeal/internal/measure/tdscenario"
 )
 
+// deployments take turns, by seed.
+var deployments = []string{"fjellkjede", "lakeshore"}
+
 func soakCommand() *ffcli.Command {
 	var o options
 	fs := flag.NewFlagSet("soak", flag.ContinueOnError)
 	o.register(fs)
 	first := fs.Uint64("first", 1, "first seed")
 	seeds := fs.Int("seeds", 5, "number of seeds")
+	parallel := fs.Int("parallel", 1, "runs at a time")
 	length := fs.Duration("length", 20*time.Second, "length of each run")
 	return &ffcli.Command{
 		Name: "soak", ShortUsage: "tarragondeal-measure soak [flags]",
@@ -31,16 +36,17 @@
 				return err
 			}
 			defer end()
-			var results []tdresult.Result
-			deployments := []string{"fjellkjede", "lakeshore"}
+			runs := pool.NewWithResults[tdresult.Result]().WithErrors().WithFirstError().WithMaxGoroutines(*parallel)
 			for n := range *seeds {
 				seed := *first + uint64(n)
 				s := tdscenario.Random(seed, deployments[seed%2], *length)
-				r, err := o.one(ctx, s, tdrun.Options{Binary: binary, Policy: "owner", Seed: seed, NodeLog: logTo, Args: strings.Fields(o.args)})
-				if err != nil {
-					return err
-				}
-				results = append(results, r)
+				runs.Go(func() (tdresult.Result, error) {
+					return o.one(ctx, s, tdrun.Options{Binary: binary, Policy: "owner", Seed: seed, NodeLog: logTo, Args: strings.Fields(o.args)})
+				})
+			}
+			results, err := runs.Wait()
+			if err != nil {
+				return err
 			}
 			return o.print(results, true)
 		},
--- a/internal/measure/tdfleet/node.go
+++ b/internal/measure/tdfleet/node.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"tarragondeal/internal/standin/tdfault"
+	"tarragondeal/internal/standin/tdport"
 )
 
 // token is the operators' token of measured nodes.
@@ -44,7 +45,7 @@
 	n := &Node{Name: name, DataCentre: dataCentre}
 	var err error
 	for _, addr := range []*netip.AddrPort{&n.Callers, &n.Operators, &n.peers} {
-		if *addr, err = freeAddr(); err != nil {
+		if *addr, err = tdport.Free(); err != nil {
 			return nil, err
 		}
 	}
@@ -55,15 +56,6 @@
 	return n, err
 }
 
-func freeAddr() (netip.AddrPort, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, eris.Wrap(err, "listen")
-	}
-	defer func() { _ = ln.Close() }()
-	return netip.ParseAddrPort(ln.Addr().String())
-}
-
 func (n *Node) start(ctx context.Context, binary string, logTo io.Writer, more []string) error {
 	args := append([]string{
 		"serve", "-name", n.Name, "-dataCentre", n.DataCentre, "-platform.url", "http://" + n.Store.Addr().String(),
--- a/internal/standin/tdcluster/server.go
+++ b/internal/standin/tdcluster/server.go
@@ -11,6 +11,7 @@
 
 	"tarragondeal/internal/platform/tdwire"
 	"tarragondeal/internal/standin/tdengine"
+	"tarragondeal/internal/standin/tdport"
 	"tarragondeal/internal/standin/tdservice"
 )
 
@@ -58,11 +59,14 @@
 	if !s.removed.IsZero() {
 		return nil
 	}
-	addr := "127.0.0.1:0"
-	if s.VM.Addr.IsValid() {
-		addr = s.VM.Addr.String()
+	addr := s.VM.Addr
+	if !addr.IsValid() {
+		var err error
+		if addr, err = tdport.Free(); err != nil {
+			return err
+		}
 	}
-	l, err := listenOn(addr, s.handler())
+	l, err := listenOn(addr.String(), s.handler())
 	if err != nil {
 		return err
 	}
--- a/internal/test/tdtest/node.go
+++ b/internal/test/tdtest/node.go
@@ -29,6 +29,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/object/tdset"
+	"tarragondeal/internal/standin/tdport"
 )
 
 // Token is the operators' token of the nodes that tests start.
@@ -61,13 +62,10 @@
 
 // FreeAddr returns a loopback address that nobody listened on just now.
 func FreeAddr() netip.AddrPort {
-	const tries = 100
-	for range tries {
-		port := firstPort + rand.N(lastPort-firstPort+1)
-		ln, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
-		if err != nil {
-			continue
-		}
+	addr, err := tdport.Free()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return addr
+}
 		gomega.Expect(ln.Close()).To(gomega.Succeed())
 		return netip.MustParseAddrPort(ln.Addr().String())
 	}
