Mend the tests' choice of ports

Change: one choice of ports, in tdport; a backend server tries another port when its first is taken.

--- a/internal/standin/tdcluster/server.go
+++ b/internal/standin/tdcluster/server.go
@@ -59,14 +59,7 @@
 	if !s.removed.IsZero() {
 		return nil
 	}
-	addr := s.VM.Addr
-	if !addr.IsValid() {
-		var err error
-		if addr, err = tdport.Free(); err != nil {
-			return err
-		}
-	}
-	l, err := listenOn(addr.String(), s.handler())
+	l, err := s.listen()
 	if err != nil {
 		return err
 	}
@@ -74,6 +67,27 @@
 	return nil
 }
 
+// listenTries is how many ports are tried, as other processes of a
+// measurement take ports, too.
+const listenTries = 10
+
+// listen listens on the address that the server had before, or on a free one.
+func (s *Server) listen() (*listener, error) {
+	if s.VM.Addr.IsValid() {
+		return listenOn(s.VM.Addr.String(), s.handler())
+	}
+	for n := 1; ; n++ {
+		addr, err := tdport.Free()
+		if err != nil {
+			return nil, err
+		}
+		l, err := listenOn(addr.String(), s.handler())
+		if err == nil || n == listenTries {
+			return l, err
+		}
+	}
+}
+
 // Kill ends the server at once: its connections break, and new ones are
 // refused. It stays on the platform's list.
 func (s *Server) Kill() {
