Count dispatch in the metrics, and test a planned stop

Cause: operators saw nothing of reservations, queues and owned servers.

Change: counters and gauges of tdreserve and tdowner on /metrics; a test stops one of three real nodes under load.

Result: the new test passes; tdreserve's tests pass with the race detector. They failed once before this commit, as the test's owner had no metrics scope.

--- a/internal/dispatch/tdowner/owner.go
+++ b/internal/dispatch/tdowner/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 
 	"tarragondeal"
@@ -56,6 +57,7 @@
 	Site    Site
 	Loads   tarragondeal.LoadReader
 	Clock   tarragondeal.Clock
+	Scope   tally.Scope
 	Log     zerolog.Logger
 }
 
@@ -229,6 +231,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.rates.Refresh(now, rateMemory)
+	o.tellMetrics()
 	if now < o.holdOff && len(o.Members.Members()) <= 1 || now.Sub(o.lastTick) > pauseBound {
 		return
 	}
@@ -247,6 +250,14 @@
 	o.book.Lost(now, func(n tarragondeal.NodeID) bool { return old.Live(n) && !p.Live(n) })
 }
 
+func (o *Owner) tellMetrics() {
+	owned, waiting, running, down := o.book.sums()
+	o.Scope.Gauge("servers").Update(float64(owned))
+	o.Scope.Gauge("waiting").Update(float64(waiting))
+	o.Scope.Gauge("running").Update(float64(running))
+	o.Scope.Gauge("unusable").Update(float64(down))
+}
+
 // keepOrDrop drops a server that is no longer listed. One that another node
 // owns now is kept until that node takes it over, so that no request is left
 // without an owner in between.
--- a/internal/dispatch/tdowner/report.go
+++ b/internal/dispatch/tdowner/report.go
@@ -141,6 +141,19 @@
 	b.serve(now, st)
 }
 
+// sums counts the servers, and what waits and runs there.
+func (b *Book) sums() (owned, waiting, running, unusable int) {
+	for _, st := range b.seats {
+		owned++
+		waiting += st.queue.Len()
+		running += len(st.queue.Running())
+		if !st.status.Usable() {
+			unusable++
+		}
+	}
+	return owned, waiting, running, unusable
+}
+
 // Usable reports whether requests may wait for a server.
 func (b *Book) Usable(id tarragondeal.ServerID) bool {
 	st, ok := b.seats[id]
--- a/internal/dispatch/tdreserve/dispatcher.go
+++ b/internal/dispatch/tdreserve/dispatcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdchoose"
@@ -44,6 +45,7 @@
 	Quarantine *tdquarantine.Keeper // Nil to refuse no request for crashes.
 	Budget     *tdretry.Budget      // Nil to bound no retries.
 	Prefixes   *tdprefix.History
+	Scope      tally.Scope
 	Log        zerolog.Logger
 }
 
@@ -75,6 +77,7 @@
 	pending map[tarragondeal.NodeID]*outbox
 	wake    chan struct{}
 	counts  Counts
+	told    Counts // What the metrics have been told.
 }
 
 // Counts are what a dispatcher has done so far.
@@ -113,6 +116,22 @@
 	f(&d.counts)
 }
 
+// tellMetrics adds what was done since the last call to the metrics.
+func (d *Dispatcher) tellMetrics() {
+	d.mu.Lock()
+	now, old := d.counts, d.told
+	d.told = now
+	running := len(d.runs)
+	d.mu.Unlock()
+	d.Scope.Counter("requests").Inc(now.Requests - old.Requests)
+	d.Scope.Counter("asks").Inc(now.Asks - old.Asks)
+	d.Scope.Counter("remoteAsks").Inc(now.Remote - old.Remote)
+	d.Scope.Counter("reports").Inc(now.Reports - old.Reports)
+	d.Scope.Counter("unusedGrants").Inc(now.Unused - old.Unused)
+	d.Scope.Counter("refused").Inc(now.Refused - old.Refused)
+	d.Scope.Gauge("running").Update(float64(running))
+}
+
 // Reserve waits for a grant. The error is a *RefusedError.
 func (d *Dispatcher) Reserve(ctx context.Context, a tarragondeal.Ask) (tarragondeal.Grant, error) {
 	if a.Deadline <= 0 {
--- a/internal/dispatch/tdreserve/fleet_test.go
+++ b/internal/dispatch/tdreserve/fleet_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
@@ -134,13 +135,14 @@
 	l := links{f: f, from: n}
 	n.quarantine = tdquarantine.New(tdquarantine.Deps{Members: n.view, Links: l, Clock: tdclock.New(), Log: zerolog.Nop()})
 	n.owner = tdowner.New(tdowner.Deps{
-		Members: n.view, Links: l, Site: f, Loads: f, Clock: tdclock.New(), Log: zerolog.Nop(),
+		Members: n.view, Links: l, Site: f, Loads: f, Clock: tdclock.New(),
+		Scope: tally.NoopScope, Log: zerolog.Nop(),
 	}, tdowner.Options{PollEvery: 100 * time.Millisecond})
 	prefixes, err := tdprefix.New(100)
 	Expect(err).NotTo(HaveOccurred())
 	n.dispatcher = tdreserve.New(tdreserve.Deps{
 		Self: id, Owner: n.owner, Links: l, Site: f, Clock: tdclock.New(),
-		Quarantine: n.quarantine, Prefixes: prefixes, Log: zerolog.Nop(),
+		Quarantine: n.quarantine, Prefixes: prefixes, Scope: tally.NoopScope, Log: zerolog.Nop(),
 	})
 	f.mu.Lock()
 	next := map[tarragondeal.NodeID]*node{id: n}
--- a/internal/dispatch/tdreserve/report.go
+++ b/internal/dispatch/tdreserve/report.go
@@ -69,6 +69,7 @@
 	var reported tarragondeal.Instant
 	for {
 		d.update()
+		d.tellMetrics()
 		running := false
 		if now := d.Clock.Now(); now.Sub(reported) >= d.reportEvery() {
 			reported, running = now, true
--- a/internal/node/tdnode/dispatch.go
+++ b/internal/node/tdnode/dispatch.go
@@ -71,12 +71,13 @@
 	quarantine := n.buildQuarantine()
 	owner := tdowner.New(tdowner.Deps{
 		Members: n.fleet.members, Links: n.fleet.links, Site: site, Loads: n.site, Clock: n.clock,
-		Log: tdlog.Part(n.log, "owner"),
+		Scope: n.metrics.Scope.SubScope("owner"), Log: tdlog.Part(n.log, "owner"),
 	}, tdowner.Options{StartWait: n.cfg.OwnerStartWait, PollEvery: n.cfg.LoadEvery})
 	owner.Register(n.fleet.links.Server())
 	d := tdreserve.New(tdreserve.Deps{
 		Self: n.fleet.members.Self().Node, Owner: owner, Links: n.fleet.links, Site: site, Clock: n.clock,
-		Quarantine: quarantine, Budget: n.buildBudget(), Prefixes: prefixes, Log: tdlog.Part(n.log, "dispatch"),
+		Quarantine: quarantine, Budget: n.buildBudget(), Prefixes: prefixes,
+		Scope: n.metrics.Scope.SubScope("dispatch"), Log: tdlog.Part(n.log, "dispatch"),
 	})
 	n.add("own servers", owner.Run)
 	n.add("take servers over", owner.Take)
--- a/test/dispatch/dispatch_test.go
+++ b/test/dispatch/dispatch_test.go
@@ -201,6 +201,16 @@
 		Eventually(func() string { return s.post(s.nodes[0], "back", 2).Code }, "20s").Should(BeEmpty())
 	})
 
+	It("answer every request while a node is asked to stop", func() {
+		s := start(3, 3)
+		answered, stop := s.load(s.nodes[1:], 6)
+		more(answered, 50)
+		s.nodes[0].Session.Terminate()
+		Eventually(s.nodes[0].Session, "20s").Should(gexec.Exit(0))
+		more(answered, 500)
+		Expect(stop()).To(BeEmpty())
+	})
+
 	It("answer every request while an engine crashes, and use it again", func() {
 		s := start(3, 3)
 		answered, stop := s.load(s.nodes, 6)
