Send owners one data centre in place of all permitted ones

Cause: each reservation carried the names of all permitted data centres for the owner to check the server's against.

Change: it carries the one for which the server was chosen, and the owner grants nothing if the server is in another.

--- a/internal/dispatch/tdowner/book.go
+++ b/internal/dispatch/tdowner/book.go
@@ -181,7 +181,7 @@
 	if !ok {
 		return nil, &ReserveReply{Verdict: Verdict_VERDICT_NOT_OWNER}
 	}
-	if !permits(a.DataCentres, st.server.DataCentre) {
+	if a.DataCentre != st.server.DataCentre {
 		return nil, &ReserveReply{Verdict: Verdict_VERDICT_REFUSED, Reason: string(tarragondeal.ReasonNoPlace)}
 	}
 	if !st.status.Usable() {
@@ -205,15 +205,6 @@
 	return w, nil
 }
 
-func permits(places []string, name string) bool {
-	for _, p := range places {
-		if p == name {
-			return true
-		}
-	}
-	return false
-}
-
 // mean returns what a class's runs take on the pool's other servers here.
 func (b *Book) mean(class, pool string) time.Duration {
 	for _, st := range b.seats {
--- a/internal/dispatch/tdowner/message.go
+++ b/internal/dispatch/tdowner/message.go
@@ -9,10 +9,10 @@
 
 // Asked is one request for one server.
 type Asked struct {
-	Node        tarragondeal.NodeID
-	Server      tarragondeal.ServerID
-	Request     *Request
-	DataCentres []string
+	Node       tarragondeal.NodeID
+	Server     tarragondeal.ServerID
+	Request    *Request
+	DataCentre string // The permitted place for which it was chosen.
 }
 
 // Key names a grant: the same ticket may wait for several servers.
--- a/internal/dispatch/tdowner/owner.go
+++ b/internal/dispatch/tdowner/owner.go
@@ -139,7 +139,7 @@
 func (o *Owner) Reserve(ctx context.Context, in *ReserveRequest) (*ReserveReply, error) {
 	reply := o.Ask(ctx, Asked{
 		Node: tarragondeal.NodeID(in.GetNode()), Server: tarragondeal.ServerID(in.GetServer()),
-		Request: in.GetRequest(), DataCentres: in.GetDataCentres(),
+		Request: in.GetRequest(), DataCentre: in.GetDataCentre(),
 	})
 	return reply, nil
 }
--- a/internal/dispatch/tdreserve/call.go
+++ b/internal/dispatch/tdreserve/call.go
@@ -165,7 +165,7 @@
 	c.pending = append(c.pending, a)
 	c.d.count(func(n *Counts) { n.Asks++ })
 	c.wg.Go(func() {
-		reply, err := c.d.send(ctx, a, c.ask.DataCentres)
+		reply, err := c.d.send(ctx, a)
 		c.replies <- replied{asked: a, reply: reply, err: err}
 	})
 }
@@ -188,9 +188,10 @@
 }
 
 // send asks a server's owner.
-func (d *Dispatcher) send(ctx context.Context, a *asked, places []string) (*tdowner.ReserveReply, error) {
+func (d *Dispatcher) send(ctx context.Context, a *asked) (*tdowner.ReserveReply, error) {
 	if a.owner == d.Self {
-		return d.Owner.Ask(ctx, tdowner.Asked{Node: d.Self, Server: a.server.ID, Request: a.request, DataCentres: places}), nil
+		in := tdowner.Asked{Node: d.Self, Server: a.server.ID, Request: a.request, DataCentre: a.server.DataCentre}
+		return d.Owner.Ask(ctx, in), nil
 	}
 	conn, err := d.Links.Conn(a.owner)
 	if err != nil {
@@ -198,7 +199,7 @@
 	}
 	d.count(func(n *Counts) { n.Remote++ })
 	return tdowner.NewOwnersClient(conn).Reserve(ctx, &tdowner.ReserveRequest{
-		Node: string(d.Self), Server: string(a.server.ID), Request: a.request, DataCentres: places,
+		Node: string(d.Self), Server: string(a.server.ID), Request: a.request, DataCentre: a.server.DataCentre,
 	})
 }
 
