--- a/cmd/tarragondeal-measure/capacity.go
+++ b/cmd/tarragondeal-measure/capacity.go
@@ -48,29 +48,36 @@
 	}
 }
 
-// sweep measures axes and prints each as soon as it is done.
+// sweep measures axes and prints each as soon as it is done, or as far as it
+// came.
 func sweep(ctx context.Context, axes []string, o tdslope.Options, asJSON bool) error {
 	if len(o.Sizes) > 0 && len(axes) > 1 {
 		return eris.New("flag sizes: give one axis with it")
 	}
 	for _, axis := range axes {
-		r, err := tdslope.Sweep(ctx, axis, o)
-		if err != nil {
+		r, failed := tdslope.Sweep(ctx, axis, o)
+		if err := show(r, asJSON); err != nil {
 			return err
 		}
-		if asJSON {
-			err = json.NewEncoder(os.Stdout).Encode(r)
-		} else {
-			err = tdslope.Table(os.Stdout, r)
-			fmt.Println()
-		}
-		if err != nil {
-			return err
+		if failed != nil {
+			return eris.Wrapf(failed, "axis %s after %d points", axis, len(r.Points))
 		}
 	}
 	return nil
 }
 
+func show(r tdslope.Result, asJSON bool) error {
+	if len(r.Points) == 0 {
+		return nil
+	}
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	err := tdslope.Table(os.Stdout, r)
+	fmt.Println()
+	return err
+}
+
 func numbers(text string) ([]float64, error) {
 	if text == "" {
 		return nil, nil
