Count calls of unknown methods as one

Cause: the links counted each method that a peer called by its name, served or not, so that one peer could make a node keep any number of metrics and labels. Change: the server's side knows the methods that are registered and counts all others under the method "other".

--- a/internal/fleet/tdpeer/count.go
+++ b/internal/fleet/tdpeer/count.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/stats"
 )
 
@@ -55,6 +56,37 @@
 	return context.WithValue(ctx, methodKey{}, c.method(info.FullMethodName))
 }
 
+// otherMethods stands for all methods that no duty serves.
+const otherMethods = "other"
+
+// served counts the calls of peers. A peer may call any name, so that the
+// methods which no duty serves are counted as one.
+type served struct {
+	*counters
+	server *grpc.Server
+	once   sync.Once
+	names  map[string]bool
+}
+
+// TagRPC notes which method a call is of.
+func (s *served) TagRPC(ctx context.Context, info *stats.RPCTagInfo) context.Context {
+	s.once.Do(s.list) // All duties have registered before the first call.
+	name := info.FullMethodName
+	if !s.names[name] {
+		name = otherMethods
+	}
+	return context.WithValue(ctx, methodKey{}, s.method(name))
+}
+
+func (s *served) list() {
+	s.names = make(map[string]bool)
+	for service, info := range s.server.GetServiceInfo() {
+		for _, m := range info.Methods {
+			s.names["/"+service+"/"+m.Name] = true
+		}
+	}
+}
+
 // HandleRPC counts a message.
 func (c *counters) HandleRPC(ctx context.Context, s stats.RPCStats) {
 	m, ok := ctx.Value(methodKey{}).(*method)
--- a/internal/fleet/tdpeer/peer.go
+++ b/internal/fleet/tdpeer/peer.go
@@ -100,15 +100,17 @@
 	}
 	count := newCounters(opt.Scope)
 	l := &Links{members: members, creds: creds, count: count, conns: make(map[netip.AddrPort]*link), pruned: time.Now()}
+	calls := &served{counters: count}
 	l.server = grpc.NewServer(
 		grpc.Creds(creds),
-		grpc.StatsHandler(count),
+		grpc.StatsHandler(calls),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.ConnectionTimeout(connectTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: aliveEvery, Timeout: aliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: aliveEvery / 2, PermitWithoutStream: true}),
 	)
+	calls.server = l.server
 	return l, nil
 }
 
