Bound and check backend servers' reports of load

Cause: a report was read up to 8 MB, several times a second from each server, and figures below zero or beyond any server's size were taken as they came. Change: reports end at 64 KB; negative figures and ages and more than a million requests or slots are refused as a platform error with the answer's status, so that the server counts as alive without a report. FuzzLoad and FuzzAnswer face these decoders.

--- a/internal/platform/tdsite/site.go
+++ b/internal/platform/tdsite/site.go
@@ -12,6 +12,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
@@ -21,8 +22,17 @@
 	"tarragondeal/internal/platform/tdwire"
 )
 
-// maxAnswerBytes bounds what is read of one answer.
-const maxAnswerBytes = 8 << 20
+const (
+	// maxAnswerBytes bounds what is read of one answer.
+	maxAnswerBytes = 8 << 20
+	// maxLoadBytes bounds a report of load, which is read from every backend
+	// server several times a second.
+	maxLoadBytes = 64 << 10
+	// maxRequests bounds the requests and slots that one server can report.
+	maxRequests = 1_000_000
+
+	opLoad = "read load"
+)
 
 // Site is the platform at one address.
 type Site struct {
@@ -96,8 +106,12 @@
 
 // Load reads a backend server's report of itself.
 func (s *Site) Load(ctx context.Context, srv tarragondeal.Server) (tarragondeal.Load, error) {
-	var l tdwire.Load
-	if err := s.call(ctx, "read load", "http://"+srv.Addr.String()+tdwire.PathLoad, nil, &l); err != nil {
+	status, body, err := s.send(ctx, opLoad, "http://"+srv.Addr.String()+tdwire.PathLoad, nil, maxLoadBytes)
+	if err != nil {
+		return tarragondeal.Load{}, err
+	}
+	l, err := decodeLoad(status, body)
+	if err != nil {
 		return tarragondeal.Load{}, err
 	}
 	return tarragondeal.Load{
@@ -106,29 +120,54 @@
 	}, nil
 }
 
+func decodeLoad(status int, body []byte) (tdwire.Load, error) {
+	var l tdwire.Load
+	if err := decode(opLoad, status, body, &l); err != nil {
+		return l, err
+	}
+	low, high := min(l.Running, l.Queued, l.Slots), max(l.Running, l.Queued, l.Slots)
+	if low < 0 || high > maxRequests || l.Age < 0 {
+		return l, &tarragondeal.PlatformError{Op: opLoad, Status: status, Err: errFigures}
+	}
+	return l, nil
+}
+
+// errFigures is a report of load that can't be true.
+var errFigures = errors.New("the report has figures that no server can have")
+
 func (s *Site) call(ctx context.Context, op, url string, in, out any) error {
+	status, answer, err := s.send(ctx, op, url, in, maxAnswerBytes)
+	if err != nil {
+		return err
+	}
+	return decode(op, status, answer, out)
+}
+
+// send makes one call and returns the answer's status and up to limit bytes
+// of its body.
+func (s *Site) send(ctx context.Context, op, url string, in any, limit int64) (int, []byte, error) {
 	method, body := http.MethodGet, []byte(nil)
 	if in != nil {
 		b, err := json.Marshal(in)
 		if err != nil {
-			return &tarragondeal.PlatformError{Op: op, Err: err}
+			return 0, nil, &tarragondeal.PlatformError{Op: op, Err: err}
 		}
 		method, body = http.MethodPost, b
 	}
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return &tarragondeal.PlatformError{Op: op, Err: err}
+		return 0, nil, &tarragondeal.PlatformError{Op: op, Err: err}
 	}
 	res, err := s.client.Do(req)
 	if err != nil {
-		return &tarragondeal.PlatformError{Op: op, Err: err}
+		return 0, nil, &tarragondeal.PlatformError{Op: op, Err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	answer, err := io.ReadAll(io.LimitReader(res.Body, limit))
 	if err != nil {
-		return &tarragondeal.PlatformError{Op: op, Status: res.StatusCode, Err: err}
+		return 0, nil, &tarragondeal.PlatformError{Op: op, Status: res.StatusCode, Err: err}
 	}
-	return decode(op, res.StatusCode, answer, out)
+	return res.StatusCode, answer, nil
 }
 
 func decode(op string, status int, body []byte, out any) error {
--- /dev/null
+++ b/internal/platform/tdsite/site_test.go
@@ -0,0 +1,89 @@
+package tdsite
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragondeal"
+	"tarragondeal/internal/platform/tdwire"
+)
+
+func TestSite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Site")
+}
+
+// serverWith returns a backend server whose report of its load is body.
+func serverWith(body string) tarragondeal.Server {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(body))
+	}))
+	DeferCleanup(s.Close)
+	return tarragondeal.Server{ID: "s", Addr: netip.MustParseAddrPort(s.Listener.Addr().String())}
+}
+
+var _ = Describe("a report of load", func() {
+	It("is read", func() {
+		l, err := New("", http.DefaultClient).Load(context.Background(), serverWith(`{"running":2,"queued":1,"slots":8,"age":5}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l).To(Equal(tarragondeal.Load{Server: "s", Running: 2, Queued: 1, Slots: 8, Age: 5}))
+	})
+
+	for _, c := range []struct{ name, body string }{
+		{"with requests below zero", `{"running":-1}`},
+		{"with a queue below zero", `{"queued":-1}`},
+		{"with slots below zero", `{"slots":-1}`},
+		{"from the future", `{"age":-1}`},
+		{"with more requests than a server can run", `{"running":1000001}`},
+		{"with more slots than a server can have", `{"slots":1000001}`},
+		{"that is too long", `{"models":["` + strings.Repeat("m", maxLoadBytes) + `"]}`},
+	} {
+		It("is no report "+c.name, func() {
+			_, err := New("", http.DefaultClient).Load(context.Background(), serverWith(c.body))
+			var p *tarragondeal.PlatformError
+			Expect(errors.As(err, &p)).To(BeTrue())
+			Expect(p.Status).To(Equal(http.StatusOK))
+			Expect(len(p.Error())).To(BeNumerically("<", 300))
+		})
+	}
+})
+
+// FuzzLoad checks that figures which are taken can be those of a server.
+func FuzzLoad(f *testing.F) {
+	for _, seed := range []string{``, `{}`, `null`, `{"running":2,"queued":1,"slots":8,"age":5}`, `{"slots":-1}`, `{"models":[""]}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		l, err := decodeLoad(http.StatusOK, in)
+		if err != nil {
+			return
+		}
+		if min(l.Running, l.Queued, l.Slots) < 0 || max(l.Running, l.Queued, l.Slots) > maxRequests || l.Age < 0 {
+			t.Fatalf("%q was taken as %+v", in, l)
+		}
+	})
+}
+
+// FuzzAnswer checks that an answer of the platform is what its status says.
+func FuzzAnswer(f *testing.F) {
+	f.Add(200, []byte(`[{"name":"s1","kind":"server","addr":"10.0.0.1:80"}]`))
+	f.Add(409, []byte(`{"fence":7}`))
+	f.Add(500, []byte(`x`))
+	f.Add(200, []byte(`[{"addr":"x"}]`))
+	f.Fuzz(func(t *testing.T, status int, in []byte) {
+		var vms []tdwire.VM
+		err := decode("list VMs", status, in, &vms)
+		if (err == nil) != (status == http.StatusOK && json.Unmarshal(in, new([]tdwire.VM)) == nil) {
+			t.Fatalf("status %d with %q: %v", status, in, err)
+		}
+	})
+}
