Keep no sources without lines for other nodes

Cause: the bound on what a node keeps for others counts lines, and a part without lines still made a source, so that one peer could make a node keep any number of sources, and process names of any length. Change: parts without lines are passed over, and process names are bounded as names of sources are.

--- a/internal/account/tdusage/copies.go
+++ b/internal/account/tdusage/copies.go
@@ -57,6 +57,9 @@
 
 // Keep merges another process's figures.
 func (c *Copies) Keep(_ context.Context, r *KeepRequest) (*KeepAnswer, error) {
+	if len(r.GetOrigin()) > maxNameBytes {
+		return nil, status.Error(codes.InvalidArgument, "process has too long a name")
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range r.GetParts() {
@@ -90,6 +93,9 @@
 }
 
 func (c *Copies) keep(r *KeepRequest, p *Part) {
+	if len(p.GetLines()) == 0 {
+		return // Sources are counted by their lines.
+	}
 	id := SourceID{p.GetWindow(), p.GetSource()}
 	s := c.sources[id]
 	if s == nil {
--- a/internal/account/tdusage/fuzz_test.go
+++ b/internal/account/tdusage/fuzz_test.go
@@ -15,6 +15,7 @@
 	for _, r := range []*KeepRequest{
 		{Origin: "node1.a", Seq: 1, Parts: []*Part{{Source: "node1.a.1", Window: 3600, Lines: []*Line{{Workspace: "auditors", Requests: 1}}}}},
 		{Origin: "node1.a", Seq: 2, Flushed: []*Flushed{{Source: "node1.a.1", Window: 3600, Seq: 1}}},
+		{Origin: "node1.a", Parts: []*Part{{Source: "node1.a.2", Window: 3600}}},
 		{Parts: []*Part{{Source: "a/b", Window: -1, Lines: []*Line{{Requests: -5}}}}},
 	} {
 		b, err := proto.Marshal(r)
@@ -34,8 +35,8 @@
 			return
 		}
 		c.flushSilent(context.Background(), 0)
-		if c.Len() != 0 {
-			t.Fatalf("%d lines of %v can't be flushed", c.Len(), &r)
+		if c.Len() != 0 || len(c.sources) != 0 {
+			t.Fatalf("%d lines of %d sources of %v can't be flushed", c.Len(), len(c.sources), &r)
 		}
 		entries, err := store.List(context.Background(), "", "", 1000)
 		if err != nil {
