Bound the fields of a call's body

Cause: each top-level field of a body was compared with all before it, so that a body of 8 MB with a million fields cost a node some 10^11 comparisons. Change: a body with more than 256 top-level fields is refused as badRequest. Result: the new test failed before; go test -race ./internal/entry/tdflow passes.

--- a/internal/entry/tdflow/body.go
+++ b/internal/entry/tdflow/body.go
@@ -9,6 +9,10 @@
 	"github.com/rotisserie/eris"
 )
 
+// maxFields bounds the top-level fields of a body, each of which is compared
+// with those before it.
+const maxFields = 256
+
 // Body is the body of a call to a model: its top-level fields in their
 // order, each as the caller wrote it.
 type Body struct {
@@ -65,6 +69,9 @@
 			return eris.Errorf("the body has the field %.40q twice", name)
 		}
 	}
+	if len(b.fields) == maxFields {
+		return eris.Errorf("the body has more than %d fields", maxFields)
+	}
 	b.fields = append(b.fields, field{name: name, raw: raw})
 	return b.known(name, raw)
 }
--- a/internal/entry/tdflow/tdflow_test.go
+++ b/internal/entry/tdflow/tdflow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -99,6 +100,20 @@
 		})
 	}
 
+	It("is refused with more fields than calls to models have", func() {
+		fields := func(n int) []byte {
+			text := []byte(`{"model":"m"`)
+			for k := range n - 1 {
+				text = fmt.Appendf(text, `,"field%d":1`, k)
+			}
+			return append(text, '}')
+		}
+		_, err := ParseBody(fields(maxFields))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = ParseBody(fields(maxFields + 1))
+		Expect(err).To(MatchError(ContainSubstring("more than 256 fields")))
+	})
+
 	It("reaches an engine with the router's own fields and all others untouched", func() {
 		b, err := ParseBody([]byte(`{"seed": 9007199254740993, "model":"narrate","priority":0,"cache_salt":"mine","stream":true,"stream_options":{"x":1},"messages":[{"content":"<é>"}]}`))
 		Expect(err).NotTo(HaveOccurred())
