Digest a prompt without decoding all of its messages

Cause: all messages of a prompt were decoded into a list before 64 digests at most were taken; a body of very many tiny messages took many times its size in memory. Change: decoding ends with the last message that can have a digest.

--- a/internal/entry/tdflow/ask.go
+++ b/internal/entry/tdflow/ask.go
@@ -1,6 +1,7 @@
 package tdflow
 
 import (
+	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/binary"
@@ -41,12 +42,8 @@
 	h := xxhash.New()
 	_, _ = h.WriteString(workspace)
 	_, _ = h.Write([]byte{0})
-	var messages []json.RawMessage
-	if json.Unmarshal(prompt, &messages) != nil {
-		messages = []json.RawMessage{prompt}
-	}
 	var out []uint64
-	for _, m := range messages {
+	for _, m := range firstMessages(prompt) {
 		for len(m) > 0 && len(out) < maxPrefix {
 			n := min(prefixBlock, len(m))
 			_, _ = h.Write(m[:n])
@@ -57,6 +54,25 @@
 	return out
 }
 
+// firstMessages returns the messages of a prompt, and no more of them than
+// there can be digests. A prompt that is no list is one message.
+func firstMessages(prompt []byte) []json.RawMessage {
+	whole := []json.RawMessage{prompt}
+	dec := json.NewDecoder(bytes.NewReader(prompt))
+	if t, err := dec.Token(); err != nil || t != json.Delim('[') {
+		return whole
+	}
+	var out []json.RawMessage
+	for len(out) < maxPrefix && dec.More() {
+		var m json.RawMessage
+		if dec.Decode(&m) != nil {
+			return whole
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
 // Fingerprint names a body and its workspace.
 func Fingerprint(workspace, path string, body []byte) uint64 {
 	h := xxhash.New()
--- a/internal/entry/tdflow/tdflow_test.go
+++ b/internal/entry/tdflow/tdflow_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,6 +156,18 @@
 	})
 }
 
+// TestPrefixAllocations checks that a prompt of very many messages costs no
+// more than one whose messages are all digested.
+func TestPrefixAllocations(t *testing.T) {
+	prompt := []byte("[" + strings.Repeat("0,", 100_000) + "0]")
+	if n := testing.AllocsPerRun(10, func() { Prefix("w", prompt) }); n > 10*maxPrefix {
+		t.Fatalf("%.0f allocations", n)
+	}
+	if n := len(Prefix("w", prompt)); n != maxPrefix {
+		t.Fatalf("%d digests", n)
+	}
+}
+
 // TestPrefix checks that conversations share the digests of what they share,
 // and only within a workspace.
 func TestPrefix(t *testing.T) {
