Tell an earlier process with the same incarnation from the present one

Cause: a property test failed with rapid.: a process that takes the incarnation of an earlier one, as it can after a clock step, is taken by the others for the earlier one, with its configuration version.

Change: a node that hears a record of its own incarnation that it did not make raises its incarnation.

--- a/internal/account/tdburn/burn_test.go
+++ b/internal/account/tdburn/burn_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"tarragondeal"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func TestBurn(t *testing.T) {
--- a/internal/account/tdclaim/clean_test.go
+++ b/internal/account/tdclaim/clean_test.go
@@ -13,6 +13,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/test/tdmemstore"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 var _ = Describe("the clean-up", func() {
--- a/internal/account/tdreporter/reporter_test.go
+++ b/internal/account/tdreporter/reporter_test.go
@@ -17,6 +17,7 @@
 	"tarragondeal/internal/account/tdgate"
 	"tarragondeal/internal/account/tdusage"
 	"tarragondeal/internal/test/tdmemstore"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func TestReporter(t *testing.T) {
--- a/internal/account/tdusage/usage_test.go
+++ b/internal/account/tdusage/usage_test.go
@@ -16,6 +16,7 @@
 	"tarragondeal"
 	"tarragondeal/internal/base/tdtask"
 	"tarragondeal/internal/test/tdmemstore"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func TestUsage(t *testing.T) {
--- a/internal/capacity/tddemand/demand_test.go
+++ b/internal/capacity/tddemand/demand_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"tarragondeal"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func TestDemand(t *testing.T) {
--- a/internal/capacity/tdplanner/planner_test.go
+++ b/internal/capacity/tdplanner/planner_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"tarragondeal"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func TestPlanner(t *testing.T) {
--- a/internal/dispatch/tdlimit/limit_test.go
+++ b/internal/dispatch/tdlimit/limit_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"tarragondeal"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 // TestShares lets nodes ask for shares in any order and with any demand, and
--- a/internal/dispatch/tdload/load_test.go
+++ b/internal/dispatch/tdload/load_test.go
@@ -9,6 +9,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdload"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 // TestLag runs grants and foreign work on a server whose reports lag, and
--- a/internal/dispatch/tdowner/placement_test.go
+++ b/internal/dispatch/tdowner/placement_test.go
@@ -8,6 +8,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdowner"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func regionOf(dataCentre string) string {
--- a/internal/dispatch/tdquarantine/table_test.go
+++ b/internal/dispatch/tdquarantine/table_test.go
@@ -9,6 +9,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdquarantine"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 // TestPoison runs a request that crashes every server, beside bystanders, by
--- a/internal/dispatch/tdqueue/queue_test.go
+++ b/internal/dispatch/tdqueue/queue_test.go
@@ -13,6 +13,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdqueue"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func TestQueue(t *testing.T) {
--- a/internal/dispatch/tdretry/retry_test.go
+++ b/internal/dispatch/tdretry/retry_test.go
@@ -9,6 +9,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdretry"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 type clock struct{ now tarragondeal.Instant }
--- a/internal/entry/tdflow/tdflow_test.go
+++ b/internal/entry/tdflow/tdflow_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"tarragondeal"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func TestFlow(t *testing.T) {
--- a/internal/entry/tdrelay/tdrelay_test.go
+++ b/internal/entry/tdrelay/tdrelay_test.go
@@ -19,6 +19,7 @@
 	"pgregory.net/rapid"
 
 	"tarragondeal"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func TestRelay(t *testing.T) {
--- a/internal/fleet/tdconfig/cut_test.go
+++ b/internal/fleet/tdconfig/cut_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"tarragondeal"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 // bigSet returns a set with that many workspaces and keys.
--- a/internal/fleet/tdmember/table.go
+++ b/internal/fleet/tdmember/table.go
@@ -133,10 +133,10 @@
 // refute answers a wrong belief about this node with a higher incarnation.
 func (t *table) refute(in entry, now tarragondeal.Instant) bool {
 	me := t.entries[t.self]
-	if in.Incarnation < me.Incarnation || in.State == me.State && in.Incarnation == me.Incarnation {
+	if in.Incarnation < me.Incarnation {
 		return false
 	}
-	if in.Incarnation == me.Incarnation && in.State < me.State {
+	if in.Incarnation == me.Incarnation && in.State <= me.State && !foreign(me, in) {
 		return false
 	}
 	if in.State == tarragondeal.MemberAlive && in.Peer != me.Peer {
@@ -150,6 +150,13 @@
 	return true
 }
 
+// foreign reports whether a record of this node's incarnation is of another
+// process: an earlier one that took the same number, as it does after the
+// wall clock stepped back.
+func foreign(me, in entry) bool {
+	return in.seq > me.seq || in.seq == me.seq && (in.Config != me.Config || in.Load != me.Load)
+}
+
 // suspect is this node's own observation that another one is silent.
 func (t *table) suspect(n tarragondeal.NodeID, now tarragondeal.Instant) bool {
 	e, ok := t.entries[n]
--- a/internal/fleet/tdspread/spread_test.go
+++ b/internal/fleet/tdspread/spread_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"tarragondeal"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 // TestSeenOnce checks that a number counts as new once, however numbers are
--- a/internal/fleet/tdstore/store_test.go
+++ b/internal/fleet/tdstore/store_test.go
@@ -13,6 +13,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/fleet/tdstore"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func TestStore(t *testing.T) {
--- a/internal/object/tdset/set_test.go
+++ b/internal/object/tdset/set_test.go
@@ -13,6 +13,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/object/tdset"
+	_ "tarragondeal/internal/test/tdtestseed"
 )
 
 func TestSet(t *testing.T) {
