--- a/internal/entry/tdflow/tdflow_test.go
+++ b/internal/entry/tdflow/tdflow_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,6 +101,20 @@
 		})
 	}
 
+	It("is refused with more fields than calls to models have", func() {
+		fields := func(n int) []byte {
+			text := []byte(`{"model":"m"`)
+			for k := range n - 1 {
+				text = fmt.Appendf(text, `,"field%d":1`, k)
+			}
+			return append(text, '}')
+		}
+		_, err := ParseBody(fields(maxFields))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = ParseBody(fields(maxFields + 1))
+		Expect(err).To(MatchError(ContainSubstring("more than 256 fields")))
+	})
+
 	It("reaches an engine with the router's own fields and all others untouched", func() {
 		b, err := ParseBody([]byte(`{"seed": 9007199254740993, "model":"narrate","priority":0,"cache_salt":"mine","stream":true,"stream_options":{"x":1},"messages":[{"content":"<é>"}]}`))
 		Expect(err).NotTo(HaveOccurred())
@@ -140,6 +156,18 @@
 	})
 }
 
+// TestPrefixAllocations checks that a prompt of very many messages costs no
+// more than one whose messages are all digested.
+func TestPrefixAllocations(t *testing.T) {
+	prompt := []byte("[" + strings.Repeat("0,", 100_000) + "0]")
+	if n := testing.AllocsPerRun(10, func() { Prefix("w", prompt) }); n > 10*maxPrefix {
+		t.Fatalf("%.0f allocations", n)
+	}
+	if n := len(Prefix("w", prompt)); n != maxPrefix {
+		t.Fatalf("%d digests", n)
+	}
+}
+
 // TestPrefix checks that conversations share the digests of what they share,
 // and only within a workspace.
 func TestPrefix(t *testing.T) {
