--- a/internal/dispatch/tdchoose/choose.go
+++ b/internal/dispatch/tdchoose/choose.go
@@ -40,6 +40,7 @@
 	// Failed are the data centres of the servers to avoid.
 	Failed   []string
 	Promised bool // Its class has a target.
+	Urgent   bool // Its target is too close for a straggler.
 	// Tried are servers that were asked already.
 	Tried []tarragondeal.ServerID
 }
@@ -87,7 +88,7 @@
 		for _, c := range q.Ask.DataCentres {
 			spare := !q.Promised || s.spare(c)
 			for _, e := range t.places[place{p, c}] {
-				if e.down || e.reclaimable && !spare || q.passed(e.server.ID) {
+				if e.down || e.reclaimable && !spare || q.Urgent && e.factor < 1 || q.passed(e.server.ID) {
 					continue
 				}
 				n = insert(out, n, e, t.score(q, &s, e))
@@ -98,7 +99,7 @@
 }
 
 // Any is like Choose for the permitted servers that Choose passes over: ones
-// to avoid, and reclaimable ones that the rest could not stand in for.
+// to avoid, stragglers, and reclaimable ones that the rest could not stand in for.
 func (t *Table) Any(now tarragondeal.Instant, q *Query, out []Choice) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/dispatch/tdchoose/choose_test.go
+++ b/internal/dispatch/tdchoose/choose_test.go
@@ -75,6 +75,8 @@
 		t.Factor("firm0", 0.3)
 		t.Factor("firm1", 0.3)
 		Expect(choose(t, tdchoose.Query{})[0]).To(Equal(tarragondeal.ServerID("firm2")))
+		Expect(choose(t, tdchoose.Query{})).To(HaveLen(3))
+		Expect(choose(t, tdchoose.Query{Urgent: true})).To(Equal([]tarragondeal.ServerID{"firm2"}))
 	})
 
 	It("follows a cached prefix, but not to a hot server", func() {
--- a/internal/dispatch/tdreserve/call.go
+++ b/internal/dispatch/tdreserve/call.go
@@ -23,6 +23,9 @@
 	breadth       = 3
 	urgentBreadth = 6
 	urgent        = 500 * time.Millisecond
+	// slowBound is the closest target for which a straggler is asked. Work
+	// with later targets shows when the straggler has recovered.
+	slowBound = time.Second
 	// maxAsks bounds the servers that are asked for one request.
 	maxAsks = 64
 	// ownerChange is how often servers that had no reachable owner are asked
@@ -70,6 +73,7 @@
 		d: d, ask: a, start: d.Clock.Now(), replies: make(chan replied, urgentBreadth), breadth: breadth,
 		query: tdchoose.Query{Ask: a, Suspect: suspect, Promised: a.Target > 0},
 	}
+	c.query.Urgent = a.Target > 0 && a.Target < slowBound
 	if a.Target > 0 && a.Target < urgent {
 		c.breadth = urgentBreadth
 	}
