--- a/internal/measure/tdslope/sweep.go
+++ b/internal/measure/tdslope/sweep.go
@@ -161,34 +161,51 @@
 	return around(ctx, f, o.Window)
 }
 
-// startTries is how often a fleet is started at most: another process may
-// take a port between its choice and its use.
-const startTries = 10
+const (
+	// startTries is how often a fleet is started at most: another process may
+	// take a port between its choice and its use.
+	startTries = 10
+	// startWithin bounds the start of a fleet, by its nodes.
+	startWithin   = 15 * time.Second
+	startWithNode = time.Second
+)
 
-// start starts a fleet, publishes its set and lets it rest. The nodes read
-// the list of VMs as often as the product does by default.
+// start starts a fleet, publishes its set and lets it rest.
 func start(ctx context.Context, s size, o Options) (*tdfleet.Fleet, []string, error) {
 	var f *tdfleet.Fleet
+	var keys []string
 	var err error
 	for range startTries {
-		f, err = tdfleet.Start(ctx, tdfleet.Options{
-			Binary: o.Binary, Deploy: deployment(s), Policy: "owner", LogTo: o.LogTo,
-			Args: append([]string{"-platform.listEvery", "1s", "-log.level", "error"}, o.Args...),
-		})
-		if err == nil || ctx.Err() != nil {
+		if f, keys, err = tryStart(ctx, s, o); err == nil || ctx.Err() != nil {
 			break
 		}
 	}
+	if err != nil {
+		return nil, nil, eris.Wrapf(err, "fleet of %d", s.nodes)
+	}
+	if !sleep(ctx, o.Settle) {
+		f.Close()
+		return nil, nil, ctx.Err()
+	}
+	return f, keys, nil
+}
+
+// tryStart starts a fleet once. The nodes read the list of VMs as often as
+// the product does by default.
+func tryStart(ctx context.Context, s size, o Options) (*tdfleet.Fleet, []string, error) {
+	ctx, cancel := context.WithTimeout(ctx, startWithin+time.Duration(s.nodes)*startWithNode)
+	defer cancel()
+	f, err := tdfleet.Start(ctx, tdfleet.Options{
+		Binary: o.Binary, Deploy: deployment(s), Policy: "owner", LogTo: o.LogTo,
+		Args: append([]string{"-platform.listEvery", "1s", "-log.level", "error"}, o.Args...),
+	})
 	if err != nil {
 		return nil, nil, err
 	}
 	keys, err := f.Publish(ctx)
-	if err == nil && !sleep(ctx, o.Settle) {
-		err = ctx.Err()
-	}
 	if err != nil {
 		f.Close()
-		return nil, nil, eris.Wrapf(err, "fleet of %d", s.nodes)
+		return nil, nil, err
 	}
 	return f, keys, nil
 }
