--- a/internal/measure/tdslope/fit.go
+++ b/internal/measure/tdslope/fit.go
@@ -85,7 +85,7 @@
 	}
 	for _, p := range r.Points {
 		if p.Sent > 0 {
-			_, _ = fmt.Fprintf(t, "at %.4g: %d requests, %d failed\n", p.X, p.Sent, p.Failed)
+			_, _ = fmt.Fprintf(t, "at %.4g: %d requests, %d failed %s\n", p.X, p.Sent, p.Failed, strings.Join(p.Failures, ", "))
 		}
 	}
 	return t.Flush()
--- a/internal/measure/tdslope/load.go
+++ b/internal/measure/tdslope/load.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"tarragondeal/internal/measure/tdcaller"
@@ -37,7 +39,10 @@
 	callers := tdcaller.New(d, keys, nodes)
 	load, cancel := context.WithCancel(ctx)
 	defer cancel()
-	type ended struct{ sent, failed int }
+	type ended struct {
+		sent   int
+		failed []string
+	}
 	done := make(chan ended, 1)
 	plan := schedule(axis, x, len(f.Nodes), lead+o.Settle+o.Window)
 	go func() {
@@ -45,7 +50,7 @@
 		for _, q := range callers.Run(load, time.Now(), plan) {
 			e.sent++
 			if q.Status != http.StatusOK {
-				e.failed++
+				e.failed = append(e.failed, fmt.Sprintf("%d %s", q.Status, q.Code))
 			}
 		}
 		done <- e
@@ -56,7 +61,9 @@
 		cancel() // The streams would go on for minutes.
 	}
 	e := <-done
-	p.Sent, p.Failed = e.sent, e.failed
+	p.Sent, p.Failed = e.sent, len(e.failed)
+	slices.Sort(e.failed)
+	p.Failures = slices.Compact(e.failed)
 	return p, err
 }
 
--- a/internal/measure/tdslope/point.go
+++ b/internal/measure/tdslope/point.go
@@ -17,6 +17,8 @@
 	// Sent and Failed are the requests of the load, if the sweep has one.
 	Sent   int `json:"sent,omitempty"`
 	Failed int `json:"failed,omitempty"`
+	// Failures are the different answers that failed requests got.
+	Failures []string `json:"failures,omitempty"`
 }
 
 // Figure is one quantity.
