Take no impossible usage from a backend server

Cause: what a server told of an answer's tokens went to billing and limits as it came: figures below zero gave tokens back, huge ones overflowed. Change: figures below zero or above a hundred million count as not told. A stream is then billed by what was delivered.

--- a/internal/entry/tdrelay/chunk.go
+++ b/internal/entry/tdrelay/chunk.go
@@ -8,6 +8,9 @@
 // maxChoice bounds the choices of one answer that are told apart.
 const maxChoice = 63
 
+// maxTokens bounds what one answer can have taken.
+const maxTokens = 100_000_000
+
 // Usage is what a model engine says an answer took.
 type Usage struct {
 	Input  int `json:"prompt_tokens"`
@@ -17,6 +20,12 @@
 	} `json:"prompt_tokens_details"`
 }
 
+// possible reports whether an answer can have taken that much. What is billed
+// must not shrink or overflow by what a server tells.
+func (u *Usage) possible() bool {
+	return min(u.Input, u.Output, u.Detail.Cached) >= 0 && max(u.Input, u.Output, u.Detail.Cached) <= maxTokens
+}
+
 // chunk is what one event's data says of the answer. It is found by looking
 // for the names of fields, without decoding the event, so that the length of
 // an answer costs no memory. In valid JSON a quote inside a text is escaped,
@@ -152,7 +161,7 @@
 	var u struct {
 		Usage Usage `json:"usage"`
 	}
-	if err := json.Unmarshal(data, &u); err != nil {
+	if err := json.Unmarshal(data, &u); err != nil || !u.Usage.possible() {
 		return nil
 	}
 	return &u.Usage
