--- a/internal/entry/tdflow/tdflow_test.go
+++ b/internal/entry/tdflow/tdflow_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -193,3 +194,31 @@
 		}
 	})
 }
+
+// FuzzPrefix checks the bound on digests, and that they don't depend on the
+// space between messages.
+func FuzzPrefix(f *testing.F) {
+	for _, seed := range []string{"", "null", "[", `["a","b"]`, `[{"role":"user","content":"x"}]`, `"text"`, `[1 2]`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, prompt []byte) {
+		got := Prefix("w", prompt)
+		if len(got) > maxPrefix {
+			t.Fatalf("%d digests", len(got))
+		}
+		var messages []json.RawMessage
+		if json.Unmarshal(prompt, &messages) != nil || messages == nil {
+			return
+		}
+		var spaced []byte
+		for n, m := range messages {
+			if n > 0 {
+				spaced = append(spaced, " , "...)
+			}
+			spaced = append(spaced, m...)
+		}
+		if again := Prefix("w", fmt.Appendf(nil, "[ %s ]", spaced)); !slices.Equal(got, again) {
+			t.Fatalf("%d and %d digests", len(got), len(again))
+		}
+	})
+}
