--- a/internal/test/tdtest/node.go
+++ b/internal/test/tdtest/node.go
@@ -13,12 +13,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os/exec"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -29,6 +27,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/object/tdset"
+	"tarragondeal/internal/standin/tdport"
 )
 
 // Token is the operators' token of the nodes that tests start.
@@ -51,28 +50,11 @@
 	Session                   *gexec.Session
 }
 
-// Ports of listeners are taken from below those that the kernel gives to
-// outgoing connections, one of which could otherwise take a port between its
-// choice and its use.
-const (
-	firstPort = 10_240
-	lastPort  = 32_767
-)
-
 // FreeAddr returns a loopback address that nobody listened on just now.
 func FreeAddr() netip.AddrPort {
-	const tries = 100
-	for range tries {
-		port := firstPort + rand.N(lastPort-firstPort+1)
-		ln, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
-		if err != nil {
-			continue
-		}
-		gomega.Expect(ln.Close()).To(gomega.Succeed())
-		return netip.MustParseAddrPort(ln.Addr().String())
-	}
-	ginkgo.Fail("no free port was found")
-	return netip.AddrPort{}
+	addr, err := tdport.Free()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return addr
 }
 
 // StartNode starts a node on free addresses.
