Take only JSON's own spaces after a body

Cause: a form feed, or another space that JSON doesn't have, could follow a body's object, and the body was taken. Found by FuzzBody. Change: only the four spaces of JSON may follow. Result: the seed "{}\f" failed before; go test ./internal/entry/tdflow passes.

--- a/internal/entry/tdflow/body.go
+++ b/internal/entry/tdflow/body.go
@@ -46,7 +46,7 @@
 	if _, err := dec.Token(); err != nil {
 		return nil, eris.New("the body's JSON is not complete")
 	}
-	if len(bytes.TrimSpace(text[dec.InputOffset():])) > 0 {
+	if len(bytes.TrimLeft(text[dec.InputOffset():], " \t\r\n")) > 0 {
 		return nil, eris.New("something follows the body's JSON object")
 	}
 	return b, nil
--- a/internal/entry/tdflow/tdflow_test.go
+++ b/internal/entry/tdflow/tdflow_test.go
@@ -128,7 +128,7 @@
 // object whose other fields hold what they held.
 func FuzzBody(f *testing.F) {
 	for _, seed := range []string{
-		``, `{}`, `{"model":"m"}`, `{"model":"m","stream":true,"stream_options":null}`, `{"a":1,"a":2}`, `{"":{}}`,
+		``, `{}`, `{"model":"m"}`, `{"model":"m","stream":true,"stream_options":null}`, "{}\f", `{"a":1,"a":2}`, `{"":{}}`,
 		`{"model":"m","messages":[{"role":"user","content":"\u0000"}],"n":1e9}`, `{"model":"m"`, `{"max_tokens":"x"}`, ` {"stop":["\""]} `,
 	} {
 		f.Add([]byte(seed))
