Follow no redirect of a backend server

Cause: reading a load and ordering an engine followed redirects, so that a backend server could make a node call any address, with the fencing token. Change: calls to backend servers take a redirect as a refusal, as requests already did. Calls to the platform are as before.

--- a/internal/platform/tdsite/site.go
+++ b/internal/platform/tdsite/site.go
@@ -31,18 +31,24 @@
 	// maxRequests bounds the requests and slots that one server can report.
 	maxRequests = 1_000_000
 
-	opLoad = "read load"
+	opLoad   = "read load"
+	opEngine = "order engine"
 )
 
 // Site is the platform at one address.
 type Site struct {
 	base   string
 	client *http.Client
+	// servers reaches backend servers. It follows no redirect, since that
+	// could lead anywhere.
+	servers *http.Client
 }
 
 // New returns the platform at base, an http or https URL without a path.
 func New(base string, client *http.Client) *Site {
-	return &Site{base: base, client: client}
+	servers := *client
+	servers.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Site{base: base, client: client, servers: &servers}
 }
 
 // Servers returns the backend servers of the platform's list.
@@ -96,7 +102,11 @@
 // OrderEngine tells an engine what to serve.
 func (s *Site) OrderEngine(ctx context.Context, o tarragondeal.EngineOrder) error {
 	in := tdwire.EngineOrder{Models: o.Models, Role: o.Role, Fence: o.Fence, Sender: string(o.Sender)}
-	return s.call(ctx, "order engine", "http://"+o.Server.Addr.String()+tdwire.PathEngine, in, nil)
+	status, answer, err := s.send(ctx, s.servers, opEngine, "http://"+o.Server.Addr.String()+tdwire.PathEngine, in, maxAnswerBytes)
+	if err != nil {
+		return err
+	}
+	return decode(opEngine, status, answer, nil)
 }
 
 // Report sends a usage report.
@@ -106,7 +116,7 @@
 
 // Load reads a backend server's report of itself.
 func (s *Site) Load(ctx context.Context, srv tarragondeal.Server) (tarragondeal.Load, error) {
-	status, body, err := s.send(ctx, opLoad, "http://"+srv.Addr.String()+tdwire.PathLoad, nil, maxLoadBytes)
+	status, body, err := s.send(ctx, s.servers, opLoad, "http://"+srv.Addr.String()+tdwire.PathLoad, nil, maxLoadBytes)
 	if err != nil {
 		return tarragondeal.Load{}, err
 	}
@@ -136,7 +146,7 @@
 var errFigures = errors.New("the report has figures that no server can have")
 
 func (s *Site) call(ctx context.Context, op, url string, in, out any) error {
-	status, answer, err := s.send(ctx, op, url, in, maxAnswerBytes)
+	status, answer, err := s.send(ctx, s.client, op, url, in, maxAnswerBytes)
 	if err != nil {
 		return err
 	}
@@ -145,7 +155,7 @@
 
 // send makes one call and returns the answer's status and up to limit bytes
 // of its body.
-func (s *Site) send(ctx context.Context, op, url string, in any, limit int64) (int, []byte, error) {
+func (s *Site) send(ctx context.Context, client *http.Client, op, url string, in any, limit int64) (int, []byte, error) {
 	method, body := http.MethodGet, []byte(nil)
 	if in != nil {
 		b, err := json.Marshal(in)
@@ -158,7 +168,7 @@
 	if err != nil {
 		return 0, nil, &tarragondeal.PlatformError{Op: op, Err: err}
 	}
-	res, err := s.client.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		return 0, nil, &tarragondeal.PlatformError{Op: op, Err: err}
 	}
--- a/internal/platform/tdsite/site_test.go
+++ b/internal/platform/tdsite/site_test.go
@@ -57,6 +57,22 @@
 	}
 })
 
+var _ = Describe("a call to a backend server", func() {
+	It("follows no redirect", func() {
+		reached := false
+		other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached = true }))
+		DeferCleanup(other.Close)
+		first := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+		DeferCleanup(first.Close)
+		srv := tarragondeal.Server{ID: "s", Addr: netip.MustParseAddrPort(first.Listener.Addr().String())}
+		site := New("", http.DefaultClient)
+		_, err := site.Load(context.Background(), srv)
+		Expect(err).To(HaveOccurred())
+		Expect(site.OrderEngine(context.Background(), tarragondeal.EngineOrder{Server: srv})).NotTo(Succeed())
+		Expect(reached).To(BeFalse())
+	})
+})
+
 // FuzzLoad checks that figures which are taken can be those of a server.
 func FuzzLoad(f *testing.F) {
 	for _, seed := range []string{``, `{}`, `null`, `{"running":2,"queued":1,"slots":8,"age":5}`, `{"slots":-1}`, `{"models":[""]}`} {
