Refuse a set that is based on an unknown version

Cause: publishing with a base version that nobody knows was answered as an internal error of the node, with status 500. Found by FuzzCall. Change: it is a badRequest that names the version; errors of the store are told as before.

--- a/internal/entry/tdoperator/fuzz_test.go
+++ b/internal/entry/tdoperator/fuzz_test.go
@@ -24,6 +24,7 @@
 	f.Add(0, true, []byte(`{"set":{"routes":[{}]}} x`))
 	f.Add(1, true, []byte(`{"key":{"name":"k","workspace":"auditors"}}`))
 	f.Add(2, true, []byte(`{}`))
+	f.Add(0, true, []byte(`{"version":10}`)) // A version that nobody knows.
 	calls := []struct{ method, path string }{
 		{"PUT", "/operator/set"}, {"POST", "/operator/keys"}, {"POST", "/operator/keys/k/withdraw"},
 	}
--- a/internal/entry/tdoperator/set.go
+++ b/internal/entry/tdoperator/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -110,7 +111,12 @@
 	if v == 0 || v < o.version() {
 		return nil, nil // Publishing meets a conflict, or is the first.
 	}
-	return o.Config.Published(ctx, v)
+	set, err := o.Config.Published(ctx, v)
+	var store *tarragondeal.StoreError
+	if err != nil && !errors.As(err, &store) {
+		return nil, badRequest(fmt.Sprintf("version: the set is based on version %d, which can't be read: %v", v, err))
+	}
+	return set, err
 }
 
 func (o *Operator) publication(ctx context.Context, note string) tarragondeal.Publication {
