--- a/internal/account/tdreporter/clean.go
+++ b/internal/account/tdreporter/clean.go
@@ -128,7 +128,7 @@
 			if _, billed := l.billed[id.Key(n)]; billed {
 				continue
 			}
-			r.Scope.Counter("void_sources").Inc(1)
+			r.Scope.Counter("voidSources").Inc(1)
 			r.Log.Error().Str("source", id.Source).Int64("window", id.Window).Msg("usage came too late to be billed")
 			if err := r.remove(ctx, id.Key(n)); err != nil {
 				return err
--- a/internal/account/tdusage/meter.go
+++ b/internal/account/tdusage/meter.go
@@ -120,7 +120,7 @@
 
 // Waste counts work that nobody is billed for.
 func (m *Meter) Waste(w tarragondeal.Waste) {
-	m.Scope.Tagged(map[string]string{"cause": w.Cause, "class": w.Class}).Counter("waste_tokens").Inc(int64(w.Tokens))
+	m.Scope.Tagged(map[string]string{"cause": w.Cause, "class": w.Class}).Counter("wasteTokens").Inc(int64(w.Tokens))
 }
 
 // Run makes second copies and flushes to the store until the context ends,
@@ -180,7 +180,7 @@
 			close(b.done)
 			return
 		}
-		m.Scope.Counter("copy_failures").Inc(1)
+		m.Scope.Counter("copyFailures").Inc(1)
 	}
 	wait(ctx, m.cfg.StoreEvery-m.Clock.Now().Sub(m.lastCommit))
 	m.lastCommit = m.Clock.Now()
@@ -259,7 +259,7 @@
 	m.mu.Unlock()
 	for _, s := range all {
 		if err := m.flushOne(ctx, s, seq); err != nil {
-			m.Scope.Counter("flush_failures").Inc(1)
+			m.Scope.Counter("flushFailures").Inc(1)
 			m.Log.Warn().Err(err).Msg("can't flush usage to the store")
 			return err
 		}
