Wait for a time or the context's end in one place

Cause: the same wait stood in ten packages. Change: tdclock.Sleep, used by usage, flow and measuring. Five more in internal/fleet and one that tests replace in claims are as they were. Result: go test ./internal/base/tdclock ./internal/account/tdusage ./internal/entry/tdflow ./internal/measure/... pass.

--- a/internal/account/tdusage/meter.go
+++ b/internal/account/tdusage/meter.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
 )
 
 const (
@@ -133,7 +134,7 @@
 	for {
 		select {
 		case <-m.kick:
-			wait(ctx, m.cfg.Gather)
+			tdclock.Sleep(ctx, m.cfg.Gather)
 			m.commit(ctx)
 		case <-alive.C:
 			m.tellAlive(ctx)
@@ -145,18 +146,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // stop hands over what is left when the node ends in order.
 func (m *Meter) stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopWait)
@@ -182,7 +171,7 @@
 		}
 		m.Scope.Counter("copyFailures").Inc(1)
 	}
-	wait(ctx, m.cfg.StoreEvery-m.Clock.Now().Sub(m.lastCommit))
+	tdclock.Sleep(ctx, m.cfg.StoreEvery-m.Clock.Now().Sub(m.lastCommit))
 	m.lastCommit = m.Clock.Now()
 	b.err = m.flushAll(ctx)
 	close(b.done)
--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/dispatch/tdplace"
 	"tarragondeal/internal/entry/tdrelay"
 	"tarragondeal/internal/platform/tdwire"
@@ -63,12 +64,7 @@
 		return
 	}
 	bound := firstPause << (attempts - 2)
-	t := time.NewTimer(rand.N(bound))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	tdclock.Sleep(ctx, rand.N(bound))
 }
 
 func (r *run) attempt(ctx context.Context) failed {
--- a/internal/measure/tdfleet/fleet.go
+++ b/internal/measure/tdfleet/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/entry/tdkey"
 	"tarragondeal/internal/measure/tddeploy"
 	"tarragondeal/internal/object/tdset"
@@ -165,12 +166,12 @@
 			if err == nil && now.Set != nil && len(now.Set.Keys) == keys {
 				break
 			}
-			if !sleep(ctx, 50*time.Millisecond) {
+			if !tdclock.Sleep(ctx, 50*time.Millisecond) {
 				return eris.Wrapf(ctx.Err(), "node %s has no set in force", n.Name)
 			}
 		}
 	}
-	sleep(ctx, 2*time.Second)
+	tdclock.Sleep(ctx, 2*time.Second)
 	return nil
 }
 
@@ -181,14 +182,3 @@
 	}
 	f.Cluster.Close()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/measure/tdinject/inject.go
+++ b/internal/measure/tdinject/inject.go
@@ -19,6 +19,7 @@
 	"github.com/sourcegraph/conc"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/measure/tdcaller"
 	"tarragondeal/internal/measure/tdfleet"
 	"tarragondeal/internal/measure/tdscenario"
@@ -75,7 +76,7 @@
 	var wg conc.WaitGroup
 	for _, f := range s.Faults {
 		wg.Go(func() {
-			if !sleep(ctx, time.Until(start.Add(time.Duration(f.At)))) {
+			if !tdclock.Sleep(ctx, time.Until(start.Add(time.Duration(f.At)))) {
 				return
 			}
 			i.log.Info().Str("kind", string(f.Kind)).Dur("for", time.Duration(f.For)).Msg("fault begins")
@@ -86,17 +87,6 @@
 	wg.Wait()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (i *Injector) one(ctx context.Context, f tdscenario.Fault) {
 	switch f.Kind {
 	case tdscenario.Burst, tdscenario.Poison:
@@ -115,7 +105,7 @@
 }
 
 func (i *Injector) servers(ctx context.Context, f tdscenario.Fault) {
-	hold := func() { sleep(ctx, time.Duration(f.For)) }
+	hold := func() { tdclock.Sleep(ctx, time.Duration(f.For)) }
 	switch f.Kind {
 	case tdscenario.Straggle:
 		engines := i.engines(f.Count)
@@ -215,21 +205,21 @@
 	case tdscenario.PauseNode:
 		from := time.Now()
 		n.Pause()
-		sleep(ctx, time.Duration(f.For))
+		tdclock.Sleep(ctx, time.Duration(f.For))
 		n.Resume()
 		i.mu.Lock()
 		i.pause = append(i.pause, tdcheck.Pause{Node: n.Name, From: from, To: time.Now()})
 		i.mu.Unlock()
 	case tdscenario.CutNode:
 		n.CutPeers()
-		sleep(ctx, time.Duration(f.For))
+		tdclock.Sleep(ctx, time.Duration(f.For))
 		n.HealPeers()
 	}
 }
 
 func (i *Injector) replace(ctx context.Context, n *tdfleet.Node, after time.Duration) {
 	i.tell()
-	sleep(ctx, after)
+	tdclock.Sleep(ctx, after)
 	if err := i.fleet.StartNode(context.WithoutCancel(ctx), n); err != nil {
 		i.log.Error().Err(err).Msg("node was not replaced")
 		return
@@ -244,7 +234,7 @@
 	told := make(chan struct{})
 	go func() {
 		defer close(told)
-		sleep(ctx, 300*time.Millisecond)
+		tdclock.Sleep(ctx, 300*time.Millisecond)
 		i.tell(n)
 	}()
 	code := n.Stop(stopWithin)
@@ -282,7 +272,7 @@
 		p.LoseAnswers(loseEvery)
 		defer p.LoseAnswers(0)
 	}
-	sleep(ctx, time.Duration(f.For))
+	tdclock.Sleep(ctx, time.Duration(f.For))
 }
 
 // withdraw withdraws the key of one workspace, trying several nodes and
@@ -306,7 +296,7 @@
 			i.callers.Withdrawn(workspace, time.Now())
 			return
 		}
-		if !sleep(ctx, time.Second) {
+		if !tdclock.Sleep(ctx, time.Second) {
 			return
 		}
 	}
--- a/internal/measure/tdslope/load.go
+++ b/internal/measure/tdslope/load.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/measure/tdcaller"
 	"tarragondeal/internal/measure/tddeploy"
 	"tarragondeal/internal/measure/tdfleet"
@@ -50,7 +51,7 @@
 		}
 		done <- e
 	}()
-	sleep(ctx, lead+o.Settle)
+	tdclock.Sleep(ctx, lead+o.Settle)
 	p, err := around(ctx, f, o.Window)
 	if axis == AxisStreams {
 		cancel() // The streams would go on for minutes.
--- a/internal/measure/tdslope/point.go
+++ b/internal/measure/tdslope/point.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/measure/tdfleet"
 )
 
@@ -60,7 +61,7 @@
 	if err != nil {
 		return p, err
 	}
-	if !sleep(ctx, window) {
+	if !tdclock.Sleep(ctx, window) {
 		return p, ctx.Err()
 	}
 	after, err := readProcesses(f)
@@ -194,14 +195,3 @@
 func grown(before, after counters, name string) float64 {
 	return after.value(name, "") - before.value(name, "")
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/measure/tdslope/sweep.go
+++ b/internal/measure/tdslope/sweep.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/measure/tdfleet"
 	"tarragondeal/internal/platform/tdwire"
 )
@@ -183,7 +184,7 @@
 		return nil, nil, err
 	}
 	keys, err := f.Publish(ctx)
-	if err == nil && !sleep(ctx, o.Settle) {
+	if err == nil && !tdclock.Sleep(ctx, o.Settle) {
 		err = ctx.Err()
 	}
 	if err != nil {
@@ -209,7 +210,7 @@
 		var p Point
 		if axis == AxisListed {
 			listed(f, int(x))
-			sleep(ctx, o.Settle)
+			tdclock.Sleep(ctx, o.Settle)
 			p, err = around(ctx, f, o.Window)
 		} else {
 			p, err = underLoad(ctx, f, keys, axis, x, o)
