Bound the names of gates that a peer closes

Cause: a peer could make a process keep 1,024 names of any length, some 2 GB. Change: names end at 128 bytes.

--- a/internal/account/tdgate/gates.go
+++ b/internal/account/tdgate/gates.go
@@ -14,8 +14,11 @@
 	"tarragondeal"
 )
 
-// maxGates bounds the names that a peer can make this process remember.
-const maxGates = 1024
+// Bounds of what a peer can make this process remember.
+const (
+	maxGates     = 1024
+	maxNameBytes = 128
+)
 
 // Links reach other nodes.
 type Links interface {
@@ -71,6 +74,9 @@
 
 // Close is called by the next holder of a duty.
 func (g *Gates) Close(_ context.Context, r *CloseRequest) (*CloseAnswer, error) {
+	if len(r.GetName()) > maxNameBytes {
+		return nil, status.Error(codes.InvalidArgument, "gate has too long a name")
+	}
 	gate := g.gate(r.GetName())
 	if gate == nil {
 		return nil, status.Error(codes.ResourceExhausted, "too many gates")
