Speak TLS to callers when a certificate is given

Cause: keys and prompts crossed the network between callers and entry VMs in plain text, whatever the settings. Change: callers.cert and callers.key, with files that are read again when they change, as on the operators' side; tarragondeal entry takes -ca and -certName. Without them nothing changes.

--- a/cmd/tarragondeal/entry.go
+++ b/cmd/tarragondeal/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"tarragondeal/internal/entry/tdaddress"
+	"tarragondeal/internal/entry/tdoperator"
 )
 
 const defaultEntry = "127.0.0.1:8080"
@@ -23,6 +24,8 @@
 func (t *tool) entry() *ffcli.Command {
 	fs := t.flags("entry")
 	node := fs.String("node", "", "callers' address of any node; else TARRAGONDEAL_ENTRY, else "+defaultEntry)
+	ca := fs.String("ca", "", "file of the authority that signed the nodes' certificates; without one plain HTTP is spoken")
+	name := fs.String("certName", "tarragondeal", "name that the nodes' certificates are for")
 	dataCentre := fs.String("dataCentre", "", "where the caller is")
 	return &ffcli.Command{
 		Name: "entry", ShortUsage: "tarragondeal entry [flags]",
@@ -32,7 +35,15 @@
 		Exec: func(ctx context.Context, _ []string) error {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			a, err := askEntry(ctx, cmp.Or(*node, t.env("ENTRY"), defaultEntry), *dataCentre)
+			client, scheme := http.DefaultClient, "http"
+			if *ca != "" {
+				var err error
+				if client, err = tdoperator.Trusting(*ca, *name); err != nil {
+					return usagef("-ca: %v", err)
+				}
+				scheme = "https"
+			}
+			a, err := askEntry(ctx, client, scheme+"://"+cmp.Or(*node, t.env("ENTRY"), defaultEntry), *dataCentre)
 			if err != nil {
 				return err
 			}
@@ -45,13 +56,13 @@
 	}
 }
 
-func askEntry(ctx context.Context, node, dataCentre string) (out tdaddress.Answer, err error) {
-	target := "http://" + node + "/entry?dataCentre=" + url.QueryEscape(dataCentre)
+func askEntry(ctx context.Context, client *http.Client, node, dataCentre string) (out tdaddress.Answer, err error) {
+	target := node + "/entry?dataCentre=" + url.QueryEscape(dataCentre)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return out, eris.Wrapf(err, "node %s", node)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		return out, err
 	}
--- a/internal/entry/tdoperator/tls.go
+++ b/internal/entry/tdoperator/tls.go
@@ -84,16 +84,26 @@
 // Trust makes the client speak TLS with nodes whose certificates the
 // authority in a file signed, for a name that all of them carry.
 func (c *Client) Trust(caFile, name string) error {
+	client, err := Trusting(caFile, name)
+	if err != nil {
+		return err
+	}
+	c.http, c.scheme = client, "https"
+	return nil
+}
+
+// Trusting returns an HTTP client for servers whose certificates the
+// authority in a file signed, for a name that all of them carry.
+func Trusting(caFile, name string) (*http.Client, error) {
 	text, err := os.ReadFile(caFile)
 	if err != nil {
-		return eris.Wrap(err, "authority")
+		return nil, eris.Wrap(err, "authority")
 	}
 	authority := x509.NewCertPool()
 	if !authority.AppendCertsFromPEM(text) {
-		return eris.Errorf("authority: no certificate in %s", caFile)
+		return nil, eris.Errorf("authority: no certificate in %s", caFile)
 	}
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: authority, ServerName: name}
-	c.http, c.scheme = &http.Client{Transport: t}, "https"
-	return nil
+	return &http.Client{Transport: t}, nil
 }
--- a/internal/node/tdnode/entry.go
+++ b/internal/node/tdnode/entry.go
@@ -10,6 +10,7 @@
 	"tarragondeal/internal/entry/tdflow"
 	"tarragondeal/internal/entry/tdfront"
 	"tarragondeal/internal/entry/tdkey"
+	"tarragondeal/internal/entry/tdoperator"
 )
 
 // entry is what callers reach.
@@ -34,7 +35,12 @@
 	}, tdfront.Options{MaxBody: n.cfg.CallersMaxBody, Body: n.cfg.CallersBody, PerKey: n.cfg.CallersPerKey})
 	n.entry.callers = n.entry.front.Handler()
 	n.add("tell load", n.tellLoad)
-	return nil
+	if n.cfg.CallersCert == "" {
+		return nil
+	}
+	var err error
+	n.listeners.callers, err = tdoperator.Secure(n.listeners.callers, n.cfg.CallersCert, n.cfg.CallersKey, tdlog.Part(n.log, "front"))
+	return err
 }
 
 // tellLoadEvery is how often a node tells the others how much it carries.
--- a/internal/node/tdsettings/entry.go
+++ b/internal/node/tdsettings/entry.go
@@ -19,6 +19,8 @@
 	CallersPerKey    int
 	CallersCapacity  int
 	Attempts         int
+	CallersCert      string
+	CallersKey       string
 }
 
 const (
@@ -38,6 +40,8 @@
 	fs.DurationVar(&s.CallersWrite, "callers.writeTimeout", 30*time.Second, "how long a caller may take to accept more of an answer")
 	fs.IntVar(&s.CallersPerKey, "callers.perKey", defaultPerKey, "requests of one key open at one node; 0 for no bound")
 	fs.IntVar(&s.CallersCapacity, "callers.capacity", defaultCapacity, "requests that one node is meant to carry at once; callers are spread by it")
+	fs.StringVar(&s.CallersCert, "callers.cert", "", "certificate file for the callers' address; without one it speaks plain HTTP")
+	fs.StringVar(&s.CallersKey, "callers.key", "", "key file for the callers' address")
 	fs.IntVar(&s.Attempts, "callers.attempts", defaultAttempts, "attempts of one request, the first included")
 }
 
@@ -67,6 +71,9 @@
 	if s.Attempts < 1 {
 		wrong("callers.attempts", eris.New("it must be at least 1"))
 	}
+	if (s.CallersCert == "") != (s.CallersKey == "") {
+		wrong("callers.cert", eris.New("it and callers.key must be given together"))
+	}
 	if s.AdvertiseCallers != "" {
 		wrong("advertise.callers", checkAddr(s.AdvertiseCallers))
 	}
