--- a/internal/measure/tdslope/sweep.go
+++ b/internal/measure/tdslope/sweep.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/measure/tdfleet"
 	"tarragondeal/internal/platform/tdwire"
 )
@@ -226,7 +227,7 @@
 		var p Point
 		if axis == AxisListed {
 			listed(f, int(x))
-			sleep(ctx, o.Settle)
+			tdclock.Sleep(ctx, o.Settle)
 			p, err = around(ctx, f, o.Window)
 		} else {
 			p, err = underLoad(ctx, f, keys, axis, x, o)
