--- a/internal/measure/tdslope/sweep.go
+++ b/internal/measure/tdslope/sweep.go
@@ -184,7 +184,7 @@
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "fleet of %d", s.nodes)
 	}
-	if !sleep(ctx, o.Settle) {
+	if !tdclock.Sleep(ctx, o.Settle) {
 		f.Close()
 		return nil, nil, ctx.Err()
 	}
