Rank servers with fewer divisions

Change: reciprocals are kept with the hints, the noise is one multiplication, and a server's use is compared only where a prefix would save something.

--- a/internal/dispatch/tdchoose/choose.go
+++ b/internal/dispatch/tdchoose/choose.go
@@ -152,11 +152,11 @@
 	e.fresh = e.known && age < hintLife
 	if !e.fresh {
 		e.free = max(0, e.slots-e.running)
-		e.use = float64(e.running) / float64(e.slots)
+		e.use = float64(e.running) * e.perSlot
 		return
 	}
 	e.free = max(0, e.hint.Free-max(0, e.since))
-	e.use = float64(max(0, e.hint.Running+e.since)) / float64(max(1, e.hint.Room))
+	e.use = float64(max(0, e.hint.Running+e.since)) * e.perRoom
 }
 
 // place adds a pool's servers in one data centre.
@@ -231,21 +231,22 @@
 // affinity is what a prefix saves on a server, unless it would make the
 // server hot.
 func (s *survey) affinity(q *Query, e *entry) float64 {
-	if s.count == 0 || e.use > overload*s.use/float64(s.count)+1/float64(e.slots) {
-		return 0
-	}
-	if q.Match.Part > 0 && q.Match.Has(e.server.ID) {
-		return q.Match.Part * prefixGain
+	gain := 0.0
+	switch {
+	case q.Match.Part > 0 && q.Match.Has(e.server.ID):
+		gain = q.Match.Part * prefixGain
+	case q.Match.Part == 0 && s.home == e:
+		gain = homeGain
 	}
-	if q.Match.Part == 0 && s.home == e {
-		return homeGain
+	if gain == 0 || s.count == 0 || e.use > overload*s.use/float64(s.count)+e.perSlot {
+		return 0
 	}
-	return 0
+	return gain
 }
 
 func (t *Table) noise() float64 {
-	t.random += 0x9e3779b97f4a7c15
-	return noise * float64(mix(t.random)>>11) / (1 << 53)
+	t.random = t.random*6364136223846793005 + 1442695040888963407
+	return noise / (1 << 53) * float64(t.random>>11)
 }
 
 // mix spreads the bits of x.
--- a/internal/dispatch/tdchoose/table.go
+++ b/internal/dispatch/tdchoose/table.go
@@ -57,6 +57,8 @@
 	since       int // Grants from the hint on, less the ended ones.
 	running     int // This node's grants.
 	factor      float64
+	perSlot     float64 // One over slots, and over the hint's room.
+	perRoom     float64
 
 	// What look made of it last.
 	free        int
@@ -95,6 +97,7 @@
 		}
 		p := pool(s.Pool)
 		e.server, e.slots, e.reclaimable = s, max(1, p.Slots), p.Reclaimable
+		e.perSlot = 1 / float64(e.slots)
 		t.entries[s.ID] = e
 		if s.State != tarragondeal.VMLeaving {
 			k := place{s.Pool, s.DataCentre}
@@ -109,6 +112,7 @@
 	defer t.mu.Unlock()
 	if e, ok := t.entries[h.Server]; ok {
 		e.hint, e.at, e.known, e.since = h, now, true, 0
+		e.perRoom = 1 / float64(max(1, h.Room))
 	}
 }
 
