--- a/internal/measure/tdslope/fit.go
+++ b/internal/measure/tdslope/fit.go
@@ -75,13 +75,12 @@
 		head = append(head, fmt.Sprintf("%.4g", p.X))
 	}
 	_, _ = fmt.Fprintln(t, strings.Join(append(head, "intercept", "slope", "r2"), "\t"))
-	for _, l := range r.Lines {
-		row := []string{l.Figure}
+	for _, name := range names(r.Points) {
+		row := []string{name}
 		for _, p := range r.Points {
-			row = append(row, fmt.Sprintf("%.4g", p.Value(l.Figure)))
+			row = append(row, fmt.Sprintf("%.4g", p.Value(name)))
 		}
-		row = append(row, fmt.Sprintf("%.4g", l.Intercept), fmt.Sprintf("%.4g", l.Slope), fmt.Sprintf("%.2f", l.R2))
-		_, _ = fmt.Fprintln(t, strings.Join(row, "\t"))
+		_, _ = fmt.Fprintln(t, strings.Join(append(row, r.line(name)...), "\t"))
 	}
 	for _, p := range r.Points {
 		if p.Sent > 0 {
@@ -90,3 +89,13 @@
 	}
 	return t.Flush()
 }
+
+// line returns the columns of a figure's line, none if it has no line.
+func (r Result) line(name string) []string {
+	for _, l := range r.Lines {
+		if l.Figure == name {
+			return []string{fmt.Sprintf("%.4g", l.Intercept), fmt.Sprintf("%.4g", l.Slope), fmt.Sprintf("%.2f", l.R2)}
+		}
+	}
+	return nil
+}
--- a/internal/measure/tdslope/slope_test.go
+++ b/internal/measure/tdslope/slope_test.go
@@ -85,6 +85,16 @@
 	})
 })
 
+var _ = Describe("Table", func() {
+	It("shows a single point, which has no line", func() {
+		p := Point{X: 32}
+		p.add(FleetWrites, 4.5)
+		out := new(strings.Builder)
+		Expect(Table(out, Result{Axis: AxisNodes, Points: []Point{p}, Lines: Fit([]Point{p})})).To(Succeed())
+		Expect(out.String()).To(MatchRegexp(`(?m)^fleet store writes/s +4\.5$`))
+	})
+})
+
 var _ = Describe("Schedule", func() {
 	for _, c := range []struct {
 		axis     string
