--- a/internal/account/tdusage/meter.go
+++ b/internal/account/tdusage/meter.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
 )
 
 const (
@@ -120,7 +121,7 @@
 
 // Waste counts work that nobody is billed for.
 func (m *Meter) Waste(w tarragondeal.Waste) {
-	m.Scope.Tagged(map[string]string{"cause": w.Cause, "class": w.Class}).Counter("waste_tokens").Inc(int64(w.Tokens))
+	m.Scope.Tagged(map[string]string{"cause": w.Cause, "class": w.Class}).Counter("wasteTokens").Inc(int64(w.Tokens))
 }
 
 // Run makes second copies and flushes to the store until the context ends,
@@ -133,7 +134,7 @@
 	for {
 		select {
 		case <-m.kick:
-			wait(ctx, m.cfg.Gather)
+			tdclock.Sleep(ctx, m.cfg.Gather)
 			m.commit(ctx)
 		case <-alive.C:
 			m.tellAlive(ctx)
@@ -145,18 +146,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // stop hands over what is left when the node ends in order.
 func (m *Meter) stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopWait)
@@ -180,9 +169,9 @@
 			close(b.done)
 			return
 		}
-		m.Scope.Counter("copy_failures").Inc(1)
+		m.Scope.Counter("copyFailures").Inc(1)
 	}
-	wait(ctx, m.cfg.StoreEvery-m.Clock.Now().Sub(m.lastCommit))
+	tdclock.Sleep(ctx, m.cfg.StoreEvery-m.Clock.Now().Sub(m.lastCommit))
 	m.lastCommit = m.Clock.Now()
 	b.err = m.flushAll(ctx)
 	close(b.done)
@@ -259,7 +248,7 @@
 	m.mu.Unlock()
 	for _, s := range all {
 		if err := m.flushOne(ctx, s, seq); err != nil {
-			m.Scope.Counter("flush_failures").Inc(1)
+			m.Scope.Counter("flushFailures").Inc(1)
 			m.Log.Warn().Err(err).Msg("can't flush usage to the store")
 			return err
 		}
