Take no impossible demand from a node

Cause: figures below zero from one node reduced the demand of all, by which backend servers are ordered; huge ones overflowed. Change: a node that tells such figures counts as one that does not answer.

--- a/internal/capacity/tddemand/demand_test.go
+++ b/internal/capacity/tddemand/demand_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"tarragondeal"
@@ -135,6 +137,40 @@
 	})
 })
 
+var _ = Describe("figures that no node can have", func() {
+	for n, l := range []*Line{{Running: -1}, {Queued: -1}, {Promised: -1}, {Shed: -1}, {Running: maxCount + 1}, {Shed: maxCount + 1}} {
+		It(fmt.Sprintf("make the demand unknown: line %d", n), func(ctx context.Context) {
+			f := &fleet{counters: map[tarragondeal.NodeID]*Counter{"node1": New(&dispatcher{}, "erie"), "node2": New(&dispatcher{}, "erie")}}
+			f.counters["node2"].counts[place{}] = l
+			_, err := NewFleet(f.counters["node1"], f, f).Demand(ctx)
+			Expect(err).To(HaveOccurred())
+		})
+	}
+})
+
+// FuzzLines checks that the lines of a node which are taken can be summed.
+func FuzzLines(f *testing.F) {
+	f.Add([]byte{})
+	good, err := proto.Marshal(&ReadAnswer{Lines: []*Line{{Pool: "firm", DataCentre: "erie", Running: 2, Queued: 1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var a ReadAnswer
+		if proto.Unmarshal(in, &a) != nil || check(a.GetLines()) != nil {
+			return
+		}
+		var d tarragondeal.Demand
+		for _, l := range a.GetLines() {
+			add(&d, l)
+		}
+		if min(d.Running, d.Queued, d.Promised, d.Shed) < 0 {
+			t.Fatalf("%+v", d)
+		}
+	})
+}
+
 // fleet is some counters that reach each other.
 type fleet struct {
 	counters map[tarragondeal.NodeID]*Counter
--- a/internal/capacity/tddemand/fleet.go
+++ b/internal/capacity/tddemand/fleet.go
@@ -14,6 +14,8 @@
 const (
 	readAtOnce  = 16
 	readTimeout = 2 * time.Second
+	// maxCount bounds each figure that one node can tell.
+	maxCount = 1_000_000_000
 )
 
 // Links reach other nodes.
@@ -73,6 +75,18 @@
 	d.Shed += int(l.GetShed())
 }
 
+// check returns an error when a figure can't be one of a node.
+func check(lines []*Line) error {
+	for _, l := range lines {
+		low := min(l.GetRunning(), l.GetQueued(), l.GetPromised(), l.GetShed())
+		high := max(l.GetRunning(), l.GetQueued(), l.GetPromised(), l.GetShed())
+		if low < 0 || high > maxCount {
+			return eris.New("figures that no node can have")
+		}
+	}
+	return nil
+}
+
 func (f *Fleet) read(ctx context.Context, self, n tarragondeal.NodeID) ([]*Line, error) {
 	if n == self {
 		a, err := f.own.Read(ctx, &ReadRequest{})
@@ -83,5 +97,8 @@
 		return nil, err
 	}
 	a, err := NewDemandsClient(conn).Read(ctx, &ReadRequest{})
+	if err == nil {
+		err = check(a.GetLines())
+	}
 	return a.GetLines(), eris.Wrapf(err, "demand at node %s", n)
 }
