--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -289,7 +289,7 @@
 		Eventually(node.Session, "20s").Should(gexec.Exit(0))
 	})
 
-	It("has shown no key to a backend server or in a log", func() {
+	It("has shown no key to a backend server, and neither key nor prompt in a log", func() {
 		var dump string
 		for _, seen := range d.service().Seen() {
 			dump += fmt.Sprint(seen.URL, seen.Header)
@@ -302,6 +302,8 @@
 		Expect(dump).To(ContainSubstring(`"model":"narrator-7b"`)) // Bodies are looked at, too.
 		log := string(node.Session.Err.Contents()) + string(node.Session.Out.Contents())
 		Expect(log).To(ContainSubstring("stopped"))
+		Expect(log).NotTo(ContainSubstring(`"content"`))
+		Expect(log).NotTo(ContainSubstring(`\"content\"`))
 		for _, k := range []string{key, other} {
 			secret := k[len(k)-43:]
 			Expect(dump).NotTo(ContainSubstring(secret))
