Let no request miss its deadline in a few queues while others go on

Ruled out: the share kept against starvation, since the lower requests had waited there for 9 s. The trace shows that no request of tier 2 had asked that server. It counted as a straggler, which urgent requests passed over while any other server was up, however busy, and each waited in at most six queues until its deadline.

Change: urgent requests pass a straggler over only while a server that is none has a place free; a request that waits asks one more server every 200 ms, up to 16 queues, and then any permitted one.

A new case of tdchoose failed before the change.

--- a/internal/dispatch/tdchoose/choose.go
+++ b/internal/dispatch/tdchoose/choose.go
@@ -40,7 +40,7 @@
 	// Failed are the data centres of the servers to avoid.
 	Failed   []string
 	Promised bool // Its class has a target.
-	Urgent   bool // Its target is too close for a straggler.
+	Urgent   bool // Its target is too close for a straggler while others are free.
 	// Tried are servers that were asked already.
 	Tried []tarragondeal.ServerID
 }
@@ -60,6 +60,8 @@
 	// reclaimable servers.
 	centres []centre
 	free    int
+	// brisk are the places free at servers that are no stragglers.
+	brisk   int
 	home    *entry
 	homeKey uint64
 }
@@ -88,7 +90,7 @@
 		for _, c := range q.Ask.DataCentres {
 			spare := !q.Promised || s.spare(c)
 			for _, e := range t.places[place{p, c}] {
-				if e.down || e.reclaimable && !spare || q.Urgent && e.factor < 1 || q.passed(e.server.ID) {
+				if e.down || e.reclaimable && !spare || q.Urgent && e.factor < 1 && s.brisk > 0 || q.passed(e.server.ID) {
 					continue
 				}
 				n = insert(out, n, e, t.score(q, &s, e))
@@ -173,6 +175,9 @@
 		s.use += e.use
 		s.count++
 		s.free += e.free
+		if e.factor >= 1 {
+			s.brisk += e.free
+		}
 		c.free += e.free
 		if e.reclaimable && e.fresh {
 			c.promised += e.hint.Promised
--- a/internal/dispatch/tdchoose/choose_test.go
+++ b/internal/dispatch/tdchoose/choose_test.go
@@ -79,6 +79,15 @@
 		Expect(choose(t, tdchoose.Query{Urgent: true})).To(Equal([]tarragondeal.ServerID{"firm2"}))
 	})
 
+	It("lets an urgent request ask a straggler when no other server is free", func() {
+		t := table(2, 0)
+		t.Factor("firm0", 0.3)
+		t.Hint(now, tdchoose.Hint{Server: "firm1", Free: 0, Room: 8, Running: 8})
+		Expect(choose(t, tdchoose.Query{Urgent: true})).To(ConsistOf(tarragondeal.ServerID("firm0"), tarragondeal.ServerID("firm1")))
+		t.Hint(now, tdchoose.Hint{Server: "firm1", Free: 1, Room: 8, Running: 7})
+		Expect(choose(t, tdchoose.Query{Urgent: true})).To(Equal([]tarragondeal.ServerID{"firm1"}))
+	})
+
 	It("follows a cached prefix, but not to a hot server", func() {
 		t := table(4, 0)
 		match := cached("firm3", []uint64{1, 2})
--- a/internal/dispatch/tdreserve/call.go
+++ b/internal/dispatch/tdreserve/call.go
@@ -22,7 +22,13 @@
 	// urgentBreadth one whose target is closer than urgent.
 	breadth       = 3
 	urgentBreadth = 6
-	urgent        = 500 * time.Millisecond
+	// wideBreadth is in how many queues a request waits at the end, and
+	// widenEvery how long it waits for each queue more. Otherwise it could
+	// miss its deadline in its queues while a lower tier is started from
+	// others.
+	wideBreadth = 16
+	widenEvery  = 200 * time.Millisecond
+	urgent      = 500 * time.Millisecond
 	// slowBound is the closest target for which a straggler is asked. Work
 	// with later targets shows when the straggler has recovered.
 	slowBound = time.Second
@@ -60,6 +66,7 @@
 	replies chan replied
 	wg      conc.WaitGroup
 	breadth int
+	wide    bool // It has waited so long that every permitted server will do.
 	asks    int
 	// lost are servers that had no reachable owner: the owners are changing.
 	lost    []tarragondeal.ServerID
@@ -70,7 +77,7 @@
 
 func newCall(d *Dispatcher, a *tarragondeal.Ask, suspect bool) *call {
 	c := &call{
-		d: d, ask: a, start: d.Clock.Now(), replies: make(chan replied, urgentBreadth), breadth: breadth,
+		d: d, ask: a, start: d.Clock.Now(), replies: make(chan replied, wideBreadth), breadth: breadth,
 		query: tdchoose.Query{Ask: a, Suspect: suspect, Promised: a.Target > 0},
 	}
 	c.query.Urgent = a.Target > 0 && a.Target < slowBound
@@ -101,6 +108,8 @@
 	defer hedge.Stop()
 	renew := time.NewTicker(ownerChange)
 	defer renew.Stop()
+	widen := time.NewTicker(widenEvery)
+	defer widen.Stop()
 	c.next(ctx, 1)
 	for len(c.pending) > 0 || len(c.lost) > 0 {
 		select {
@@ -113,6 +122,10 @@
 			c.next(ctx, c.breadth)
 		case <-renew.C:
 			c.renew(ctx)
+		case <-widen.C:
+			c.wide = true
+			c.breadth = min(c.breadth+1, wideBreadth)
+			c.next(ctx, 1)
 		case <-ctx.Done():
 			return tarragondeal.Grant{}, c.ended(ctx)
 		}
@@ -146,10 +159,10 @@
 	if n <= 0 || c.asks >= maxAsks {
 		return
 	}
-	var best [urgentBreadth]tdchoose.Choice
+	var best [wideBreadth]tdchoose.Choice
 	now := c.d.Clock.Now()
 	k := c.d.table.Choose(now, &c.query, best[:n])
-	if k == 0 && len(c.pending) == 0 {
+	if k == 0 && (len(c.pending) == 0 || c.wide) {
 		k = c.d.table.Any(now, &c.query, best[:n])
 	}
 	for _, choice := range best[:k] {
