Keep some of a limit for nodes that have not asked yet

The keeper gave all of the limit to the first node that asked, and nothing to the next ones until it asked again, a second later.

Change: a node gets at most twice its demand, or its equal part where that is more; a node that refuses asks again at once, at most every 100 ms. Amounts from peers that are no numbers count as nothing.

--- a/internal/dispatch/tdlimit/keeper.go
+++ b/internal/dispatch/tdlimit/keeper.go
@@ -15,6 +15,9 @@
 	// floorPart is the part of an equal share that a node gets at least, so
 	// that it can show a demand.
 	floorPart = 0.1
+	// headroom is how many times its demand a node gets at most, beyond its
+	// equal part.
+	headroom = 2
 )
 
 // given is one node's share of one subject.
@@ -42,8 +45,9 @@
 func newKeeper() *keeper { return &keeper{subjects: make(map[string]map[string]*given)} }
 
 // share returns a node's share of a subject. Held is what the node has by an
-// earlier answer, and of requests at once what runs.
-func (k *keeper) share(now tarragondeal.Instant, node, subject string, limit, demand, held amounts) amounts {
+// earlier answer, and of requests at once what runs. Fleet is the number of
+// live nodes, each of which may ask next.
+func (k *keeper) share(now tarragondeal.Instant, node, subject string, limit, demand, held amounts, fleet int) amounts {
 	nodes, ok := k.subjects[subject]
 	if !ok {
 		nodes = make(map[string]*given)
@@ -62,15 +66,17 @@
 	}
 	own.demand, own.until = demand, now.Add(keepFor)
 	for n := range own.share {
-		own.share[n] = divide(nodes, own, n, limit[n])
+		own.share[n] = divide(nodes, own, n, limit[n], fleet)
 	}
 	own.share[concurrent] = max(own.share[concurrent], held[concurrent])
 	return own.share
 }
 
-// divide returns a node's part of one amount: by demand, and no more than
-// the others leave. The part of requests at once is a whole number.
-func divide(nodes map[string]*given, own *given, n int, limit float64) float64 {
+// divide returns a node's part of one amount: by demand, no more than the
+// others leave, and no more than the node may come to need before it asks
+// again, so that something is left for nodes that have not asked yet. The
+// part of requests at once is a whole number.
+func divide(nodes map[string]*given, own *given, n int, limit float64, fleet int) float64 {
 	if limit <= 0 {
 		return 0
 	}
@@ -83,6 +89,7 @@
 		}
 	}
 	part := limit * max(own.demand[n], floor) / sum
+	part = min(part, max(headroom*own.demand[n], limit/float64(max(1, fleet))))
 	if n == concurrent {
 		part = float64(int(part + 0.999))
 	}
--- a/internal/dispatch/tdlimit/limit_test.go
+++ b/internal/dispatch/tdlimit/limit_test.go
@@ -1,6 +1,7 @@
 package tdlimit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -39,7 +40,7 @@
 				held = n.share
 				held[concurrent] = float64(rapid.IntRange(0, int(n.share[concurrent])).Draw(t, "runs"))
 			}
-			n.share, n.until = k.share(now, name, "workspace/w", limit, demand, held), now.Add(shareLife)
+			n.share, n.until = k.share(now, name, "workspace/w", limit, demand, held, len(nodes)), now.Add(shareLife)
 			var sum amounts
 			for _, other := range nodes {
 				for q := range sum {
@@ -57,6 +58,21 @@
 	})
 }
 
+// TestLittleDemand lets every node of a fleet ask at once for far less than
+// the limit. None goes without, though none has asked before.
+func TestLittleDemand(t *testing.T) {
+	const fleet = 16
+	k := newKeeper()
+	for n := range fleet {
+		share := k.share(0, fmt.Sprintf("node%d", n), "workspace/w", amounts{1000, 1e5, 64}, amounts{5, 500, 2}, amounts{}, fleet)
+		for q, least := range (amounts{5, 500, 2}) {
+			if share[q] < least {
+				t.Errorf("node%d wants %g of amount %d and gets %g", n, least, q, share[q])
+			}
+		}
+	}
+}
+
 // TestSubject checks that a node admits no more than its share and what it
 // may save up, and never more at once than its share.
 func TestSubject(t *testing.T) {
--- a/internal/dispatch/tdlimit/limiter.go
+++ b/internal/dispatch/tdlimit/limiter.go
@@ -16,6 +16,10 @@
 const (
 	askEvery   = time.Second
 	askTimeout = 200 * time.Millisecond
+	// urgeEvery is the least time between asks that refusals bring about.
+	urgeEvery = 100 * time.Millisecond
+	// mostAmount bounds what a peer may tell of any amount.
+	mostAmount = 1e15
 )
 
 // Links reaches other nodes.
@@ -38,11 +42,12 @@
 	mu       sync.Mutex
 	subjects map[string]*subject
 	keeper   *keeper
+	urge     chan struct{} // A request was refused: more of a share may be had.
 }
 
 // New returns a limiter that has admitted nothing.
 func New(d Deps) *Limiter {
-	return &Limiter{Deps: d, subjects: make(map[string]*subject), keeper: newKeeper()}
+	return &Limiter{Deps: d, subjects: make(map[string]*subject), keeper: newKeeper(), urge: make(chan struct{}, 1)}
 }
 
 // Register registers the limiter's calls with the server for peers.
@@ -88,6 +93,10 @@
 			for _, t := range taken {
 				t.undo(estimate)
 			}
+			select {
+			case l.urge <- struct{}{}:
+			default:
+			}
 			return nil, &tarragondeal.RefusedError{
 				Reason: tarragondeal.ReasonLimit, Ran: tarragondeal.RanNot,
 				RetryAfter: wait, Detail: "over the limit of " + name,
@@ -135,12 +144,18 @@
 func (l *Limiter) Run(ctx context.Context) error {
 	t := time.NewTicker(askEvery)
 	defer t.Stop()
+	var asked tarragondeal.Instant
 	for {
 		select {
 		case <-t.C:
+		case <-l.urge:
+			if l.Clock.Now().Sub(asked) < urgeEvery {
+				continue
+			}
 		case <-ctx.Done():
 			return nil
 		}
+		asked = l.Clock.Now()
 		if used := l.inUse(); len(used) > 0 {
 			l.ask(ctx, used)
 		}
@@ -233,11 +248,12 @@
 func (l *Limiter) Ask(_ context.Context, in *ShareRequest) (*ShareReply, error) {
 	now := l.Clock.Now()
 	out := &ShareReply{}
+	fleet := len(l.live())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, d := range in.GetDemands() {
 		share := l.keeper.share(now, in.GetNode(), d.GetSubject(),
-			fromMessage(d.GetLimit()), fromMessage(d.GetDemand()), fromMessage(d.GetHeld()))
+			fromMessage(d.GetLimit()), fromMessage(d.GetDemand()), fromMessage(d.GetHeld()), fleet)
 		out.Shares = append(out.Shares, share.message())
 	}
 	return out, nil
@@ -270,5 +286,13 @@
 }
 
 func fromMessage(m *Amounts) amounts {
-	return amounts{max(0, m.GetRequests()), max(0, m.GetTokens()), float64(m.GetConcurrent())}
+	return amounts{told(m.GetRequests()), told(m.GetTokens()), float64(m.GetConcurrent())}
+}
+
+// told bounds what a peer says. What is no number counts as nothing.
+func told(x float64) float64 {
+	if !(x > 0) {
+		return 0
+	}
+	return min(x, mostAmount)
 }
