Let soak runs order servers and report usage, and check the bills

Cause: in runs of seconds no usage window of an hour closes and no pool without a max is ordered, so the promises on reports and orders had nothing to check.

Change: soak runs shorten the windows and the planner's times, carry orders out, and half of them use a platform that ignores fencing tokens; the result compares what each workspace was billed with the tokens its callers got.

--- a/cmd/tarragondeal-measure/soak.go
+++ b/cmd/tarragondeal-measure/soak.go
@@ -41,7 +41,7 @@
 				seed := *first + uint64(n)
 				s := tdscenario.Random(seed, deployments[seed%2], *length)
 				runs.Go(func() (tdresult.Result, error) {
-					return o.one(ctx, s, tdrun.Options{Binary: binary, Policy: "owner", Seed: seed, NodeLog: logTo, Args: strings.Fields(o.args)})
+					return o.one(ctx, s, tdrun.Options{Binary: binary, Policy: "owner", Seed: seed, NodeLog: logTo, Args: strings.Fields(o.args), Duties: true, IgnoresFence: seed%4 < 2})
 				})
 			}
 			results, err := runs.Wait()
--- a/internal/measure/tdresult/result.go
+++ b/internal/measure/tdresult/result.go
@@ -50,6 +50,12 @@
 	Inversions  int     `json:"inversions"`
 	StoreCalls  float64 `json:"storeCallsPerNodeSecond"`
 	PeerBytes   float64 `json:"peerBytesPerNodeSecond"`
+	// BilledShort and BilledExcess are the most tokens by which a workspace
+	// was billed less, or more, than its callers got.
+	BilledShort  int64 `json:"billedShort"`
+	BilledExcess int64 `json:"billedExcess"`
+	Orders       int   `json:"orders"`
+	Reports      int   `json:"reports"`
 	// Violations are broken promises.
 	Violations []string `json:"violations,omitempty"`
 }
--- a/internal/measure/tdresult/table.go
+++ b/internal/measure/tdresult/table.go
@@ -17,7 +17,7 @@
 	for _, c := range results[0].Classes {
 		head = append(head, c.Name)
 	}
-	head = append(head, "goodput", "wasted", "worst", "inversions", "reclaimable", "cost", "store/s", "peerB/s", "violations")
+	head = append(head, "goodput", "wasted", "worst", "inversions", "reclaimable", "cost", "store/s", "peerB/s", "orders", "reports", "short", "excess", "violations")
 	_, _ = fmt.Fprintln(t, strings.Join(head, "\t"))
 	for _, r := range results {
 		row := []string{r.Scenario, r.Policy, fmt.Sprint(r.Seed)}
@@ -27,7 +27,8 @@
 		row = append(row,
 			fmt.Sprintf("%.0f", r.Goodput), fmt.Sprintf("%.3f", r.Wasted), fmt.Sprintf("%.2f", r.Worst),
 			fmt.Sprint(r.Inversions), fmt.Sprintf("%.2f", r.Reclaimable), fmt.Sprintf("%.4f", r.Cost),
-			fmt.Sprintf("%.1f", r.StoreCalls), fmt.Sprintf("%.0f", r.PeerBytes), fmt.Sprint(len(r.Violations)))
+			fmt.Sprintf("%.1f", r.StoreCalls), fmt.Sprintf("%.0f", r.PeerBytes),
+			fmt.Sprint(r.Orders), fmt.Sprint(r.Reports), fmt.Sprint(r.BilledShort), fmt.Sprint(r.BilledExcess), fmt.Sprint(len(r.Violations)))
 		_, _ = fmt.Fprintln(t, strings.Join(row, "\t"))
 	}
 	return t.Flush()
--- a/internal/measure/tdrun/run.go
+++ b/internal/measure/tdrun/run.go
@@ -11,10 +11,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"tarragondeal"
 	"tarragondeal/internal/measure/tdcaller"
 	"tarragondeal/internal/measure/tddeploy"
 	"tarragondeal/internal/measure/tdfleet"
@@ -34,6 +36,30 @@
 	NodeLog  io.Writer
 	Dump     io.Writer // Takes the history as JSON, unless nil.
 	Log      zerolog.Logger
+	// Duties makes the nodes order servers and report usage during the run,
+	// to a platform that ignores fencing tokens if IgnoresFence is set.
+	Duties       bool
+	IgnoresFence bool
+}
+
+// dutyArgs are settings with which windows close and orders go out during a
+// run of seconds.
+var dutyArgs = []string{
+	"-usage.window", "3s", "-usage.grace", "5s", "-usage.every", "1s", "-usage.flushEvery", "1s", "-usage.takeOver", "3s",
+	"-orders.every", "2s", "-orders.upEvery", "2s", "-orders.startUp", "5s", "-orders.downAfter", "6s", "-orders.downEvery", "2s",
+}
+
+// withDuties lets the platform carry orders out, and gives the pools of
+// models something to order.
+func withDuties(d *tddeploy.Deployment, o Options) {
+	d.Spec.CarryOut = true
+	d.Spec.Platform.IgnoresFence = o.IgnoresFence
+	for n := range d.Set.ServerPools {
+		p := &d.Set.ServerPools[n]
+		if p.Kind == tarragondeal.PoolModel {
+			p.Min, p.Max = 1, 3
+		}
+	}
 }
 
 // settle is how long after the last answer the run goes on, so that late
@@ -47,6 +73,10 @@
 	if err != nil {
 		return none, err
 	}
+	if o.Duties {
+		withDuties(d, o)
+		o.Args = append(slices.Clone(dutyArgs), o.Args...)
+	}
 	f, err := tdfleet.Start(ctx, tdfleet.Options{Binary: o.Binary, Deploy: d, Policy: o.Policy, LogTo: o.NodeLog, Args: o.Args})
 	if err != nil {
 		return none, err
@@ -71,6 +101,9 @@
 	elapsed := time.Since(start)
 	used := usageOf(f).since(before)
 	time.Sleep(settle)
+	if o.Duties {
+		waitForBills(ctx, f, requests)
+	}
 	h := history(f, requests, watch.stop())
 	h.Stops, h.Pauses = inject.Stops(), inject.Pauses()
 	if o.Dump != nil {
@@ -80,6 +113,10 @@
 	}
 	r := tdresult.Of(d, h, elapsed)
 	r.Scenario, r.Policy, r.Seed = o.Scenario.Name, o.Policy, o.Seed
+	if o.Duties {
+		r.BilledShort, r.BilledExcess = tdcheck.Billing(h, billed(f))
+		r.Orders, r.Reports = len(h.Orders), len(h.Reports)
+	}
 	r.Cost = cost(f, d, elapsed)
 	perNode := elapsed.Seconds() * float64(len(f.Nodes))
 	r.StoreCalls, r.PeerBytes = float64(used.store)/perNode, float64(used.peer)/perNode
@@ -97,6 +134,38 @@
 	return out
 }
 
+// billsWithin bounds the wait for the last window's report: a lost holder's
+// lease, the grace and the next look.
+const billsWithin = 30 * time.Second
+
+// waitForBills waits until as much is billed as callers got.
+func waitForBills(ctx context.Context, f *tdfleet.Fleet, requests []tdcheck.Request) {
+	end := time.Now().Add(billsWithin)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		if short, _ := tdcheck.Billing(tdcheck.History{Requests: requests}, billed(f)); short <= 0 {
+			return
+		}
+		time.Sleep(watchEvery)
+	}
+}
+
+// billed sums the output tokens of the reports that the platform accepted,
+// by workspace. A window that came twice counts once.
+func billed(f *tdfleet.Fleet) map[string]int64 {
+	out := make(map[string]int64)
+	seen := make(map[time.Time]bool)
+	for _, u := range f.Cluster.Platform.Recorded().Usage {
+		if !u.Accepted || seen[u.Report.Window] {
+			continue
+		}
+		seen[u.Report.Window] = true
+		for _, l := range u.Report.Lines {
+			out[l.Workspace] += l.OutputTokens
+		}
+	}
+	return out
+}
+
 // used is what the nodes spent on each other and on the store.
 type used struct{ store, peer int64 }
 
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,80 @@
+// Package soak_test runs a small fixed selection of mixed faults against real
+// node processes and checks every promise over what was recorded. The long
+// selection is run by tarragondeal-measure soak.
+package soak_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+	"github.com/rs/zerolog"
+
+	"tarragondeal"
+	"tarragondeal/internal/measure/tdrun"
+	"tarragondeal/internal/measure/tdscenario"
+)
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Soak")
+}
+
+const seconds = tarragondeal.Duration(time.Second)
+
+// cases mix faults that come together or twice.
+var cases = []tdscenario.Scenario{
+	{
+		Name: "a node lost, the store away and answers lost", Deployment: "lakeshore", Length: 8 * seconds, Load: 0.4,
+		Faults: []tdscenario.Fault{
+			{Kind: tdscenario.KillNode, At: 2 * seconds, For: 2 * seconds},
+			{Kind: tdscenario.StoreAway, At: 3 * seconds, For: 2 * seconds},
+			{Kind: tdscenario.LoseAnswers, At: 5 * seconds, For: 2 * seconds},
+			{Kind: tdscenario.CutAnswers, At: 1 * seconds, Count: 2},
+			{Kind: tdscenario.CutAnswers, At: 6 * seconds, Count: 2},
+		},
+	},
+	{
+		Name: "engines crash while a node stops and operators race", Deployment: "fjellkjede", Length: 8 * seconds, Load: 0.4,
+		Faults: []tdscenario.Fault{
+			{Kind: tdscenario.CrashEngines, At: 1 * seconds, Count: 1},
+			{Kind: tdscenario.StopNode, At: 2 * seconds, For: 1 * seconds},
+			{Kind: tdscenario.Race, At: 3 * seconds},
+			{Kind: tdscenario.Poison, At: 3 * seconds},
+			{Kind: tdscenario.CrashEngines, At: 5 * seconds, Count: 1},
+		},
+	},
+}
+
+var _ = Describe("every promise", Ordered, func() {
+	var binary string
+
+	BeforeAll(func() {
+		var err error
+		binary, err = gexec.Build("tarragondeal/cmd/tarragondeal")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(gexec.CleanupBuildArtifacts)
+	})
+
+	for _, s := range cases {
+		It("holds with "+s.Name, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+			defer cancel()
+			r, err := tdrun.Run(ctx, tdrun.Options{
+				Binary: binary, Scenario: &s, Policy: "owner", Seed: 1, NodeLog: GinkgoWriter, Log: zerolog.Nop(),
+				Duties: true,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			for _, c := range r.Classes {
+				Expect(c.Asked).To(BeNumerically(">", 0))
+				Expect(c.Met).To(BeNumerically(">", 0))
+			}
+			Expect(r.Reports).To(BeNumerically(">", 0))
+			Expect(r.Orders).To(BeNumerically(">", 0))
+			Expect(r.Violations).To(BeEmpty())
+		})
+	}
+})
