--- a/internal/measure/tdrun/run.go
+++ b/internal/measure/tdrun/run.go
@@ -68,10 +68,9 @@
 
 // Run runs the scenario.
 func Run(ctx context.Context, o Options) (tdresult.Result, error) {
-	var none tdresult.Result
 	d, err := tddeploy.Named(o.Scenario.Deployment)
 	if err != nil {
-		return none, err
+		return tdresult.Result{}, err
 	}
 	if o.Duties {
 		withDuties(d, o)
@@ -79,12 +78,26 @@
 	}
 	f, err := tdfleet.Start(ctx, tdfleet.Options{Binary: o.Binary, Deploy: d, Policy: o.Policy, LogTo: o.NodeLog, Args: o.Args})
 	if err != nil {
-		return none, err
+		return tdresult.Result{}, err
 	}
 	defer f.Close()
+	h, spent, err := load(ctx, o, f, d)
+	if err != nil {
+		return tdresult.Result{}, err
+	}
+	if o.Dump != nil {
+		if err := json.NewEncoder(o.Dump).Encode(h); err != nil {
+			return tdresult.Result{}, err
+		}
+	}
+	return result(o, f, d, h, spent), nil
+}
+
+// load plays callers and faults, and returns what was recorded.
+func load(ctx context.Context, o Options, f *tdfleet.Fleet, d *tddeploy.Deployment) (tdcheck.History, used, error) {
 	keys, err := f.Publish(ctx)
 	if err != nil {
-		return none, err
+		return tdcheck.History{}, used{}, err
 	}
 	callers := tdcaller.New(d, keys, nodes(f))
 	inject := tdinject.New(f, callers, o.Seed, o.Log)
@@ -98,32 +111,31 @@
 	}()
 	requests := callers.Run(ctx, start, tdcaller.Plan(d, o.Scenario, o.Seed))
 	<-faults
-	elapsed := time.Since(start)
-	used := usageOf(f).since(before)
+	spent := usageOf(f).since(before)
+	spent.elapsed = time.Since(start)
 	time.Sleep(settle)
 	if o.Duties {
 		waitForBills(ctx, f, requests)
 	}
 	h := history(f, requests, watch.stop())
 	h.Stops, h.Pauses = inject.Stops(), inject.Pauses()
-	if o.Dump != nil {
-		if err := json.NewEncoder(o.Dump).Encode(h); err != nil {
-			return none, err
-		}
-	}
-	r := tdresult.Of(d, h, elapsed)
+	return h, spent, nil
+}
+
+func result(o Options, f *tdfleet.Fleet, d *tddeploy.Deployment, h tdcheck.History, spent used) tdresult.Result {
+	r := tdresult.Of(d, h, spent.elapsed)
 	r.Scenario, r.Policy, r.Seed = o.Scenario.Name, o.Policy, o.Seed
 	if o.Duties {
 		r.BilledShort, r.BilledExcess = tdcheck.Billing(h, billed(f))
 		r.Orders, r.Reports = len(h.Orders), len(h.Reports)
 	}
-	r.Cost = cost(f, d, elapsed)
-	perNode := elapsed.Seconds() * float64(len(f.Nodes))
-	r.StoreCalls, r.PeerBytes = float64(used.store)/perNode, float64(used.peer)/perNode
+	r.Cost = cost(f, d, spent.elapsed)
+	perNode := spent.elapsed.Seconds() * float64(len(f.Nodes))
+	r.StoreCalls, r.PeerBytes = float64(spent.store)/perNode, float64(spent.peer)/perNode
 	for _, v := range tdcheck.All(h) {
 		r.Violations = append(r.Violations, v.String())
 	}
-	return r, nil
+	return r
 }
 
 func nodes(f *tdfleet.Fleet) []tdcaller.Node {
@@ -167,7 +179,10 @@
 }
 
 // used is what the nodes spent on each other and on the store.
-type used struct{ store, peer int64 }
+type used struct {
+	store, peer int64
+	elapsed     time.Duration
+}
 
 func usageOf(f *tdfleet.Fleet) used {
 	rec := f.Cluster.Platform.Recorded()
