Confirm a request's record once more when its grant has come

The trace shows a retry that waited 2.6 s for its grant, apart from other suspects, while a repeat by the caller crashed a second server elsewhere; nothing looked at the record again.

Change: after the grant the record is looked at again, with the other nodes for a suspect, and the grant goes back unused. A check counts how many servers each request took down.

Conclusion: copies that several nodes confirm at the same moment are not told apart yet.

--- a/internal/dispatch/tdreserve/dispatcher.go
+++ b/internal/dispatch/tdreserve/dispatcher.go
@@ -141,16 +141,9 @@
 		d.Budget.Seen()
 	}
 	d.count(func(c *Counts) { c.Requests++ })
-	verdict, left := d.check(a.Fingerprint)
-	if verdict == tdquarantine.Suspect {
-		verdict, left = d.Quarantine.Confirm(ctx, a.Fingerprint)
-	}
-	if verdict == tdquarantine.Refused {
-		d.count(func(c *Counts) { c.Refused++ })
-		return tarragondeal.Grant{}, &tarragondeal.RefusedError{
-			Reason: tarragondeal.ReasonQuarantined, Ran: tarragondeal.RanNot, RetryAfter: left,
-			Detail: "backend servers crashed while they ran this request",
-		}
+	verdict, err := d.confirm(ctx, a.Fingerprint)
+	if err != nil {
+		return tarragondeal.Grant{}, err
 	}
 	if d.table.Len() == 0 {
 		d.update()
@@ -163,9 +156,31 @@
 		d.count(func(c *Counts) { c.Refused++ })
 		return tarragondeal.Grant{}, err
 	}
+	// The same request may have crashed servers elsewhere while it waited here.
+	if _, err := d.confirm(ctx, a.Fingerprint); err != nil {
+		d.Done(g, tarragondeal.Outcome{Kind: tdowner.Withdrawn})
+		return tarragondeal.Grant{}, err
+	}
 	return g, nil
 }
 
+// confirm returns what is thought of a request, and an error when it is not
+// to be run. For a suspect the other nodes are asked.
+func (d *Dispatcher) confirm(ctx context.Context, fingerprint uint64) (tdquarantine.Verdict, error) {
+	verdict, left := d.check(fingerprint)
+	if verdict == tdquarantine.Suspect {
+		verdict, left = d.Quarantine.Confirm(ctx, fingerprint)
+	}
+	if verdict != tdquarantine.Refused {
+		return verdict, nil
+	}
+	d.count(func(c *Counts) { c.Refused++ })
+	return verdict, &tarragondeal.RefusedError{
+		Reason: tarragondeal.ReasonQuarantined, Ran: tarragondeal.RanNot, RetryAfter: left,
+		Detail: "backend servers crashed while they ran this request",
+	}
+}
+
 func (d *Dispatcher) check(fingerprint uint64) (tdquarantine.Verdict, time.Duration) {
 	if d.Quarantine == nil {
 		return tdquarantine.Clear, 0
--- a/internal/measure/tdrun/history.go
+++ b/internal/measure/tdrun/history.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"regexp"
+	"strings"
 	"sync"
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/measure/tddeploy"
 	"tarragondeal/internal/measure/tdfleet"
 	"tarragondeal/internal/standin/tdcheck"
 	"tarragondeal/internal/standin/tdcluster"
@@ -20,6 +22,18 @@
 	watchEvery      = 250 * time.Millisecond
 )
 
+// workspaceText is how a request's workspace stands in its body.
+var workspaceText = regexp.MustCompile(`workspace [0-9]+ `)
+
+// crasher names a request that crashes engines, which is the same one however
+// often it is sent.
+func crasher(body string) string {
+	if !strings.Contains(body, tddeploy.CrashMarker) {
+		return ""
+	}
+	return "the request of " + workspaceText.FindString(body)
+}
+
 // requestID is how a request's id stands in its body.
 var requestID = regexp.MustCompile(`q-[0-9]+`)
 
@@ -75,6 +89,7 @@
 			r := base
 			r.Request = requestID.FindString(string(e.Body))
 			r.At, r.Started, r.Tokens, r.Done = e.At, e.Started, e.Tokens, e.Done
+			r.Crasher = crasher(string(e.Body))
 			r.Seen = fmt.Sprint(e.Header, e.Path, string(e.Body))
 			out = append(out, r)
 		}
--- a/internal/standin/tdcheck/check.go
+++ b/internal/standin/tdcheck/check.go
@@ -30,6 +30,7 @@
 		{"whole answer", Answers},
 		{"truth of notRun", NotRun},
 		{"at most once", AtMostOnce},
+		{"crashing request", Crashers},
 		{"leaving servers", LeavingServers},
 		{"planned stops", Stops},
 		{"configuration never reverts", Reversals},
@@ -185,6 +186,27 @@
 	return c.found
 }
 
+// mostCrashes is how many backend servers one request may take down.
+const mostCrashes = 2
+
+// Crashers finds requests that crash servers and were started more often than
+// is allowed, however often their callers sent them.
+func Crashers(h History) []Violation {
+	c := collector{promise: "one request takes down at most two backend servers"}
+	crashes := make(map[string]int)
+	for _, r := range h.Runs {
+		if r.Crasher != "" && !r.Started.IsZero() {
+			crashes[r.Crasher]++
+		}
+	}
+	for name, n := range crashes {
+		if n > mostCrashes {
+			c.add("%s took %d down", name, n)
+		}
+	}
+	return c.found
+}
+
 // LeavingServers finds runs that came to a leaving server after the bound.
 func LeavingServers(h History) []Violation {
 	c := collector{promise: "a leaving backend server gets no new work"}
--- a/internal/standin/tdcheck/check_test.go
+++ b/internal/standin/tdcheck/check_test.go
@@ -96,6 +96,11 @@
 		h.Requests = append(h.Requests, q)
 		h.Runs = append(h.Runs, tdcheck.Run{Request: "r4", Server: "s4", Pool: "records", DataCentre: "duluth"})
 	}},
+	{"crashing request", func(h *tdcheck.History) {
+		for range 3 {
+			h.Runs = append(h.Runs, tdcheck.Run{Server: "s5", Started: at(0), Crasher: "poison of workspace 1"})
+		}
+	}},
 	{"leaving servers", func(h *tdcheck.History) { h.Runs[0].At = at(4 * time.Second) }},
 	{"planned stops", func(h *tdcheck.History) { h.Requests[0].Broken = true }},
 	{"planned stops", func(h *tdcheck.History) { h.Stops[0].ExitCode = 2 }},
--- a/internal/standin/tdcheck/history.go
+++ b/internal/standin/tdcheck/history.go
@@ -66,6 +66,7 @@
 	Started    time.Time
 	Tokens     int
 	Done       bool
+	Crasher    string // Names the request if it is one that crashes servers.
 	Seen       string // Everything the server saw: headers, URL and body.
 }
 
