Count no refusal of a node that admits nobody against withdrawal

Change: refusals notReady and leaving don't count as the key working; every other answer but 401 does, as before.

Result: the new case of tdcheck passes, and 'overload' still counts.

--- a/internal/standin/tdcheck/check.go
+++ b/internal/standin/tdcheck/check.go
@@ -171,6 +171,12 @@
 	return c.found
 }
 
+// closedCodes are refusals of a node that admits nobody.
+var closedCodes = []string{
+	string(tarragondeal.ReasonNotReady),
+	string(tarragondeal.ReasonLeaving),
+}
+
 // Withdrawals finds requests that were admitted with a key that had been
 // withdrawn for longer than the bound.
 func Withdrawals(h History) []Violation {
@@ -179,7 +185,7 @@
 		if q.Withdrawn.IsZero() || !q.Sent.After(q.Withdrawn.Add(h.WithdrawalBound)) {
 			continue
 		}
-		if q.Status != http.StatusUnauthorized && q.Status != 0 {
+		if q.Status != http.StatusUnauthorized && q.Status != 0 && !slices.Contains(closedCodes, q.Code) {
 			c.add("request %s was answered with %d, %s after the withdrawal", q.ID, q.Status, q.Sent.Sub(q.Withdrawn))
 		}
 	}
--- a/internal/standin/tdcheck/check_test.go
+++ b/internal/standin/tdcheck/check_test.go
@@ -139,6 +139,15 @@
 		Expect(tdcheck.Inversions(h)).To(BeEmpty())
 	})
 
+	It("take no refusal of a node that admits nobody for a key that works", func() {
+		h := sound()
+		h.Requests[0].Withdrawn = at(-time.Minute)
+		h.Requests[0].Status, h.Requests[0].Code = 503, "notReady"
+		Expect(tdcheck.Withdrawals(h)).To(BeEmpty())
+		h.Requests[0].Code = "overload"
+		Expect(tdcheck.Withdrawals(h)).To(HaveLen(1))
+	})
+
 	It("compare bills with what callers got", func() {
 		short, excess := tdcheck.Billing(sound(), map[string]int64{"auditors": 7, "other": 2})
 		Expect(short).To(Equal(int64(3)))
