--- a/internal/standin/tdcheck/check_test.go
+++ b/internal/standin/tdcheck/check_test.go
@@ -148,6 +148,14 @@
 		Expect(tdcheck.Withdrawals(h)).To(HaveLen(1))
 	})
 
+	It("take no stream that its key's withdrawal ended for one that a stop cut", func() {
+		h := sound()
+		h.Requests[0].Broken, h.Requests[0].Code = true, "keyWithdrawn"
+		Expect(tdcheck.Stops(h)).To(BeEmpty())
+		h.Requests[0].Code = "backendFailed"
+		Expect(tdcheck.Stops(h)).To(HaveLen(1))
+	})
+
 	It("compare bills with what callers got", func() {
 		short, excess := tdcheck.Billing(sound(), map[string]int64{"auditors": 7, "other": 2})
 		Expect(short).To(Equal(int64(3)))
