Let nothing that is no number into a queue

Cause: a peer's message may hold a weight or work that is no number, or infinite, and it reached the heaps of the queue, whose order is undefined then.

--- a/internal/dispatch/tdowner/message.go
+++ b/internal/dispatch/tdowner/message.go
@@ -26,6 +26,22 @@
 // tarragondeal.OutcomeKind.
 const Withdrawn = 100
 
+// Bounds of what a peer may tell of a request.
+const (
+	mostWeight = 1e6
+	mostWork   = 1e9 // Tokens.
+	mostCopies = 1024
+)
+
+// bounded returns what a peer tells, within its bound. What is no number counts as nothing, since
+// it would have no place in the order of a queue.
+func bounded(x float32, most float64) float64 {
+	if !(x > 0) {
+		return 0
+	}
+	return min(float64(x), most)
+}
+
 // queued turns a message into what the queue keeps.
 func queued(now tarragondeal.Instant, r *Request) tdqueue.Request {
 	deadline := milliseconds(r.GetDeadlineMs())
@@ -35,8 +51,8 @@
 	}
 	return tdqueue.Request{
 		Ticket: tdqueue.Ticket(r.GetTicket()), Tier: int(r.GetTier()), Class: r.GetClass(),
-		MinShare: float64(r.GetMinShare()), Workspace: r.GetWorkspace(), Weight: float64(r.GetWeight()),
-		Work: float64(r.GetWork()), Copies: int(r.GetCopies()),
+		MinShare: bounded(r.GetMinShare(), 1), Workspace: r.GetWorkspace(), Weight: bounded(r.GetWeight(), mostWeight),
+		Work: bounded(r.GetWork(), mostWork), Copies: int(min(max(r.GetCopies(), 0), mostCopies)),
 		Suspect: r.GetSuspect(), Promised: r.GetPromised(),
 		Target: now.Add(target), Deadline: now.Add(deadline),
 	}
--- a/internal/node/tdnode/account.go
+++ b/internal/node/tdnode/account.go
@@ -21,7 +21,6 @@
 	n.buildClaims()
 	n.buildUsage()
 	n.buildReports()
-	n.account.burn = noBurn{}
 	return nil
 }
 
@@ -70,8 +69,3 @@
 	})
 	n.add("report usage", reports.Run)
 }
-
-// noBurn drops samples.
-type noBurn struct{}
-
-func (noBurn) Observe(tarragondeal.Sample) {}
