Serve the users' platform: adapter, mesh, fitting dispatch, node program

The product spoke only its own interface and stand-ins. platform/ translates settings, configuration, server list, store, orders and headers; the request pipeline takes an Exchange, so that requests named by host and path go through the same flow as those of the own interface.

--- a/backend.go
+++ b/backend.go
@@ -14,6 +14,13 @@
 	Path    string // With the query, if any.
 	Header  http.Header
 	Body    []byte
+	// ID is the request's id as the server is told it. Without one the router
+	// makes it of Request and Attempt.
+	ID string
+	// Host is what the caller named; empty stands for the server's address.
+	Host string
+	// Apart asks for a connection that nothing else was or will be sent on.
+	Apart bool
 	// Tier and Salt are passed to engines that honour priorities and salt
 	// their prefix cache.
 	Tier int
@@ -27,6 +34,9 @@
 	Body    io.ReadCloser
 	Length  int64  // Bytes in the body, or -1 when not announced.
 	Request string // The request id that the backend server echoed, if any.
+	// Drop closes the connection, for an answer that is not this request's.
+	// It is nil where the backend can't.
+	Drop func()
 }
 
 // Backend reaches backend servers.
--- a/dispatch.go
+++ b/dispatch.go
@@ -16,6 +16,8 @@
 	Tier      int
 	MinShare  float64
 	Pools     []string
+	// Shares spread requests over Pools, in their order; empty spreads none.
+	Shares []int
 	// DataCentres are the permitted places. It is never empty: with no
 	// permitted place there is nothing to ask for.
 	DataCentres []string
@@ -35,6 +37,20 @@
 	Idempotent bool
 	// Avoid are servers that failed this request already.
 	Avoid []ServerID
+
+	// Parts are the prompt's parts in order, where the caller names them,
+	// and Input and Output the tokens that it announces.
+	Parts  []PromptPart
+	Input  int
+	Output int
+	// Gap is the longest pause between events that is in time; zero without.
+	Gap time.Duration
+}
+
+// PromptPart is a piece of a prompt that other requests may share.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
 }
 
 // Grant is permission to run one attempt on one server.
--- a/error.go
+++ b/error.go
@@ -136,3 +136,10 @@
 
 // Unwrap returns the cause.
 func (e *PlatformError) Unwrap() error { return e.Err }
+
+// HistoryError is a watch whose beginning the key-value service has forgotten.
+type HistoryError struct{ After Revision }
+
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("store: the history after revision %d is forgotten", e.After)
+}
--- a/internal/entry/tdflow/account.go
+++ b/internal/entry/tdflow/account.go
@@ -109,6 +109,8 @@
 		}
 	case step != StepDone:
 		return
+	case r.q.Exchange != nil:
+		return // Such requests are counted when they begin.
 	case r.usage != nil:
 		u = *r.usage
 	}
--- a/internal/entry/tdflow/ask.go
+++ b/internal/entry/tdflow/ask.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -110,6 +111,13 @@
 		Route: q.Route.Name, Class: q.Class.Name, Tier: q.Class.Tier, MinShare: q.Class.MinShare,
 		Pools: q.Route.Pools, DataCentres: places, Work: float64(q.Work()),
 		Fingerprint: Fingerprint(q.Workspace.Name, q.Path, q.Body), Idempotent: !q.Route.NonIdempotent,
+		Shares: q.Route.Shares, Parts: q.Parts, Input: q.Input, Output: q.Output,
+	}
+	if q.Class.Events {
+		a.Gap = time.Duration(q.Class.BetweenTokens)
+	}
+	if q.Workspace.Tier > 0 {
+		a.Tier = q.Workspace.Tier
 	}
 	if q.Model != nil {
 		a.Prefix = Prefix(q.Workspace.Name, q.Model.Prompt())
--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -40,6 +40,9 @@
 	failure Failure
 	ran     tarragondeal.Ran
 	err     error
+	// answer delivers the server's own answer, when it is one that another
+	// attempt might better. It is nil without one.
+	answer func(http.ResponseWriter) error
 }
 
 // streamState is the caller's stream over all attempts.
@@ -89,7 +92,7 @@
 	r := a.r
 	spent := r.elapsed()
 	target := time.Duration(r.q.Class.FirstToken)
-	if r.q.Model == nil {
+	if r.q.Model == nil && !r.q.Class.Events {
 		target = time.Duration(r.q.Class.Completion)
 	}
 	r.ask.Attempt = r.attempts
@@ -111,6 +114,9 @@
 	if pool := r.q.View.ServerPools[a.grant.Server.Pool]; pool != nil {
 		r.sample.Reclaimable = pool.Reclaimable
 	}
+	if r.q.Exchange != nil {
+		return a.exchange(ctx)
+	}
 	answer, err := r.f.Backend.Send(ctx, a.grant.Server, a.call())
 	if err != nil {
 		return unanswered(ctx, err)
--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -11,20 +11,22 @@
 
 // The failures of an attempt.
 const (
-	FailNone     Failure = iota
-	FailPlace            // The granted server is outside the permitted places.
-	FailUnsent           // The server can't be reached: no byte was sent.
-	FailRefused          // The dispatcher gave no server.
-	FailBusy             // The server answered that it won't now.
-	FailServer           // The server answered with a fault of its own.
-	FailRedirect         // The server answered with another address.
-	FailCrashed          // The connection broke.
-	FailShort            // The answer ended cleanly, before its end.
-	FailWrong            // The answer is another request's, or none.
-	FailDiffers          // Another attempt's answer starts differently.
-	FailCaller           // The caller went away or takes nothing.
-	FailCut              // The key was withdrawn.
-	FailLate             // The deadline passed.
+	FailNone       Failure = iota
+	FailPlace              // The granted server is outside the permitted places.
+	FailUnsent             // The server can't be reached: no byte was sent.
+	FailRefused            // The dispatcher gave no server.
+	FailBusy               // The server answered that it won't now.
+	FailServer             // The server answered with a fault of its own.
+	FailRedirect           // The server answered with another address.
+	FailCrashed            // The connection broke.
+	FailShort              // The answer ended cleanly, before its end.
+	FailWrong              // The answer is another request's, or none.
+	FailDiffers            // Another attempt's answer starts differently.
+	FailCaller             // The caller went away or takes nothing.
+	FailCut                // The key was withdrawn.
+	FailLate               // The deadline passed.
+	FailTurnedAway         // The server says that it has not run the request and never will.
+	FailSilent             // The server did not begin to answer in time.
 )
 
 // Step is what to do after an attempt.
@@ -49,6 +51,7 @@
 	Delivered  bool // The caller has got a byte.
 	Resumed    bool // This attempt has been resumed already.
 	Attempts   int  // Made so far, this one included.
+	Unsent     int  // Of these, the ones that reached no server.
 	Bound      int  // Of attempts.
 	Left       time.Duration
 }
@@ -70,14 +73,18 @@
 	if s.resumable() {
 		return StepResume
 	}
-	unsent := s.Failure == FailUnsent || s.Failure == FailPlace
-	safe := s.Idempotent || unsent && !s.Delivered
-	if !safe || s.Attempts >= s.Bound {
+	notRun := s.Failure == FailUnsent || s.Failure == FailPlace || s.Failure == FailTurnedAway
+	safe := s.Idempotent || notRun && !s.Delivered
+	if !safe || s.Attempts-min(s.Unsent, unsentMost) >= s.Bound {
 		return s.end()
 	}
 	return StepRetry
 }
 
+// unsentMost is how many attempts that reached no server are not counted
+// against the bound of a request.
+const unsentMost = 3
+
 // resumable reports whether the same server may know where the stream broke.
 // An answer that was not this request's can't be gone on with.
 func (s State) resumable() bool {
@@ -125,6 +132,9 @@
 	FailCaller:   tarragondeal.OutcomeCancelled,
 	FailCut:      tarragondeal.OutcomeCancelled,
 	FailLate:     tarragondeal.OutcomeLate,
+
+	FailTurnedAway: tarragondeal.OutcomeRefused,
+	FailSilent:     tarragondeal.OutcomeLate,
 }
 
 // causes name wasted work in the meter.
@@ -139,6 +149,22 @@
 	FailCaller:   "cancelled",
 	FailCut:      "keyWithdrawn",
 	FailLate:     "late",
+	FailSilent:   "silent",
+}
+
+// causeOf names a failure in log lines.
+func causeOf(f Failure) string {
+	switch f {
+	case FailUnsent:
+		return "unreachable"
+	case FailPlace:
+		return "outsidePlace"
+	case FailRefused:
+		return "noServer"
+	case FailTurnedAway:
+		return "turnedAway"
+	}
+	return causes[f]
 }
 
 // reasons are what the caller is told, with a text.
@@ -156,4 +182,7 @@
 	FailWrong:    {tarragondeal.ReasonBackend, "the backend server's answer was not this request's"},
 	FailDiffers:  {tarragondeal.ReasonBackend, "the answer broke, and another run of it was not the same"},
 	FailLate:     {tarragondeal.ReasonDeadline, "the deadline of the request's class passed"},
+
+	FailTurnedAway: {tarragondeal.ReasonOverload, "the backend servers would not take the request"},
+	FailSilent:     {tarragondeal.ReasonBackend, "the backend server did not begin to answer"},
 }
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -70,6 +70,19 @@
 	IdemKey   string
 	Arrived   tarragondeal.Instant
 
+	// Exchange passes the request on in the form of the interface through
+	// which it came. Nil stands for the router's own.
+	Exchange Exchange
+	// Deadline is the caller's own; zero leaves the class's.
+	Deadline time.Duration
+	// Attempts bounds the servers that the request is sent to; zero leaves
+	// the flow's.
+	Attempts int
+	// Parts, Input and Output are what the caller says of its prompt.
+	Parts  []tarragondeal.PromptPart
+	Input  int
+	Output int
+
 	// Tokens is what the request took, once it has ended.
 	Tokens int
 	// Settled is set once it is known that no earlier request with the same
@@ -87,6 +100,7 @@
 	bounds   time.Duration // The class's deadline.
 	ran      tarragondeal.Ran
 	attempts int
+	unsent   int     // Attempts that reached no server.
 	before   Failure // Of the attempt before this one.
 	current  *attempt
 	stream   streamState
@@ -114,6 +128,9 @@
 	if r.bounds <= 0 {
 		r.bounds = defaultDeadline
 	}
+	if q.Deadline > 0 {
+		r.bounds = min(r.bounds, q.Deadline)
+	}
 	r.sample = tarragondeal.Sample{Workspace: q.Workspace.Name, Class: q.Class.Name}
 	defer r.observe()
 	places := tdplace.Permitted(q.View, q.Workspace, q.Route)
@@ -121,7 +138,7 @@
 		return r.refuse(tarragondeal.ReasonNoPlace, "workspace and route permit no common data centre")
 	}
 	r.ask = q.ask(places)
-	if q.Route.NonIdempotent {
+	if q.Route.NonIdempotent && q.Exchange == nil {
 		return r.once(ctx)
 	}
 	ctx, cancel := r.bounded(ctx)
@@ -178,6 +195,9 @@
 		r.ran = CombineRan(r.ran, failed.ran)
 		s := r.state(failed.failure)
 		step := Next(s)
+		if failed.failure == FailUnsent || failed.failure == FailPlace {
+			r.unsent++
+		}
 		if step == StepRetry && failed.failure.NeedsBudget() && !r.f.Dispatch.MayRetry(r.ask) {
 			step = s.end()
 		}
@@ -187,16 +207,27 @@
 		}
 		r.before = failed.failure
 		r.f.Metrics.Counter("retries").Inc(1)
+		r.f.Log.Info().Str("request", string(r.q.ID)).Str("server", string(r.current.grant.Server.ID)).
+			Str("failure", causeOf(failed.failure)).Str("ran", string(failed.ran)).AnErr("error", failed.err).
+			Int("attempt", r.attempts).Msg("attempt failed, another follows")
 		r.ask.Avoid = append(r.ask.Avoid, r.current.grant.Server.ID)
 		pause(ctx, r.attempts)
 	}
 }
 
 func (r *run) state(f Failure) State {
-	return State{
+	s := State{
 		Failure: f, Idempotent: r.ask.Idempotent, Stream: r.stream.s != nil, Delivered: r.stream.delivered,
 		Resumed: r.stream.resumed, Attempts: r.attempts, Bound: r.f.opt.Attempts, Left: r.left(),
 	}
+	if r.q.Exchange != nil {
+		// A stream goes on at another server, never at the one where it broke.
+		s.Stream, s.Resumed, s.Unsent = r.q.Class.Events, true, r.unsent
+	}
+	if r.q.Attempts > 0 {
+		s.Bound = r.q.Attempts
+	}
+	return s
 }
 
 // conclude ends a request after its last attempt.
@@ -210,13 +241,22 @@
 		r.sample.FirstToken = cmp.Or(r.sample.FirstToken, r.elapsed())
 		return nil
 	}
-	r.f.Log.Debug().Str("request", string(r.q.ID)).Int("failure", int(failed.failure)).
-		Int("attempts", r.attempts).Msg("request ended without a whole answer")
+	r.f.Log.Info().Str("request", string(r.q.ID)).Str("route", r.q.Route.Name).Str("workspace", r.q.Workspace.Name).
+		Str("failure", causeOf(failed.failure)).Str("ran", string(r.ran)).AnErr("error", failed.err).
+		Str("server", string(r.current.grant.Server.ID)).Int("attempts", r.attempts).Dur("after", r.elapsed()).
+		Msg("request ended without a whole answer")
+	if step == StepRefuse && failed.answer != nil {
+		r.note(reasons[failed.failure].reason)
+		return failed.answer(r.w)
+	}
 	err := r.explain(failed)
 	switch step {
 	case StepRefuse:
 		return err
 	case StepFail:
+		if r.stream.s == nil {
+			panic(http.ErrAbortHandler) // The caller must see that it is short.
+		}
 		r.stream.s.Fail(err)
 	case StepCut:
 		panic(http.ErrAbortHandler) // The caller must see that it is short.
--- a/internal/entry/tdrelay/events.go
+++ b/internal/entry/tdrelay/events.go
@@ -30,6 +30,7 @@
 type Event struct {
 	Raw  []byte // As it came, with the empty line that ends it.
 	Name []byte
+	ID   []byte
 	Data []byte // Nil when the event carries none.
 }
 
@@ -101,6 +102,8 @@
 		switch string(name) {
 		case "event":
 			out.Name = value
+		case "id":
+			out.ID = value
 		case "data":
 			out.Data = e.join(out.Data, value, lines)
 			lines++
--- /dev/null
+++ b/internal/fleet/tdmesh/doc.go
@@ -0,0 +1,18 @@
+// Package tdmesh connects the entry VMs of a deployment with one another.
+// Each node finds the others in the copied store and keeps one stream to each,
+// on which it tells its state several times a second. The parts of a node add
+// their own sections to that state.
+//
+// # Usage
+//
+//	mesh := tdmesh.New(tdmesh.Deps{...}, self)
+//	mesh.Publish("load", func() []byte { ... })
+//	mesh.Receive("load", func(from tarragondeal.NodeID, payload []byte) { ... })
+//	err := mesh.Run(ctx)
+//
+// A node that has not been heard for a while counts as gone until it is heard
+// again. Where the store turns a node away, the node asks one of the others for
+// what it lacks.
+package tdmesh
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative mesh.proto
--- /dev/null
+++ b/internal/fleet/tdmesh/wall.go
@@ -0,0 +1,22 @@
+package tdmesh
+
+import (
+	"slices"
+	"time"
+)
+
+// Wall returns the time of day on which most nodes agree. One clock of a few
+// may be wrong by seconds, or step.
+func (m *Mesh) Wall() time.Time {
+	now := time.Duration(m.Clock.Now())
+	offsets := []time.Duration{time.Duration(m.Clock.Wall().UnixNano()) - now}
+	m.mu.Lock()
+	for _, p := range m.peers {
+		if m.heardNow(p) && p.wall != 0 {
+			offsets = append(offsets, p.wall)
+		}
+	}
+	m.mu.Unlock()
+	slices.Sort(offsets)
+	return time.Unix(0, int64(offsets[len(offsets)/2]+now)).UTC()
+}
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -50,6 +50,18 @@
 	}}
 }
 
+// drop closes the connections, so that what still comes on them is read by
+// nobody.
+func (t *sendTrace) drop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, u := range t.used {
+		if u.conn.Conn != nil {
+			_ = u.conn.Close()
+		}
+	}
+}
+
 // wrote reports whether a byte of the request may have been sent.
 func (t *sendTrace) wrote() bool {
 	t.mu.Lock()
--- a/object.go
+++ b/object.go
@@ -46,6 +46,25 @@
 	// Min and Max bound the servers ordered in each data centre.
 	Min int `json:"min,omitempty" yaml:"min,omitempty"`
 	Max int `json:"max,omitempty" yaml:"max,omitempty"`
+	// Engine and Scaling come from the platform and are no part of the own
+	// format. They are nil for plain services and for pools of fixed size.
+	Engine  *Engine  `json:"-" yaml:"-"`
+	Scaling *Scaling `json:"-" yaml:"-"`
+}
+
+// Engine is what the platform tells of the model engines of a pool.
+type Engine struct {
+	Slots    int // Requests that run in one batch.
+	KVTokens int // Memory for running requests and cached prompt parts.
+	Stride   int // Tokens in one event of a stream.
+}
+
+// Scaling bounds the servers of a pool that the platform takes orders for.
+type Scaling struct {
+	Min, Max   int           // Servers in each data centre, of both kinds.
+	Boot       time.Duration // From an order until a new server serves.
+	SpotPrice  float64       // Of a reclaimable server, as a share of a firm one's.
+	ZonePrices map[string]float64
 }
 
 // RequestClass states what a kind of request is owed.
@@ -65,6 +84,9 @@
 	// MinShare is the share of slots kept for a class that is late, so that
 	// it never starves.
 	MinShare float64 `json:"minShare,omitempty" yaml:"minShare,omitempty"`
+	// Events says that answers are streams whose events have numbers. It is
+	// no part of the own format.
+	Events bool `json:"-" yaml:"-"`
 }
 
 // Limits bound what a workspace or key may use in the whole fleet. Zero
@@ -83,6 +105,9 @@
 	// Weight is the workspace's share among its tier; zero counts as one.
 	Weight float64 `json:"weight,omitempty" yaml:"weight,omitempty"`
 	Limits Limits  `json:"limits,omitempty" yaml:"limits,omitempty"`
+	// Tier goes before the class's, unless it is zero. It is no part of the
+	// own format.
+	Tier int `json:"-" yaml:"-"`
 }
 
 // Route leads a kind of request to the pools that may serve it. Callers of
@@ -101,6 +126,14 @@
 	// NonIdempotent requests run at most once and need an idempotency key.
 	NonIdempotent bool   `json:"nonIdempotent,omitempty" yaml:"nonIdempotent,omitempty"`
 	Limits        Limits `json:"limits,omitempty"        yaml:"limits,omitempty"`
+
+	// Host, Prefix, Shares, MaxAttempts and Resumable are no part of the own
+	// format: they belong to routes that callers name by host and path.
+	Host        string `json:"-" yaml:"-"` // Lower case, without a port.
+	Prefix      string `json:"-" yaml:"-"` // Begins the path; begins and ends with a slash.
+	Shares      []int  `json:"-" yaml:"-"` // How requests are spread over Pools, in their order.
+	MaxAttempts int    `json:"-" yaml:"-"` // Backend servers that one request may be sent to.
+	Resumable   bool   `json:"-" yaml:"-"` // A stream may go on at another backend server.
 }
 
 // Key is a caller's credential as it is stored: a salted digest, never the
--- a/platform.go
+++ b/platform.go
@@ -22,6 +22,10 @@
 	DataCentre string
 	Addr       netip.AddrPort
 	State      VMState
+	Slots      int
+	Spot       bool          // The platform may take the server back at any time.
+	ColdLeft   time.Duration // How much longer it is slow after its start.
+	Born       time.Time     // The start of this incarnation; zero when not told.
 }
 
 // EntryVM is one entry VM on the platform's list.
@@ -46,10 +50,20 @@
 	Pool       string
 	DataCentre string
 	Want       int
+	Spot       bool // Orders servers that the platform may take back.
 	Fence      uint64
 	Sender     NodeID
 }
 
+// BegunReport tells how many requests of each workspace began to run in one
+// window. A window is sent with the same figures however often it is sent.
+type BegunReport struct {
+	Window int64 // Its number: windows of equal length follow since 1970.
+	Begun  map[string]int64
+	Fence  uint64
+	Sender NodeID
+}
+
 // EngineOrder states what a model engine should serve.
 type EngineOrder struct {
 	Server Server
--- a/store.go
+++ b/store.go
@@ -27,6 +27,7 @@
 	Holder  string
 	Fence   uint64
 	Expires Instant // By the clock of the node that holds it.
+	ID      uint64  // As the service names it, where it does.
 }
 
 // Store is the platform's key-value service. Every method is one call that
@@ -52,3 +53,24 @@
 	// Release gives the lease up.
 	Release(ctx context.Context, lease Lease) error
 }
+
+// Page is a part of a listing.
+type Page struct {
+	Entries []Entry
+	More    bool // Entries follow after the last one.
+	// Revision is the service's when it answered. The pages of one listing
+	// are no snapshot: changes after the first page's revision must be
+	// watched for.
+	Revision Revision
+}
+
+// Source is what a copy of the store is kept from.
+type Source interface {
+	// Page reads the keys that start with prefix, beginning after the key
+	// named by after.
+	Page(ctx context.Context, prefix, after string) (Page, error)
+	// Watch waits for changes under prefix later than revision after. It
+	// returns with none when wait is over. The error is a *HistoryError when
+	// the service has forgotten what came after that revision.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Entry, Revision, error)
+}
