Report usage and order servers under one lease

One holder now closes windows in the store before it reports them, and orders reclaimable servers by what engines have to read.

--- /dev/null
+++ b/internal/account/tdbegun/counter.go
@@ -0,0 +1,164 @@
+package tdbegun
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"tarragondeal"
+)
+
+// Topic is the counts' section of a node's state.
+const Topic = "begun"
+
+const (
+	// keepWindows is how many windows are kept; all are reported long before.
+	keepWindows = 8
+	// tellWindows is how many of the latest windows a process tells.
+	tellWindows = 3
+	// silentAfter is how long a process must not have told its counts before
+	// others tell them in its place.
+	silentAfter = time.Second
+)
+
+// Process names one run of a node's program.
+type Process struct {
+	Node        tarragondeal.NodeID
+	Incarnation uint64
+}
+
+// counts are the requests that began, by window and workspace.
+type counts map[int64]map[string]int64
+
+func (c counts) raise(window int64, workspace string, n int64) {
+	w := c[window]
+	if w == nil {
+		w = make(map[string]int64)
+		c[window] = w
+	}
+	w[workspace] = max(w[workspace], n)
+}
+
+// Counter counts at one process, and keeps what others have counted. It is
+// safe for concurrent use.
+type Counter struct {
+	self   Process
+	length time.Duration
+	wall   func() time.Time
+	clock  tarragondeal.Clock
+
+	mu    sync.Mutex
+	of    map[Process]counts
+	heard map[Process]tarragondeal.Instant
+}
+
+// NewCounter returns a counter of windows of one length. Wall tells true time.
+func NewCounter(self Process, length time.Duration, wall func() time.Time, c tarragondeal.Clock) *Counter {
+	return &Counter{
+		self: self, length: length, wall: wall, clock: c,
+		of: map[Process]counts{self: {}}, heard: make(map[Process]tarragondeal.Instant),
+	}
+}
+
+// Window returns the number of the window that is open now.
+func (c *Counter) Window() int64 { return c.wall().UnixNano() / int64(c.length) }
+
+// Began counts a request that begins to run now.
+func (c *Counter) Began(workspace string) {
+	if workspace == "" {
+		return // Open routes are nobody's.
+	}
+	window := c.Window()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own := c.of[c.self]
+	own.raise(window, workspace, own[window][workspace]+1)
+	c.drop(window)
+}
+
+// drop forgets windows that are too old to be reported.
+func (c *Counter) drop(now int64) {
+	for p, windows := range c.of {
+		for number := range windows {
+			if number < now-keepWindows {
+				delete(windows, number)
+			}
+		}
+		if len(windows) == 0 && p != c.self {
+			delete(c.of, p)
+			delete(c.heard, p)
+		}
+	}
+}
+
+// Sum returns what all processes counted in a window.
+func (c *Counter) Sum(window int64) map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]int64)
+	for _, windows := range c.of {
+		for workspace, n := range windows[window] {
+			out[workspace] += n
+		}
+	}
+	return out
+}
+
+// State returns what the other nodes are told.
+func (c *Counter) State() []byte {
+	now := c.Window()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := &Begun{}
+	for p, windows := range c.of {
+		if p != c.self && c.clock.Now().Sub(c.heard[p]) < silentAfter {
+			continue // The process tells for itself.
+		}
+		s := &Source{Node: string(p.Node), Incarnation: p.Incarnation}
+		for number, counts := range windows {
+			if number > now-tellWindows {
+				s.Windows = append(s.Windows, &Window{Number: number, Counts: counts})
+			}
+		}
+		if len(s.Windows) > 0 {
+			m.Sources = append(m.Sources, s)
+		}
+	}
+	if len(m.Sources) == 0 {
+		return nil
+	}
+	out, err := proto.Marshal(m)
+	if err != nil {
+		return nil // Names of workspaces are valid text; there is nothing to tell without them.
+	}
+	return out
+}
+
+// Hear takes in what another node tells. It reports whether it could be read.
+func (c *Counter) Hear(from tarragondeal.NodeID, payload []byte) bool {
+	var m Begun
+	if err := proto.Unmarshal(payload, &m); err != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range m.GetSources() {
+		p := Process{Node: tarragondeal.NodeID(s.GetNode()), Incarnation: s.GetIncarnation()}
+		if p == c.self {
+			continue
+		}
+		if p.Node == from {
+			c.heard[p] = c.clock.Now()
+		}
+		if c.of[p] == nil {
+			c.of[p] = make(counts)
+		}
+		for _, w := range s.GetWindows() {
+			for workspace, n := range w.GetCounts() {
+				c.of[p].raise(w.GetNumber(), workspace, n)
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/capacity/tdscale/duty.go
@@ -0,0 +1,239 @@
+package tdscale
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
+)
+
+const (
+	// lookEvery is how often the holder looks at what is needed.
+	lookEvery = 250 * time.Millisecond
+	// callTimeout bounds one order.
+	callTimeout = time.Second
+	// lowerAfter is how long fewer servers must do before any is given up.
+	lowerAfter = 8 * time.Second
+	// scarceFor is how long servers that were not to be had are not asked for.
+	scarceFor = 3 * time.Second
+	// againAfter is added to the time that a server takes to start, before a
+	// server that did not come is ordered again.
+	againAfter = 2 * time.Second
+)
+
+// Orders takes orders.
+type Orders interface {
+	OrderServers(ctx context.Context, o tarragondeal.ServerOrder) error
+}
+
+// Fleet tells what the holder plans by.
+type Fleet interface {
+	// Busy returns what the engines of a pool have to do.
+	Busy(pool string) Busy
+	// Servers returns the servers that are listed.
+	Servers() []tarragondeal.Server
+	// View returns the configuration in force, or nil.
+	View() *tarragondeal.View
+}
+
+// Deps are what the duty works with.
+type Deps struct {
+	Orders Orders
+	Fleet  Fleet
+	Clock  tarragondeal.Clock
+	Log    zerolog.Logger
+	Scope  tally.Scope
+}
+
+// Options bound the duty.
+type Options struct {
+	Self tarragondeal.NodeID
+}
+
+// Duty orders servers while its node holds it.
+type Duty struct {
+	Deps
+	opt Options
+}
+
+// New returns a duty.
+func New(d Deps, o Options) *Duty { return &Duty{Deps: d, opt: o} }
+
+// term is one holding of the duty.
+type term struct {
+	d     *Duty
+	held  tarragondeal.Held
+	pools map[string]*pool
+}
+
+// pool is what the holder remembers of one pool.
+type pool struct {
+	need    int                           // What is planned by.
+	low     tarragondeal.Instant          // Since when less would do.
+	ordered Plan                          // The latest orders that were taken.
+	at      map[Kind]tarragondeal.Instant // When.
+	scarce  map[Kind]tarragondeal.Instant // Until when.
+	centres map[string]bool
+}
+
+// Run orders servers until ctx ends or the duty is lost.
+func (d *Duty) Run(ctx context.Context, held tarragondeal.Held) error {
+	t := &term{d: d, held: held, pools: make(map[string]*pool)}
+	for tdclock.Sleep(ctx, lookEvery) {
+		v := d.Fleet.View()
+		if v == nil {
+			continue
+		}
+		for n := range v.Set.ServerPools {
+			p := &v.Set.ServerPools[n]
+			if p.Scaling == nil || p.Engine == nil {
+				continue
+			}
+			if err := t.look(ctx, p); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (t *term) look(ctx context.Context, p *tarragondeal.ServerPool) error {
+	m := t.pools[p.Name]
+	if m == nil {
+		m = &pool{
+			ordered: make(Plan), at: make(map[Kind]tarragondeal.Instant),
+			scarce: make(map[Kind]tarragondeal.Instant), centres: make(map[string]bool),
+		}
+		t.pools[p.Name] = m
+	}
+	now := t.d.Clock.Now()
+	live := t.live(p.Name, m)
+	if len(m.centres) == 0 {
+		return nil // The list has not come yet.
+	}
+	m.plan(Need(p.Engine, t.d.Fleet.Busy(p.Name)), now)
+	state := State{Live: live, Scarce: m.scarceNow(now)}
+	for c := range m.centres {
+		state.Centres = append(state.Centres, c)
+	}
+	return t.order(ctx, p, m, MakePlan(p, m.need, state), live)
+}
+
+// live counts the servers of a pool that are not leaving, and notes where the
+// pool runs.
+func (t *term) live(name string, m *pool) map[Kind]int {
+	live := make(map[Kind]int)
+	for _, s := range t.d.Fleet.Servers() {
+		if s.Pool != name {
+			continue
+		}
+		m.centres[s.DataCentre] = true
+		if s.State == tarragondeal.VMLive {
+			live[Kind{DataCentre: s.DataCentre, Spot: s.Spot}]++
+		}
+	}
+	return live
+}
+
+// plan raises what is planned by at once, and lowers it only when less has
+// done for a while.
+func (m *pool) plan(need int, now tarragondeal.Instant) {
+	switch {
+	case need >= m.need:
+		m.need, m.low = need, 0
+	case m.low == 0:
+		m.low = now
+	case now.Sub(m.low) > lowerAfter:
+		m.need, m.low = m.need-1, now.Add(-lowerAfter/2)
+	}
+}
+
+func (m *pool) scarceNow(now tarragondeal.Instant) map[Kind]bool {
+	out := make(map[Kind]bool)
+	for k, until := range m.scarce {
+		if now < until {
+			out[k] = true
+		}
+	}
+	return out
+}
+
+// order sends what differs from the latest orders, more servers first. Firm
+// servers are given up once the reclaimable ones in their place serve.
+func (t *term) order(ctx context.Context, p *tarragondeal.ServerPool, m *pool, plan Plan, live map[Kind]int) error {
+	now := t.d.Clock.Now()
+	missing := 0
+	for k, want := range plan {
+		missing += max(0, want-live[k])
+		if !t.due(p, m, k, want, live[k], now) || want < live[k] {
+			continue
+		}
+		if err := t.send(ctx, p, m, k, want); err != nil {
+			return err
+		}
+	}
+	for k, want := range plan {
+		spare := live[k] - want
+		if spare <= 0 || m.ordered[k] == want && m.at[k] != 0 && live[k] <= m.ordered[k] {
+			continue
+		}
+		if missing > 0 && !k.Spot {
+			want = min(live[k], want+missing) // Keep what stands in for those that are still starting.
+		}
+		if want >= live[k] || m.at[k] != 0 && m.ordered[k] == want && now.Sub(m.at[k]) < againAfter {
+			continue
+		}
+		if err := t.send(ctx, p, m, k, want); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// due reports whether an order for more must be sent: it has not been, or what
+// it asked for has gone or did not come.
+func (t *term) due(p *tarragondeal.ServerPool, m *pool, k Kind, want, live int, now tarragondeal.Instant) bool {
+	if want <= live {
+		return false
+	}
+	if m.at[k] == 0 || m.ordered[k] != want {
+		return true
+	}
+	return now.Sub(m.at[k]) > p.Scaling.Boot+againAfter
+}
+
+// send makes one order. An error means that the duty is lost.
+func (t *term) send(ctx context.Context, p *tarragondeal.ServerPool, m *pool, k Kind, want int) error {
+	if err := t.held.Check(callTimeout); err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := t.d.Orders.OrderServers(call, tarragondeal.ServerOrder{
+		Pool: p.Name, DataCentre: k.DataCentre, Want: want, Spot: k.Spot, Fence: t.held.Fence(), Sender: t.d.opt.Self,
+	})
+	now := t.d.Clock.Now()
+	log := t.d.Log.Info().Str("pool", p.Name).Str("dataCentre", k.DataCentre).Bool("spot", k.Spot).Int("want", want).
+		Int("need", m.need).Uint64("fence", t.held.Fence())
+	m.at[k] = now
+	var refused *tarragondeal.PlatformError
+	switch {
+	case err == nil:
+		m.ordered[k] = want
+		log.Msg("servers ordered")
+	case errors.As(err, &refused) && refused.Status == http.StatusConflict:
+		m.scarce[k] = now.Add(scarceFor)
+		m.at[k] = 0
+		log.Msg("no such servers are to be had")
+	default:
+		m.at[k] = 0
+		log.Err(err).Msg("order failed, it is sent again")
+	}
+	return nil
+}
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -66,7 +66,7 @@
 	heavyFrom int     // Prompts of more fresh tokens disturb tight streams.
 	grants    map[tarragondeal.GrantID]*held
 	crashes   *crashes
-	demand    demand
+	reading   map[string]*decaying // Milliseconds of reading prompts, by pool.
 	sentLog   []*Sent
 	seq       uint64
 	heardSeq  map[tarragondeal.NodeID]uint64
@@ -89,7 +89,7 @@
 	return &Fit{
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		rate: firstRate, heavyFrom: chunkTokens, grants: make(map[tarragondeal.GrantID]*held), crashes: newCrashes(d.Clock),
-		heardSeq: make(map[tarragondeal.NodeID]uint64), demand: newDemand(d.Clock),
+		heardSeq: make(map[tarragondeal.NodeID]uint64), reading: make(map[string]*decaying),
 	}
 }
 
@@ -154,9 +154,6 @@
 // Reserve chooses a server. The error is a *tarragondeal.RefusedError.
 func (f *Fit) Reserve(ctx context.Context, a tarragondeal.Ask) (tarragondeal.Grant, error) {
 	w := newWant(&a)
-	if a.Attempt == 1 {
-		f.demand.add(&w)
-	}
 	until := f.Clock.Now().Add(time.Duration(waitShare * float64(a.Target)))
 	for {
 		g, ok, err := f.choose(&w)
@@ -237,7 +234,7 @@
 	h := &held{s: s, w: *w, sent: now, alone: s.backlog(now) == 0}
 	if s.engine != nil {
 		h.fresh = w.fresh(s)
-		s.sent(now, h.fresh, w.links, h.fresh > f.heavyFrom)
+		f.sent(s, h.fresh, w.links, now)
 		f.logSent(h)
 	}
 	s.own.running++
@@ -252,6 +249,17 @@
 	}
 }
 
+// sent notes that an engine was given a prompt, by whichever node.
+func (f *Fit) sent(s *server, fresh int, links []link, now tarragondeal.Instant) {
+	took := s.sent(now, fresh, links, fresh > f.heavyFrom)
+	d := f.reading[s.Pool]
+	if d == nil {
+		d = &decaying{half: readingHalf}
+		f.reading[s.Pool] = d
+	}
+	d.add(now, took.Seconds()*1000)
+}
+
 // Progress notes that events of a request came.
 func (f *Fit) Progress(g tarragondeal.Grant, _ int) {
 	f.mu.Lock()
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -41,7 +41,7 @@
 	if f.told != nil && now.Sub(f.toldAt) < encodeEvery {
 		return f.told
 	}
-	m := &Load{Sent: f.sentLog, Crashes: f.crashes.recent(), Demand: f.demand.own(now)}
+	m := &Load{Sent: f.sentLog, Crashes: f.crashes.recent()}
 	for id, s := range f.servers {
 		if s.own.running > 0 || s.own.failing {
 			m.Uses = append(m.Uses, &Use{
@@ -74,7 +74,6 @@
 	for _, c := range m.GetCrashes() {
 		f.crashes.add(c.GetFingerprint(), tarragondeal.ServerID(c.GetServer()))
 	}
-	f.demand.hear(from, m.GetDemand(), now)
 }
 
 func (f *Fit) hearUses(from tarragondeal.NodeID, uses []*Use, now tarragondeal.Instant) {
@@ -111,7 +110,7 @@
 		for n, digest := range m.GetChain() {
 			links = append(links, link{digest: digest, tokens: int(m.GetTokens()[n])})
 		}
-		s.sent(now, int(m.GetFresh()), links, int(m.GetFresh()) > f.heavyFrom)
+		f.sent(s, int(m.GetFresh()), links, now)
 	}
 	f.heardSeq[from] = last
 }
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -113,14 +113,16 @@
 	return time.Duration(float64(tokens) / s.rate * float64(time.Millisecond))
 }
 
-// sent notes that the engine was given a prompt.
-func (s *server) sent(now tarragondeal.Instant, fresh int, links []link, heavy bool) {
+// sent notes that the engine was given a prompt. It returns how long the
+// engine takes to read it.
+func (s *server) sent(now tarragondeal.Instant, fresh int, links []link, heavy bool) time.Duration {
 	took := s.reading(fresh)
 	s.clearAt = max(s.clearAt, now).Add(took)
 	if heavy {
 		s.heavy.add(now, took.Seconds()*1000)
 	}
 	s.cache.add(links)
+	return took
 }
 
 // backlog returns how long the engine still reads what it was given.
--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -186,7 +186,7 @@
 	}
 	h.Log.Info().Str("request", c.ID).Str("host", r.Host).Int("status", status).Bool("notRun", notRun).Err(err).
 		Dur("retryAfter", after).Dur("after", elapsed).Msg("request refused")
-	h.Scope.Tagged(map[string]string{"status": http.StatusText(status)}).Counter("refused").Inc(1)
+	h.Scope.Tagged(map[string]string{"status": http.StatusText(status)}).Counter("refusals").Inc(1)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil {
--- a/internal/fleet/tdmesh/doc.go
+++ b/internal/fleet/tdmesh/doc.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	mesh := tdmesh.New(tdmesh.Deps{...}, self)
-//	mesh.Publish("load", func() []byte { ... })
+//	mesh.Publish("load", 1, func() []byte { ... })
 //	mesh.Receive("load", func(from tarragondeal.NodeID, payload []byte) { ... })
 //	err := mesh.Run(ctx)
 //
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -77,6 +77,7 @@
 
 type section struct {
 	topic string
+	every int // Of so many states, one has the section.
 	write func() []byte
 }
 
@@ -103,10 +104,23 @@
 	return m
 }
 
-// Publish adds a part's section to the states that the node tells. Write
-// returns nil when there is nothing to tell. Call it before the mesh runs.
-func (m *Mesh) Publish(topic string, write func() []byte) {
-	m.publish = append(m.publish, section{topic: topic, write: write})
+// Publish adds a part's section to one of every so many states that the node
+// tells. Write returns nil when there is nothing to tell. Call it before the
+// mesh runs.
+func (m *Mesh) Publish(topic string, every int, write func() []byte) {
+	m.publish = append(m.publish, section{topic: topic, every: max(1, every), write: write})
+}
+
+// Whole reports whether all nodes that are known are heard.
+func (m *Mesh) Whole() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if !m.heardNow(p) {
+			return false
+		}
+	}
+	return true
 }
 
 // Receive hands the sections of other nodes to receive. Call it before the
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -68,8 +68,8 @@
 	if err != nil {
 		return err
 	}
-	for {
-		if err := s.Send(m.state()); err != nil {
+	for n := 0; ; n++ {
+		if err := s.Send(m.state(n)); err != nil {
 			if errors.Is(err, io.EOF) {
 				return s.RecvMsg(&Ended{})
 			}
@@ -85,12 +85,16 @@
 	return tellLeast + time.Duration(m.Size()-1)*tellPerPeer
 }
 
-func (m *Mesh) state() *State {
+// state returns the state number n of a stream.
+func (m *Mesh) state(n int) *State {
 	s := &State{
 		Node: string(m.self.Name), Incarnation: m.self.Incarnation,
 		Ready: m.Ready(), Revision: uint64(m.Mirror.Revision()), WallNanos: m.Clock.Wall().UnixNano(),
 	}
 	for _, p := range m.publish {
+		if n%p.every != 0 {
+			continue
+		}
 		if payload := p.write(); payload != nil {
 			s.Sections = append(s.Sections, &Section{Topic: p.topic, Payload: payload})
 		}
--- a/internal/node/tdvm/measures.go
+++ b/internal/node/tdvm/measures.go
@@ -28,6 +28,3 @@
 	}
 	scope.Timer("total").Record(s.Total)
 }
-
-// Began is called for each request that begins to run.
-func (m *measures) Began(string) {}
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragondeal"
+	"tarragondeal/internal/account/tdbegun"
 	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/base/tddial"
 	"tarragondeal/internal/base/tdlog"
@@ -57,6 +58,8 @@
 	clock   tarragondeal.Clock
 	metrics *tdmetric.Metrics
 	duties  []duty
+	// incarnation names this run of the program.
+	incarnation uint64
 
 	store   *platform.Store
 	mirror  *tdmirror.Mirror
@@ -64,7 +67,9 @@
 	config  *tdlisting.Config
 	servers *tdlisting.Servers
 	fit     *tdfit.Fit
+	begun   *tdbegun.Counter
 	host    *tdhost.Host
+	held    bool // The duties were held before; the duty's own.
 
 	listeners struct{ callers, ready, addresses, peers, metrics net.Listener }
 }
@@ -80,11 +85,13 @@
 		vm: vm, clock: tdclock.New(), metrics: tdmetric.New(string(vm.Node)),
 		log: tdlog.New(out, string(vm.Node), zerolog.InfoLevel),
 	}
+	n.incarnation = uint64(n.clock.Wall().UnixNano())
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
 	n.buildFleet()
 	n.buildEntry()
+	n.buildDuties()
 	n.follow()
 	return n, nil
 }
@@ -111,25 +118,33 @@
 	return nil
 }
 
+// client returns an HTTP client of the platform's interfaces.
+func (n *Node) client(idle int) *http.Client { return tddial.Client(tddial.New(), idle) }
+
 // add declares a duty that runs from start to stop.
 func (n *Node) add(name string, run func(context.Context) error) {
 	n.duties = append(n.duties, duty{name: name, run: run})
 }
 
 func (n *Node) buildFleet() {
-	dialer := tddial.New()
-	n.store = platform.NewStore(n.vm.Store, tddial.Client(dialer, storeIdle), n.clock)
+	n.store = platform.NewStore(n.vm.Store, n.client(storeIdle), n.clock)
 	n.mirror = tdmirror.New(n.store, n.clock, tdmirror.Options{
 		Prefixes: []string{platform.ConfigKey, platform.ServersPrefix, tdmesh.Keys},
 		Log:      tdlog.Part(n.log, "mirror"), Scope: n.metrics.Scope.SubScope("mirror"),
 	})
 	n.mesh = tdmesh.New(tdmesh.Deps{
-		Store: n.store, Mirror: n.mirror, Clock: n.clock, Dialer: dialer, TTL: nodeTTL,
+		Store: n.store, Mirror: n.mirror, Clock: n.clock, Dialer: tddial.New(), TTL: nodeTTL,
 		Ready: func() bool { return n.host.Ready() },
 		Log:   tdlog.Part(n.log, "mesh"), Scope: n.metrics.Scope.SubScope("mesh"),
 	}, tdmesh.Node{
-		Name: n.vm.Node, Incarnation: uint64(n.clock.Wall().UnixNano()), DataCentre: n.vm.DataCentre,
-		Peer: n.vm.Peer, Callers: n.vm.Callers,
+		Name: n.vm.Node, Incarnation: n.incarnation, DataCentre: n.vm.DataCentre, Peer: n.vm.Peer, Callers: n.vm.Callers,
+	})
+	n.begun = tdbegun.NewCounter(tdbegun.Process{Node: n.vm.Node, Incarnation: n.incarnation}, n.vm.Bounds.Window, n.mesh.Wall, n.clock)
+	n.mesh.Publish(tdbegun.Topic, begunEvery, n.begun.State)
+	n.mesh.Receive(tdbegun.Topic, func(from tarragondeal.NodeID, payload []byte) {
+		if !n.begun.Hear(from, payload) {
+			n.log.Warn().Str("peer", string(from)).Msg("counts can't be read")
+		}
 	})
 	n.add("copy the store", n.mirror.Run)
 	n.add("keep the mesh", func(ctx context.Context) error { return n.mesh.Run(ctx, n.listeners.peers) })
@@ -139,7 +154,7 @@
 	n.fit = tdfit.New(tdfit.Deps{
 		Clock: n.clock, Size: n.mesh.Size, Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
 	}, tdfit.Options{DataCentre: n.vm.DataCentre, Bounds: n.vm.Bounds})
-	n.mesh.Publish(tdfit.Topic, n.fit.State)
+	n.mesh.Publish(tdfit.Topic, 1, n.fit.State)
 	n.mesh.Receive(tdfit.Topic, n.fit.Hear)
 	scope := n.metrics.Scope.SubScope("entry")
 	log := tdlog.Part(n.log, "entry")
@@ -149,7 +164,7 @@
 	}, tdflow.Options{Attempts: attempts})
 	n.host = tdhost.New(tdhost.Deps{
 		Flow: flow, Backend: tdbackend.NewWith(tdbackend.Options{Dialer: tddial.New(), Idle: serverIdle, Bare: true}),
-		Starts: measures, Clock: n.clock, Log: log, Scope: scope,
+		Starts: n.begun, Clock: n.clock, Log: log, Scope: scope,
 	})
 }
 
--- a/vm.go
+++ b/vm.go
@@ -21,6 +21,8 @@
 	Store     netip.AddrPort
 	Orders    netip.AddrPort // Where orders and usage reports go.
 
+	// FirstStart is true when the whole deployment starts for the first time.
+	FirstStart  bool
 	MemoryBytes int64
 	Bounds      Bounds
 }
