Let firm servers only stand in for reclaimable ones that are not to be had

Cause: after a refusal of reclaimable servers the plan put firm ones in the place of all of them, the reserve for a lost data centre included, and gave them up one by one. Now they make up only what is needed at once.

--- a/internal/capacity/tdscale/duty.go
+++ b/internal/capacity/tdscale/duty.go
@@ -20,8 +20,10 @@
 	callTimeout = time.Second
 	// lowerAfter is how long fewer servers must do before any is given up.
 	lowerAfter = 8 * time.Second
-	// scarceFor is how long servers that were not to be had are not asked for.
-	scarceFor = 3 * time.Second
+	// askAgain is how long servers that were not to be had are not asked for,
+	// and scarceFor how long they count as scarce without another refusal.
+	askAgain  = 1500 * time.Millisecond
+	scarceFor = 2500 * time.Millisecond
 	// againAfter is added to the time that a server takes to start, before a
 	// server that did not come is ordered again.
 	againAfter = 2 * time.Second
@@ -164,31 +166,26 @@
 	return out
 }
 
-// order sends what differs from the latest orders, more servers first. Firm
-// servers are given up once the reclaimable ones in their place serve.
+// order sends what differs from the latest orders, for more servers first.
 func (t *term) order(ctx context.Context, p *tarragondeal.ServerPool, m *pool, plan Plan, live map[Kind]int) error {
-	now := t.d.Clock.Now()
-	missing := 0
 	for k, want := range plan {
-		missing += max(0, want-live[k])
-		if !t.due(p, m, k, want, live[k], now) || want < live[k] {
+		if want <= live[k] || !m.due(k, want, p.Scaling.Boot+againAfter, t.d.Clock.Now()) {
 			continue
 		}
 		if err := t.send(ctx, p, m, k, want); err != nil {
 			return err
 		}
 	}
+	spare := -m.need
+	for _, n := range live {
+		spare += n
+	}
 	for k, want := range plan {
-		spare := live[k] - want
-		if spare <= 0 || m.ordered[k] == want && m.at[k] != 0 && live[k] <= m.ordered[k] {
-			continue
-		}
-		if missing > 0 && !k.Spot {
-			want = min(live[k], want+missing) // Keep what stands in for those that are still starting.
-		}
-		if want >= live[k] || m.at[k] != 0 && m.ordered[k] == want && now.Sub(m.at[k]) < againAfter {
+		want = max(want, live[k]-max(0, spare))
+		if want >= live[k] || !m.due(k, want, againAfter, t.d.Clock.Now()) {
 			continue
 		}
+		spare -= live[k] - want
 		if err := t.send(ctx, p, m, k, want); err != nil {
 			return err
 		}
@@ -196,16 +193,11 @@
 	return nil
 }
 
-// due reports whether an order for more must be sent: it has not been, or what
-// it asked for has gone or did not come.
-func (t *term) due(p *tarragondeal.ServerPool, m *pool, k Kind, want, live int, now tarragondeal.Instant) bool {
-	if want <= live {
-		return false
-	}
-	if m.at[k] == 0 || m.ordered[k] != want {
-		return true
-	}
-	return now.Sub(m.at[k]) > p.Scaling.Boot+againAfter
+// due reports whether an order must be sent: it has not been, or what it asked
+// for did not come to be.
+func (m *pool) due(k Kind, want int, after time.Duration, now tarragondeal.Instant) bool {
+	at, ok := m.at[k]
+	return !ok || m.ordered[k] != want || now.Sub(at) > after
 }
 
 // send makes one order. An error means that the duty is lost.
@@ -221,18 +213,17 @@
 	now := t.d.Clock.Now()
 	log := t.d.Log.Info().Str("pool", p.Name).Str("dataCentre", k.DataCentre).Bool("spot", k.Spot).Int("want", want).
 		Int("need", m.need).Uint64("fence", t.held.Fence())
-	m.at[k] = now
+	m.at[k], m.ordered[k] = now, want
 	var refused *tarragondeal.PlatformError
 	switch {
 	case err == nil:
-		m.ordered[k] = want
 		log.Msg("servers ordered")
 	case errors.As(err, &refused) && refused.Status == http.StatusConflict:
 		m.scarce[k] = now.Add(scarceFor)
-		m.at[k] = 0
+		m.at[k] = now.Add(askAgain - p.Scaling.Boot - againAfter)
 		log.Msg("no such servers are to be had")
 	default:
-		m.at[k] = 0
+		delete(m.at, k)
 		log.Err(err).Msg("order failed, it is sent again")
 	}
 	return nil
--- a/internal/capacity/tdscale/plan.go
+++ b/internal/capacity/tdscale/plan.go
@@ -58,48 +58,52 @@
 }
 
 // MakePlan returns how many servers of a pool there should be when so many
-// engines are needed.
+// engines are needed. The loss of one data centre's reclaimable servers must
+// leave enough. Firm ones stand in for those that are not to be had, as far as
+// the others are too few without them.
 func MakePlan(p *tarragondeal.ServerPool, need int, s State) Plan {
-	g := p.Scaling
 	out := make(Plan)
-	centres := byPrice(g, s.Centres)
-	if len(centres) == 0 {
-		return out
-	}
-	for n, c := range centres {
+	centres := byPrice(p.Scaling, s.Centres)
+	for _, c := range centres {
 		out[Kind{DataCentre: c}] = 0
-		if n < leastFirm {
-			out[Kind{DataCentre: c}] = 1
-		}
+		out[Kind{DataCentre: c, Spot: true}] = 0
 	}
-	// The loss of one data centre's reclaimable servers must leave enough.
 	want := need
 	if n := len(centres); n > 1 {
 		want = int(math.Ceil(float64(need) * float64(n) / float64(n-1)))
 	}
-	spread(out, centres, want, g, s.Scarce)
+	fill(out, centres, leastFirm, p.Scaling.Max, false)
+	fill(out, centres, want-leastFirm, p.Scaling.Max, true)
+	if len(s.Scarce) > 0 {
+		fill(out, centres, need-leastFirm-s.spot(), p.Scaling.Max, false)
+	}
 	for _, c := range centres {
-		k := Kind{DataCentre: c, Spot: true}
-		if out[k]+out[Kind{DataCentre: c}] < g.Min {
-			out[k] = g.Min - out[Kind{DataCentre: c}]
+		if out.in(c) < p.Scaling.Min {
+			out[Kind{DataCentre: c, Spot: true}] += p.Scaling.Min - out.in(c)
 		}
 	}
 	return out
 }
 
-// spread adds reclaimable servers until there are as many as wanted, each where
-// there are fewest, and firm ones for those that are not to be had.
-func spread(out Plan, centres []string, want int, g *tarragondeal.Scaling, scarce map[Kind]bool) {
-	for total(out) < want {
-		c, ok := fewest(out, centres, g.Max)
+// spot returns how many reclaimable servers serve.
+func (s *State) spot() int {
+	n := 0
+	for k, live := range s.Live {
+		if k.Spot {
+			n += live
+		}
+	}
+	return n
+}
+
+// fill adds so many servers of a kind, each where there are fewest.
+func fill(out Plan, centres []string, count, most int, spot bool) {
+	for range count {
+		c, ok := fewest(out, centres, most)
 		if !ok {
 			return
 		}
-		k := Kind{DataCentre: c, Spot: true}
-		if scarce[k] {
-			k.Spot = false
-		}
-		out[k]++
+		out[Kind{DataCentre: c, Spot: spot}]++
 	}
 }
 
@@ -107,19 +111,16 @@
 func fewest(p Plan, centres []string, most int) (string, bool) {
 	best, least := "", most
 	for _, c := range centres {
-		if n := p[Kind{DataCentre: c}] + p[Kind{DataCentre: c, Spot: true}]; n < least {
+		if n := p.in(c); n < least {
 			best, least = c, n
 		}
 	}
 	return best, best != ""
 }
 
-func total(p Plan) int {
-	n := 0
-	for _, v := range p {
-		n += v
-	}
-	return n
+// in returns how many servers are planned in a data centre.
+func (p Plan) in(centre string) int {
+	return p[Kind{DataCentre: centre}] + p[Kind{DataCentre: centre, Spot: true}]
 }
 
 func byPrice(g *tarragondeal.Scaling, centres []string) []string {
