--- a/internal/capacity/tdscale/duty.go
+++ b/internal/capacity/tdscale/duty.go
@@ -20,10 +20,8 @@
 	callTimeout = time.Second
 	// lowerAfter is how long fewer servers must do before any is given up.
 	lowerAfter = 8 * time.Second
-	// askAgain is how long servers that were not to be had are not asked for,
-	// and scarceFor how long they count as scarce without another refusal.
-	askAgain  = 1500 * time.Millisecond
-	scarceFor = 2500 * time.Millisecond
+	// scarceFor is how long servers that were not to be had are not asked for.
+	scarceFor = 1500 * time.Millisecond
 	// againAfter is added to the time that a server takes to start, before a
 	// server that did not come is ordered again.
 	againAfter = 2 * time.Second
@@ -121,6 +119,9 @@
 	}
 	m.plan(Need(p.Engine, t.d.Fleet.Busy(p.Name)), now)
 	state := State{Live: live, Scarce: m.scarceNow(now)}
+	for c := range p.Scaling.ZonePrices {
+		m.centres[c] = true // No server may be left where some have been.
+	}
 	for c := range m.centres {
 		state.Centres = append(state.Centres, c)
 	}
@@ -220,7 +221,7 @@
 		log.Msg("servers ordered")
 	case errors.As(err, &refused) && refused.Status == http.StatusConflict:
 		m.scarce[k] = now.Add(scarceFor)
-		m.at[k] = now.Add(askAgain - p.Scaling.Boot - againAfter)
+		delete(m.at, k)
 		log.Msg("no such servers are to be had")
 	default:
 		delete(m.at, k)
--- a/internal/capacity/tdscale/plan.go
+++ b/internal/capacity/tdscale/plan.go
@@ -18,6 +18,9 @@
 	// leastEngines is how many engines there are at least: long prompts and
 	// streams with short pauses are kept apart.
 	leastEngines = 5
+	// pressedShare is the share of the engines needed that must do while others
+	// are not to be had: firm ones make up no more, at their price.
+	pressedShare = 0.65
 	// leastFirm is how many firm servers there are at least, in the cheapest
 	// data centres.
 	leastFirm = 1
@@ -75,7 +78,11 @@
 	fill(out, centres, leastFirm, p.Scaling.Max, false)
 	fill(out, centres, want-leastFirm, p.Scaling.Max, true)
 	if len(s.Scarce) > 0 {
-		fill(out, centres, need-leastFirm-s.spot(), p.Scaling.Max, false)
+		for k := range s.Scarce {
+			out[k] = min(out[k], s.Live[k])
+		}
+		least := int(math.Ceil(pressedShare * float64(need)))
+		fill(out, centres, least-leastFirm-s.spot(), p.Scaling.Max, false)
 	}
 	for _, c := range centres {
 		if out.in(c) < p.Scaling.Min {
