Tell other nodes only what is new, over one stream for each pair

States now carry changes only, one stream serves both directions, and in fleets above 8 nodes four follow the store and send the others copies.

--- a/internal/account/tdbegun/counter.go
+++ b/internal/account/tdbegun/counter.go
@@ -48,16 +48,18 @@
 	wall   func() time.Time
 	clock  tarragondeal.Clock
 
-	mu    sync.Mutex
-	of    map[Process]counts
-	heard map[Process]tarragondeal.Instant
+	mu     sync.Mutex
+	of     map[Process]counts
+	heard  map[tarragondeal.NodeID]tarragondeal.Instant // When a node told its counts.
+	latest map[tarragondeal.NodeID]uint64               // The incarnation that told them.
 }
 
 // NewCounter returns a counter of windows of one length. Wall tells true time.
 func NewCounter(self Process, length time.Duration, wall func() time.Time, c tarragondeal.Clock) *Counter {
 	return &Counter{
 		self: self, length: length, wall: wall, clock: c,
-		of: map[Process]counts{self: {}}, heard: make(map[Process]tarragondeal.Instant),
+		of: map[Process]counts{self: {}}, heard: make(map[tarragondeal.NodeID]tarragondeal.Instant),
+		latest: make(map[tarragondeal.NodeID]uint64),
 	}
 }
 
@@ -87,7 +89,6 @@
 		}
 		if len(windows) == 0 && p != c.self {
 			delete(c.of, p)
-			delete(c.heard, p)
 		}
 	}
 }
@@ -105,32 +106,71 @@
 	return out
 }
 
-// State returns what the other nodes are told.
-func (c *Counter) State() []byte {
-	now := c.Window()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	m := &Begun{}
-	for p, windows := range c.of {
-		if p != c.self && c.clock.Now().Sub(c.heard[p]) < silentAfter {
-			continue // The process tells for itself.
+// entry is one count, as a stream tells it.
+type entry struct {
+	p         Process
+	window    int64
+	workspace string
+}
+
+// Writer returns a function that writes the counts that have changed since its
+// last call, for one other node.
+func (c *Counter) Writer() func() []byte {
+	told := make(map[entry]int64)
+	return func() []byte {
+		now := c.Window()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		m := &Begun{}
+		for p, windows := range c.of {
+			if p != c.self && c.tells(p) {
+				continue // The process tells for itself.
+			}
+			if s := changed(p, windows, now, told); s != nil {
+				m.Sources = append(m.Sources, s)
+			}
 		}
-		s := &Source{Node: string(p.Node), Incarnation: p.Incarnation}
-		for number, counts := range windows {
-			if number > now-tellWindows {
-				s.Windows = append(s.Windows, &Window{Number: number, Counts: counts})
+		for e := range told {
+			if e.window <= now-tellWindows {
+				delete(told, e)
 			}
 		}
-		if len(s.Windows) > 0 {
-			m.Sources = append(m.Sources, s)
+		out, err := proto.Marshal(m)
+		if err != nil {
+			return nil // Names of workspaces are valid text; there is nothing to tell without them.
 		}
+		return out
 	}
-	if len(m.Sources) == 0 {
-		return nil
-	}
-	out, err := proto.Marshal(m)
-	if err != nil {
-		return nil // Names of workspaces are valid text; there is nothing to tell without them.
+}
+
+// tells reports whether a process tells its own counts.
+func (c *Counter) tells(p Process) bool {
+	return c.latest[p.Node] == p.Incarnation && c.clock.Now().Sub(c.heard[p.Node]) < silentAfter
+}
+
+// changed returns the counts of a process that differ from those told, and
+// notes them.
+func changed(p Process, windows counts, now int64, told map[entry]int64) *Source {
+	var out *Source
+	for number, counts := range windows {
+		if number <= now-tellWindows {
+			continue
+		}
+		w := &Window{Number: number, Counts: make(map[string]int64)}
+		for workspace, n := range counts {
+			e := entry{p: p, window: number, workspace: workspace}
+			if told[e] != n {
+				told[e] = n
+				w.Counts[workspace] = n
+			}
+		}
+		if len(w.Counts) == 0 {
+			continue
+		}
+		if out == nil {
+			out = &Source{Node: string(p.Node), Incarnation: p.Incarnation}
+		}
+		out.Windows = append(out.Windows, w)
 	}
 	return out
 }
@@ -143,13 +183,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.heard[from] = c.clock.Now()
 	for _, s := range m.GetSources() {
 		p := Process{Node: tarragondeal.NodeID(s.GetNode()), Incarnation: s.GetIncarnation()}
 		if p == c.self {
 			continue
 		}
 		if p.Node == from {
-			c.heard[p] = c.clock.Now()
+			c.latest[from] = p.Incarnation
 		}
 		if c.of[p] == nil {
 			c.of[p] = make(counts)
--- a/internal/dispatch/tdfit/busy.go
+++ b/internal/dispatch/tdfit/busy.go
@@ -32,7 +32,7 @@
 	}
 	for _, s := range f.servers {
 		if s.Pool == pool {
-			t := s.total(now)
+			t := f.total(s, now)
 			out.Running += t.running
 			out.Tokens += t.tokens
 		}
--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -69,7 +69,7 @@
 // cost estimates the time after which an engine begins to answer, with what
 // the request costs others counted in.
 func (f *Fit) cost(w *want, s *server, now tarragondeal.Instant) time.Duration {
-	t := s.total(now)
+	t := f.total(s, now)
 	c := f.common(s, &t, now)
 	if s.engine == nil {
 		return c + plainWork*time.Duration(t.running)/time.Duration(s.slots())
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -69,9 +69,7 @@
 	reading   map[string]*decaying // Milliseconds of reading prompts, by pool.
 	sentLog   []*Sent
 	seq       uint64
-	heardSeq  map[tarragondeal.NodeID]uint64
-	told      []byte
-	toldAt    tarragondeal.Instant
+	heard     map[tarragondeal.NodeID]tarragondeal.Instant // When a node told its load.
 }
 
 // held is a grant that has not ended.
@@ -89,7 +87,7 @@
 	return &Fit{
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		rate: firstRate, heavyFrom: chunkTokens, grants: make(map[tarragondeal.GrantID]*held), crashes: newCrashes(d.Clock),
-		heardSeq: make(map[tarragondeal.NodeID]uint64), reading: make(map[string]*decaying),
+		heard: make(map[tarragondeal.NodeID]tarragondeal.Instant), reading: make(map[string]*decaying),
 	}
 }
 
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -1,8 +1,6 @@
 package tdfit
 
 import (
-	"time"
-
 	"google.golang.org/protobuf/proto"
 
 	"tarragondeal"
@@ -12,17 +10,14 @@
 const Topic = "load"
 
 const (
-	// sentKept bounds the requests that are told in one state. At most so
-	// many are sent between two states that get lost.
-	sentKept = 48
-	// encodeEvery is how long an encoded state is used again.
-	encodeEvery = 15 * time.Millisecond
+	// sentKept bounds the requests that are told in one state.
+	sentKept = 64
 )
 
 // logSent keeps a request to be told to the other nodes.
 func (f *Fit) logSent(h *held) {
 	f.seq++
-	m := &Sent{Seq: f.seq, Server: string(h.s.ID), Fresh: uint32(h.fresh)}
+	m := &Sent{Server: string(h.s.ID), Fresh: uint32(h.fresh)}
 	for _, l := range h.w.links {
 		m.Chain = append(m.Chain, l.digest)
 		m.Tokens = append(m.Tokens, uint32(l.tokens))
@@ -33,29 +28,50 @@
 	}
 }
 
-// State returns what the other nodes are told.
-func (f *Fit) State() []byte {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Clock.Now()
-	if f.told != nil && now.Sub(f.toldAt) < encodeEvery {
-		return f.told
+// Writer returns a function that writes what is new since its last call, for
+// one other node.
+func (f *Fit) Writer() func() []byte {
+	var told uint64
+	uses := make(map[tarragondeal.ServerID]use)
+	first := true
+	return func() []byte {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if first {
+			told = f.seq // What was sent before weighs no more.
+		}
+		m := &Load{Sent: f.sentSince(told), Crashes: f.crashes.recent(), Uses: f.changedUses(uses), Whole: first}
+		told, first = f.seq, false
+		out, err := proto.Marshal(m)
+		if err != nil {
+			f.Log.Error().Err(err).Msg("load can't be encoded")
+			return nil
+		}
+		return out
 	}
-	m := &Load{Sent: f.sentLog, Crashes: f.crashes.recent()}
+}
+
+func (f *Fit) sentSince(told uint64) []*Sent {
+	return f.sentLog[max(0, len(f.sentLog)-int(f.seq-told)):]
+}
+
+// changedUses returns the uses that differ from those told, and notes them.
+func (f *Fit) changedUses(told map[tarragondeal.ServerID]use) []*Use {
+	var out []*Use
 	for id, s := range f.servers {
-		if s.own.running > 0 || s.own.failing {
-			m.Uses = append(m.Uses, &Use{
-				Server: string(id), Running: uint32(s.own.running), Tight: uint32(s.own.tight),
-				Tokens: uint64(max(0, s.own.tokens)), Failing: s.own.failing,
-			})
+		if s.own == told[id] {
+			continue
 		}
+		if s.own == (use{}) {
+			delete(told, id)
+		} else {
+			told[id] = s.own
+		}
+		out = append(out, &Use{
+			Server: string(id), Running: uint32(max(0, s.own.running)), Tight: uint32(max(0, s.own.tight)),
+			Tokens: uint64(max(0, s.own.tokens)), Failing: s.own.failing,
+		})
 	}
-	out, err := proto.Marshal(m)
-	if err != nil {
-		f.Log.Error().Err(err).Msg("load can't be encoded")
-		return nil
-	}
-	f.told, f.toldAt = out, now
 	return out
 }
 
@@ -69,39 +85,32 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	f.hearUses(from, m.GetUses(), now)
-	f.hearSent(from, m.GetSent(), now)
+	f.heard[from] = now
+	f.hearUses(from, &m)
+	f.hearSent(m.GetSent(), now)
 	for _, c := range m.GetCrashes() {
 		f.crashes.add(c.GetFingerprint(), tarragondeal.ServerID(c.GetServer()))
 	}
 }
 
-func (f *Fit) hearUses(from tarragondeal.NodeID, uses []*Use, now tarragondeal.Instant) {
-	for _, s := range f.servers {
-		delete(s.others, from)
+func (f *Fit) hearUses(from tarragondeal.NodeID, m *Load) {
+	if m.GetWhole() {
+		for _, s := range f.servers {
+			delete(s.others, from)
+		}
 	}
-	for _, u := range uses {
+	for _, u := range m.GetUses() {
 		if s := f.servers[tarragondeal.ServerID(u.GetServer())]; s != nil {
 			s.others[from] = use{
-				running: int(u.GetRunning()), tight: int(u.GetTight()), tokens: int(u.GetTokens()),
-				failing: u.GetFailing(), heard: now,
+				running: int(u.GetRunning()), tight: int(u.GetTight()), tokens: int(u.GetTokens()), failing: u.GetFailing(),
 			}
 		}
 	}
 }
 
-// hearSent counts what the engines were given by another node. The numbers of
-// a process that started anew begin again.
-func (f *Fit) hearSent(from tarragondeal.NodeID, sent []*Sent, now tarragondeal.Instant) {
-	last := f.heardSeq[from]
-	if n := len(sent); n > 0 && sent[n-1].GetSeq() < last {
-		last = 0
-	}
+// hearSent counts what the engines were given by another node.
+func (f *Fit) hearSent(sent []*Sent, now tarragondeal.Instant) {
 	for _, m := range sent {
-		if m.GetSeq() <= last {
-			continue
-		}
-		last = m.GetSeq()
 		s := f.servers[tarragondeal.ServerID(m.GetServer())]
 		if s == nil || s.engine == nil || len(m.GetChain()) != len(m.GetTokens()) {
 			continue
@@ -112,5 +121,4 @@
 		}
 		f.sent(s, int(m.GetFresh()), links, now)
 	}
-	f.heardSeq[from] = last
 }
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -53,7 +53,6 @@
 	tight   int
 	tokens  int
 	failing bool
-	heard   tarragondeal.Instant
 }
 
 // server is what is believed of one backend server.
@@ -86,10 +85,10 @@
 const othersFor = 3 * time.Second
 
 // total returns what all nodes have running at the server.
-func (s *server) total(now tarragondeal.Instant) use {
+func (f *Fit) total(s *server, now tarragondeal.Instant) use {
 	t := s.own
-	for _, u := range s.others {
-		if now.Sub(u.heard) > othersFor {
+	for node, u := range s.others {
+		if now.Sub(f.heard[node]) > othersFor {
 			continue
 		}
 		t.running += u.running
--- a/internal/fleet/tdmesh/doc.go
+++ b/internal/fleet/tdmesh/doc.go
@@ -6,13 +6,13 @@
 // # Usage
 //
 //	mesh := tdmesh.New(tdmesh.Deps{...}, self)
-//	mesh.Publish("load", 1, func() []byte { ... })
+//	mesh.Publish("load", func() tdmesh.Writer { ... })
 //	mesh.Receive("load", func(from tarragondeal.NodeID, payload []byte) { ... })
 //	err := mesh.Run(ctx)
 //
 // A node that has not been heard for a while counts as gone until it is heard
-// again. Where the store turns a node away, the node asks one of the others for
-// what it lacks.
+// again. Where the store turns a node away, and in a large fleet where only a few
+// nodes follow the store, another node sends it what it lacks.
 package tdmesh
 
 //go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative mesh.proto
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -34,10 +34,11 @@
 	tellLeast = 60 * time.Millisecond
 	// tellPerPeer is added for each other node.
 	tellPerPeer = 6 * time.Millisecond
-	// copyTimeout bounds asking another node for what it has copied.
-	copyTimeout = time.Second
-	// copyEvery is how often a node that the store turns away asks another.
-	copyEvery = 100 * time.Millisecond
+	// followersLeast is how many nodes follow the store themselves in a large
+	// fleet. The others take copies, which saves calls.
+	followersLeast = 4
+	// smallFleet is the size up to which all nodes follow the store.
+	smallFleet = 8
 )
 
 // Node is an entry VM as it lists itself in the store.
@@ -68,17 +69,19 @@
 	self      Node
 	publish   []section
 	receivers map[string]func(tarragondeal.NodeID, []byte)
-	changed   chan struct{} // Holds one value when there is something to tell.
-
-	mu    sync.Mutex
-	peers map[tarragondeal.NodeID]*peer
-	group *tdtask.Group
+	mu        sync.Mutex
+	peers     map[tarragondeal.NodeID]*peer
+	group     *tdtask.Group
+	source    tarragondeal.NodeID // Where copies of the store are taken from.
 }
 
+// Writer writes a part's section of the next state of one stream. It returns
+// nil when there is nothing to tell.
+type Writer func() []byte
+
 type section struct {
 	topic string
-	every int // Of so many states, one has the section.
-	write func() []byte
+	open  func() Writer
 }
 
 // peer is another node.
@@ -91,6 +94,8 @@
 	incarnation uint64
 	ready       bool
 	revision    tarragondeal.Revision
+	follows     bool
+	source      tarragondeal.NodeID
 	wall        time.Duration // The node's wall clock over this node's clock.
 }
 
@@ -98,17 +103,18 @@
 func New(d Deps, self Node) *Mesh {
 	m := &Mesh{
 		Deps: d, self: self, receivers: make(map[string]func(tarragondeal.NodeID, []byte)),
-		changed: make(chan struct{}, 1), peers: make(map[tarragondeal.NodeID]*peer),
+		peers: make(map[tarragondeal.NodeID]*peer),
 	}
 	d.Mirror.Subscribe(m.follow)
 	return m
 }
 
-// Publish adds a part's section to one of every so many states that the node
-// tells. Write returns nil when there is nothing to tell. Call it before the
-// mesh runs.
-func (m *Mesh) Publish(topic string, every int, write func() []byte) {
-	m.publish = append(m.publish, section{topic: topic, every: max(1, every), write: write})
+// Publish adds a part's section to the states that the node tells. Open is
+// called for each stream, and the writer it returns for each state: a stream
+// loses nothing until it ends, so only what is new need be written. Call it
+// before the mesh runs.
+func (m *Mesh) Publish(topic string, open func() Writer) {
+	m.publish = append(m.publish, section{topic: topic, open: open})
 }
 
 // Whole reports whether all nodes that are known are heard.
@@ -129,14 +135,6 @@
 	m.receivers[topic] = receive
 }
 
-// Tell has the state told soon.
-func (m *Mesh) Tell() {
-	select {
-	case m.changed <- struct{}{}:
-	default:
-	}
-}
-
 // Self returns this node.
 func (m *Mesh) Self() tarragondeal.Member { return m.member(m.self, tarragondeal.MemberAlive) }
 
@@ -234,8 +232,8 @@
 
 // start opens the stream to a node, once the mesh runs.
 func (m *Mesh) start(p *peer) {
-	if m.group == nil || p.cancel != nil {
-		return
+	if m.group == nil || p.cancel != nil || p.node.Name < m.self.Name {
+		return // The node whose name comes first opens the stream.
 	}
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancel(context.Background())
@@ -243,7 +241,7 @@
 	m.group.Go("tell "+string(node.Name), func(group context.Context) error {
 		stop := context.AfterFunc(group, p.cancel)
 		defer stop()
-		return m.tell(ctx, node)
+		return m.connect(ctx, node)
 	})
 }
 
@@ -284,7 +282,6 @@
 	RegisterMeshServer(srv, m)
 	g.Go("serve peers", func(context.Context) error { return srv.Serve(ln) })
 	g.Go("list this node", m.keepListed)
-	g.Go("copy from peers", m.copyFromPeers)
 	g.Go("forget peers", m.forgetPeers)
 	stop := context.AfterFunc(ctx, func() {
 		srv.Stop()
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -33,8 +33,8 @@
 	listTimeout = time.Second
 )
 
-// tell sends this node's state to another one until ctx ends.
-func (m *Mesh) tell(ctx context.Context, n Node) error {
+// connect keeps a stream to another node until ctx ends.
+func (m *Mesh) connect(ctx context.Context, n Node) error {
 	conn, err := grpc.NewClient("passthrough:///"+n.Peer.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
@@ -51,7 +51,7 @@
 	defer func() { _ = conn.Close() }()
 	lost := false
 	for ctx.Err() == nil {
-		err := m.stream(ctx, NewMeshClient(conn))
+		err := m.open(ctx, NewMeshClient(conn))
 		if ctx.Err() == nil && !lost {
 			lost = true
 			m.Log.Info().Err(err).Str("peer", string(n.Name)).Msg("stream to node ended")
@@ -61,22 +61,47 @@
 	return nil
 }
 
-func (m *Mesh) stream(ctx context.Context, c MeshClient) error {
+func (m *Mesh) open(ctx context.Context, c MeshClient) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s, err := c.Report(ctx)
+	s, err := c.Exchange(ctx)
 	if err != nil {
 		return err
 	}
-	for n := 0; ; n++ {
-		if err := s.Send(m.state(n)); err != nil {
-			if errors.Is(err, io.EOF) {
-				return s.RecvMsg(&Ended{})
-			}
+	return m.exchange(ctx, s)
+}
+
+// Exchange takes a stream that another node opens.
+func (m *Mesh) Exchange(s grpc.BidiStreamingServer[State, State]) error {
+	return m.exchange(s.Context(), s)
+}
+
+// stream is either side of a stream of states.
+type stream interface {
+	Send(*State) error
+	Recv() (*State, error)
+}
+
+// exchange tells and takes states until the stream ends.
+func (m *Mesh) exchange(ctx context.Context, s stream) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := m.newTeller()
+	ends := make(chan error, 1)
+	go func() { ends <- m.tell(ctx, s, w) }()
+	err := m.take(s, w)
+	cancel()
+	return errors.Join(err, <-ends)
+}
+
+// tell sends states until ctx ends.
+func (m *Mesh) tell(ctx context.Context, s stream, w *teller) error {
+	for {
+		if err := s.Send(w.state()); err != nil {
 			return err
 		}
 		if !tdclock.Sleep(ctx, m.interval()) {
-			return ctx.Err()
+			return nil
 		}
 	}
 }
@@ -85,29 +110,12 @@
 	return tellLeast + time.Duration(m.Size()-1)*tellPerPeer
 }
 
-// state returns the state number n of a stream.
-func (m *Mesh) state(n int) *State {
-	s := &State{
-		Node: string(m.self.Name), Incarnation: m.self.Incarnation,
-		Ready: m.Ready(), Revision: uint64(m.Mirror.Revision()), WallNanos: m.Clock.Wall().UnixNano(),
-	}
-	for _, p := range m.publish {
-		if n%p.every != 0 {
-			continue
-		}
-		if payload := p.write(); payload != nil {
-			s.Sections = append(s.Sections, &Section{Topic: p.topic, Payload: payload})
-		}
-	}
-	return s
-}
-
-// Report takes another node's states.
-func (m *Mesh) Report(s grpc.ClientStreamingServer[State, Ended]) error {
+// take takes states until the stream ends.
+func (m *Mesh) take(s stream, w *teller) error {
 	for {
 		state, err := s.Recv()
 		if errors.Is(err, io.EOF) {
-			return s.SendAndClose(&Ended{})
+			return nil
 		}
 		if err != nil {
 			return err
@@ -115,6 +123,8 @@
 		if !m.heard(state) {
 			continue
 		}
+		w.peer.Store(new(tarragondeal.NodeID(state.GetNode())))
+		m.takeCopy(state)
 		for _, part := range state.GetSections() {
 			if receive := m.receivers[part.GetTopic()]; receive != nil {
 				receive(tarragondeal.NodeID(state.GetNode()), part.GetPayload())
@@ -142,74 +152,10 @@
 	p.incarnation = s.GetIncarnation()
 	p.wall = time.Duration(s.GetWallNanos()) - time.Duration(m.Clock.Now())
 	p.heard, p.ready, p.revision = m.Clock.Now(), s.GetReady(), tarragondeal.Revision(s.GetRevision())
+	p.follows, p.source = s.GetFollows(), tarragondeal.NodeID(s.GetSource())
 	return true
 }
 
-// Copy answers what this node has copied of the store.
-func (m *Mesh) Copy(_ context.Context, q *CopyRequest) (*CopyReply, error) {
-	entries, rev, whole := m.Mirror.Since(tarragondeal.Revision(q.GetAfter()))
-	out := &CopyReply{Revision: uint64(rev), Whole: whole}
-	for _, e := range entries {
-		out.Items = append(out.Items, &Item{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: e.Deleted})
-	}
-	return out, nil
-}
-
-// copyFromPeers asks other nodes for what the store does not tell this one.
-func (m *Mesh) copyFromPeers(ctx context.Context) error {
-	for tdclock.Sleep(ctx, copyEvery) {
-		if away, _ := m.Mirror.Away(); !away {
-			continue
-		}
-		if p, ok := m.ahead(); ok {
-			if err := m.copyFrom(ctx, p); err != nil {
-				m.Log.Debug().Err(err).Str("peer", string(p.Name)).Msg("copy failed")
-			}
-		}
-	}
-	return nil
-}
-
-// ahead returns a node that has copied more of the store than this one.
-func (m *Mesh) ahead() (Node, bool) {
-	own := m.Mirror.Revision()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if m.heardNow(p) && p.revision > own {
-			return p.node, true
-		}
-	}
-	return Node{}, false
-}
-
-func (m *Mesh) copyFrom(ctx context.Context, n Node) error {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	conn, err := grpc.NewClient("passthrough:///"+n.Peer.String(), grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
-			return m.Dialer.DialContext(ctx, "tcp", addr)
-		}))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = conn.Close() }()
-	out, err := NewMeshClient(conn).Copy(ctx, &CopyRequest{After: uint64(m.Mirror.Revision())})
-	if err != nil {
-		return err
-	}
-	entries := make([]tarragondeal.Entry, 0, len(out.GetItems()))
-	for _, i := range out.GetItems() {
-		entries = append(entries, tarragondeal.Entry{
-			Key: i.GetKey(), Value: i.GetValue(), Revision: tarragondeal.Revision(i.GetRevision()), Deleted: i.GetDeleted(),
-		})
-	}
-	m.Log.Info().Str("peer", string(n.Name)).Uint64("revision", out.GetRevision()).Int("changes", len(entries)).
-		Bool("whole", out.GetWhole()).Msg("store's changes taken from another node")
-	m.Mirror.Take(entries, tarragondeal.Revision(out.GetRevision()), out.GetWhole())
-	return nil
-}
-
 // forgetPeers drops nodes that are neither listed nor heard.
 func (m *Mesh) forgetPeers(ctx context.Context) error {
 	for tdclock.Sleep(ctx, forgetEvery) {
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -40,6 +40,11 @@
 	// other callers of a service that comes back.
 	retryLeast = 50 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
+	// restEvery is how often a node that does not follow the service looks
+	// whether it is to.
+	restEvery = 100 * time.Millisecond
+	// gather is how long changes are let come together before the next watch.
+	gather = 40 * time.Millisecond
 	// maxHistory bounds the changes that are kept for other nodes; one that
 	// lacks more gets the whole copy.
 	maxHistory = 256
@@ -48,8 +53,11 @@
 // Options are what a mirror works with.
 type Options struct {
 	Prefixes []string // Of the keys that are copied.
-	Log      zerolog.Logger
-	Scope    tally.Scope
+	// Follows reports whether this node is to follow the service itself, once
+	// it has listed the keys. Nil stands for always.
+	Follows func() bool
+	Log     zerolog.Logger
+	Scope   tally.Scope
 }
 
 // Changes are entries that were taken in together.
@@ -146,6 +154,10 @@
 	if !listed {
 		return m.list(ctx)
 	}
+	if m.opt.Follows != nil && !m.opt.Follows() {
+		tdclock.Sleep(ctx, restEvery)
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	entries, next, err := m.source.Watch(ctx, "", rev, watchWait)
@@ -161,6 +173,9 @@
 		return err
 	}
 	m.take(entries, max(next, rev))
+	if len(entries) > 0 {
+		tdclock.Sleep(ctx, gather)
+	}
 	return nil
 }
 
--- a/internal/node/tdvm/drain.go
+++ b/internal/node/tdvm/drain.go
@@ -21,7 +21,6 @@
 func (n *Node) drain() {
 	start := n.clock.Now()
 	n.host.Leave()
-	n.mesh.Tell()
 	n.log.Info().Int("open", n.host.Open()).Msg("leaving")
 	least := keptTimes * addressTTL
 	most := n.vm.Bounds.Grace - endMargin
--- a/internal/node/tdvm/duties.go
+++ b/internal/node/tdvm/duties.go
@@ -21,8 +21,6 @@
 	dutyLease = "duties"
 	// leaseMargin is kept free before the lease's end.
 	leaseMargin = 300 * time.Millisecond
-	// begunEvery is how many states go by between two that tell counts.
-	begunEvery = 3
 	// ordersIdle is how many unused connections for orders are kept.
 	ordersIdle = 1
 )
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -130,6 +130,7 @@
 	n.store = platform.NewStore(n.vm.Store, n.client(storeIdle), n.clock)
 	n.mirror = tdmirror.New(n.store, n.clock, tdmirror.Options{
 		Prefixes: []string{platform.ConfigKey, platform.ServersPrefix, tdmesh.Keys},
+		Follows:  func() bool { return n.mesh.Follows() },
 		Log:      tdlog.Part(n.log, "mirror"), Scope: n.metrics.Scope.SubScope("mirror"),
 	})
 	n.mesh = tdmesh.New(tdmesh.Deps{
@@ -140,7 +141,7 @@
 		Name: n.vm.Node, Incarnation: n.incarnation, DataCentre: n.vm.DataCentre, Peer: n.vm.Peer, Callers: n.vm.Callers,
 	})
 	n.begun = tdbegun.NewCounter(tdbegun.Process{Node: n.vm.Node, Incarnation: n.incarnation}, n.vm.Bounds.Window, n.mesh.Wall, n.clock)
-	n.mesh.Publish(tdbegun.Topic, begunEvery, n.begun.State)
+	n.mesh.Publish(tdbegun.Topic, func() tdmesh.Writer { return n.begun.Writer() })
 	n.mesh.Receive(tdbegun.Topic, func(from tarragondeal.NodeID, payload []byte) {
 		if !n.begun.Hear(from, payload) {
 			n.log.Warn().Str("peer", string(from)).Msg("counts can't be read")
@@ -154,7 +155,7 @@
 	n.fit = tdfit.New(tdfit.Deps{
 		Clock: n.clock, Size: n.mesh.Size, Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
 	}, tdfit.Options{DataCentre: n.vm.DataCentre, Bounds: n.vm.Bounds})
-	n.mesh.Publish(tdfit.Topic, 1, n.fit.State)
+	n.mesh.Publish(tdfit.Topic, func() tdmesh.Writer { return n.fit.Writer() })
 	n.mesh.Receive(tdfit.Topic, n.fit.Hear)
 	scope := n.metrics.Scope.SubScope("entry")
 	log := tdlog.Part(n.log, "entry")
