Start planning from the servers that are there, and keep them until callers ask

A new holder now goes on from what serves, and gives nothing up until there has been work to judge by.

--- a/internal/capacity/tdscale/duty.go
+++ b/internal/capacity/tdscale/duty.go
@@ -117,11 +117,11 @@
 	if len(m.centres) == 0 {
 		return nil // The list has not come yet.
 	}
-	m.plan(Need(p.Engine, t.d.Fleet.Busy(p.Name)), now)
-	state := State{Live: live, Scarce: m.scarceNow(now)}
 	for c := range p.Scaling.ZonePrices {
 		m.centres[c] = true // No server may be left where some have been.
 	}
+	m.plan(p.Engine, t.d.Fleet.Busy(p.Name), live, now)
+	state := State{Live: live, Scarce: m.scarceNow(now)}
 	for c := range m.centres {
 		state.Centres = append(state.Centres, c)
 	}
@@ -146,8 +146,14 @@
 
 // plan raises what is planned by at once, and lowers it only when less has
 // done for a while.
-func (m *pool) plan(need int, now tarragondeal.Instant) {
+func (m *pool) plan(e *tarragondeal.Engine, b Busy, live map[Kind]int, now tarragondeal.Instant) {
+	need := Need(e, b)
+	if m.need == 0 {
+		m.need = max(need, without(live, len(m.centres)))
+	}
 	switch {
+	case b == (Busy{}):
+		m.low = 0 // Nobody has asked for anything yet.
 	case need >= m.need:
 		m.need, m.low = need, 0
 	case m.low == 0:
@@ -157,6 +163,19 @@
 	}
 }
 
+// without returns how many of the servers would be left without those of one
+// data centre. A new holder goes on from there.
+func without(live map[Kind]int, centres int) int {
+	n := 0
+	for _, count := range live {
+		n += count
+	}
+	if centres < 2 {
+		return n
+	}
+	return n * (centres - 1) / centres
+}
+
 func (m *pool) scarceNow(now tarragondeal.Instant) map[Kind]bool {
 	out := make(map[Kind]bool)
 	for k, until := range m.scarce {
