--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -95,7 +95,7 @@
 	platform.SetID(w.Header(), caller.ID)
 	q, err := h.admit(w, r, caller, arrived)
 	if err == nil {
-		q.Exchange = tdpass.New(h.Backend, h.Starts, caller, r.Host, h.Log)
+		q.Exchange = tdpass.New(h.Backend, h.Starts, caller, r.Host, h.Clock, h.Log)
 		err = h.Flow.Run(r.Context(), w, q)
 	}
 	if err != nil {
--- a/internal/entry/tdpass/doc.go
+++ b/internal/entry/tdpass/doc.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	x := tdpass.New(backend, caller, log)
+//	x := tdpass.New(backend, starts, caller, host, clock, log)
 //	request.Exchange = x
 //	err := flow.Run(ctx, w, request)
 package tdpass
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -48,16 +48,18 @@
 	starts  Starts
 	caller  platform.Caller
 	host    string
+	clock   tarragondeal.Clock
 	log     zerolog.Logger
+	pace    pace
 
 	headed  bool   // The caller has got the head of a stream.
 	last    string // The number of the last event that the caller has got.
 	counted bool   // The request was counted as begun.
 }
 
-// New returns the exchange of one request.
-func New(b tarragondeal.Backend, s Starts, c platform.Caller, host string, log zerolog.Logger) *Exchange {
-	return &Exchange{backend: b, starts: s, caller: c, host: host, log: log, last: c.Resume}
+// New returns the exchange of one request whose caller named host.
+func New(b tarragondeal.Backend, s Starts, c platform.Caller, host string, clock tarragondeal.Clock, log zerolog.Logger) *Exchange {
+	return &Exchange{backend: b, starts: s, caller: c, host: host, clock: clock, log: log, last: c.Resume}
 }
 
 // Do makes one try.
@@ -208,6 +210,7 @@
 			watch.stop()
 			x.begin(t, answer)
 		}
+		x.pace.event(x.clock.Now())
 		if err := x.pass(t.W, rc, &ev, events.More()); err != nil {
 			return tdflow.Result{Failure: tdflow.FailCaller, Ran: tarragondeal.RanYes, Err: err}
 		}
@@ -237,6 +240,7 @@
 	if !x.headed {
 		x.begin(t, answer)
 	}
+	x.logLate(t)
 	return tdflow.Result{Ran: tarragondeal.RanYes}
 }
 
