--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -16,10 +16,13 @@
 	farAway = 4 * time.Millisecond
 	// tightCost is added to a long prompt's estimate for each stream beside
 	// it whose pauses it would stretch too far.
-	tightCost = 25 * time.Millisecond
+	tightCost = 50 * time.Millisecond
 	// heavyCost is added to a tight stream's estimate for each millisecond of
 	// long prompts that the engine read lately.
 	heavyCost = 1.2
+	// openCost is added to a tight stream's estimate for an engine that has
+	// none: together they leave more engines to long prompts.
+	openCost = 100 * time.Millisecond
 	// rereadCost weighs reading a part again that another engine holds.
 	rereadCost = 0.5
 	// fullCost is added for a whole batch more than the engine runs at once.
@@ -84,6 +87,9 @@
 	switch {
 	case w.tight:
 		c += time.Duration(heavyCost * s.heavy.now(now) * float64(time.Millisecond))
+		if t.tight == 0 {
+			c += openCost
+		}
 	case fresh > f.heavyFrom:
 		c += time.Duration(t.tight) * tightCost
 	}
