Test nodes on a stand-in of the platform; put duties off instead of ending them

Cause, found by the first run of these tests: a call's time and the margin were together longer than a short lease, so the duty gave the lease up before each call, took it again and waited. The lease lasts three seconds at least, and a check that fails puts the call off until the lease is renewed or lost.

--- a/internal/account/tdbegun/reporter.go
+++ b/internal/account/tdbegun/reporter.go
@@ -84,19 +84,16 @@
 func (r *Reporter) Duty(ctx context.Context, held tarragondeal.Held) error {
 	t := &term{r: r, held: held, sent: make(map[int64]bool)}
 	for tdclock.Sleep(ctx, lookEvery) {
-		if err := t.look(ctx); err != nil {
-			return err
-		}
+		t.look(ctx)
 	}
 	return nil
 }
 
-// look reports what is due. It returns an error when the duty is lost; all else
-// is tried again.
-func (t *term) look(ctx context.Context) error {
+// look reports what is due. What fails is tried again.
+func (t *term) look(ctx context.Context) {
 	if !t.read {
 		t.load(ctx)
-		return nil
+		return
 	}
 	now := t.r.Counter.wall()
 	open := now.UnixNano() / int64(t.r.opt.Window)
@@ -110,11 +107,8 @@
 				continue
 			}
 		}
-		if err := t.send(ctx, number, sums); err != nil {
-			return err
-		}
+		t.send(ctx, number, sums)
 	}
-	return nil
 }
 
 // ripe reports whether a window's counts have come in, or can't be waited for.
@@ -186,10 +180,12 @@
 	return sums
 }
 
-// send reports a window. An error means that the duty is lost.
-func (t *term) send(ctx context.Context, number int64, sums map[string]int64) error {
+// send reports a window, unless the lease may end before the call does: then it
+// is renewed first, or the duty ends.
+func (t *term) send(ctx context.Context, number int64, sums map[string]int64) {
 	if err := t.held.Check(callTimeout); err != nil {
-		return err
+		t.r.Log.Info().Err(err).Int64("window", number).Msg("report put off")
+		return
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -207,5 +203,4 @@
 	default:
 		t.r.Log.Warn().Err(err).Int64("window", number).Msg("report not answered, it is sent again")
 	}
-	return nil
 }
--- a/internal/capacity/tdscale/duty.go
+++ b/internal/capacity/tdscale/duty.go
@@ -95,15 +95,13 @@
 			if p.Scaling == nil || p.Engine == nil {
 				continue
 			}
-			if err := t.look(ctx, p); err != nil {
-				return err
-			}
+			t.look(ctx, p)
 		}
 	}
 	return nil
 }
 
-func (t *term) look(ctx context.Context, p *tarragondeal.ServerPool) error {
+func (t *term) look(ctx context.Context, p *tarragondeal.ServerPool) {
 	m := t.pools[p.Name]
 	if m == nil {
 		m = &pool{
@@ -115,7 +113,7 @@
 	now := t.d.Clock.Now()
 	live := t.live(p.Name, m)
 	if len(m.centres) == 0 {
-		return nil // The list has not come yet.
+		return // The list has not come yet.
 	}
 	for c := range p.Scaling.ZonePrices {
 		m.centres[c] = true // No server may be left where some have been.
@@ -125,7 +123,7 @@
 	for c := range m.centres {
 		state.Centres = append(state.Centres, c)
 	}
-	return t.order(ctx, p, m, MakePlan(p, m.need, state), live)
+	t.order(ctx, p, m, MakePlan(p, m.need, state), live)
 }
 
 // live counts the servers of a pool that are not leaving, and notes where the
@@ -187,14 +185,12 @@
 }
 
 // order sends what differs from the latest orders, for more servers first.
-func (t *term) order(ctx context.Context, p *tarragondeal.ServerPool, m *pool, plan Plan, live map[Kind]int) error {
+func (t *term) order(ctx context.Context, p *tarragondeal.ServerPool, m *pool, plan Plan, live map[Kind]int) {
 	for k, want := range plan {
 		if want <= live[k] || !m.due(k, want, p.Scaling.Boot+againAfter, t.d.Clock.Now()) {
 			continue
 		}
-		if err := t.send(ctx, p, m, k, want); err != nil {
-			return err
-		}
+		t.send(ctx, p, m, k, want)
 	}
 	spare := -m.need
 	for _, n := range live {
@@ -206,11 +202,8 @@
 			continue
 		}
 		spare -= live[k] - want
-		if err := t.send(ctx, p, m, k, want); err != nil {
-			return err
-		}
+		t.send(ctx, p, m, k, want)
 	}
-	return nil
 }
 
 // due reports whether an order must be sent: it has not been, or what it asked
@@ -220,10 +213,12 @@
 	return !ok || m.ordered[k] != want || now.Sub(at) > after
 }
 
-// send makes one order. An error means that the duty is lost.
-func (t *term) send(ctx context.Context, p *tarragondeal.ServerPool, m *pool, k Kind, want int) error {
+// send makes one order, unless the lease may end before the call does: then it
+// is renewed first, or the duty ends.
+func (t *term) send(ctx context.Context, p *tarragondeal.ServerPool, m *pool, k Kind, want int) {
 	if err := t.held.Check(callTimeout); err != nil {
-		return err
+		t.d.Log.Info().Err(err).Str("pool", p.Name).Msg("order put off")
+		return
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -246,5 +241,4 @@
 		delete(m.at, k)
 		log.Err(err).Msg("order failed, it is sent again")
 	}
-	return nil
 }
--- a/internal/entry/tdhost/answer.go
+++ b/internal/entry/tdhost/answer.go
@@ -59,7 +59,7 @@
 	h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
 
-// Ready answers whether the node is ready.
+// ServeReady answers whether the node is ready.
 func (h *Host) ServeReady(w http.ResponseWriter, _ *http.Request) {
 	if !h.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -96,7 +96,7 @@
 	q, err := h.admit(w, r, caller, arrived)
 	if err == nil {
 		q.Exchange = tdpass.New(h.Backend, h.Starts, caller, r.Host, h.Clock, h.Log)
-		err = h.Flow.Run(r.Context(), w, q)
+		err = h.run(r.Context(), w, q)
 	}
 	if err != nil {
 		h.refuse(w, r, caller, err, arrived)
@@ -104,6 +104,21 @@
 	h.Scope.Timer("request").Record(h.Clock.Now().Sub(arrived))
 }
 
+// writeSlack is how much longer than a request may last its caller may take to
+// accept the answer.
+const writeSlack = 2 * time.Second
+
+// run leads a request to its answer. A caller that accepts nothing more does
+// not hold it for ever.
+func (h *Host) run(ctx context.Context, w http.ResponseWriter, q *tdflow.Request) error {
+	rc := http.NewResponseController(w)
+	bound := max(q.Deadline, time.Duration(q.Class.Deadline)) + writeSlack
+	// Only a connection that is gone can't have a deadline.
+	_ = rc.SetWriteDeadline(time.Now().Add(bound))
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+	return h.Flow.Run(ctx, w, q)
+}
+
 // admit finds a request's route and workspace, and reads its body.
 func (h *Host) admit(w http.ResponseWriter, r *http.Request, c platform.Caller, arrived tarragondeal.Instant) (*tdflow.Request, error) {
 	t := h.table.Load()
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -25,8 +25,6 @@
 	silentLeast   = 250 * time.Millisecond
 	// silentShare bounds it by the time that is left.
 	silentShare = 0.5
-	// writeTime is how long a caller may take to accept more of an answer.
-	writeTime = 10 * time.Second
 )
 
 var (
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -181,10 +181,9 @@
 	for ctx.Err() == nil {
 		next, err := m.listOnce(ctx, lease, name, string(value))
 		wait := m.TTL / renewals
-		switch {
-		case err == nil:
+		if err == nil {
 			lease = &next
-		default:
+		} else {
 			var conflict *tarragondeal.ConflictError
 			if errors.As(err, &conflict) {
 				lease = nil
--- a/internal/node/tdvm/duties.go
+++ b/internal/node/tdvm/duties.go
@@ -19,6 +19,9 @@
 	// dutyLease is the lease under which one node reports usage and orders
 	// servers. Both are done by the same node, which saves calls.
 	dutyLease = "duties"
+	// leaseLeast is the least time of the lease: renewals need room for slow
+	// answers, and a call must fit between two of them.
+	leaseLeast = 3 * time.Second
 	// leaseMargin is kept free before the lease's end.
 	leaseMargin = 300 * time.Millisecond
 	// ordersIdle is how many unused connections for orders are kept.
@@ -36,7 +39,7 @@
 		Log: tdlog.Part(n.log, "scale"), Scope: n.metrics.Scope.SubScope("scale"),
 	}, tdscale.Options{Self: n.vm.Node})
 	leases := tdlease.New(n.store, n.clock, n.mesh, tdlease.Options{
-		TTL: max(n.vm.Bounds.LeaseTTL, n.vm.Bounds.MinLease), Margin: leaseMargin,
+		TTL: max(n.vm.Bounds.LeaseTTL, n.vm.Bounds.MinLease, leaseLeast), Margin: leaseMargin,
 		Log: tdlog.Part(n.log, "lease"), Scope: n.metrics.Scope.SubScope("lease"),
 	})
 	n.add("hold duties", func(ctx context.Context) error {
--- /dev/null
+++ b/test/vm/node_test.go
@@ -0,0 +1,270 @@
+package vm_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+// binary is the node's program.
+var binary string
+
+func TestVM(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "VM")
+}
+
+var _ = BeforeSuite(func() {
+	var err error
+	binary, err = gexec.Build("tarragondeal/cmd/tarragondeal-node")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+})
+
+// node is one process of the fleet under test.
+type node struct {
+	name                      string
+	callers, ready, addresses string
+	settings                  string
+	cmd                       *exec.Cmd
+	out                       *strings.Builder
+}
+
+// freePorts returns the first of so many ports in a row that were free.
+func freePorts(count int) int {
+	for range 100 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		first := ln.Addr().(*net.TCPAddr).Port
+		_ = ln.Close()
+		free := first+count < 60000
+		for p := first; free && p < first+count; p++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+			free = err == nil
+			if free {
+				_ = l.Close()
+			}
+		}
+		if free {
+			return first
+		}
+	}
+	Fail("no ports are free")
+	return 0
+}
+
+func newNode(name string, s *store) *node {
+	p := freePorts(8)
+	at := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", p+n) }
+	platform := strings.TrimPrefix(s.srv.URL, "http://")
+	n := &node{name: name, callers: at(0), ready: at(1), addresses: at(2)}
+	n.settings = filepath.Join(GinkgoT().TempDir(), name+".toml")
+	text := fmt.Sprintf(`node = %q
+zone = "duluth"
+region = "great-lakes"
+ip = "127.0.0.1"
+portRange = [%d,%d]
+bootstrap = true
+unknown = "passed over"
+[zones]
+duluth = "great-lakes"
+[listen]
+front = %q
+ready = %q
+directory = %q
+[limits]
+memoryMb = 256
+[bounds]
+drainMs = 2000
+graceS = 8
+configMs = 2000
+retryRatio = 0.2
+retryWindowS = 10
+retrySlack = 50
+leaseTtlMs = 1000
+usageWindowS = 2
+usageLateS = 4
+ttl_max_s = 5
+[provider]
+addr = %q
+minTtlMs = 1000
+[cloud]
+addr = %q
+`, name, p+3, p+7, n.callers, n.ready, n.addresses, platform, platform)
+	Expect(os.WriteFile(n.settings, []byte(text), 0o600)).To(Succeed())
+	n.start()
+	return n
+}
+
+func (n *node) start() {
+	n.out = &strings.Builder{}
+	n.cmd = exec.Command(binary, "-settings", n.settings)
+	n.cmd.Stdout, n.cmd.Stderr = n.out, n.out
+	Expect(n.cmd.Start()).To(Succeed())
+	cmd := n.cmd
+	DeferCleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if CurrentSpecReport().Failed() {
+			GinkgoWriter.Println(n.name, n.out.String())
+		}
+	})
+}
+
+// kill ends the process without warning and waits for its end.
+func (n *node) kill() {
+	_ = n.cmd.Process.Kill()
+	_ = n.cmd.Wait()
+}
+
+func (n *node) isReady() bool {
+	res, err := http.Get("http://" + n.ready + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// told returns the addresses that the node tells callers.
+func (n *node) told() []string {
+	res, err := http.Get("http://" + n.addresses + "/v1/resolve?name=x.example&region=great-lakes&zone=duluth")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	var out struct {
+		Addrs []string `json:"addrs"`
+	}
+	_ = json.NewDecoder(res.Body).Decode(&out)
+	return out.Addrs
+}
+
+// fleet is a deployment under test.
+type fleet struct {
+	store   *store
+	nodes   []*node
+	plain   *server
+	engine  *server
+	engine2 *server
+	version int
+	keys    []string
+}
+
+func newFleet(nodes int) *fleet {
+	f := &fleet{
+		store: newStore(), plain: newServer("i-plain"), engine: newServer("i-one"), engine2: newServer("i-two"),
+		version: 1, keys: []string{"key-a", "key-b"},
+	}
+	DeferCleanup(func() {
+		for _, s := range []*server{f.plain, f.engine, f.engine2} {
+			s.srv.CloseClientConnections()
+			s.srv.Close()
+		}
+		f.store.srv.CloseClientConnections()
+		f.store.srv.Close()
+	})
+	f.configure()
+	f.store.put("servers/i-plain", f.plain.entry("records", "ready"))
+	f.store.put("servers/i-one", f.engine.entry("model", "ready"))
+	f.store.put("servers/i-two", f.engine2.entry("model", "ready"))
+	f.store.put("servers/i-odd", "no server")
+	for n := range nodes {
+		f.nodes = append(f.nodes, newNode(fmt.Sprintf("node-%d", n+1), f.store))
+	}
+	return f
+}
+
+// configure writes the next configuration.
+func (f *fleet) configure() {
+	f.version++
+	route := func(name, prefix, kind, service string, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "x.example", "prefix": prefix, "kind": kind, "timeoutMs": 5000, "sloMs": 500,
+			"priority": 1, "service": service, "maxAttempts": 2, "public": false, "resumable": resumable, "gapSloMs": 400,
+		}
+	}
+	f.store.put("op/config", map[string]any{
+		"version": f.version,
+		"routes": []any{
+			route("chat", "/chat/", "stream", "model", true), route("look", "/look/", "idempotent", "records", false),
+			route("book", "/book/", "non_idempotent", "records", false),
+		},
+		"services": []any{
+			map[string]any{"name": "model", "engine": map[string]any{"slots": 8, "kvCapacity": 90000, "stride": 4}},
+			map[string]any{"name": "records"},
+		},
+		"tenants": []any{map[string]any{"name": "acme", "apiKeys": f.keys}},
+	})
+}
+
+func (f *fleet) settled() {
+	GinkgoHelper()
+	for _, n := range f.nodes {
+		Eventually(n.isReady, "10s", "20ms").Should(BeTrue(), n.name)
+		Eventually(n.told, "10s", "20ms").Should(HaveLen(len(f.nodes)), n.name)
+	}
+	Eventually(func() int { return f.nodes[0].get("/look/1", "key-a").status }, "10s", "20ms").Should(Equal(http.StatusOK))
+	Eventually(func() int { return f.nodes[0].get("/chat/1", "key-a").status }, "10s", "20ms").Should(Equal(http.StatusOK))
+}
+
+// reply is an answer as a caller got it.
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+var requests int
+
+func (n *node) get(target, key string) reply { return n.send(http.MethodGet, target, key, "") }
+
+func (n *node) send(method, target, key, body string) reply {
+	requests++
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+target, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Host = "x.example"
+	req.Header.Set("X-Request-Id", fmt.Sprintf("r%d", requests))
+	req.Header.Set("X-Deadline-Ms", "5000")
+	req.Header.Set("X-Tenant", "forged")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, body: string(text), header: res.Header, err: err}
+}
+
+// events returns the text of a whole stream.
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+func (n *node) signal(s syscall.Signal) { Expect(n.cmd.Process.Signal(s)).To(Succeed()) }
--- /dev/null
+++ b/test/vm/store_test.go
@@ -0,0 +1,290 @@
+package vm_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// item is one key of the stand-in for the platform's store.
+type item struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Rev     uint64 `json:"rev"`
+	Created uint64 `json:"created,omitempty"`
+	Lease   uint64 `json:"lease,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// store is the stand-in for the platform's store, orders and reports.
+type store struct {
+	mu       sync.Mutex
+	rev      uint64
+	items    map[string]item
+	events   []item
+	changed  chan struct{}
+	leases   map[uint64]time.Time
+	ttls     map[uint64]time.Duration
+	away     bool
+	rejected map[string]bool // Callers' addresses that are turned away.
+	reports  map[int64][]map[string]int64
+	fences   []uint64
+	srv      *httptest.Server
+}
+
+func newStore() *store {
+	s := &store{
+		rev: 1, items: map[string]item{}, changed: make(chan struct{}), leases: map[uint64]time.Time{},
+		ttls: map[uint64]time.Duration{}, reports: map[int64][]map[string]int64{},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv-key", s.get)
+	mux.HandleFunc("GET /v1/kv-range", s.list)
+	mux.HandleFunc("GET /v1/kv-watch", s.watch)
+	mux.HandleFunc("POST /v1/kv-txn", s.txn)
+	mux.HandleFunc("POST /v1/kv-lease", s.lease)
+	mux.HandleFunc("POST /v1/kv-keep/{id}", s.keep)
+	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.end)
+	mux.HandleFunc("POST /usage", s.usage)
+	mux.HandleFunc("POST /scale", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	s.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away := s.away
+		s.mu.Unlock()
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	}))
+	return s
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *store) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	s.wake()
+}
+
+func (s *store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes a key, as operators and servers do.
+func (s *store) put(key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(key, text, 0)
+}
+
+// remove removes a key.
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delete(key)
+}
+
+func (s *store) write(key string, value []byte, lease uint64) {
+	s.rev++
+	i := item{Key: key, Value: value, Rev: s.rev, Created: s.rev, Lease: lease}
+	s.items[key] = i
+	s.events = append(s.events, i)
+	s.wake()
+}
+
+func (s *store) delete(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.rev++
+	delete(s.items, key)
+	s.events = append(s.events, item{Key: key, Rev: s.rev, Deleted: true})
+	s.wake()
+}
+
+// expire removes the keys of leases that have ended.
+func (s *store) expire() {
+	for id, until := range s.leases {
+		if time.Now().Before(until) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, i := range s.items {
+			if i.Lease == id {
+				s.delete(key)
+			}
+		}
+	}
+}
+
+func (s *store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	i, ok := s.items[r.URL.Query().Get("key")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, i)
+}
+
+func (s *store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	out := []item{}
+	for key, i := range s.items {
+		if strings.HasPrefix(key, r.URL.Query().Get("prefix")) && key > r.URL.Query().Get("after") {
+			out = append(out, i)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Key < out[b].Key })
+	const page = 3 // Small, so that pages follow one another.
+	more := len(out) > page
+	answer(w, http.StatusOK, map[string]any{"items": out[:min(page, len(out))], "hasMore": more, "storeRevision": s.rev})
+}
+
+func (s *store) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	until := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		s.expire()
+		out := []item{}
+		for _, e := range s.events {
+			if e.Rev > after {
+				out = append(out, e)
+			}
+		}
+		rev, changed, away := s.rev, s.changed, s.away
+		s.mu.Unlock()
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if len(out) > 0 {
+			answer(w, http.StatusOK, map[string]any{"events": out, "storeRevision": rev})
+			return
+		}
+		select {
+		case <-changed:
+		case <-until:
+			answer(w, http.StatusOK, map[string]any{"events": out, "storeRevision": rev})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *store) txn(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		ExpectRev []item   `json:"expectRev"`
+		Writes    []item   `json:"writes"`
+		Remove    []string `json:"remove"`
+	}
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, e := range t.ExpectRev {
+		if s.items[e.Key].Rev != e.Rev {
+			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []item{s.items[e.Key]}})
+			return
+		}
+	}
+	for _, n := range t.Writes {
+		if _, ok := s.leases[n.Lease]; n.Lease != 0 && !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		s.write(n.Key, n.Value, n.Lease)
+	}
+	for _, key := range t.Remove {
+		s.delete(key)
+	}
+	answer(w, http.StatusOK, map[string]any{"rev": s.rev})
+}
+
+func (s *store) lease(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		TTLMS int64 `json:"ttlMs"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&in)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	ttl := time.Duration(in.TTLMS) * time.Millisecond
+	s.leases[s.rev], s.ttls[s.rev] = time.Now().Add(ttl), ttl
+	answer(w, http.StatusOK, map[string]any{"lease": s.rev, "ttlMs": in.TTLMS})
+}
+
+func (s *store) keep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if _, ok := s.leases[id]; !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.leases[id] = time.Now().Add(s.ttls[id])
+	answer(w, http.StatusOK, map[string]any{"ttlMs": s.ttls[id].Milliseconds()})
+}
+
+func (s *store) end(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[id]; ok {
+		s.leases[id] = time.Now()
+		s.expire()
+	}
+	answer(w, http.StatusOK, map[string]any{})
+}
+
+func (s *store) usage(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Window int64            `json:"window"`
+		Counts map[string]int64 `json:"counts"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&in)
+	fence, _ := strconv.ParseUint(r.Header.Get("X-Fence-Token"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports[in.Window] = append(s.reports[in.Window], in.Counts)
+	s.fences = append(s.fences, fence)
+}
+
+// reported returns the requests that were reported of a workspace.
+func (s *store) reported(workspace string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var sum int64
+	for _, reports := range s.reports {
+		sum += reports[len(reports)-1][workspace]
+	}
+	return sum
+}
