--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -61,6 +61,8 @@
 	mu        sync.Mutex
 	view      *tarragondeal.View
 	servers   map[tarragondeal.ServerID]*server
+	pools     map[string][]*server // The same, by pool.
+	homes     homes
 	budgets   map[string]*tdretry.Budget
 	rate      float64 // Of engines on average.
 	heavyFrom int     // Prompts of more fresh tokens disturb tight streams.
@@ -87,7 +89,7 @@
 	return &Fit{
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		rate: firstRate, heavyFrom: chunkTokens, grants: make(map[tarragondeal.GrantID]*held), crashes: newCrashes(d.Clock),
-		heard: make(map[tarragondeal.NodeID]tarragondeal.Instant), reading: make(map[string]*decaying),
+		heard: make(map[tarragondeal.NodeID]tarragondeal.Instant), reading: make(map[string]*decaying), homes: newHomes(),
 	}
 }
 
@@ -108,6 +110,15 @@
 			f.servers[s.ID] = newServer(s.Server, p.Engine, f.rate)
 		}
 	}
+	f.sortPools()
+}
+
+// sortPools brings the lists of pools up to the servers.
+func (f *Fit) sortPools() {
+	f.pools = make(map[string][]*server)
+	for _, s := range f.servers {
+		f.pools[s.Pool] = append(f.pools[s.Pool], s)
+	}
 }
 
 // stride returns the tokens of an event of the engines that serve a class.
@@ -147,6 +158,7 @@
 			delete(f.servers, id)
 		}
 	}
+	f.sortPools()
 }
 
 // Reserve chooses a server. The error is a *tarragondeal.RefusedError.
@@ -211,8 +223,8 @@
 func (f *Fit) best(w *want, pool string, now tarragondeal.Instant) *server {
 	var best *server
 	var least time.Duration
-	for _, s := range f.servers {
-		if s.Pool != pool || s.State != tarragondeal.VMLive || now < s.holdOff || slices.Contains(w.ask.Avoid, s.ID) {
+	for _, s := range f.candidates(w, pool) {
+		if s.State != tarragondeal.VMLive || now < s.holdOff || slices.Contains(w.ask.Avoid, s.ID) {
 			continue
 		}
 		if s.engine != nil {
@@ -250,6 +262,7 @@
 // sent notes that an engine was given a prompt, by whichever node.
 func (f *Fit) sent(s *server, fresh int, links []link, now tarragondeal.Instant) {
 	took := s.sent(now, fresh, links, fresh > f.heavyFrom)
+	f.homes.add(links, s.ID)
 	d := f.reading[s.Pool]
 	if d == nil {
 		d = &decaying{half: readingHalf}
