Plan by a whole list of servers, and give up on silent servers only within the budget

It now waits until the list has stopped growing. Second cause: requests given up on after twice their target had no retry left, so that 42 live streams lost their place in a queue and got 502. The retry is taken before the try is given up. Requests with targets wait briefly while the best engine still reads for longer than a third of the target.

--- a/internal/capacity/tdscale/duty.go
+++ b/internal/capacity/tdscale/duty.go
@@ -20,6 +20,9 @@
 	callTimeout = time.Second
 	// lowerAfter is how long fewer servers must do before any is given up.
 	lowerAfter = 8 * time.Second
+	// settleFor is how long the list of servers must not have grown before a new
+	// holder plans by it: servers list themselves one by one.
+	settleFor = 1500 * time.Millisecond
 	// scarceFor is how long servers that were not to be had are not asked for.
 	scarceFor = 1500 * time.Millisecond
 	// againAfter is added to the time that a server takes to start, before a
@@ -80,6 +83,23 @@
 	at      map[Kind]tarragondeal.Instant // When.
 	scarce  map[Kind]tarragondeal.Instant // Until when.
 	centres map[string]bool
+	listed  int                  // The most servers that were listed.
+	grown   tarragondeal.Instant // When they became so many.
+}
+
+// settled reports whether the list of servers has stopped growing.
+func (m *pool) settled(live map[Kind]int, now tarragondeal.Instant) bool {
+	if m.need > 0 {
+		return true
+	}
+	n := 0
+	for _, count := range live {
+		n += count
+	}
+	if n > m.listed {
+		m.listed, m.grown = n, now
+	}
+	return n > 0 && now.Sub(m.grown) > settleFor
 }
 
 // Run orders servers until ctx ends or the duty is lost.
@@ -112,8 +132,8 @@
 	}
 	now := t.d.Clock.Now()
 	live := t.live(p.Name, m)
-	if len(m.centres) == 0 {
-		return // The list has not come yet.
+	if !m.settled(live, now) {
+		return // The list has not come as a whole yet.
 	}
 	for c := range p.Scaling.ZonePrices {
 		m.centres[c] = true // No server may be left where some have been.
--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -23,6 +23,11 @@
 	// openCost is added to a tight stream's estimate for an engine that has
 	// none: together they leave more engines to long prompts.
 	openCost = 100 * time.Millisecond
+	// backlogShare is the share of a request's target for which the best engine
+	// may still be reading other prompts, and holdShare the share for which the
+	// request is held back until it no longer does.
+	backlogShare = 0.35
+	holdShare    = 0.25
 	// rereadCost weighs reading a part again that another engine holds.
 	rereadCost = 0.5
 	// fullCost is added for a whole batch more than the engine runs at once.
@@ -96,6 +101,18 @@
 	return c
 }
 
+// holds reports whether a request that others go before waits for engines to
+// read what they have, rather than stand in the way there.
+func (f *Fit) holds(w *want, s *server, now, start tarragondeal.Instant) bool {
+	if s.engine == nil || w.tight || w.ask.Target <= 0 {
+		return false
+	}
+	if now.Sub(start) > time.Duration(holdShare*float64(w.ask.Target)) {
+		return false
+	}
+	return s.backlog(now) > time.Duration(backlogShare*float64(w.ask.Target))
+}
+
 // common is what counts for engines and plain servers alike.
 func (f *Fit) common(s *server, t *use, now tarragondeal.Instant) time.Duration {
 	c := time.Duration(coldCost * float64(s.ColdLeft))
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -164,9 +164,10 @@
 // Reserve chooses a server. The error is a *tarragondeal.RefusedError.
 func (f *Fit) Reserve(ctx context.Context, a tarragondeal.Ask) (tarragondeal.Grant, error) {
 	w := newWant(&a)
-	until := f.Clock.Now().Add(time.Duration(waitShare * float64(a.Target)))
-	for {
-		g, ok, err := f.choose(&w)
+	start := f.Clock.Now()
+	until := start.Add(time.Duration(waitShare * float64(a.Target)))
+	for first := true; ; first = false {
+		g, ok, err := f.choose(&w, start, first)
 		if ok || err != nil {
 			return g, err
 		}
@@ -181,7 +182,7 @@
 	return &tarragondeal.RefusedError{Reason: reason, Ran: tarragondeal.RanNot, Detail: detail, RetryAfter: after}
 }
 
-func (f *Fit) choose(w *want) (tarragondeal.Grant, bool, error) {
+func (f *Fit) choose(w *want, start tarragondeal.Instant, first bool) (tarragondeal.Grant, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if n := f.crashes.servers(w.ask.Fingerprint); n >= crashesMost {
@@ -189,11 +190,14 @@
 		return tarragondeal.Grant{}, false, refused(tarragondeal.ReasonQuarantined, "this request broke the connection to several servers", 0)
 	}
 	now := f.Clock.Now()
-	if w.ask.Attempt == 1 {
+	if w.ask.Attempt == 1 && first {
 		f.budget(w.ask).Seen()
 	}
 	for _, pool := range poolsByShare(w.ask) {
 		if s := f.best(w, pool, now); s != nil {
+			if f.holds(w, s, now, start) {
+				return tarragondeal.Grant{}, false, nil
+			}
 			return f.hand(w, s, now), true, nil
 		}
 	}
--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -104,8 +104,9 @@
 }
 
 // NeedsBudget reports whether a retry takes from the fleet's budget. One that
-// follows an attempt which cost no server anything is free.
-func (f Failure) NeedsBudget() bool { return f != FailUnsent && f != FailPlace }
+// follows an attempt which cost no server anything is free, and one that follows
+// a silent server was taken when the attempt was given up.
+func (f Failure) NeedsBudget() bool { return f != FailUnsent && f != FailPlace && f != FailSilent }
 
 // CombineRan returns what can be said of a request after two attempts.
 func CombineRan(a, b tarragondeal.Ran) tarragondeal.Ran {
--- a/internal/entry/tdflow/exchange.go
+++ b/internal/entry/tdflow/exchange.go
@@ -24,7 +24,10 @@
 	Left    time.Duration // Left until it is of no use.
 	// Last says that no other attempt would follow a failure.
 	Last bool
-	W    http.ResponseWriter
+	// MayRetry takes one retry from the fleet's budget. A try that ends as
+	// FailSilent has taken it.
+	MayRetry func() bool
+	W        http.ResponseWriter
 	// Began is called when the server has begun to answer, and Delivered when
 	// the caller has got a byte.
 	Began     func()
@@ -47,6 +50,7 @@
 	out := r.q.Exchange.Do(ctx, &Try{
 		Request: r.q, Server: a.grant.Server, Attempt: r.attempts, Tier: r.ask.Tier,
 		Target: r.ask.Target, Left: r.left(), Last: Next(s) != StepRetry, W: r.w,
+		MayRetry: func() bool { return r.f.Dispatch.MayRetry(r.ask) },
 		Began: func() {
 			a.firstToken()
 			r.f.Dispatch.Progress(a.grant, 1)
--- a/internal/entry/tdpass/silence.go
+++ b/internal/entry/tdpass/silence.go
@@ -27,7 +27,11 @@
 	}
 	wait := max(silentLeast, silentTargets*t.Target)
 	wait = min(wait, time.Duration(silentShare*float64(t.Left)))
-	s.timer = time.AfterFunc(wait, func() { cancel(errSilent) })
+	s.timer = time.AfterFunc(wait, func() {
+		if t.MayRetry() { // Without another try the wait goes on.
+			cancel(errSilent)
+		}
+	})
 	return inner, s
 }
 
