--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -21,7 +21,7 @@
 	heldBytes = 1 << 20
 	// silentTargets is how many times its target an attempt may take to begin
 	// when another one may follow, and silentLeast the least such time.
-	silentTargets = 4
+	silentTargets = 3
 	silentLeast   = 250 * time.Millisecond
 	// silentShare bounds it by the time that is left.
 	silentShare = 0.5
--- /dev/null
+++ b/internal/fleet/tdmesh/mesh_test.go
@@ -0,0 +1,131 @@
+package tdmesh
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragondeal"
+	"tarragondeal/internal/fleet/tdmirror"
+)
+
+type hand struct {
+	now  tarragondeal.Instant
+	wall time.Duration // The wall clock over the steady one.
+}
+
+func (h *hand) Now() tarragondeal.Instant { return h.now }
+func (h *hand) Wall() time.Time           { return time.Unix(0, int64(h.now)+int64(h.wall)).UTC() }
+
+func newMesh(name string, c *hand) *Mesh {
+	mirror := tdmirror.New(nil, c, tdmirror.Options{Prefixes: []string{Keys}, Log: zerolog.Nop()})
+	return New(Deps{Mirror: mirror, Clock: c, Ready: func() bool { return true }, Log: zerolog.Nop()},
+		Node{Name: tarragondeal.NodeID(name), Incarnation: 1})
+}
+
+// hear has the mesh hear a node that follows the store or does not.
+func (m *Mesh) hear(name string, follows bool, wall time.Duration) {
+	m.mu.Lock()
+	if m.peers[tarragondeal.NodeID(name)] == nil {
+		m.peers[tarragondeal.NodeID(name)] = &peer{node: Node{Name: tarragondeal.NodeID(name)}, listed: true}
+	}
+	m.mu.Unlock()
+	m.heard(&State{
+		Node: name, Incarnation: 1, Ready: true, Follows: follows,
+		WallNanos: int64(m.Clock.Now()) + int64(wall),
+	})
+}
+
+func TestOneWrongClock(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		own    time.Duration
+		others []time.Duration
+	}{
+		{"own clock ahead", 5 * time.Second, []time.Duration{0, 0, 0}},
+		{"own clock behind", -5 * time.Second, []time.Duration{0, 0}},
+		{"another clock ahead", 0, []time.Duration{9 * time.Second, 0}},
+		{"alone", 0, nil},
+	} {
+		clock := &hand{now: tarragondeal.Instant(time.Hour), wall: c.own}
+		m := newMesh("a", clock)
+		for n, wall := range c.others {
+			m.hear(fmt.Sprintf("b%d", n), true, wall)
+		}
+		if got := m.Wall(); !got.Equal(time.Unix(0, int64(clock.now)).UTC()) {
+			t.Errorf("%s: off by %s", c.name, got.Sub(time.Unix(0, int64(clock.now))))
+		}
+	}
+}
+
+// TestFollowersOfTheStore checks that in a large fleet a few nodes follow the
+// store, and that a node goes to the store itself when it hears none of them.
+func TestFollowersOfTheStore(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		self         string
+		nodes        int
+		follow, want bool
+	}{
+		{"a small fleet", "z", smallFleet - 1, true, true},
+		{"a large fleet, among the first", "a", 40, true, true},
+		{"a large fleet, among the last", "z", 40, true, false},
+		{"a large fleet whose followers lost the store", "z", 40, false, true},
+	} {
+		m := newMesh(c.self, &hand{now: tarragondeal.Instant(time.Hour)})
+		for n := range c.nodes {
+			m.hear(fmt.Sprintf("n%02d", n), c.follow && n < followersLeast, 0)
+		}
+		if got := m.Follows(); got != c.want {
+			t.Errorf("%s: follows %t", c.name, got)
+		}
+		source := m.chooseSource(false)
+		if (source == "") != c.want {
+			t.Errorf("%s: takes copies from %q", c.name, source)
+		}
+	}
+}
+
+// TestNodeTheStoreTurnsAway checks that it takes copies from one that follows.
+func TestNodeTheStoreTurnsAway(t *testing.T) {
+	m := newMesh("a", &hand{now: tarragondeal.Instant(time.Hour)})
+	m.hear("b", false, 0)
+	m.hear("c", true, 0)
+	if got := m.chooseSource(true); got != "c" {
+		t.Errorf("takes copies from %q", got)
+	}
+}
+
+func TestSilentNodes(t *testing.T) {
+	clock := &hand{now: tarragondeal.Instant(time.Hour)}
+	m := newMesh("a", clock)
+	m.hear("b", true, 0)
+	if n := len(m.ReadyNodes()); n != 2 || !m.Whole() {
+		t.Errorf("%d nodes are ready, whole %t", n, m.Whole())
+	}
+	clock.now = clock.now.Add(heardWithin)
+	if n := len(m.ReadyNodes()); n != 1 || m.Whole() {
+		t.Errorf("%d nodes are ready, whole %t", n, m.Whole())
+	}
+	// A process whose clock is behind the one that fell silent is heard.
+	m.heard(&State{Node: "b", Incarnation: 0, Ready: true})
+	if n := len(m.ReadyNodes()); n != 2 {
+		t.Errorf("%d nodes are ready", n)
+	}
+}
+
+func FuzzTakeCopy(f *testing.F) {
+	f.Add("held/node/b", []byte(`{"name":"b","peer":"10.0.0.1:1"}`), uint64(3), false)
+	f.Add("held/node/a", []byte(`x`), uint64(1), true)
+	f.Fuzz(func(t *testing.T, key string, value []byte, rev uint64, deleted bool) {
+		m := newMesh("a", &hand{now: 1})
+		m.takeCopy(&State{Copy: &Copy{Revision: rev, Items: []*Item{{Key: key, Value: value, Revision: rev, Deleted: deleted}}}})
+		for _, p := range m.Members() {
+			if p.Node == "" {
+				t.Fatal("a node without a name")
+			}
+		}
+	})
+}
--- a/internal/fleet/tdmesh/wall.go
+++ b/internal/fleet/tdmesh/wall.go
@@ -12,7 +12,7 @@
 	offsets := []time.Duration{time.Duration(m.Clock.Wall().UnixNano()) - now}
 	m.mu.Lock()
 	for _, p := range m.peers {
-		if m.heardNow(p) && p.wall != 0 {
+		if m.heardNow(p) {
 			offsets = append(offsets, p.wall)
 		}
 	}
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -130,10 +130,13 @@
 func (m *Mirror) Run(ctx context.Context) error {
 	pause := retryLeast
 	for ctx.Err() == nil {
-		err := m.step(ctx)
+		changed, err := m.step(ctx)
 		if err == nil {
 			m.reached()
 			pause = retryLeast
+			if changed {
+				tdclock.Sleep(ctx, gather)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -146,17 +149,18 @@
 	return nil
 }
 
-// step lists when there is nothing to go on from, and watches otherwise.
-func (m *Mirror) step(ctx context.Context) error {
+// step lists when there is nothing to go on from, and watches otherwise. It
+// reports whether a watch brought changes.
+func (m *Mirror) step(ctx context.Context) (changed bool, err error) {
 	m.mu.Lock()
 	listed, rev := m.listed, m.rev
 	m.mu.Unlock()
 	if !listed {
-		return m.list(ctx)
+		return false, m.list(ctx)
 	}
 	if m.opt.Follows != nil && !m.opt.Follows() {
 		tdclock.Sleep(ctx, restEvery)
-		return nil
+		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
@@ -167,16 +171,13 @@
 		m.mu.Lock()
 		m.listed = false
 		m.mu.Unlock()
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	m.take(entries, max(next, rev))
-	if len(entries) > 0 {
-		tdclock.Sleep(ctx, gather)
-	}
-	return nil
+	return len(entries) > 0, nil
 }
 
 // list reads all keys. What is held and was not listed has been removed, as
