--- a/internal/capacity/tdscale/duty.go
+++ b/internal/capacity/tdscale/duty.go
@@ -19,7 +19,7 @@
 	// callTimeout bounds one order.
 	callTimeout = time.Second
 	// lowerAfter is how long fewer servers must do before any is given up.
-	lowerAfter = 8 * time.Second
+	lowerAfter = 10 * time.Second
 	// settleFor is how long the list of servers must not have grown before a new
 	// holder plans by it: servers list themselves one by one.
 	settleFor = 1500 * time.Millisecond
@@ -78,7 +78,7 @@
 // pool is what the holder remembers of one pool.
 type pool struct {
 	need    int                           // What is planned by.
-	low     tarragondeal.Instant          // Since when less would do.
+	lately  []needed                      // What was needed, newest last.
 	ordered Plan                          // The latest orders that were taken.
 	at      map[Kind]tarragondeal.Instant // When.
 	scarce  map[Kind]tarragondeal.Instant // Until when.
@@ -87,6 +87,12 @@
 	grown   tarragondeal.Instant // When they became so many.
 }
 
+// needed is how many engines were needed at a time.
+type needed struct {
+	at    tarragondeal.Instant
+	count int
+}
+
 // settled reports whether the list of servers has stopped growing.
 func (m *pool) settled(live map[Kind]int, now tarragondeal.Instant) bool {
 	if m.need > 0 {
@@ -162,22 +168,22 @@
 	return live
 }
 
-// plan raises what is planned by at once, and lowers it only when less has
-// done for a while.
+// plan sets what is planned by: the most that was needed lately. Nothing is
+// given up before anybody has asked for anything.
 func (m *pool) plan(e *tarragondeal.Engine, b Busy, live map[Kind]int, now tarragondeal.Instant) {
 	need := Need(e, b)
 	if m.need == 0 {
-		m.need = max(need, without(live, len(m.centres)))
+		need = max(need, without(live, len(m.centres)))
+	} else if len(m.lately) > 0 && b == (Busy{}) {
+		need = max(need, m.need)
 	}
-	switch {
-	case b == (Busy{}):
-		m.low = 0 // Nobody has asked for anything yet.
-	case need >= m.need:
-		m.need, m.low = need, 0
-	case m.low == 0:
-		m.low = now
-	case now.Sub(m.low) > lowerAfter:
-		m.need, m.low = m.need-1, now.Add(-lowerAfter/2)
+	m.lately = append(m.lately, needed{at: now, count: need})
+	for now.Sub(m.lately[0].at) > lowerAfter {
+		m.lately = m.lately[1:]
+	}
+	m.need = 0
+	for _, n := range m.lately {
+		m.need = max(m.need, n.count)
 	}
 }
 
