Let a holder act at once after a lease that lapsed; tell of suspects for a time

A lease that lapsed needs no further wait: its holder has not acted for that long. Test: TestServerThatFallsSilent fails without the change.

--- a/internal/capacity/tdscale/duty.go
+++ b/internal/capacity/tdscale/duty.go
@@ -23,6 +23,8 @@
 	// settleFor is how long the list of servers must not have grown before a new
 	// holder plans by it: servers list themselves one by one.
 	settleFor = 1500 * time.Millisecond
+	// followedFor is how long a node must have followed the list to trust it.
+	followedFor = 4 * time.Second
 	// scarceFor is how long servers that were not to be had are not asked for.
 	scarceFor = 1500 * time.Millisecond
 	// againAfter is added to the time that a server takes to start, before a
@@ -56,7 +58,8 @@
 
 // Options bound the duty.
 type Options struct {
-	Self tarragondeal.NodeID
+	Self  tarragondeal.NodeID
+	Start tarragondeal.Instant // When the node began to follow the list.
 }
 
 // Duty orders servers while its node holds it.
@@ -93,9 +96,10 @@
 	count int
 }
 
-// settled reports whether the list of servers has stopped growing.
-func (m *pool) settled(live map[Kind]int, now tarragondeal.Instant) bool {
-	if m.need > 0 {
+// settled reports whether the list of servers has stopped growing, or the node
+// has followed it for long.
+func (m *pool) settled(live map[Kind]int, now, start tarragondeal.Instant) bool {
+	if m.need > 0 || len(live) > 0 && now.Sub(start) > followedFor {
 		return true
 	}
 	n := 0
@@ -138,7 +142,7 @@
 	}
 	now := t.d.Clock.Now()
 	live := t.live(p.Name, m)
-	if !m.settled(live, now) {
+	if !m.settled(live, now, t.d.opt.Start) {
 		return // The list has not come as a whole yet.
 	}
 	for c := range p.Scaling.ZonePrices {
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -284,6 +284,7 @@
 		return
 	}
 	h.started = true
+	h.s.answer = f.Clock.Now()
 	if h.s.engine != nil && h.alone {
 		h.s.learn(h.fresh, f.Clock.Now().Sub(h.sent))
 		f.rate += rateWeight / 4 * (h.s.rate - f.rate)
@@ -313,6 +314,7 @@
 	switch o.Kind {
 	case tarragondeal.OutcomeServed:
 		h.s.served.add(now, 1)
+		h.s.answer = now
 	case tarragondeal.OutcomeUnused:
 		h.s.faults.add(now, 1)
 		h.s.holdOff = now.Add(holdOffFor)
@@ -324,13 +326,24 @@
 		h.s.faults.add(now, 1)
 	case tarragondeal.OutcomeLate:
 		h.s.faults.add(now, 1)
+		// An engine may just have much to read.
+		if h.s.engine == nil && h.s.quiet(h.sent) {
+			h.s.holdOff, h.s.suspect = now.Add(holdOffFor), now.Add(holdOffFor)
+			f.Log.Info().Str("server", string(h.s.ID)).Dur("for", holdOffFor).Msg("server is silent, held off")
+		}
+	}
+	if h.s.fault(now) > failingFrom {
+		h.s.suspect = max(h.s.suspect, now.Add(suspectFor))
 	}
-	h.s.own.failing = h.s.fault(now) > failingFrom
 }
 
-// failingFrom is the share of failed requests from which a node tells the
-// others of a server.
-const failingFrom = 0.5
+const (
+	// failingFrom is the share of failed requests from which a node tells the
+	// others of a server.
+	failingFrom = 0.5
+	// suspectFor is for how long it does, unless further ones fail.
+	suspectFor = 5 * time.Second
+)
 
 // MayRetry takes one retry from this node's part of the budget.
 func (f *Fit) MayRetry(a tarragondeal.Ask) bool {
--- a/internal/dispatch/tdfit/fit_test.go
+++ b/internal/dispatch/tdfit/fit_test.go
@@ -239,6 +239,29 @@
 	}
 }
 
+// TestServerThatFallsSilent is the pattern of a server that takes requests and
+// answers none: the first one that is given up on keeps further ones away, at
+// this node and at those that it tells.
+func TestServerThatFallsSilent(t *testing.T) {
+	a, b := newWorld(0), newWorld(0)
+	tell := a.Writer()
+	b.Hear("a", tell())
+	g, _ := a.reserve(tarragondeal.Ask{Pools: []string{"p"}})
+	a.clock.now = a.clock.now.Add(200 * time.Millisecond)
+	b.clock.now = a.clock.now
+	a.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeLate})
+	b.Hear("a", tell())
+	for name, w := range map[string]*world{"this node": a, "another node": b} {
+		for range 20 {
+			other, err := w.reserve(tarragondeal.Ask{Pools: []string{"p"}})
+			if err != nil || other.Server.ID == g.Server.ID {
+				t.Fatalf("%s: %s, %v", name, other.Server.ID, err)
+			}
+			w.Done(other, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
+		}
+	}
+}
+
 // TestRetriesStayWithinTheBudget is the pattern of servers that fail
 // everything: the repeats of all nodes together keep to the deployment's bound.
 func TestRetriesStayWithinTheBudget(t *testing.T) {
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -40,7 +40,7 @@
 		if first {
 			told = f.seq // What was sent before weighs no more.
 		}
-		m := &Load{Sent: f.sentSince(told), Crashes: f.crashes.recent(), Uses: f.changedUses(uses), Whole: first}
+		m := &Load{Sent: f.sentSince(told), Crashes: f.crashes.recent(), Uses: f.changedUses(uses, f.Clock.Now()), Whole: first}
 		told, first = f.seq, false
 		out, err := proto.Marshal(m)
 		if err != nil {
@@ -56,20 +56,21 @@
 }
 
 // changedUses returns the uses that differ from those told, and notes them.
-func (f *Fit) changedUses(told map[tarragondeal.ServerID]use) []*Use {
+func (f *Fit) changedUses(told map[tarragondeal.ServerID]use, now tarragondeal.Instant) []*Use {
 	var out []*Use
 	for id, s := range f.servers {
-		if s.own == told[id] {
+		u := s.now(now)
+		if u == told[id] {
 			continue
 		}
-		if s.own == (use{}) {
+		if u == (use{}) {
 			delete(told, id)
 		} else {
-			told[id] = s.own
+			told[id] = u
 		}
 		out = append(out, &Use{
-			Server: string(id), Running: uint32(max(0, s.own.running)), Tight: uint32(max(0, s.own.tight)),
-			Tokens: uint64(max(0, s.own.tokens)), Failing: s.own.failing,
+			Server: string(id), Running: uint32(max(0, u.running)), Tight: uint32(max(0, u.tight)),
+			Tokens: uint64(max(0, u.tokens)), Failing: u.failing,
 		})
 	}
 	return out
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -68,6 +68,8 @@
 	faults  decaying
 	served  decaying
 	holdOff tarragondeal.Instant // Nothing is sent before.
+	answer  tarragondeal.Instant // The last sign of life that this node had.
+	suspect tarragondeal.Instant // Until when the other nodes are told to beware.
 }
 
 func newServer(s tarragondeal.Server, e *tarragondeal.Engine, rate float64) *server {
@@ -86,7 +88,7 @@
 
 // total returns what all nodes have running at the server.
 func (f *Fit) total(s *server, now tarragondeal.Instant) use {
-	t := s.own
+	t := s.now(now)
 	for node, u := range s.others {
 		if now.Sub(f.heard[node]) > othersFor {
 			continue
@@ -99,6 +101,13 @@
 	return t
 }
 
+// now returns what this node has running at the server, as others are told.
+func (s *server) now(now tarragondeal.Instant) use {
+	u := s.own
+	u.failing = now < s.suspect
+	return u
+}
+
 // slots returns how many requests run at once.
 func (s *server) slots() int {
 	if s.engine != nil {
@@ -139,6 +148,10 @@
 	s.rate = min(rateMost, max(rateLeast, s.rate+rateWeight*(sample-s.rate)))
 }
 
+// quiet reports whether a request that got no answer came to a server that
+// answered nothing else of this node either since the request was sent.
+func (s *server) quiet(sent tarragondeal.Instant) bool { return s.answer < sent }
+
 // fault returns the share of requests that failed at the server lately.
 func (s *server) fault(now tarragondeal.Instant) float64 {
 	f := s.faults.now(now)
--- a/internal/node/tdvm/duties.go
+++ b/internal/node/tdvm/duties.go
@@ -37,7 +37,7 @@
 	scale := tdscale.New(tdscale.Deps{
 		Orders: orders, Fleet: fleet{n.fit}, Clock: n.clock,
 		Log: tdlog.Part(n.log, "scale"), Scope: n.metrics.Scope.SubScope("scale"),
-	}, tdscale.Options{Self: n.vm.Node})
+	}, tdscale.Options{Self: n.vm.Node, Start: n.clock.Now()})
 	leases := tdlease.New(n.store, n.clock, n.mesh, tdlease.Options{
 		TTL: max(n.vm.Bounds.LeaseTTL, n.vm.Bounds.MinLease, leaseLeast), Margin: leaseMargin,
 		Log: tdlog.Part(n.log, "lease"), Scope: n.metrics.Scope.SubScope("lease"),
@@ -50,13 +50,15 @@
 }
 
 // hold carries out the duties while the lease is held. The platform must not
-// see two holders act by turns within the time of a lease, whichever way the
-// one before ended: a new holder waits that long first. Only where no node
-// can have held the lease before, there is nothing to wait for.
+// see two holders act by turns within the time of a lease. A holder before that
+// let the lease lapse has not acted for that long; after one that gave it up, a
+// new holder waits. Where no node can have held the lease, there is nothing to
+// wait for.
 func (n *Node) hold(ctx context.Context, held tarragondeal.Held, r *tdbegun.Reporter, s *tdscale.Duty) error {
-	first := n.vm.FirstStart && held.Predecessor() == "" && !n.held
+	first := n.vm.FirstStart && !n.held
+	lapsed := held.Predecessor() != ""
 	n.held = true
-	if !first && !tdclock.Sleep(ctx, n.vm.Bounds.LeaseTTL) {
+	if !first && !lapsed && !tdclock.Sleep(ctx, n.vm.Bounds.LeaseTTL) {
 		return nil
 	}
 	g := tdtask.New(ctx)
