--- a/test/vm/node_test.go
+++ b/test/vm/node_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -230,12 +231,12 @@
 	err    error
 }
 
-var requests int
+var requests atomic.Int64
 
 func (n *node) get(target, key string) reply { return n.send(http.MethodGet, target, key, "") }
 
 func (n *node) send(method, target, key, body string) reply {
-	requests++
+	id := requests.Add(1)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+target, strings.NewReader(body))
@@ -243,7 +244,7 @@
 		return reply{err: err}
 	}
 	req.Host = "x.example"
-	req.Header.Set("X-Request-Id", fmt.Sprintf("r%d", requests))
+	req.Header.Set("X-Request-Id", fmt.Sprintf("r%d", id))
 	req.Header.Set("X-Deadline-Ms", "5000")
 	req.Header.Set("X-Tenant", "forged")
 	if key != "" {
--- a/test/vm/server_test.go
+++ b/test/vm/server_test.go
@@ -16,6 +16,8 @@
 	target string
 	body   string
 	header http.Header
+	// turnedAway says that the server told not to have run it.
+	turnedAway bool
 }
 
 // server is a stand-in for a backend server.
@@ -60,7 +62,10 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, arrival{at: time.Now(), target: r.RequestURI, body: string(body), header: r.Header.Clone()})
+	s.arrivals = append(s.arrivals, arrival{
+		at: time.Now(), target: r.RequestURI, body: string(body), header: r.Header.Clone(),
+		turnedAway: s.turnAway || r.Header.Get("X-Expect-Instance") != s.id,
+	})
 	work, events, breakAt, turnAway := s.work, s.events, s.breakAt, s.turnAway
 	s.mu.Unlock()
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
