Leave a source of copies that falls behind

Copies are now taken from the node that has most, once the source has been behind it for half a second. Test: TestSourceThatFallsBehind fails without the change.

--- a/internal/fleet/tdmesh/mesh_test.go
+++ b/internal/fleet/tdmesh/mesh_test.go
@@ -98,6 +98,30 @@
 	}
 }
 
+// TestSourceThatFallsBehind checks that copies are taken from another node when
+// the source, which still believes that it follows the store, hears no more of it.
+func TestSourceThatFallsBehind(t *testing.T) {
+	clock := &hand{now: tarragondeal.Instant(time.Hour)}
+	m := newMesh("z", clock)
+	tell := func(name string, rev tarragondeal.Revision) {
+		m.hear(name, true, 0)
+		m.peers[tarragondeal.NodeID(name)].revision = rev
+	}
+	tell("a", 5)
+	if got := m.chooseSource(true); got != "a" {
+		t.Fatalf("takes copies from %q", got)
+	}
+	for range 20 {
+		clock.now = clock.now.Add(100 * time.Millisecond)
+		tell("a", 5)
+		tell("b", 6)
+		m.chooseSource(true)
+	}
+	if got := m.chooseSource(true); got != "b" {
+		t.Errorf("takes copies from %q, which is behind", got)
+	}
+}
+
 func TestSilentNodes(t *testing.T) {
 	clock := &hand{now: tarragondeal.Instant(time.Hour)}
 	m := newMesh("a", clock)
--- a/internal/fleet/tdmesh/teller.go
+++ b/internal/fleet/tdmesh/teller.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"tarragondeal"
 )
@@ -108,6 +109,10 @@
 	return before < followersLeast || fresh == 0
 }
 
+// behindFor is how long a source may be behind other nodes before copies are
+// taken from one of those: its own watch may have fallen silent.
+const behindFor = 500 * time.Millisecond
+
 // chooseSource returns the node from which copies of the store are taken, or
 // nothing when this node needs none.
 func (m *Mesh) chooseSource(away bool) tarragondeal.NodeID {
@@ -116,15 +121,34 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p := m.peers[m.source]; p != nil && p.follows && m.heardNow(p) {
-		return m.source
+	best := m.newest()
+	now := m.Clock.Now()
+	p := m.peers[m.source]
+	switch {
+	case best == nil:
+		m.source = ""
+	case p == nil || !p.follows || !m.heardNow(p):
+		m.source, m.behind = best.node.Name, 0
+	case p.revision >= best.revision:
+		m.behind = 0
+	case m.behind == 0:
+		m.behind = now
+	case now.Sub(m.behind) > behindFor:
+		m.Log.Info().Str("peer", string(m.source)).Uint64("revision", uint64(p.revision)).
+			Str("instead", string(best.node.Name)).Uint64("newest", uint64(best.revision)).Msg("source is behind, left")
+		m.source, m.behind = best.node.Name, 0
 	}
-	m.source = ""
-	for name, p := range m.peers {
-		if p.follows && m.heardNow(p) {
-			m.source = name
-			break
+	return m.source
+}
+
+// newest returns the node that follows the store and has copied most of it, or
+// nil when none is heard.
+func (m *Mesh) newest() *peer {
+	var best *peer
+	for _, p := range m.peers {
+		if p.follows && m.heardNow(p) && (best == nil || p.revision > best.revision) {
+			best = p
 		}
 	}
-	return m.source
+	return best
 }
--- a/test/vm/path_test.go
+++ b/test/vm/path_test.go
@@ -1,6 +1,7 @@
 package vm_test
 
 import (
+	"errors"
 	"net/http"
 	"os"
 	"os/exec"
@@ -213,8 +214,8 @@
 		Expect(os.WriteFile(file, []byte("node = \"n\"\nzone = \"z\"\nip = \"nowhere\"\n"), 0o600)).To(Succeed())
 		out, err := exec.Command(binary, "-settings", file).CombinedOutput()
 		var exit *exec.ExitError
-		Expect(err).To(BeAssignableToTypeOf(exit))
-		Expect(err.(*exec.ExitError).ExitCode()).To(Equal(2))
+		Expect(errors.As(err, &exit)).To(BeTrue())
+		Expect(exit.ExitCode()).To(Equal(2))
 		Expect(string(out)).To(ContainSubstring("field ip"))
 	})
 })
--- a/test/vm/store_test.go
+++ b/test/vm/store_test.go
@@ -23,18 +23,17 @@
 
 // store is the stand-in for the platform's store, orders and reports.
 type store struct {
-	mu       sync.Mutex
-	rev      uint64
-	items    map[string]item
-	events   []item
-	changed  chan struct{}
-	leases   map[uint64]time.Time
-	ttls     map[uint64]time.Duration
-	away     bool
-	rejected map[string]bool // Callers' addresses that are turned away.
-	reports  map[int64][]map[string]int64
-	fences   []uint64
-	srv      *httptest.Server
+	mu      sync.Mutex
+	rev     uint64
+	items   map[string]item
+	events  []item
+	changed chan struct{}
+	leases  map[uint64]time.Time
+	ttls    map[uint64]time.Duration
+	away    bool
+	reports map[int64][]map[string]int64
+	fences  []uint64
+	srv     *httptest.Server
 }
 
 func newStore() *store {
