--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -72,7 +72,8 @@
 	mu        sync.Mutex
 	peers     map[tarragondeal.NodeID]*peer
 	group     *tdtask.Group
-	source    tarragondeal.NodeID // Where copies of the store are taken from.
+	source    tarragondeal.NodeID  // Where copies of the store are taken from.
+	behind    tarragondeal.Instant // Since when the source is behind; zero when it is not.
 }
 
 // Writer writes a part's section of the next state of one stream. It returns
