--- a/test/vm/node_test.go
+++ b/test/vm/node_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
+
+	"tarragondeal/internal/standin/tdport"
 )
 
 // binary is the node's program.
@@ -47,20 +48,14 @@
 
 // freePorts returns the first of so many ports in a row that were free.
 func freePorts(count int) int {
-	for range 100 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	first, length := 0, 0
+	for range 1000 {
+		addr, err := tdport.Free()
 		Expect(err).NotTo(HaveOccurred())
-		first := ln.Addr().(*net.TCPAddr).Port
-		_ = ln.Close()
-		free := first+count < 60000
-		for p := first; free && p < first+count; p++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-			free = err == nil
-			if free {
-				_ = l.Close()
-			}
+		if int(addr.Port()) != first+length {
+			first, length = int(addr.Port()), 0
 		}
-		if free {
+		if length++; length == count {
 			return first
 		}
 	}
@@ -68,6 +63,10 @@
 	return 0
 }
 
+// callers is the client of all callers under test. It keeps connections, so
+// that a long run does not use up the machine's ports.
+var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+
 func newNode(name string, s *store) *node {
 	p := freePorts(8)
 	at := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", p+n) }
@@ -250,7 +249,7 @@
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := callers.Do(req)
 	if err != nil {
 		return reply{err: err}
 	}
