--- a/cmd/tarragondeal-node/main.go
+++ b/cmd/tarragondeal-node/main.go
@@ -90,6 +90,6 @@
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	go n.Reload(ctx, hup, path)
+	n.ReloadOn(hup, path)
 	return n.Run(ctx)
 }
