--- a/internal/test/tdtest/node.go
+++ b/internal/test/tdtest/node.go
@@ -114,7 +114,8 @@
 func (n *Node) Resume() { n.signal(syscall.SIGCONT) }
 
 func (n *Node) signal(sig syscall.Signal) {
-	gomega.Expect(n.Session.Command.Process.Signal(sig)).To(gomega.Succeed())
+	gomega.Expect(n.Session.Command.Process.Signal(sig)).To(gomega.Succeed(),
+		"signal %s; the process's exit code is %d, and it wrote:\n%s", sig, n.Session.ExitCode(), n.Session.Err.Contents())
 }
 
 // Operator calls the operators' side and decodes the answer into out, if
