--- a/internal/test/tdtest/node.go
+++ b/internal/test/tdtest/node.go
@@ -81,7 +81,11 @@
 	}
 	args = append(args, s.Args...)
 	var err error
-	n.Session, err = gexec.Start(exec.Command(binary, args...), ginkgo.GinkgoWriter, ginkgo.GinkgoWriter)
+	cmd := exec.Command(binary, args...)
+	// A group of its own: the kernel hangs up stopped processes of a group that
+	// loses its last parent, as that of a shell's job does when the shell ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	n.Session, err = gexec.Start(cmd, ginkgo.GinkgoWriter, ginkgo.GinkgoWriter)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	gomega.Eventually(n.up, "10s", "20ms").Should(gomega.Succeed())
 }
--- a/test/vm/node_test.go
+++ b/test/vm/node_test.go
@@ -114,6 +114,7 @@
 	n.out = &strings.Builder{}
 	n.cmd = exec.Command(binary, "-settings", n.settings)
 	n.cmd.Stdout, n.cmd.Stderr = n.out, n.out
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // See tdtest.
 	Expect(n.cmd.Start()).To(Succeed())
 	cmd := n.cmd
 	DeferCleanup(func() {
