Bill a stream before its end; hold servers off that can't be reached

The flow told the dispatcher of an unreachable server as of one that refuses, so that tdfit never held it off, as it is written to.

A new kind of outcome, OutcomeUnreachable. Three pieces of code without a caller are gone.

The new tests fail without the change.

--- a/dispatch.go
+++ b/dispatch.go
@@ -70,13 +70,14 @@
 
 // The ways an attempt ends.
 const (
-	OutcomeServed    OutcomeKind = iota // The whole answer came.
-	OutcomeUnused                       // The grant was not used: no byte was sent.
-	OutcomeCancelled                    // The caller went away.
-	OutcomeRefused                      // The server answered that it won't.
-	OutcomeCrashed                      // The connection broke mid-way.
-	OutcomeLate                         // The deadline passed.
-	OutcomeWrong                        // The answer was another request's, or short.
+	OutcomeServed      OutcomeKind = iota // The whole answer came.
+	OutcomeUnused                         // The grant was not used: no byte was sent.
+	OutcomeCancelled                      // The caller went away.
+	OutcomeRefused                        // The server answered that it won't.
+	OutcomeCrashed                        // The connection broke mid-way.
+	OutcomeLate                           // The deadline passed.
+	OutcomeWrong                          // The answer was another request's, or short.
+	OutcomeUnreachable                    // The server could not be reached: no byte was sent.
 )
 
 // Outcome tells the owner of a server how an attempt ended.
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -315,7 +315,7 @@
 	case tarragondeal.OutcomeServed:
 		h.s.served.add(now, 1)
 		h.s.answer = now
-	case tarragondeal.OutcomeUnused:
+	case tarragondeal.OutcomeUnreachable:
 		h.s.faults.add(now, 1)
 		h.s.holdOff = now.Add(holdOffFor)
 		f.Log.Info().Str("server", string(h.s.ID)).Dur("for", holdOffFor).Msg("server can't be reached, held off")
--- a/internal/dispatch/tdfit/fit_test.go
+++ b/internal/dispatch/tdfit/fit_test.go
@@ -360,3 +360,36 @@
 		w.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
 	}
 }
+
+// TestServerThatCannotBeReachedIsHeldOff is the pattern of a server that has
+// crashed and is still listed.
+func TestServerThatCannotBeReachedIsHeldOff(t *testing.T) {
+	w := newWorld(3)
+	plain := tarragondeal.Ask{Pools: []string{"p"}}
+	g, err := w.reserve(plain)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeUnreachable})
+	for range 30 {
+		next, err := w.reserve(plain)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if next.Server.ID == g.Server.ID {
+			t.Fatal("the server gets requests again at once")
+		}
+	}
+	w.clock.now = w.clock.now.Add(holdOffFor)
+	got := false
+	for range 60 {
+		next, err := w.reserve(plain)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = got || next.Server.ID == g.Server.ID
+	}
+	if !got {
+		t.Error("the server gets nothing more")
+	}
+}
--- a/internal/dispatch/tdowner/report.go
+++ b/internal/dispatch/tdowner/report.go
@@ -81,7 +81,7 @@
 	switch kind {
 	case tarragondeal.OutcomeCrashed:
 		b.crash(now, st, k)
-	case tarragondeal.OutcomeRefused, tarragondeal.OutcomeUnused:
+	case tarragondeal.OutcomeRefused, tarragondeal.OutcomeUnused, tarragondeal.OutcomeUnreachable:
 		// The server refused the request, or could not be reached.
 		st.status.Refused(now)
 	case tarragondeal.OutcomeServed:
--- a/internal/entry/tdflow/account.go
+++ b/internal/entry/tdflow/account.go
@@ -28,6 +28,7 @@
 	o := tdrelay.Options{
 		Header:    func(h http.Header) { r.current.mark(h) },
 		Progress:  func(tokens int) { r.current.progress(tokens) },
+		End:       r.billWhole,
 		Write:     r.f.opt.Write,
 		HideUsage: !r.q.Model.WantUsage,
 	}
@@ -67,17 +68,22 @@
 	}
 }
 
-// meter brings what has been metered up to the figures given. The answer does
-// not wait for the meter, which counts the figures at once and then makes a
-// second copy of them.
-func (r *run) meter(input, output int, last bool) {
+// meter brings what has been metered up to the figures given. The meter counts
+// them at once and then makes a second copy of them; the channel is closed when
+// it has one or has given up.
+func (r *run) meter(input, output int, last bool) <-chan struct{} {
 	before := r.bill
 	r.bill = bill{input: max(input, before.input), output: max(output, before.output)}
 	u := tarragondeal.Usage{
 		Request: r.q.ID, Workspace: r.q.Workspace.Name, Route: r.q.Route.Name, Class: r.q.Class.Name,
 		At: r.f.Clock.Wall(), InputTokens: r.bill.input - before.input, OutputTokens: r.bill.output - before.output, Last: last,
 	}
-	r.f.metering.Go(func() { r.f.add(u) })
+	copied := make(chan struct{})
+	r.f.metering.Go(func() {
+		defer close(copied)
+		r.f.add(u)
+	})
+	return copied
 }
 
 // add hands figures to the meter. The meter counts them even if it fails, and
@@ -95,18 +101,33 @@
 // ended. No request may start meanwhile.
 func (f *Flow) Wait() { f.metering.Wait() }
 
+// billWhole meters a stream of which only the end marker is left, and waits for
+// the second copy: what a caller takes for whole is billed though this node dies.
+func (r *run) billWhole() { <-r.billStream() }
+
+// billStream meters what a stream has delivered so far, as the last of it.
+func (r *run) billStream() <-chan struct{} {
+	r.billed = true
+	u := tdrelay.Usage{Input: r.q.inputEstimate(), Output: r.stream.tokens()}
+	if told := r.stream.s.Usage(); told != nil {
+		u.Input = told.Input
+		u.Output = max(u.Output, told.Output)
+	}
+	r.q.Tokens = u.Input + u.Output
+	return r.meter(u.Input, u.Output, true)
+}
+
 // billEnd meters what was delivered when a request has ended. A stream that
 // broke is metered as far as the caller got it; a plain answer that broke is
 // of no use and costs nothing.
 func (r *run) billEnd(step Step) {
 	var u tdrelay.Usage
 	switch {
+	case r.billed:
+		return
 	case r.stream.started():
-		u = tdrelay.Usage{Input: r.q.inputEstimate(), Output: r.stream.tokens()}
-		if told := r.stream.s.Usage(); told != nil {
-			u.Input = told.Input
-			u.Output = max(u.Output, told.Output)
-		}
+		r.billStream()
+		return
 	case step != StepDone:
 		return
 	case r.q.Exchange != nil:
--- a/internal/entry/tdflow/course_test.go
+++ b/internal/entry/tdflow/course_test.go
@@ -37,6 +37,7 @@
 	outside  bool // Grants are outside the permitted places.
 	noRetry  bool
 	noMeter  bool
+	added    func() // Runs when the meter has a second copy.
 	claimErr error
 	finished []tarragondeal.Recorded
 	returned int
@@ -133,6 +134,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.usage = append(o.usage, u)
+	if o.added != nil {
+		o.added()
+	}
 	if o.noMeter {
 		return errors.New("no peer")
 	}
@@ -201,7 +205,7 @@
 		claim    string // kept, returned, or the recorded body.
 	}
 	served, wrong, crash := tarragondeal.OutcomeServed, tarragondeal.OutcomeWrong, tarragondeal.OutcomeCrashed
-	refused, cancelled := tarragondeal.OutcomeRefused, tarragondeal.OutcomeCancelled
+	refused, cancelled, unreachable := tarragondeal.OutcomeRefused, tarragondeal.OutcomeCancelled, tarragondeal.OutcomeUnreachable
 	type kinds = []tarragondeal.OutcomeKind
 	broken := part(io.ErrUnexpectedEOF, "a", "b")
 	for _, c := range []struct {
@@ -214,10 +218,10 @@
 	}{
 		{name: "streams", stream: true, steps: []step{whole("a", "b")}, want: expect{body: sse("a", "b", ".", "[DONE]"), calls: 1, outcomes: kinds{served}}},
 		{name: "retries after a crash before the first byte", stream: true, steps: []step{crashed, whole("a")}, want: expect{body: sse("a", ".", "[DONE]"), calls: 2, outcomes: kinds{crash, served}, waste: []string{"crashed"}}},
-		{name: "retries without a budget what was not sent", setup: func(o *world, _ context.CancelFunc) { o.noRetry = true }, steps: []step{unsent, plain(200, `{}`)}, want: expect{body: `{}`, calls: 2, outcomes: kinds{refused, served}}},
+		{name: "retries without a budget what was not sent", setup: func(o *world, _ context.CancelFunc) { o.noRetry = true }, steps: []step{unsent, plain(200, `{}`)}, want: expect{body: `{}`, calls: 2, outcomes: kinds{unreachable, served}}},
 		{name: "says unknown when the budget is empty", setup: func(o *world, _ context.CancelFunc) { o.noRetry = true }, steps: []step{crashed}, want: expect{code: "backendFailed", ran: tarragondeal.RanUnknown, calls: 1, outcomes: kinds{crash}, waste: []string{"crashed"}}},
-		{name: "never goes back to notRun", steps: []step{crashed, unsent, unsent}, want: expect{code: "backendFailed", ran: tarragondeal.RanUnknown, calls: 3, outcomes: kinds{crash, refused, refused}, waste: []string{"crashed"}}},
-		{name: "says notRun when nothing was sent", steps: []step{unsent, unsent, unsent}, want: expect{code: "backendFailed", ran: tarragondeal.RanNot, calls: 3, outcomes: kinds{refused, refused, refused}}},
+		{name: "never goes back to notRun", steps: []step{crashed, unsent, unsent}, want: expect{code: "backendFailed", ran: tarragondeal.RanUnknown, calls: 3, outcomes: kinds{crash, unreachable, unreachable}, waste: []string{"crashed"}}},
+		{name: "says notRun when nothing was sent", steps: []step{unsent, unsent, unsent}, want: expect{code: "backendFailed", ran: tarragondeal.RanNot, calls: 3, outcomes: kinds{unreachable, unreachable, unreachable}}},
 		{name: "delivers nothing of another's answer", steps: []step{{id: "q.9", media: "application/json", text: `{"not":"mine"}`}, plain(200, `{}`)}, want: expect{body: `{}`, calls: 2, outcomes: kinds{wrong, served}, waste: []string{"wrong"}}},
 		{name: "tries elsewhere when a server is busy or faulty", steps: []step{plain(503, `{}`), plain(500, `{}`), plain(200, `{"a":1}`)}, want: expect{body: `{"a":1}`, calls: 3, outcomes: kinds{refused, refused, served}, waste: []string{"refused", "serverFault"}}},
 		{name: "tries elsewhere when a plain answer is short", steps: []step{plain(200, `{"a":`), plain(200, `{}`)}, want: expect{body: `{}`, calls: 2, outcomes: kinds{wrong, served}, waste: []string{"short"}}},
@@ -235,10 +239,10 @@
 		{name: "never uses a grant outside its place", setup: func(o *world, _ context.CancelFunc) { o.outside = true }, want: expect{code: "noServer", ran: tarragondeal.RanNot, outcomes: kinds{tarragondeal.OutcomeUnused, tarragondeal.OutcomeUnused, tarragondeal.OutcomeUnused}}},
 		{name: "keeps its answer when the meter fails", setup: func(o *world, _ context.CancelFunc) { o.noMeter = true }, steps: []step{plain(200, `{}`)}, want: expect{body: `{}`, calls: 1, outcomes: kinds{served}}},
 
-		{name: "records a non-idempotent answer", once: true, steps: []step{unsent, plain(201, `{"id":7}`)}, want: expect{body: `{"id":7}`, calls: 2, outcomes: kinds{refused, served}, claim: `{"id":7}`}},
+		{name: "records a non-idempotent answer", once: true, steps: []step{unsent, plain(201, `{"id":7}`)}, want: expect{body: `{"id":7}`, calls: 2, outcomes: kinds{unreachable, served}, claim: `{"id":7}`}},
 		{name: "records whatever a service answered", once: true, steps: []step{plain(503, `{"busy":1}`)}, want: expect{body: `{"busy":1}`, calls: 1, outcomes: kinds{served}, claim: `{"busy":1}`}},
 		{name: "never sends a non-idempotent request twice", once: true, steps: []step{crashed}, want: expect{code: "backendFailed", ran: tarragondeal.RanUnknown, calls: 1, outcomes: kinds{crash}, waste: []string{"crashed"}, claim: "kept"}},
-		{name: "gives back the claim of what was not sent", once: true, steps: []step{unsent, unsent, unsent}, want: expect{code: "backendFailed", ran: tarragondeal.RanNot, calls: 3, outcomes: kinds{refused, refused, refused}, claim: "returned"}},
+		{name: "gives back the claim of what was not sent", once: true, steps: []step{unsent, unsent, unsent}, want: expect{code: "backendFailed", ran: tarragondeal.RanNot, calls: 3, outcomes: kinds{unreachable, unreachable, unreachable}, claim: "returned"}},
 		{name: "ends in peace when its key is withdrawn", once: true, steps: []step{plain(200, `{}`)}, setup: func(o *world, _ context.CancelFunc) { o.backend[0].then = o.withdraw }, want: expect{body: `{}`, calls: 1, outcomes: kinds{served}, claim: `{}`}},
 		{name: "is recorded though its caller went away", once: true, steps: []step{plain(200, `{}`)}, setup: func(o *world, cancel context.CancelFunc) { o.backend[0].then = cancel }, want: expect{body: `{}`, calls: 1, outcomes: kinds{served}, claim: `{}`}},
 		{name: "says unknown when no claim can be agreed", once: true, setup: func(o *world, _ context.CancelFunc) { o.claimErr = &tarragondeal.StoreError{Op: "swap"} }, want: expect{code: "storeAway", ran: tarragondeal.RanUnknown}},
@@ -352,6 +356,30 @@
 			Expect(last).To(Equal(1))
 		}
 	})
+
+	It("ends a stream only when its usage has a second copy", func() {
+		w := httptest.NewRecorder()
+		var atCopy string
+		o := &world{
+			view:    tarragondeal.NewView(1, &tarragondeal.Set{DataCentres: []tarragondeal.DataCentre{{Name: "duluth"}}}),
+			backend: []step{whole("a", "b")},
+		}
+		o.added = func() { atCopy = w.Body.String() }
+		body, err := ParseBody([]byte(`{"stream":true}`))
+		Expect(err).NotTo(HaveOccurred())
+		clock := tdclock.New()
+		flow := New(Deps{Dispatch: o, Backend: o, Claims: o, Meter: o, Burn: o, Clock: clock, Metrics: tally.NoopScope, Log: zerolog.Nop()}, Options{Attempts: 3})
+		Expect(flow.Run(context.Background(), w, &Request{
+			ID: "q", View: o.view, Workspace: &tarragondeal.Workspace{}, Model: body, Arrived: clock.Now(),
+			Route: &tarragondeal.Route{Pools: []string{"p"}}, Class: &tarragondeal.RequestClass{},
+		})).To(Succeed())
+		flow.Wait()
+		Expect(o.usage).To(HaveLen(1))
+		Expect(o.usage[0].Last).To(BeTrue())
+		Expect(atCopy).To(ContainSubstring(`"content":"b"`))
+		Expect(atCopy).NotTo(ContainSubstring("[DONE]"))
+		Expect(w.Body.String()).To(HaveSuffix("data: [DONE]\n\n"))
+	})
 })
 
 // after calls a function once what stands before it was read.
--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -122,7 +122,7 @@
 var outcomes = map[Failure]tarragondeal.OutcomeKind{
 	FailNone:     tarragondeal.OutcomeServed,
 	FailPlace:    tarragondeal.OutcomeUnused,
-	FailUnsent:   tarragondeal.OutcomeRefused,
+	FailUnsent:   tarragondeal.OutcomeUnreachable,
 	FailBusy:     tarragondeal.OutcomeRefused,
 	FailServer:   tarragondeal.OutcomeRefused,
 	FailRedirect: tarragondeal.OutcomeRefused,
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -109,6 +109,7 @@
 	recorded bool // The claim's answer has been recorded.
 
 	bill   bill
+	billed bool // The last of the request has been metered.
 	sample tarragondeal.Sample
 	tokens int                  // Delivered when the last token came.
 	last   tarragondeal.Instant // When the last token came.
--- a/internal/entry/tdrelay/stream.go
+++ b/internal/entry/tdrelay/stream.go
@@ -33,6 +33,9 @@
 	Header func(http.Header)
 	// Progress is called after each event with the tokens delivered so far.
 	Progress func(tokens int)
+	// End is called before the end marker is passed on: until then the caller
+	// can't take the answer for whole.
+	End func()
 	// Write bounds how long the caller may take to accept more.
 	Write time.Duration
 	// HideUsage drops the event that only tells usage.
@@ -203,6 +206,9 @@
 	if s.finished == 0 || s.seen&^s.finished != 0 {
 		return EndShort, false, errEarlyEnd
 	}
+	if s.opt.End != nil {
+		s.opt.End()
+	}
 	end, _, err := s.deliver(ev, false)
 	return end, false, err
 }
--- a/internal/fleet/tdmesh/teller.go
+++ b/internal/fleet/tdmesh/teller.go
@@ -26,7 +26,7 @@
 // state returns the next state.
 func (w *teller) state() *State {
 	m := w.m
-	away, _ := m.Mirror.Away()
+	away := m.Mirror.Away()
 	s := &State{
 		Node: string(m.self.Name), Incarnation: m.self.Incarnation, Ready: m.Ready(),
 		Revision: uint64(m.Mirror.Revision()), WallNanos: m.Clock.Wall().UnixNano(),
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -84,7 +84,6 @@
 	floor     tarragondeal.Revision // History is complete after this revision.
 	listed    bool
 	away      bool
-	contact   tarragondeal.Instant // The last answer of the service.
 	restored  tarragondeal.Instant // When the service came back last.
 	receivers []func(Changes)
 }
@@ -94,7 +93,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	return &Mirror{source: s, clock: c, opt: o, items: make(map[string]tarragondeal.Entry), contact: c.Now()}
+	return &Mirror{source: s, clock: c, opt: o, items: make(map[string]tarragondeal.Entry)}
 }
 
 // Subscribe hands later changes to receive, one call at a time and in order.
@@ -110,20 +109,11 @@
 	return m.rev
 }
 
-// Away reports whether the service did not answer the last call, and for how
-// long it has been so.
-func (m *Mirror) Away() (bool, time.Duration) {
+// Away reports whether the service did not answer the last call.
+func (m *Mirror) Away() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.away, m.clock.Now().Sub(m.contact)
-}
-
-// Restored returns when the service answered again after it had been away;
-// zero when it never was.
-func (m *Mirror) Restored() tarragondeal.Instant {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.restored
+	return m.away
 }
 
 // Run follows the service until ctx ends.
@@ -323,11 +313,10 @@
 func (m *Mirror) reached() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.contact = m.clock.Now()
 	if !m.away {
 		return
 	}
-	m.away, m.restored = false, m.contact
+	m.away, m.restored = false, m.clock.Now()
 	m.opt.Log.Info().Uint64("revision", uint64(m.rev)).Msg("store answers again")
 }
 
