Weigh prompt parts that are read again; see bursts sooner in large pools

Change: reading a part again weighs twice its time (half before). What engines read is measured over 0.8 s where that holds 150 prompts, else over 2 s as before. Changes are gathered for 150 ms, entries of nodes last 6 s.

--- a/internal/dispatch/tdfit/busy.go
+++ b/internal/dispatch/tdfit/busy.go
@@ -7,13 +7,43 @@
 )
 
 const (
-	// readingHalf is the time after which half of what engines were given to
-	// read is forgotten.
-	readingHalf = 2 * time.Second
+	// steadyHalf and quickHalf are the times after which half of what engines were
+	// given to read is forgotten. A burst shows sooner in the second, and single
+	// long prompts weigh more in it.
+	steadyHalf = 2 * time.Second
+	quickHalf  = 800 * time.Millisecond
+	// quickPrompts is how many prompts the quick measure must hold to be used: its
+	// error is then about a twelfth.
+	quickPrompts = 150
 	// ln2 turns a decaying sum into an amount for each of its half times.
 	ln2 = 0.6931471805599453
 )
 
+// reading measures what the engines of a pool are given to read.
+type reading struct {
+	steady, quick decaying // Milliseconds.
+	prompts       decaying // In the quick measure.
+}
+
+func newReading() *reading {
+	return &reading{steady: decaying{half: steadyHalf}, quick: decaying{half: quickHalf}, prompts: decaying{half: quickHalf}}
+}
+
+func (r *reading) add(now tarragondeal.Instant, took time.Duration) {
+	ms := took.Seconds() * 1000
+	r.steady.add(now, ms)
+	r.quick.add(now, ms)
+	r.prompts.add(now, 1)
+}
+
+// engines returns how many engines would do nothing but read.
+func (r *reading) engines(now tarragondeal.Instant) float64 {
+	if r.prompts.now(now) >= quickPrompts {
+		return r.quick.now(now) * ln2 / (quickHalf.Seconds() * 1000)
+	}
+	return r.steady.now(now) * ln2 / (steadyHalf.Seconds() * 1000)
+}
+
 // Busy is what the engines of a pool have to do.
 type Busy struct {
 	Reading float64 // Engines that would do nothing but read prompts.
@@ -28,7 +58,7 @@
 	now := f.Clock.Now()
 	var out Busy
 	if d := f.reading[pool]; d != nil {
-		out.Reading = d.now(now) * ln2 / (readingHalf.Seconds() * 1000)
+		out.Reading = d.engines(now)
 	}
 	for _, s := range f.servers {
 		if s.Pool == pool {
--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -29,7 +29,7 @@
 	backlogShare = 0.35
 	holdShare    = 0.25
 	// rereadCost weighs reading a part again that another engine holds.
-	rereadCost = 0.5
+	rereadCost = 2
 	// fullCost is added for a whole batch more than the engine runs at once.
 	fullCost = 4 * time.Second
 	// faultCost is added for a server at which all requests fail.
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -68,7 +68,7 @@
 	heavyFrom int     // Prompts of more fresh tokens disturb tight streams.
 	grants    map[tarragondeal.GrantID]*held
 	crashes   *crashes
-	reading   map[string]*decaying // Milliseconds of reading prompts, by pool.
+	reading   map[string]*reading // By pool.
 	sentLog   []told
 	seq       uint64
 	heard     map[tarragondeal.NodeID]tarragondeal.Instant // When a node told its load.
@@ -89,7 +89,7 @@
 	return &Fit{
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		rate: firstRate, heavyFrom: chunkTokens, grants: make(map[tarragondeal.GrantID]*held), crashes: newCrashes(d.Clock),
-		heard: make(map[tarragondeal.NodeID]tarragondeal.Instant), reading: make(map[string]*decaying), homes: newHomes(),
+		heard: make(map[tarragondeal.NodeID]tarragondeal.Instant), reading: make(map[string]*reading), homes: newHomes(),
 	}
 }
 
@@ -267,12 +267,12 @@
 func (f *Fit) sent(s *server, fresh int, links []link, now tarragondeal.Instant) {
 	took := s.sent(now, fresh, links, fresh > f.heavyFrom)
 	f.homes.add(links, s.ID)
-	d := f.reading[s.Pool]
-	if d == nil {
-		d = &decaying{half: readingHalf}
-		f.reading[s.Pool] = d
+	r := f.reading[s.Pool]
+	if r == nil {
+		r = newReading()
+		f.reading[s.Pool] = r
 	}
-	d.add(now, took.Seconds()*1000)
+	r.add(now, took)
 }
 
 // Progress notes that events of a request came.
--- a/internal/dispatch/tdfit/fit_test.go
+++ b/internal/dispatch/tdfit/fit_test.go
@@ -453,3 +453,36 @@
 		t.Errorf("%d crashes are remembered after %s", n, crashesKept)
 	}
 }
+
+// TestBurstShowsSoonInALargePool is the pattern of a burst of long prompts: what
+// engines are needed for must be seen well before new ones have started.
+func TestBurstShowsSoonInALargePool(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		engines    int
+		every      time.Duration // Between two prompts.
+		least, top float64       // Of the rise that is seen after a second.
+	}{
+		{"large", 60, 5 * time.Millisecond, 0.5, 1},
+		{"small, where single prompts weigh", 6, 50 * time.Millisecond, 0.2, 0.5},
+	} {
+		w := newWorld(c.engines)
+		session := uint64(0)
+		send := func(span, every time.Duration) float64 {
+			for end := w.clock.now.Add(span); w.clock.now < end; w.clock.now = w.clock.now.Add(every) {
+				session++
+				a := long(session)
+				a.Parts = a.Parts[2:] // Nothing of it is held anywhere.
+				if _, err := w.reserve(a); err != nil {
+					t.Fatal(err)
+				}
+			}
+			return w.Busy("m").Reading
+		}
+		before := send(10*time.Second, c.every)
+		after := send(time.Second, c.every/2)
+		if seen := after/before - 1; seen < c.least || seen > c.top {
+			t.Errorf("%s: %.2f of a doubling is seen after a second", c.name, seen)
+		}
+	}
+}
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -44,7 +44,7 @@
 	// whether it is to.
 	restEvery = 100 * time.Millisecond
 	// gather is how long changes are let come together before the next watch.
-	gather = 40 * time.Millisecond
+	gather = 150 * time.Millisecond
 	// maxHistory bounds the changes that are kept for other nodes; one that
 	// lacks more gets the whole copy.
 	maxHistory = 256
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -38,7 +38,7 @@
 	// servers' own bound is longer.
 	serverIdle = 4 * time.Second
 	// nodeTTL is how long this node's entry in the store outlives it.
-	nodeTTL = 4 * time.Second
+	nodeTTL = 6 * time.Second
 	// addressTTL is how long callers may keep an answer of addresses. Some
 	// keep it three times as long.
 	addressTTL = time.Second
