Try for a lease when it is freed; wait longer for the counts of cut nodes

Change: who waits for a lease is told by the copied store that it has ended, and tries at once, the candidates one after the other. A window waits for nodes that are not heard until 0.8 of the time in which it is due, 0.5 before; the check of it follows that, with a case more. A new holder looks at once.

--- a/internal/account/tdbegun/begun_test.go
+++ b/internal/account/tdbegun/begun_test.go
@@ -215,7 +215,8 @@
 		{"just ended", time.Second, true, true, 0},
 		{"settled", 3 * time.Second, true, true, 1},
 		{"a node is not heard", 3 * time.Second, false, true, 0},
-		{"nearly due", 6 * time.Second, false, true, 1},
+		{"a node has not been heard for long", 7 * time.Second, false, true, 0},
+		{"nearly due", 9 * time.Second, false, true, 1},
 		{"the lease is not held", 6 * time.Second, true, false, 0},
 	} {
 		clock := &hand{now: tarragondeal.Instant(100 * length)}
--- a/internal/account/tdbegun/reporter.go
+++ b/internal/account/tdbegun/reporter.go
@@ -28,7 +28,7 @@
 	// must be reported: when it is summed up at the earliest, and until when
 	// the counts of nodes that are not heard are waited for.
 	settleShare = 0.2
-	waitShare   = 0.5
+	waitShare   = 0.8
 )
 
 // Sink takes reports.
@@ -83,16 +83,20 @@
 // Duty reports windows until ctx ends or the duty is lost.
 func (r *Reporter) Duty(ctx context.Context, held tarragondeal.Held) error {
 	t := &term{r: r, held: held, sent: make(map[int64]bool)}
-	for tdclock.Sleep(ctx, lookEvery) {
+	for {
 		t.look(ctx)
+		if !tdclock.Sleep(ctx, lookEvery) {
+			return nil
+		}
 	}
-	return nil
 }
 
 // look reports what is due. What fails is tried again.
 func (t *term) look(ctx context.Context) {
 	if !t.read {
 		t.load(ctx)
+	}
+	if !t.read {
 		return
 	}
 	now := t.r.Counter.wall()
--- a/internal/fleet/tdlease/lease.go
+++ b/internal/fleet/tdlease/lease.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,8 +29,14 @@
 	othersWait     = 30
 	releaseTimeout = 2 * time.Second
 	retryWait      = 100 * time.Millisecond
+	// freedStep keeps the candidates for a lease that was freed apart: it is
+	// longer than acquiring takes.
+	freedStep = 150 * time.Millisecond
 )
 
+// Keys is the prefix of the keys in the store that name the holders of leases.
+const Keys = "held/"
+
 // Options are what leases work with.
 type Options struct {
 	TTL    time.Duration
@@ -45,6 +52,8 @@
 	members tarragondeal.Members
 	holder  string
 	opt     Options
+	mu      sync.Mutex
+	freed   map[string]chan struct{} // Of the leases that are waited for.
 }
 
 // New returns leases that the process of members' own node may hold.
@@ -58,7 +67,7 @@
 	if opt.Scope == nil {
 		opt.Scope = tally.NoopScope
 	}
-	return &Leases{store: store, clock: clock, members: members, opt: opt, holder: Holder(members.Self())}
+	return &Leases{store: store, clock: clock, members: members, opt: opt, holder: Holder(members.Self()), freed: make(map[string]chan struct{})}
 }
 
 // Holder returns the name under which a node's process holds leases: the
@@ -67,13 +76,31 @@
 	return fmt.Sprintf("%s/%d", m.Node, m.Incarnation)
 }
 
+// Freed tells that a lease has ended in the store. A process that waits for it
+// need not wait longer.
+func (l *Leases) Freed(name string) {
+	select {
+	case l.freedOf(name) <- struct{}{}:
+	default: // It has been told already.
+	}
+}
+
+func (l *Leases) freedOf(name string) chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.freed[name] == nil {
+		l.freed[name] = make(chan struct{}, 1)
+	}
+	return l.freed[name]
+}
+
 // Hold waits for a lease, runs duty while it is held, and starts over when
 // it was lost. It returns when ctx ends.
 func (l *Leases) Hold(ctx context.Context, name string, duty func(ctx context.Context, h tarragondeal.Held) error) error {
 	for ctx.Err() == nil {
 		t, err := l.begin(ctx, name)
 		if err != nil {
-			sleep(ctx, l.wait(name, err))
+			l.pause(ctx, name, l.wait(name, err))
 			continue
 		}
 		l.opt.Log.Info().Str("lease", name).Uint64("fence", t.Fence()).Strs("predecessors", t.predecessors).Msg("lease acquired")
@@ -83,6 +110,19 @@
 	return nil
 }
 
+// pause waits before the next try, or until the lease is freed. Those that wait
+// closely then try one after the other.
+func (l *Leases) pause(ctx context.Context, name string, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	case <-l.freedOf(name):
+		sleep(ctx, freedStep*time.Duration(min(rank(name, l.members), candidates)))
+	}
+}
+
 // wait returns how long to wait before the next try. A lost answer is
 // settled soon, by asking again as the same holder.
 func (l *Leases) wait(name string, err error) time.Duration {
--- a/internal/fleet/tdlease/lease_test.go
+++ b/internal/fleet/tdlease/lease_test.go
@@ -35,16 +35,21 @@
 type holder struct {
 	holding atomic.Int32
 	terms   chan tarragondeal.Held
+	leases  *tdlease.Leases
 	stop    func()
 }
 
-func hold(url string, node string) *holder {
+const shortTTL = 900 * time.Millisecond
+
+func hold(url string, node string) *holder { return holdFor(url, node, shortTTL) }
+
+func holdFor(url, node string, ttl time.Duration) *holder {
 	clock := tdclock.New()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	kv := tdkv.New(url, client, clock)
 	l := tdlease.New(kv, clock, one{tarragondeal.Member{Node: tarragondeal.NodeID(node), Incarnation: 3}},
-		tdlease.Options{TTL: 900 * time.Millisecond, Margin: 100 * time.Millisecond})
-	h := &holder{terms: make(chan tarragondeal.Held, 16)}
+		tdlease.Options{TTL: ttl, Margin: 100 * time.Millisecond})
+	h := &holder{terms: make(chan tarragondeal.Held, 16), leases: l}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
@@ -99,6 +104,19 @@
 		Expect(second.Predecessor()).To(BeEmpty())
 	})
 
+	It("is tried for at once when it is freed", func() {
+		const longTTL = 10 * time.Minute // Without being told a process waits for minutes.
+		a := holdFor(url, "node1", longTTL)
+		var first, second tarragondeal.Held
+		Eventually(a.terms, "20s").Should(Receive(&first))
+		b := holdFor(url, "node2", longTTL)
+		Consistently(func() int32 { return b.holding.Load() }, "500ms").Should(BeZero())
+		a.stop()
+		b.leases.Freed("orders")
+		Eventually(b.terms, "20s").Should(Receive(&second))
+		Expect(second.Fence()).To(BeNumerically(">", first.Fence()))
+	})
+
 	It("ends with the duty while the service is away, and names the holder to its successor", func() {
 		a := hold(url, "node1")
 		var first, second tarragondeal.Held
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -17,14 +17,12 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdtask"
+	"tarragondeal/internal/fleet/tdlease"
 	"tarragondeal/internal/fleet/tdmirror"
 )
 
-// nodeKey begins the keys of nodes in the store.
-const nodeKey = "held/node/"
-
-// Keys is the prefix of the keys that the mirror must copy for the mesh.
-const Keys = nodeKey
+// nodeKey begins the keys of nodes in the store: a node holds a lease by its name.
+const nodeKey = tdlease.Keys + "node/"
 
 const (
 	// heardWithin is how long a node counts as alive after its last state. It
--- a/internal/fleet/tdmesh/mesh_test.go
+++ b/internal/fleet/tdmesh/mesh_test.go
@@ -20,7 +20,7 @@
 func (h *hand) Wall() time.Time           { return time.Unix(0, int64(h.now)+int64(h.wall)).UTC() }
 
 func newMesh(name string, c *hand) *Mesh {
-	mirror := tdmirror.New(nil, c, tdmirror.Options{Prefixes: []string{Keys}, Log: zerolog.Nop()})
+	mirror := tdmirror.New(nil, c, tdmirror.Options{Prefixes: []string{nodeKey}, Log: zerolog.Nop()})
 	return New(Deps{Mirror: mirror, Clock: c, Ready: func() bool { return true }, Log: zerolog.Nop()},
 		Node{Name: tarragondeal.NodeID(name), Incarnation: 1})
 }
--- a/internal/node/tdvm/duties.go
+++ b/internal/node/tdvm/duties.go
@@ -12,6 +12,7 @@
 	"tarragondeal/internal/capacity/tdscale"
 	"tarragondeal/internal/dispatch/tdfit"
 	"tarragondeal/internal/fleet/tdlease"
+	"tarragondeal/internal/fleet/tdmirror"
 	"tarragondeal/platform"
 )
 
@@ -42,6 +43,13 @@
 		TTL: max(n.vm.Bounds.LeaseTTL, n.vm.Bounds.MinLease, leaseLeast), Margin: leaseMargin,
 		Log: tdlog.Part(n.log, "lease"), Scope: n.metrics.Scope.SubScope("lease"),
 	})
+	n.mirror.Subscribe(func(c tdmirror.Changes) {
+		for _, e := range c.Entries {
+			if e.Deleted && e.Key == tdlease.Keys+dutyLease {
+				leases.Freed(dutyLease)
+			}
+		}
+	})
 	n.add("hold duties", func(ctx context.Context) error {
 		return leases.Hold(ctx, dutyLease, func(ctx context.Context, held tarragondeal.Held) error {
 			return n.hold(ctx, held, reporter, scale)
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -21,6 +21,7 @@
 	"tarragondeal/internal/dispatch/tdfit"
 	"tarragondeal/internal/entry/tdflow"
 	"tarragondeal/internal/entry/tdhost"
+	"tarragondeal/internal/fleet/tdlease"
 	"tarragondeal/internal/fleet/tdlisting"
 	"tarragondeal/internal/fleet/tdmesh"
 	"tarragondeal/internal/fleet/tdmirror"
@@ -129,7 +130,7 @@
 func (n *Node) buildFleet() {
 	n.store = platform.NewStore(n.vm.Store, n.client(storeIdle), n.clock)
 	n.mirror = tdmirror.New(n.store, n.clock, tdmirror.Options{
-		Prefixes: []string{platform.ConfigKey, platform.ServersPrefix, tdmesh.Keys},
+		Prefixes: []string{platform.ConfigKey, platform.ServersPrefix, tdlease.Keys},
 		Follows:  func() bool { return n.mesh.Follows() },
 		Log:      tdlog.Part(n.log, "mirror"), Scope: n.metrics.Scope.SubScope("mirror"),
 	})
