Keep what relays tell of nodes that the store has not listed yet

Cause: a relay tells of a node once. A node that had not yet read of the other one in the store passed that over, and kept it out of what it tells callers until something changed of it. A stream opened while its node relayed kept telling that it was no leaf's.

Change: claims are kept by the node that makes them, whether or not the store has listed whom they are about; whether a stream is a leaf's is told in each state. Every second seed of the soak now has eleven nodes, of which two relay.

--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -67,6 +67,7 @@
 	receivers map[string]receiver
 	mu        sync.Mutex
 	peers     map[tarragondeal.NodeID]*peer
+	claims    map[tarragondeal.NodeID]claims // By the node that makes them.
 	relays    map[tarragondeal.NodeID]int // Their places in their data centres, from 0.
 	parent    tarragondeal.NodeID         // The relay of this node; empty while it relays itself.
 	attached  tarragondeal.Instant        // When the parent was chosen.
@@ -99,6 +100,10 @@
 	wall        time.Duration // Its wall clock over this node's clock.
 }
 
+// claims are what one node tells of others. They may come before this node knows
+// those from the store, and are told once.
+type claims map[tarragondeal.NodeID]presence
+
 // peer is another node.
 type peer struct {
 	node   Node
@@ -114,8 +119,6 @@
 	fed      bool
 	source   tarragondeal.NodeID
 
-	claims map[tarragondeal.NodeID]presence // What other nodes tell of it.
-
 	cancel context.CancelFunc   // Ends the stream that this node opens to it; nil without.
 	opened tarragondeal.Instant // When it was opened.
 	rest   tarragondeal.Instant // No stream is opened before.
@@ -125,7 +128,7 @@
 func New(d Deps, self Node) *Mesh {
 	m := &Mesh{
 		Deps: d, self: self, receivers: make(map[string]receiver),
-		peers: make(map[tarragondeal.NodeID]*peer), unfed: d.Clock.Now(),
+		peers: make(map[tarragondeal.NodeID]*peer), claims: make(map[tarragondeal.NodeID]claims), unfed: d.Clock.Now(),
 	}
 	m.place()
 	d.Mirror.Subscribe(m.follow)
@@ -187,8 +190,8 @@
 	if m.direct(p) {
 		return p.presence, true
 	}
-	for by, claim := range p.claims {
-		if m.direct(m.peers[by]) {
+	for by, of := range m.claims {
+		if claim, ok := of[p.node.Name]; ok && m.direct(m.peers[by]) {
 			return claim, true
 		}
 	}
@@ -275,7 +278,7 @@
 	if p != nil && p.cancel != nil {
 		p.cancel()
 	}
-	m.peers[n.Name] = &peer{node: n, listed: true, claims: make(map[tarragondeal.NodeID]presence)}
+	m.peers[n.Name] = &peer{node: n, listed: true}
 	m.Log.Info().Str("peer", string(n.Name)).Uint64("incarnation", n.Incarnation).Msg("node listed")
 	m.place()
 }
@@ -301,6 +304,7 @@
 		p.cancel()
 	}
 	delete(m.peers, p.node.Name)
+	delete(m.claims, p.node.Name)
 	m.place()
 }
 
--- a/internal/fleet/tdmesh/mesh_test.go
+++ b/internal/fleet/tdmesh/mesh_test.go
@@ -33,7 +33,7 @@
 	m.heard(&State{
 		Node: name, Incarnation: 1, Ready: true, Follows: follows,
 		WallNanos: int64(m.Clock.Now()) + int64(wall),
-	}, m.newTeller(false))
+	}, m.newTeller(""))
 }
 
 // source returns where the mesh takes copies from.
@@ -129,7 +129,7 @@
 		t.Errorf("%d nodes are ready, whole %t", n, m.Whole())
 	}
 	// A process whose clock is behind the one that fell silent is heard.
-	m.heard(&State{Node: "b", Incarnation: 0, Ready: true}, m.newTeller(false))
+	m.heard(&State{Node: "b", Incarnation: 0, Ready: true}, m.newTeller(""))
 	if n := len(m.ReadyNodes()); n != 2 {
 		t.Errorf("%d nodes are ready", n)
 	}
--- a/internal/fleet/tdmesh/relay_test.go
+++ b/internal/fleet/tdmesh/relay_test.go
@@ -91,8 +91,10 @@
 			out[origin] = tarragondeal.NodeID(origin)
 			continue
 		}
-		for claimant := range m.peers[tarragondeal.NodeID(origin)].claims {
-			out[origin] = claimant
+		for claimant, of := range m.claims {
+			if _, ok := of[tarragondeal.NodeID(origin)]; ok {
+				out[origin] = claimant
+			}
 		}
 	}
 	return out
@@ -141,7 +143,7 @@
 	for to := range want {
 		key := [2]string{name, string(to)}
 		if f.streams[key] == nil {
-			f.streams[key] = &played{open: m.newTeller(!m.relaying(m.self.Name)), take: f.nodes[key[1]].newTeller(false)}
+			f.streams[key] = &played{open: m.newTeller(to), take: f.nodes[key[1]].newTeller("")}
 		}
 	}
 }
@@ -187,6 +189,36 @@
 	}
 }
 
+// TestFleetThatGrows checks nodes that relay while few are known, and are leaves
+// of one of the same nodes later, and nodes that hear of others before the store
+// lists them.
+func TestFleetThatGrows(t *testing.T) {
+	f := newFleet(t, 0)
+	const size = 30
+	for n := range size {
+		f.add(fmt.Sprintf("n%03d", n), 0)
+		for k := range n {
+			f.nodes[fmt.Sprintf("n%03d", k)].list(f.nodes[fmt.Sprintf("n%03d", n)].self)
+			f.nodes[fmt.Sprintf("n%03d", n)].list(f.nodes[fmt.Sprintf("n%03d", k)].self)
+			if k%5 == 0 {
+				f.play()
+			}
+		}
+	}
+	f.until("all nodes hear all others", int((nearAfter+heardWithin)/round), f.whole)
+	for _, m := range f.nodes {
+		m.news++
+	}
+	for range 5 {
+		f.play()
+	}
+	for name, m := range f.nodes {
+		if len(m.heard) != len(f.nodes)-1 {
+			t.Errorf("%s has news of %d nodes", name, len(m.heard))
+		}
+	}
+}
+
 // TestStrongNodesRelay checks that relays are the strongest of their data centres.
 func TestStrongNodesRelay(t *testing.T) {
 	f := newFleet(t, 60)
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -37,11 +37,10 @@
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancel(context.Background())
 	p.opened = m.Clock.Now()
-	leaf := !m.relaying(m.self.Name)
 	m.group.Go("tell "+string(p.node.Name), func(group context.Context) error {
 		stop := context.AfterFunc(group, p.cancel)
 		defer stop()
-		err := m.connect(ctx, p.node, leaf)
+		err := m.connect(ctx, p.node)
 		if ctx.Err() == nil {
 			m.Log.Info().Err(err).Str("peer", string(p.node.Name)).Msg("stream to node ended")
 		}
@@ -66,7 +65,7 @@
 }
 
 // connect keeps one stream to another node until it ends.
-func (m *Mesh) connect(ctx context.Context, n Node, leaf bool) error {
+func (m *Mesh) connect(ctx context.Context, n Node) error {
 	conn, err := grpc.NewClient("passthrough:///"+n.Peer.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
@@ -87,12 +86,12 @@
 	if err != nil {
 		return err
 	}
-	return m.exchange(ctx, s, m.newTeller(leaf))
+	return m.exchange(ctx, s, m.newTeller(n.Name))
 }
 
 // Exchange takes a stream that another node opens.
 func (m *Mesh) Exchange(s grpc.BidiStreamingServer[State, State]) error {
-	return m.exchange(s.Context(), s, m.newTeller(false))
+	return m.exchange(s.Context(), s, m.newTeller(""))
 }
 
 // stream is either side of a stream of states.
@@ -198,21 +197,18 @@
 
 // takeClaims takes in what a node tells of others.
 func (m *Mesh) takeClaims(by *peer, list []*Presence, whole bool) {
-	if whole {
-		for _, p := range m.peers {
-			delete(p.claims, by.node.Name)
-		}
+	of := m.claims[by.node.Name]
+	if of == nil || whole {
+		of = make(claims)
+		m.claims[by.node.Name] = of
 	}
 	for _, c := range list {
-		p := m.peers[tarragondeal.NodeID(c.GetNode())]
-		if p == nil || p == by {
-			continue
-		}
+		name := tarragondeal.NodeID(c.GetNode())
 		if c.GetGone() {
-			delete(p.claims, by.node.Name)
+			delete(of, name)
 			continue
 		}
-		p.claims[by.node.Name] = presence{
+		of[name] = presence{
 			incarnation: c.GetIncarnation(), ready: c.GetReady(), wall: by.wall + time.Duration(c.GetAheadNanos()),
 		}
 	}
--- a/internal/fleet/tdmesh/teller.go
+++ b/internal/fleet/tdmesh/teller.go
@@ -13,7 +13,7 @@
 // teller writes the states of one stream.
 type teller struct {
 	m       *Mesh
-	leaf    bool // This node takes everything from the other one.
+	to      tarragondeal.NodeID // The node to which this one opened the stream; empty where it took it.
 	writers []Writer
 	copied  tarragondeal.Revision // Up to which the peer has been sent copies.
 	told    map[tarragondeal.NodeID]presence
@@ -24,8 +24,8 @@
 	toLeaf bool                // The peer takes everything from this node.
 }
 
-func (m *Mesh) newTeller(leaf bool) *teller {
-	w := &teller{m: m, leaf: leaf, told: make(map[tarragondeal.NodeID]presence)}
+func (m *Mesh) newTeller(to tarragondeal.NodeID) *teller {
+	w := &teller{m: m, to: to, told: make(map[tarragondeal.NodeID]presence)}
 	for _, p := range m.publish {
 		w.writers = append(w.writers, p.open())
 	}
@@ -41,7 +41,7 @@
 	wall := m.Clock.Wall().UnixNano()
 	s := &State{
 		Node: string(m.self.Name), Incarnation: m.self.Incarnation, Ready: m.Ready(), Revision: uint64(revision),
-		WallNanos: wall, Follows: follows, Fed: follows || source != "", Source: string(source), Leaf: w.leaf,
+		WallNanos: wall, Follows: follows, Fed: follows || source != "", Source: string(source),
 	}
 	passed, known := w.scope(s, time.Duration(wall))
 	if !known {
@@ -62,6 +62,7 @@
 	m := w.m
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	s.Leaf = w.to != "" && w.to == m.parent
 	if m.peers[w.peer] == nil {
 		return nil, false
 	}
--- a/test/vm/soak_test.go
+++ b/test/vm/soak_test.go
@@ -150,6 +150,16 @@
 	soakFirst, soakSeeds = 1, 2
 )
 
+// soakSize returns how many nodes the fleet of a seed has: every second one has
+// so many that some relay.
+func soakSize(seed int) int {
+	const small, large = 3, 11
+	if seed%2 == 0 {
+		return large
+	}
+	return small
+}
+
 var _ = Describe("random faults", func() {
 	count := soakSeeds
 	if n, err := strconv.Atoi(os.Getenv("TARRAGONDEAL_SOAK")); err == nil {
@@ -157,7 +167,7 @@
 	}
 	for seed := soakFirst; seed < soakFirst+count; seed++ {
 		It(fmt.Sprintf("break no promise, seed %d", seed), func() {
-			s := &soak{fleet: newFleet(3), rng: rand.New(rand.NewPCG(uint64(seed), 0)), told: make(map[string][]int)}
+			s := &soak{fleet: newFleet(soakSize(seed)), rng: rand.New(rand.NewPCG(uint64(seed), 0)), told: make(map[string][]int)}
 			s.settled()
 			s.mu.Lock()
 			s.told = make(map[string][]int)
