Use one stream between each two nodes of the mesh

Cause: while nodes learn of one another, a relay may open a stream to a node that has become its leaf and opened one itself. Each stream tells only what changed on it, and both wrote to the same record: the later one's first state wiped out what the other had told.

Change: a stream between leaf and relay goes before others, and else the later one counts; the node that opened the other one ends it.

--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -68,13 +68,13 @@
 	mu        sync.Mutex
 	peers     map[tarragondeal.NodeID]*peer
 	claims    map[tarragondeal.NodeID]claims // By the node that makes them.
-	relays    map[tarragondeal.NodeID]int // Their places in their data centres, from 0.
-	parent    tarragondeal.NodeID         // The relay of this node; empty while it relays itself.
-	attached  tarragondeal.Instant        // When the parent was chosen.
-	source    tarragondeal.NodeID         // Where copies of the store are taken from.
-	behind    tarragondeal.Instant        // Since when the source is behind; zero when it is not.
-	lagging   tarragondeal.Instant        // Since when this node's copy is behind another's; zero when it is not.
-	unfed     tarragondeal.Instant        // Since when no node has copies to give.
+	relays    map[tarragondeal.NodeID]int    // Their places in their data centres, from 0.
+	parent    tarragondeal.NodeID            // The relay of this node; empty while it relays itself.
+	attached  tarragondeal.Instant           // When the parent was chosen.
+	source    tarragondeal.NodeID            // Where copies of the store are taken from.
+	behind    tarragondeal.Instant           // Since when the source is behind; zero when it is not.
+	lagging   tarragondeal.Instant           // Since when this node's copy is behind another's; zero when it is not.
+	unfed     tarragondeal.Instant           // Since when no node has copies to give.
 	group     *tdtask.Group
 }
 
@@ -112,7 +112,7 @@
 	// What it tells itself, on a stream between the two nodes.
 	presence
 	heard    tarragondeal.Instant // Its last state; zero before the first.
-	teller   *teller              // Of its stream.
+	teller   *teller              // Of its stream; nil without.
 	leaf     bool                 // It takes everything from this node.
 	revision tarragondeal.Revision
 	follows  bool
--- a/internal/fleet/tdmesh/relay.go
+++ b/internal/fleet/tdmesh/relay.go
@@ -104,7 +104,8 @@
 	}
 	m.parent = ""
 	for name := range m.relays {
-		if name > m.self.Name {
+		// One that is a leaf here has not learnt yet that it relays.
+		if p := m.peers[name]; name > m.self.Name && !(p.teller != nil && p.leaf) {
 			want[name] = true
 		}
 	}
--- a/internal/fleet/tdmesh/relay_test.go
+++ b/internal/fleet/tdmesh/relay_test.go
@@ -134,7 +134,7 @@
 func (f *fleet) arrange(name string, m *member) {
 	want := m.wanted()
 	for key, s := range f.streams {
-		if key[0] == name && !want[tarragondeal.NodeID(key[1])] {
+		if key[0] == name && (s.open.over || !want[tarragondeal.NodeID(key[1])]) {
 			m.detach(s.open)
 			f.nodes[key[1]].detach(s.take)
 			delete(f.streams, key)
@@ -319,3 +319,35 @@
 		t.Error("a node that nobody feeds does not follow the store")
 	}
 }
+
+// TestTwoStreamsToOneNode is a relay's stream to a node that it takes for another
+// relay, beside the one that this node opened as a leaf: only the second counts,
+// whichever is heard last, at either end.
+func TestTwoStreamsToOneNode(t *testing.T) {
+	f := newFleet(t, 30)
+	leaf, relay := f.nodes["n000"], f.nodes["n027"]
+	leaf.parent = "n027"
+	asLeaf, atRelay := leaf.newTeller("n027"), relay.newTeller("")
+	link, atLeaf := relay.newTeller("n000"), leaf.newTeller("")
+	state := func(from *member, leaf bool, behind ...string) *State {
+		s := &State{Node: string(from.self.Name), Incarnation: 1, Ready: true, Leaf: leaf, Whole: true}
+		for _, name := range behind {
+			s.Behind = append(s.Behind, &Presence{Node: name, Incarnation: 1, Ready: true})
+		}
+		return s
+	}
+	leaf.takeState(state(relay, false, "n001", "n002"), asLeaf)
+	leaf.takeState(state(relay, false), atLeaf)
+	if !leaf.Heard("n002", 1) {
+		t.Error("the leaf passes over what its relay told")
+	}
+	relay.takeState(state(leaf, true), atRelay)
+	relay.takeState(state(leaf, false), link)
+	if !relay.peers["n000"].leaf || !link.over {
+		t.Error("the relay takes its leaf for a relay")
+	}
+	relay.detach(link)
+	if !relay.peers["n000"].leaf {
+		t.Error("the relay lost its leaf with the other stream")
+	}
+}
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -86,7 +86,9 @@
 	if err != nil {
 		return err
 	}
-	return m.exchange(ctx, s, m.newTeller(n.Name))
+	w := m.newTeller(n.Name)
+	w.cancel = cancel
+	return m.exchange(ctx, s, w)
 }
 
 // Exchange takes a stream that another node opens.
@@ -170,7 +172,7 @@
 	defer m.mu.Unlock()
 	name := tarragondeal.NodeID(s.GetNode())
 	p := m.peers[name]
-	if p == nil {
+	if p == nil || w.over {
 		return false
 	}
 	// Incarnations come from wall clocks, which may step back: a lower one
@@ -178,6 +180,9 @@
 	if s.GetIncarnation() < p.incarnation && m.direct(p) {
 		return false
 	}
+	if w.peer, w.toLeaf = name, s.GetLeaf(); !m.adopt(p, w) {
+		return false
+	}
 	now := m.Clock.Now()
 	if !m.direct(p) {
 		m.Log.Info().Str("peer", s.GetNode()).Uint64("incarnation", s.GetIncarnation()).Bool("leaf", s.GetLeaf()).Msg("node heard")
@@ -185,16 +190,34 @@
 	p.presence = presence{
 		incarnation: s.GetIncarnation(), ready: s.GetReady(), wall: time.Duration(s.GetWallNanos()) - time.Duration(now),
 	}
-	p.heard = now
-	if w.peer, w.toLeaf = name, s.GetLeaf(); w.toLeaf || !p.leaf || p.teller == w {
-		p.teller, p.leaf = w, w.toLeaf
-	}
+	p.heard, p.leaf = now, w.toLeaf
 	p.revision, p.source = tarragondeal.Revision(s.GetRevision()), tarragondeal.NodeID(s.GetSource())
 	p.follows, p.fed = s.GetFollows(), s.GetFed()
 	m.takeClaims(p, s.GetBehind(), s.GetWhole())
 	return true
 }
 
+// adopt makes a stream the one to a peer. Each tells only what has changed on it,
+// so that two can't be used in turns: the one between a leaf and its relay stays,
+// and else the later one.
+func (m *Mesh) adopt(p *peer, w *teller) bool {
+	old := p.teller
+	if old != nil && old != w {
+		if m.carriesAll(old) && !m.carriesAll(w) {
+			w.drop()
+			return false
+		}
+		old.drop()
+	}
+	p.teller = w
+	return true
+}
+
+// carriesAll reports whether a stream is one between a leaf and its relay.
+func (m *Mesh) carriesAll(w *teller) bool {
+	return w.toLeaf || w.to != "" && w.to == m.parent
+}
+
 // takeClaims takes in what a node tells of others.
 func (m *Mesh) takeClaims(by *peer, list []*Presence, whole bool) {
 	of := m.claims[by.node.Name]
@@ -217,6 +240,7 @@
 // detach notes that a stream has ended. Its node may soon open another one.
 func (m *Mesh) detach(w *teller) {
 	m.mu.Lock()
+	w.over = true
 	p := m.peers[w.peer]
 	if p == nil || p.teller != w {
 		m.mu.Unlock()
--- a/internal/fleet/tdmesh/teller.go
+++ b/internal/fleet/tdmesh/teller.go
@@ -1,6 +1,7 @@
 package tdmesh
 
 import (
+	"context"
 	"time"
 
 	"tarragondeal"
@@ -22,6 +23,17 @@
 	// Guarded by the mesh.
 	peer   tarragondeal.NodeID // Empty until the peer has told who it is.
 	toLeaf bool                // The peer takes everything from this node.
+	over   bool                // What comes on the stream is passed over.
+	cancel context.CancelFunc  // Ends a stream that this node opened; nil for others.
+}
+
+// drop gives the stream up for another one to the same peer. The node that opened
+// it ends it.
+func (w *teller) drop() {
+	w.over = true
+	if w.cancel != nil {
+		w.cancel()
+	}
 }
 
 func (m *Mesh) newTeller(to tarragondeal.NodeID) *teller {
