Send copies of the store again that did not show; let only followers' copies count

Cause: a copy was counted as taken when it was sent. A state that its taker passed over left a hole that was never filled. A node that took copies from another one told that it had some to give whether or not they came from a follower of the store, so that two nodes cut off together could believe that they feed each other.

Change: a copy that does not show within 0.7 s is sent again. Only a follower and who takes from one tell that they have copies.

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -16,23 +16,27 @@
 	// behindFor is how long a source may be behind other nodes before copies are
 	// taken from one of those: its own watch may have fallen silent.
 	behindFor = 500 * time.Millisecond
+	// copyWithin is how long a copy may take to show in what its taker tells of
+	// itself; after that it is sent again.
+	copyWithin = 700 * time.Millisecond
 )
 
 // copy returns what the peer lacks that takes its copies from this node.
 func (w *teller) copy(revision tarragondeal.Revision) *Copy {
 	m := w.m
+	now := m.Clock.Now()
 	m.mu.Lock()
 	p := m.peers[w.peer]
 	wants := p != nil && p.source == m.self.Name
-	if wants {
-		w.copied = max(w.copied, p.revision)
+	if wants && (p.revision > w.copied || now.Sub(w.copiedAt) > copyWithin) {
+		w.copied = p.revision
 	}
 	m.mu.Unlock()
 	if !wants || w.copied >= revision {
 		return nil
 	}
 	entries, rev, whole := m.Mirror.Since(w.copied)
-	w.copied = rev
+	w.copied, w.copiedAt = rev, now
 	out := &Copy{Revision: uint64(rev), Whole: whole}
 	for _, e := range entries {
 		out.Items = append(out.Items, &Item{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: e.Deleted})
@@ -135,6 +139,16 @@
 	return now.Sub(m.lagging) > behindFor
 }
 
+// fed reports whether this node has copies to give on: it follows the store, or
+// takes them from one that does. Copies go no further, so that no two nodes can
+// believe that they feed one another.
+func (m *Mesh) fed(follows bool, source tarragondeal.NodeID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[source]
+	return follows || p != nil && p.follows
+}
+
 // feeds reports whether copies may be taken from a node: from one that follows
 // the store itself, and by a leaf also from its relay, if that is fed.
 func (m *Mesh) feeds(p *peer) bool {
--- a/internal/fleet/tdmesh/relay_test.go
+++ b/internal/fleet/tdmesh/relay_test.go
@@ -320,6 +320,49 @@
 	}
 }
 
+// TestLeavesThatHearOnlyOneAnother checks that two nodes which are cut off from all
+// others, and have taken each other for a relay, have copies that come from the
+// store: at least one of them follows it.
+func TestLeavesThatHearOnlyOneAnother(t *testing.T) {
+	f := newFleet(t, 40)
+	f.until("all nodes hear all others", 6, f.whole)
+	a, b := f.nodes["n001"], f.nodes["n002"]
+	for _, m := range f.nodes {
+		m.down = m != a && m != b
+	}
+	for range int((heardWithin + unfedFor) / round) {
+		a.parent, a.attached = "n002", f.clock.now
+		b.parent, b.attached = "n001", f.clock.now
+		f.play()
+		f.play()
+	}
+	if !a.Follows() && !b.Follows() {
+		t.Error("neither follows the store")
+	}
+}
+
+// TestCopyThatWasLost checks that what a node does not show to have is sent to it
+// again, and that nothing is sent twice before.
+func TestCopyThatWasLost(t *testing.T) {
+	clock := &hand{now: tarragondeal.Instant(time.Hour)}
+	m := newMesh("a", clock)
+	m.Mirror.Take([]tarragondeal.Entry{{Key: nodeKey + "x", Revision: 5}}, 5, false)
+	m.list(Node{Name: "b", Incarnation: 1})
+	w := m.newTeller("")
+	m.heard(&State{Node: "b", Incarnation: 1, Revision: 3, Source: "a"}, w)
+	if c := w.copy(5); c == nil {
+		t.Fatal("nothing is sent")
+	}
+	clock.now = clock.now.Add(copyWithin / 2)
+	if c := w.copy(5); c != nil {
+		t.Error("it is sent again at once")
+	}
+	clock.now = clock.now.Add(copyWithin)
+	if c := w.copy(5); c == nil || len(c.Items) != 1 {
+		t.Errorf("it is not sent again: %v", c)
+	}
+}
+
 // TestTwoStreamsToOneNode is a relay's stream to a node that it takes for another
 // relay, beside the one that this node opened as a leaf: only the second counts,
 // whichever is heard last, at either end.
--- a/internal/fleet/tdmesh/teller.go
+++ b/internal/fleet/tdmesh/teller.go
@@ -13,12 +13,13 @@
 
 // teller writes the states of one stream.
 type teller struct {
-	m       *Mesh
-	to      tarragondeal.NodeID // The node to which this one opened the stream; empty where it took it.
-	writers []Writer
-	copied  tarragondeal.Revision // Up to which the peer has been sent copies.
-	told    map[tarragondeal.NodeID]presence
-	begun   bool // The peer has been told of others.
+	m        *Mesh
+	to       tarragondeal.NodeID // The node to which this one opened the stream; empty where it took it.
+	writers  []Writer
+	copied   tarragondeal.Revision // Up to which the peer has been sent copies,
+	copiedAt tarragondeal.Instant  // and when.
+	told     map[tarragondeal.NodeID]presence
+	begun    bool // The peer has been told of others.
 
 	// Guarded by the mesh.
 	peer   tarragondeal.NodeID // Empty until the peer has told who it is.
@@ -53,7 +54,7 @@
 	wall := m.Clock.Wall().UnixNano()
 	s := &State{
 		Node: string(m.self.Name), Incarnation: m.self.Incarnation, Ready: m.Ready(), Revision: uint64(revision),
-		WallNanos: wall, Follows: follows, Fed: follows || source != "", Source: string(source),
+		WallNanos: wall, Follows: follows, Fed: m.fed(follows, source), Source: string(source),
 	}
 	passed, known := w.scope(s, time.Duration(wall))
 	if !known {
