--- a/internal/fleet/tdmesh/relay.go
+++ b/internal/fleet/tdmesh/relay.go
@@ -105,7 +105,7 @@
 	m.parent = ""
 	for name := range m.relays {
 		// One that is a leaf here has not learnt yet that it relays.
-		if p := m.peers[name]; name > m.self.Name && !(p.teller != nil && p.leaf) {
+		if name > m.self.Name && !m.peers[name].leaf {
 			want[name] = true
 		}
 	}
