--- a/internal/fleet/tdmesh/relay_test.go
+++ b/internal/fleet/tdmesh/relay_test.go
@@ -341,6 +341,28 @@
 	}
 }
 
+// TestCopiesOfCopiesAreNotOffered checks that a node which takes copies from one that
+// does not follow the store itself tells that it has none to give.
+func TestCopiesOfCopiesAreNotOffered(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		follows, want bool
+	}{
+		{"from a follower", true, true},
+		{"from a node that is fed", false, false},
+	} {
+		f := newFleet(t, 40)
+		m := f.nodes["n001"].Mesh
+		m.parent = "n002"
+		w := m.newTeller("n002")
+		m.heard(&State{Node: "n002", Incarnation: 1, Follows: c.follows, Fed: true}, w)
+		s := w.state()
+		if s.GetSource() != "n002" || s.GetFed() != c.want {
+			t.Errorf("%s: source %q, fed %t", c.name, s.GetSource(), s.GetFed())
+		}
+	}
+}
+
 // TestCopyThatWasLost checks that what a node does not show to have is sent to it
 // again, and that nothing is sent twice before.
 func TestCopyThatWasLost(t *testing.T) {
