Log where a stream broke and how it was continued

The logs could not tell apart how a stream came out of order: no line said that it had been continued at another server, after which event and with what status, nor how many events it had. Three lines now do, none of them for a stream that its first server completes.

tdhost TestContinuationIsLogged runs a host against HTTP servers, the first of which breaks its stream.

--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -158,8 +158,8 @@
 	FailResponseTimeout: "silent",
 }
 
-// failureName returns the name of a failure in log lines.
-func failureName(f Failure) string {
+// String returns the name of f in log lines.
+func (f Failure) String() string {
 	switch f {
 	case FailUnreachable:
 		return "unreachable"
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -213,7 +213,7 @@
 		r.prevFailure = res.failure
 		r.f.Metrics.Counter("retries").Inc(1)
 		r.f.Log.Info().Str("request", string(r.q.ID)).Str("server", string(r.current.grant.Server.ID)).
-			Str("failure", failureName(res.failure)).Str("ran", string(res.ran)).AnErr("error", res.err).
+			Stringer("failure", res.failure).Str("ran", string(res.ran)).AnErr("error", res.err).
 			Int("attempt", r.attempts).Msg("attempt failed, will be retried")
 		r.ask.Avoid = append(r.ask.Avoid, r.current.grant.Server.ID)
 		backoff(ctx, r.attempts)
@@ -247,7 +247,7 @@
 		return nil
 	}
 	r.f.Log.Info().Str("request", string(r.q.ID)).Str("route", r.q.Route.Name).Str("workspace", r.q.Workspace.Name).
-		Str("failure", failureName(res.failure)).Str("ran", string(r.ran)).AnErr("error", res.err).
+		Stringer("failure", res.failure).Str("ran", string(r.ran)).AnErr("error", res.err).
 		Str("server", string(r.current.grant.Server.ID)).Int("attempts", r.attempts).Dur("after", r.elapsed()).
 		Msg("request ended without a complete answer")
 	if step == StepRefuse && res.answer != nil {
--- /dev/null
+++ b/internal/entry/tdhost/stream_test.go
@@ -0,0 +1,205 @@
+package tdhost
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/entry/tdflow"
+	"tarragondeal/internal/platform/tdbackend"
+	"tarragondeal/platform"
+)
+
+// servers grants backend servers in the order given and implements the other
+// dependencies of a Flow.
+type servers struct {
+	mu       sync.Mutex
+	addrs    []netip.AddrPort
+	granted  int
+	budget   func() bool // Nil permits every retry.
+	outcomes []tarragondeal.OutcomeKind
+}
+
+func (s *servers) Reserve(_ context.Context, a tarragondeal.Ask) (tarragondeal.Grant, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.granted == len(s.addrs) {
+		return tarragondeal.Grant{}, &tarragondeal.RefusedError{Reason: tarragondeal.ReasonNoServer, Ran: tarragondeal.RanNot}
+	}
+	s.granted++
+	id := tarragondeal.ServerID(fmt.Sprint("s", s.granted))
+	server := tarragondeal.Server{ID: id, Addr: s.addrs[s.granted-1], Pool: "p", DataCentre: "duluth"}
+	return tarragondeal.Grant{Request: a.Request, Attempt: a.Attempt, Server: server}, nil
+}
+func (s *servers) Progress(tarragondeal.Grant, int) {}
+func (s *servers) Done(_ tarragondeal.Grant, o tarragondeal.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes = append(s.outcomes, o.Kind)
+}
+func (s *servers) MayRetry(tarragondeal.Ask) bool                { return s.budget == nil || s.budget() }
+func (s *servers) Add(context.Context, tarragondeal.Usage) error { return nil }
+func (s *servers) Waste(tarragondeal.Waste)                      {}
+func (s *servers) Observe(tarragondeal.Sample)                   {}
+func (s *servers) Began(string)                                  {}
+
+// entry is a host with backend servers that answer each as told.
+type entry struct {
+	*servers
+	addr string
+	logs *syncBuffer
+}
+
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// newEntry starts a host. The n-th attempt at the path /resume/ or /stream/ gets
+// the answer of the n-th handler.
+func newEntry(t *testing.T, handlers ...http.HandlerFunc) *entry {
+	t.Helper()
+	e := &entry{servers: &servers{}, logs: &syncBuffer{}}
+	for _, h := range handlers {
+		srv := httptest.NewServer(signed(h))
+		t.Cleanup(srv.Close)
+		e.addrs = append(e.addrs, netip.MustParseAddrPort(srv.Listener.Addr().String()))
+	}
+	class := tarragondeal.RequestClass{Name: "c", Events: true, FirstToken: tarragondeal.Duration(time.Second), Deadline: tarragondeal.Duration(10 * time.Second)}
+	plain := tarragondeal.RequestClass{Name: "p", Completion: tarragondeal.Duration(10 * time.Millisecond), Deadline: tarragondeal.Duration(10 * time.Second)}
+	route := tarragondeal.Route{Open: true, Pools: []string{"p"}, Host: "x.example", Class: "c", MaxAttempts: 2}
+	routes := make([]tarragondeal.Route, 3)
+	for n, name := range []string{"resume", "stream", "plain"} {
+		routes[n] = route
+		routes[n].Name, routes[n].Prefix = name, "/"+name+"/"
+	}
+	routes[0].Resumable, routes[1].NonIdempotent, routes[2].Class = true, true, "p"
+	set := &tarragondeal.Set{
+		DataCentres: []tarragondeal.DataCentre{{Name: "duluth"}}, ServerPools: []tarragondeal.ServerPool{{Name: "p"}},
+		RequestClasses: []tarragondeal.RequestClass{class, plain}, Routes: routes,
+	}
+	clock, log := tdclock.New(), zerolog.New(e.logs)
+	backend := tdbackend.NewWith(tdbackend.Options{Verbatim: true})
+	flow := tdflow.New(tdflow.Deps{
+		Dispatch: e.servers, Backend: backend, Meter: e.servers, Burn: e.servers, Clock: clock, Metrics: tally.NoopScope, Log: log,
+	}, tdflow.Options{Attempts: 3, WriteTimeout: time.Minute})
+	host := New(Deps{Flow: flow, Backend: backend, Starts: e.servers, Clock: clock, Log: log, Scope: tally.NoopScope})
+	host.SetView(tarragondeal.NewView(1, set), platform.CallerLimits{})
+	srv := httptest.NewServer(host)
+	t.Cleanup(srv.Close)
+	e.addr = srv.Listener.Addr().String()
+	return e
+}
+
+func signed(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Server-Stamp", "signed")
+		h(w, r)
+	}
+}
+
+// answered is what a caller received. The answer is complete if err is nil.
+type answered struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+// send sends one request on a connection of its own and reads the whole answer.
+func (e *entry) send(t *testing.T, path string, headers ...string) answered {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.addr+path, strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "x.example"
+	req.Header.Set("X-Request-Id", "q1")
+	for n := 0; n+1 < len(headers); n += 2 {
+		req.Header.Set(headers[n], headers[n+1])
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		return answered{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return answered{status: res.StatusCode, body: string(body), header: res.Header, err: err}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// stream answers with text as an event stream.
+func stream(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+// broken sends text as an event stream and then breaks the connection.
+func broken(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		stream(text)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// TestContinuationIsLogged guards against a continued stream whose parts can't be
+// told from the logs.
+func TestContinuationIsLogged(t *testing.T) {
+	e := newEntry(t, broken(events(1, 3)), stream(events(4, 5)))
+	if got := e.send(t, "/resume/1"); got.err != nil || got.body != events(1, 5) {
+		t.Fatalf("%+v", got)
+	}
+	logs := e.logs.String()
+	for _, want := range []string{
+		`"server":"s1","attempt":1,"lastEvent":"3","events":3,"failure":"crashed","error":"unexpected EOF","message":"stream broke"`,
+		`"server":"s2","attempt":2,"afterEvent":"3","status":200,"media":"text/event-stream","length":`,
+		`"message":"broken stream continued at another server"`,
+		`"server":"s2","attempt":2,"lastEvent":"5","events":5,"message":"continued stream is complete"`,
+	} {
+		if !strings.Contains(logs, want) {
+			t.Errorf("no line with %s in:\n%s", want, logs)
+		}
+	}
+	e = newEntry(t, stream(events(1, 5)))
+	if got := e.send(t, "/resume/1"); got.err != nil || got.body != events(1, 5) || e.logs.String() != "" {
+		t.Errorf("%+v, logs of a stream served at the first attempt: %s", got, e.logs)
+	}
+}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -64,6 +64,13 @@
 
 // Do makes one attempt.
 func (x *Exchange) Do(ctx context.Context, t *tdflow.Attempt) tdflow.Result {
+	continues := x.headSent
+	out := x.attempt(ctx, t)
+	x.logPart(ctx, t, out, continues)
+	return out
+}
+
+func (x *Exchange) attempt(ctx context.Context, t *tdflow.Attempt) tdflow.Result {
 	ctx, timer := x.startResponseTimer(ctx, t)
 	defer timer.end()
 	answer, err := x.backend.Send(ctx, t.Server, x.call(t))
@@ -71,6 +78,9 @@
 		return timer.result(tdflow.SendResult(ctx, err))
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if x.headSent {
+		x.logContinuation(t, answer)
+	}
 	reply := platform.DecodeReply(answer.Status, answer.Header)
 	if reply.ID != x.caller.ID && x.caller.ID != "" {
 		answer.Drop()
--- /dev/null
+++ b/internal/entry/tdpass/log.go
@@ -0,0 +1,33 @@
+package tdpass
+
+import (
+	"context"
+
+	"tarragondeal"
+	"tarragondeal/internal/entry/tdflow"
+)
+
+// logContinuation logs how a server answers a request to continue a broken stream.
+func (x *Exchange) logContinuation(t *tdflow.Attempt, answer *tarragondeal.Answer) {
+	x.log.Info().Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Int("attempt", t.Number).
+		Str("afterEvent", x.lastEventID).Int("status", answer.Status).Str("media", answer.Header.Get("Content-Type")).
+		Int64("length", answer.Length).Msg("broken stream continued at another server")
+}
+
+// logPart logs an attempt that broke off a stream, or that completed one that
+// another attempt had begun.
+func (x *Exchange) logPart(ctx context.Context, t *tdflow.Attempt, out tdflow.Result, continues bool) {
+	if !x.headSent || out.Failure == tdflow.FailNone && !continues {
+		return
+	}
+	message := "stream broke"
+	if out.Failure == tdflow.FailNone {
+		message = "continued stream is complete"
+	}
+	line := x.log.Info().Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Int("attempt", t.Number).
+		Str("lastEvent", x.lastEventID).Int("events", x.timing.events)
+	if out.Failure != tdflow.FailNone {
+		line = line.Stringer("failure", out.Failure).AnErr("error", out.Err).AnErr("cause", context.Cause(ctx))
+	}
+	line.Msg(message)
+}
