Never take an answer that isn't the rest of a stream for its end

Callers saw a stream that ended as complete after the events of its first server, with the body of another answer appended. A broken stream was continued at another server; that one answered with a failure of its own, or with a success that was no event stream. relayPlain passed the answer on if no attempt was left, and a 3xx or 4xx or a success always; its header was ignored, as one had been sent, and the attempt counted as served.

A continuation must now have the status and media type of the answer that it continues. Anything else fails the attempt, and the stream is broken off or continued elsewhere.

tdhost TestAnswerThatDoesNotContinueStream failed before for each of its ten answers, e.g. "server failure: got ... piece 3 failed, error <nil>, outcomes [crashed served]". Whether it is what the users saw is not known.

--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -50,6 +51,14 @@
 	defer s.mu.Unlock()
 	s.outcomes = append(s.outcomes, o.Kind)
 }
+
+// ended returns the outcomes of the attempts that have ended.
+func (s *servers) ended() []tarragondeal.OutcomeKind {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.outcomes)
+}
+
 func (s *servers) MayRetry(tarragondeal.Ask) bool                { return s.budget == nil || s.budget() }
 func (s *servers) Add(context.Context, tarragondeal.Usage) error { return nil }
 func (s *servers) Waste(tarragondeal.Waste)                      {}
@@ -80,8 +89,9 @@
 	return b.buf.String()
 }
 
-// newEntry starts a host. The n-th attempt at the path /resume/ or /stream/ gets
-// the answer of the n-th handler.
+// newEntry starts a host. The n-th attempt of a request gets the answer of the n-th
+// handler. The host's routes are /resume/ (resumable, two attempts), /resume3/ (the
+// same with three), /stream/ (not resumable) and /plain/ (no stream, idempotent).
 func newEntry(t *testing.T, handlers ...http.HandlerFunc) *entry {
 	t.Helper()
 	e := &entry{servers: &servers{}, logs: &syncBuffer{}}
@@ -93,12 +103,13 @@
 	class := tarragondeal.RequestClass{Name: "c", Events: true, FirstToken: tarragondeal.Duration(time.Second), Deadline: tarragondeal.Duration(10 * time.Second)}
 	plain := tarragondeal.RequestClass{Name: "p", Completion: tarragondeal.Duration(10 * time.Millisecond), Deadline: tarragondeal.Duration(10 * time.Second)}
 	route := tarragondeal.Route{Open: true, Pools: []string{"p"}, Host: "x.example", Class: "c", MaxAttempts: 2}
-	routes := make([]tarragondeal.Route, 3)
-	for n, name := range []string{"resume", "stream", "plain"} {
+	routes := make([]tarragondeal.Route, 4)
+	for n, name := range []string{"resume", "stream", "plain", "resume3"} {
 		routes[n] = route
 		routes[n].Name, routes[n].Prefix = name, "/"+name+"/"
 	}
 	routes[0].Resumable, routes[1].NonIdempotent, routes[2].Class = true, true, "p"
+	routes[3].Resumable, routes[3].MaxAttempts = true, 3
 	set := &tarragondeal.Set{
 		DataCentres: []tarragondeal.DataCentre{{Name: "duluth"}}, ServerPools: []tarragondeal.ServerPool{{Name: "p"}},
 		RequestClasses: []tarragondeal.RequestClass{class, plain}, Routes: routes,
@@ -203,3 +214,47 @@
 		t.Errorf("%+v, logs of a stream served at the first attempt: %s", got, e.logs)
 	}
 }
+
+// status answers with a status of the server's own and a body.
+func status(code int, media, text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", media)
+		w.WriteHeader(code)
+		if code != http.StatusNoContent {
+			_, _ = io.WriteString(w, text)
+		}
+	}
+}
+
+// TestAnswerThatDoesNotContinueStream guards against a stream that ends as complete
+// after an answer to its continuation that isn't the rest of it.
+func TestAnswerThatDoesNotContinueStream(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer http.HandlerFunc
+	}{
+		{"server failure", status(http.StatusInternalServerError, "text/plain", "failed\n")},
+		{"deadline", status(http.StatusGatewayTimeout, "text/plain", "")},
+		{"bad request", status(http.StatusBadRequest, "application/json", "{}")},
+		{"not found", status(http.StatusNotFound, "text/plain", "no\n")},
+		{"redirect", status(http.StatusFound, "text/plain", "there\n")},
+		{"no content", status(http.StatusNoContent, "text/event-stream", "")},
+		{"another success", status(http.StatusAccepted, "text/event-stream", events(4, 5))},
+		{"another media type", status(http.StatusOK, "application/json", "{}\n\n")},
+		{"empty, another media type", status(http.StatusOK, "text/plain", "")},
+		{"no media type", status(http.StatusOK, "", events(4, 5))},
+	} {
+		e := newEntry(t, broken(events(1, 3)), c.answer)
+		if got := e.send(t, "/resume/1"); got.err == nil || got.body != events(1, 3) {
+			t.Errorf("%s: got %q, error %v", c.name, got.body, got.err)
+		}
+		if kinds := e.ended(); len(kinds) != 2 || kinds[1] == tarragondeal.OutcomeServed {
+			t.Errorf("%s: outcomes %v", c.name, kinds)
+		}
+		e = newEntry(t, broken(events(1, 3)), c.answer, stream(events(4, 5)))
+		got := e.send(t, "/resume3/1")
+		if got.body != events(1, 5) && got.body != events(1, 3) || (got.err == nil) != (got.body == events(1, 5)) {
+			t.Errorf("%s, then a third server: got %q, error %v", c.name, got.body, got.err)
+		}
+	}
+}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -35,6 +36,7 @@
 	errTruncated       = errors.New("answer shorter than its Content-Length")
 	errResponseTimeout = errors.New("server did not begin to answer in time")
 	errEventOrder      = errors.New("missing or duplicate event")
+	errNoContinuation  = errors.New("answer doesn't continue the stream")
 )
 
 // Starts counts requests that begin to run.
@@ -52,7 +54,9 @@
 	log     zerolog.Logger
 	timing  eventTiming
 
-	headSent    bool   // The response header of a stream has been sent to the caller.
+	headSent    bool // The response header of a stream has been sent to the caller.
+	status      int  // Status and media type in that header.
+	media       string
 	lastEventID string // ID of the last event that the caller has received.
 	counted     bool   // The request has been counted in starts.
 }
@@ -90,6 +94,9 @@
 		return x.rejected(answer)
 	}
 	x.countStart(t)
+	if x.headSent {
+		return timer.result(x.continueStream(ctx, t, answer, timer))
+	}
 	success := answer.Status < http.StatusMultipleChoices
 	if success && !reply.Signed {
 		answer.Drop()
@@ -126,16 +133,44 @@
 	}
 }
 
+// continueStream relays the answer to a request that continues a broken stream. An
+// answer that isn't the rest of it must not reach the caller, who would take it for
+// the end of the stream.
+func (x *Exchange) continueStream(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
+	switch {
+	case answer.Status >= http.StatusMultipleChoices:
+		discard(answer)
+		return tdflow.Result{Failure: tdflow.FailServerError, Ran: tarragondeal.RanYes, Err: errNoContinuation}
+	case !platform.DecodeReply(answer.Status, answer.Header).Signed:
+		answer.Drop()
+		return invalid(errUnsigned)
+	case answer.Status != x.status || mediaType(answer) != x.media:
+		answer.Drop()
+		return invalid(errNoContinuation)
+	}
+	return x.relayStream(ctx, t, answer, timer)
+}
+
+// mediaType returns the media type of an answer without its parameters.
+func mediaType(answer *tarragondeal.Answer) string {
+	media, _, _ := mime.ParseMediaType(answer.Header.Get("Content-Type"))
+	return media
+}
+
 func invalid(err error) tdflow.Result {
 	return tdflow.Result{Failure: tdflow.FailInvalid, Ran: tarragondeal.RanUnknown, Err: err}
 }
 
-// maxRefusal bounds the bytes read from a refusal so that its connection can be
-// reused.
-const maxRefusal = 16 << 10
+// maxDiscarded bounds the bytes read from an answer that isn't relayed so that its
+// connection can be reused.
+const maxDiscarded = 16 << 10
+
+func discard(answer *tarragondeal.Answer) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxDiscarded))
+}
 
 func (x *Exchange) rejected(answer *tarragondeal.Answer) tdflow.Result {
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxRefusal))
+	discard(answer)
 	return tdflow.Result{Failure: tdflow.FailRejected, Ran: tarragondeal.RanNot}
 }
 
@@ -240,7 +275,7 @@
 	if x.headSent {
 		return
 	}
-	x.headSent = true
+	x.headSent, x.status, x.media = true, answer.Status, mediaType(answer)
 	platform.EncodeAnswer(t.W.Header(), answer.Header)
 	t.OnDelivered()
 	t.W.WriteHeader(answer.Status)
