Break the connection of a request whose caller is taken for gone

A caller that closes only its half of the connection is taken for gone: its request's context ends. The request was then ended without an error, and the HTTP server completed the answer: a stream ended as complete before its last event, and a request without an answer yet got status 200 with an empty body and no signature. The same came of every other end of a context that is no deadline.

Such requests now break the connection, as those that fail in the middle of an answer do, also on the router's own interface and before a claim is used.

tdhost TestCallerThatClosesItsHalf failed in all four cases before: "in a stream: complete answer with status 200", "before the first event: complete answer with status 200 and body \"\"". Whether the users' callers close half of a connection is not known.

--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -40,7 +40,7 @@
 	StepRefuse                 // Answer with an error.
 	StepFail                   // End the stream with an error event.
 	StepAbort                  // Break the connection so that the caller sees the failure.
-	StepCallerGone             // End without an answer: the caller has disconnected.
+	StepCallerGone             // Break the connection: the caller has disconnected or stopped reading.
 )
 
 // State is the input of Next.
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -244,7 +244,8 @@
 	case StepCallerGone:
 		// The caller waited at least this long.
 		r.sample.FirstToken = cmp.Or(r.sample.FirstToken, r.elapsed())
-		return nil
+		// A caller that has closed only its half of the connection still reads.
+		panic(http.ErrAbortHandler)
 	}
 	r.f.Log.Info().Str("request", string(r.q.ID)).Str("route", r.q.Route.Name).Str("workspace", r.q.Workspace.Name).
 		Stringer("failure", res.failure).Str("ran", string(r.ran)).AnErr("error", res.err).
--- a/internal/entry/tdflow/once.go
+++ b/internal/entry/tdflow/once.go
@@ -33,7 +33,7 @@
 	q.Settled, r.claim = true, &claim
 	defer r.abandonClaim()
 	if caller.Err() != nil {
-		return nil // The caller has disconnected and nothing has been sent.
+		panic(http.ErrAbortHandler) // An answer without a body would look complete.
 	}
 	return r.serve(ctx)
 }
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -1,10 +1,12 @@
 package tdhost
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -258,3 +260,60 @@
 		}
 	}
 }
+
+// raw sends one request and returns its connection.
+func (e *entry) raw(t *testing.T, path string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", e.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: q1\r\nContent-Length: 2\r\n\r\n{}", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c.(*net.TCPConn)
+}
+
+// TestCallerThatClosesItsHalf guards against an answer that ends as complete when its
+// request is given up because the caller has closed its half of the connection.
+func TestCallerThatClosesItsHalf(t *testing.T) {
+	for _, c := range []struct{ name, path, sent string }{
+		{"in a stream", "/resume/1", events(1, 3)},
+		{"in a stream that can't be resumed", "/stream/1", events(1, 3)},
+		{"before the first event", "/resume/1", ""},
+		{"before a plain answer", "/plain/1", ""},
+	} {
+		arrived := make(chan struct{})
+		e := newEntry(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			if c.sent != "" {
+				stream(c.sent)(w, r)
+				_ = http.NewResponseController(w).Flush()
+			}
+			close(arrived)
+			<-r.Context().Done()
+		})
+		conn := e.raw(t, c.path)
+		<-arrived
+		in := bufio.NewReader(conn)
+		if c.sent != "" {
+			if _, err := in.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := conn.CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			continue // The connection was closed without an answer.
+		}
+		body, err := io.ReadAll(res.Body)
+		if err == nil {
+			t.Errorf("%s: complete answer with status %d and body %q", c.name, res.StatusCode, body)
+		}
+	}
+}
