Let either the response timer or the answer decide an attempt

When an answer began while the response timer took a retry from the budget, stopping the timer had no effect: the attempt was taken for begun and was cancelled afterwards. A plain answer was then classified as one whose caller had gone. The timer could also read the request's list of servers to avoid while the next attempt extended it, and take a retry for an attempt that had ended.

Timer and answer now decide under one lock; an attempt that was cancelled ends as a response timeout before anything of its answer is relayed.

tdhost TestAnswerThatCrossesTheResponseTimeout lets the answer begin between the two and failed before: "/plain/1: got 200 \"\", error <nil>", without the signature.

--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -317,3 +317,45 @@
 		}
 	}
 }
+
+// TestAnswerThatCrossesTheResponseTimeout guards against an answer that is taken for
+// begun and then cancelled by its response timer.
+func TestAnswerThatCrossesTheResponseTimeout(t *testing.T) {
+	for _, path := range []string{"/plain/1", "/resume/1"} {
+		asked := make(chan struct{}) // The response timer has gone off.
+		begun := make(chan struct{})
+		first := func(w http.ResponseWriter, r *http.Request) {
+			<-asked
+			if path == "/plain/1" {
+				_, _ = io.WriteString(w, "begun")
+			} else {
+				stream(events(1, 1))(w, r)
+			}
+			_ = http.NewResponseController(w).Flush()
+			close(begun)
+			<-r.Context().Done()
+		}
+		second, want := status(http.StatusOK, "text/plain", "done"), "done"
+		if path != "/plain/1" {
+			second, want = func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Last-Event-Id") == "1" {
+					stream(events(2, 3))(w, r)
+					return
+				}
+				stream(events(1, 3))(w, r)
+			}, events(1, 3)
+		}
+		e := newEntry(t, first, second)
+		e.budget = func() bool {
+			close(asked)
+			<-begun
+			time.Sleep(100 * time.Millisecond)
+			e.budget = nil
+			return true
+		}
+		got := e.send(t, path)
+		if got.err != nil || got.status != http.StatusOK || got.body != want || got.header.Get("X-Server-Stamp") == "" {
+			t.Errorf("%s: got %d %q, error %v, header %v", path, got.status, got.body, got.err, got.header)
+		}
+	}
+}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -105,7 +105,9 @@
 	if success && t.Request.Class.Events {
 		return timer.result(x.relayStream(ctx, t, answer, timer))
 	}
-	timer.stop()
+	if !timer.stop() {
+		return timedOut()
+	}
 	return x.relayPlain(ctx, t, answer)
 }
 
@@ -244,7 +246,7 @@
 	for first := true; ; first = false {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return x.endStream(t, answer)
+			return x.endStream(t, answer, timer)
 		}
 		if err != nil {
 			return broken(ctx, err)
@@ -253,8 +255,10 @@
 			answer.Drop()
 			return invalid(errEventOrder)
 		}
+		if first && !timer.stop() {
+			return timedOut()
+		}
 		if first {
-			timer.stop()
 			x.beginStream(t, answer)
 		}
 		x.timing.event(x.clock.Now())
@@ -283,7 +287,10 @@
 
 // endStream ends a stream that the server has ended. A stream without events is
 // passed on as an empty response.
-func (x *Exchange) endStream(t *tdflow.Attempt, answer *tarragondeal.Answer) tdflow.Result {
+func (x *Exchange) endStream(t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
+	if !timer.stop() {
+		return timedOut()
+	}
 	if !x.headSent {
 		x.beginStream(t, answer)
 	}
--- a/internal/entry/tdpass/silence.go
+++ b/internal/entry/tdpass/silence.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"sync"
 	"time"
 
 	"tarragondeal"
@@ -10,36 +10,52 @@
 )
 
 // responseTimer cancels an attempt whose server doesn't begin to answer, while
-// there is time for another one.
+// there is time for another one. Either the timer or stop decides, not both.
 type responseTimer struct {
 	timer  *time.Timer
 	cancel context.CancelCauseFunc
-	ctx    context.Context
+
+	mu      sync.Mutex
+	stopped bool // The attempt continues.
+	fired   bool // The attempt has been cancelled.
 }
 
 // startResponseTimer returns the context of an attempt. The timer runs only if
 // the request may be retried.
 func (x *Exchange) startResponseTimer(ctx context.Context, t *tdflow.Attempt) (context.Context, *responseTimer) {
 	inner, cancel := context.WithCancelCause(ctx)
-	rt := &responseTimer{cancel: cancel, ctx: inner}
+	rt := &responseTimer{cancel: cancel}
 	if t.Last || t.Request.Route.NonIdempotent {
 		return inner, rt
 	}
 	wait := max(minResponseTimeout, responseTimeoutTargets*t.Target)
 	wait = min(wait, time.Duration(maxResponseTimeoutShare*float64(t.Left)))
-	rt.timer = time.AfterFunc(wait, func() {
-		if t.MayRetry() { // Without a retry, keep waiting.
-			cancel(errResponseTimeout)
-		}
-	})
+	rt.timer = time.AfterFunc(wait, func() { rt.fire(t.MayRetry) })
 	return inner, rt
 }
 
-// stop stops the timer. The attempt continues.
-func (rt *responseTimer) stop() {
+// fire cancels the attempt if it may be retried. Without a retry, the attempt
+// continues.
+func (rt *responseTimer) fire(mayRetry func() bool) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	if rt.stopped || !mayRetry() {
+		return
+	}
+	rt.fired = true
+	rt.cancel(errResponseTimeout)
+}
+
+// stop stops the timer and reports whether the attempt continues. After stop the
+// timer has no effect.
+func (rt *responseTimer) stop() bool {
 	if rt.timer != nil {
 		rt.timer.Stop()
 	}
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.stopped = true
+	return !rt.fired
 }
 
 // end stops the timer and releases the attempt's context.
@@ -48,10 +64,15 @@
 	rt.cancel(nil)
 }
 
-// result returns r, or a response timeout if the timer has cancelled the attempt.
+// result stops the timer. It returns r, or a response timeout if the timer has
+// cancelled the attempt.
 func (rt *responseTimer) result(r tdflow.Result) tdflow.Result {
-	if r.Failure != tdflow.FailNone && errors.Is(context.Cause(rt.ctx), errResponseTimeout) {
-		return tdflow.Result{Failure: tdflow.FailResponseTimeout, Ran: tarragondeal.RanUnknown, Err: errResponseTimeout}
+	if rt.stop() {
+		return r
 	}
-	return r
+	return timedOut()
+}
+
+func timedOut() tdflow.Result {
+	return tdflow.Result{Failure: tdflow.FailResponseTimeout, Ran: tarragondeal.RanUnknown, Err: errResponseTimeout}
 }
