Join the events of two runs only where their order is known

A continuation was accepted whatever came before it: events without an ID passed at any time, and any event passed after one whose ID is no number. A stream without IDs that broke was sent again without Last-Event-Id, and the second run from its start was joined to the first.

The place of each event of a further run must now be known: it has the number after the last one sent, or nothing but comments has been sent. A broken stream after which no number is known is not sent again; it ends as broken (Result.Final).

tdhost TestStreamThatCannotBeContinued failed in six of its twelve cases before, e.g. "events without IDs: got data: a, data: a, data: b, error <nil>". No server of the platform is known to send events without numbers, so that this is not shown to be what the users saw.

--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -44,6 +44,7 @@
 	// answer delivers the server's error response if no retry follows. It is
 	// nil if there is none.
 	answer func(http.ResponseWriter) error
+	final  bool // No other attempt can continue the answer.
 }
 
 // streamState is the state of the caller's stream across attempts.
--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -49,6 +49,7 @@
 	Idempotent  bool
 	Stream      bool // The answer is a model's stream.
 	Delivered   bool // Bytes have been sent to the caller.
+	Final       bool // No other attempt can continue what has been sent.
 	Resumed     bool // This attempt has already been resumed.
 	Attempts    int  // Made so far, including this one.
 	Unsent      int  // Attempts that reached no server.
@@ -67,7 +68,7 @@
 	case FailKeyWithdrawn, FailDeadline, FailNoServer, FailDiverged, FailRedirect:
 		return s.finalStep()
 	}
-	if s.Remaining <= 0 || s.Delivered && !s.Stream {
+	if s.Remaining <= 0 || s.Delivered && (s.Final || !s.Stream) {
 		return s.finalStep()
 	}
 	if s.resumable() {
--- a/internal/entry/tdflow/exchange.go
+++ b/internal/entry/tdflow/exchange.go
@@ -43,6 +43,9 @@
 	// Answer delivers the server's error response if no retry follows. It is
 	// nil if there is none.
 	Answer func(http.ResponseWriter) error
+	// Final is set if no other attempt can continue what has been sent to the
+	// caller.
+	Final bool
 }
 
 // exchange makes an attempt through the request's Exchange.
@@ -59,7 +62,7 @@
 		},
 		OnDelivered: func() { r.stream.delivered = true },
 	})
-	return attemptResult{failure: out.Failure, ran: out.Ran, err: out.Err, answer: out.Answer}
+	return attemptResult{failure: out.Failure, ran: out.Ran, err: out.Err, answer: out.Answer, final: out.Final}
 }
 
 // SendResult returns the result of an attempt whose call to the backend failed
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -199,6 +199,7 @@
 		}
 		r.ran = CombineRan(r.ran, res.ran)
 		s := r.state(res.failure)
+		s.Final = res.final
 		step := Next(s)
 		if res.failure == FailUnreachable || res.failure == FailPlacement {
 			r.unsent++
--- a/internal/entry/tdflow/tdflow_test.go
+++ b/internal/entry/tdflow/tdflow_test.go
@@ -49,6 +49,7 @@
 		{"broke in the middle, not idempotent", with(FailTruncated, func(s *State) { s.Delivered, s.Idempotent = true, false }), StepResume},
 		{"broke again after resuming", with(FailCrashed, func(s *State) { s.Delivered, s.Resumed = true, true }), StepRetry},
 		{"broke again, not idempotent", with(FailCrashed, func(s *State) { s.Delivered, s.Resumed, s.Idempotent = true, true, false }), StepFail},
+		{"broke in the middle, can't be continued", with(FailCrashed, func(s *State) { s.Delivered, s.Resumed, s.Final = true, true, true }), StepFail},
 		{"event of another request in the middle", with(FailInvalid, delivered), StepRetry},
 		{"retry differs", with(FailDiverged, delivered), StepFail},
 		{"plain answer broke", with(FailCrashed, func(s *State) { s.Delivered, s.Stream = true, false }), StepAbort},
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -359,3 +359,40 @@
 		}
 	}
 }
+
+// TestStreamThatCannotBeContinued guards against parts of two runs that are joined
+// although nothing shows that the second goes on where the first broke.
+func TestStreamThatCannotBeContinued(t *testing.T) {
+	for _, c := range []struct {
+		name, first, second, want string
+		complete                  bool
+	}{
+		{"events without IDs", "data: a\n\n", "data: a\n\ndata: b\n\n", "data: a\n\n", false},
+		{"events without IDs, then with", "data: a\n\n", events(1, 3), "data: a\n\n", false},
+		{"an event without an ID at the end", events(1, 3) + "data: a\n\n", events(4, 5), events(1, 3) + "data: a\n\n", false},
+		{"other IDs than numbers", "id: a\ndata: a\n\n", "id: a\ndata: a\n\n", "id: a\ndata: a\n\n", false},
+		{"a second run without IDs", events(1, 3), "data: a\n\n", events(1, 3), false},
+		{"a second run with an event without an ID", events(1, 3), events(4, 4) + "data: a\n\n", events(1, 4), false},
+		{"a second run from the start", events(1, 3), events(1, 5), events(1, 3), false},
+		{"a second run with a gap", events(1, 3), events(4, 4) + events(6, 6), events(1, 4), false},
+		{"comments only", ": wait\n\n", events(1, 3), ": wait\n\n" + events(1, 3), true},
+		{"comments between", events(1, 3) + ": wait\n\n", ": wait\n\n" + events(4, 5), events(1, 3) + ": wait\n\n: wait\n\n" + events(4, 5), true},
+		{"broken inside an event", events(1, 3) + "id: 4\nda", events(4, 5), events(1, 5), true},
+		{"broken after the last event", events(1, 5), "", events(1, 5), true},
+	} {
+		e := newEntry(t, broken(c.first), stream(c.second))
+		got := e.send(t, "/resume/1")
+		if got.body != c.want && (c.complete || !strings.HasPrefix(c.want, got.body)) || (got.err == nil) != c.complete {
+			t.Errorf("%s: got %q, error %v, want %q", c.name, got.body, got.err, c.want)
+		}
+	}
+}
+
+// TestStreamThatEndsInsideAnEvent guards against a stream that ends as complete
+// although its server ended it inside an event.
+func TestStreamThatEndsInsideAnEvent(t *testing.T) {
+	e := newEntry(t, stream(events(1, 3)+"id: 4\nda"))
+	if got := e.send(t, "/stream/1"); got.err == nil || got.body != events(1, 3) {
+		t.Errorf("got %q, error %v", got.body, got.err)
+	}
+}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -54,22 +54,23 @@
 	log     zerolog.Logger
 	timing  eventTiming
 
-	headSent    bool // The response header of a stream has been sent to the caller.
-	status      int  // Status and media type in that header.
-	media       string
-	lastEventID string // ID of the last event that the caller has received.
-	counted     bool   // The request has been counted in starts.
+	headSent bool // The response header of a stream has been sent to the caller.
+	status   int  // Status and media type in that header.
+	media    string
+	order    order // Of the events sent to the caller.
+	counted  bool  // The request has been counted in starts.
 }
 
 // New returns the Exchange of one request that was sent to host.
 func New(b tarragondeal.Backend, s Starts, c platform.Caller, host string, clock tarragondeal.Clock, log zerolog.Logger) *Exchange {
-	return &Exchange{backend: b, starts: s, caller: c, host: host, clock: clock, log: log, lastEventID: c.Resume}
+	return &Exchange{backend: b, starts: s, caller: c, host: host, clock: clock, log: log, order: order{last: c.Resume}}
 }
 
 // Do makes one attempt.
 func (x *Exchange) Do(ctx context.Context, t *tdflow.Attempt) tdflow.Result {
 	continues := x.headSent
 	out := x.attempt(ctx, t)
+	out.Final = x.headSent && !x.order.continuable()
 	x.logPart(ctx, t, out, continues)
 	return out
 }
@@ -125,8 +126,8 @@
 func (x *Exchange) call(t *tdflow.Attempt) tarragondeal.Call {
 	q := t.Request
 	sending := platform.RouterHeaders{Server: t.Server.ID, Workspace: q.Workspace.Name, Tier: t.Tier, Left: t.Left}
-	if x.headSent {
-		sending.Resume = x.lastEventID
+	if x.order.sent {
+		sending.Resume = x.order.last
 	}
 	return tarragondeal.Call{
 		Request: q.ID, Attempt: t.Number, Method: q.Method, Path: q.Path, Body: q.Body, Tier: t.Tier,
@@ -243,6 +244,7 @@
 func (x *Exchange) relayStream(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
 	events := tdrelay.NewEvents(answer.Body)
 	rc := http.NewResponseController(t.W)
+	continues := x.order.sent
 	for first := true; ; first = false {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -251,7 +253,7 @@
 		if err != nil {
 			return broken(ctx, err)
 		}
-		if !follows(x.lastEventID, ev.ID, x.headSent) {
+		if !x.order.follows(&ev, continues) {
 			answer.Drop()
 			return invalid(errEventOrder)
 		}
@@ -302,9 +304,7 @@
 	if _, err := w.Write(ev.Raw); err != nil {
 		return err
 	}
-	if len(ev.ID) > 0 {
-		x.lastEventID = string(ev.ID)
-	}
+	x.order.add(ev)
 	if more {
 		return nil
 	}
--- a/internal/entry/tdpass/order.go
+++ b/internal/entry/tdpass/order.go
@@ -1,18 +1,60 @@
 package tdpass
 
-import "strconv"
+import (
+	"strconv"
 
-// follows reports whether the event id may follow the event last. IDs are numbers
-// that increase by one. If nothing has been sent to the caller and last is empty,
-// any ID may follow.
-func follows(last string, id []byte, headSent bool) bool {
-	if len(id) == 0 || last == "" && !headSent {
+	"tarragondeal/internal/entry/tdrelay"
+)
+
+// order is the order of the events of one answer. IDs are numbers that increase by
+// one.
+type order struct {
+	last     string // ID of the last event sent, or the one after which the caller resumes.
+	sent     bool   // An event has been sent.
+	unplaced bool   // An event without an ID has been sent.
+}
+
+// isComment reports whether an event has no effect at the caller.
+func isComment(ev *tdrelay.Event) bool { return len(ev.ID) == 0 && ev.Data == nil }
+
+// follows reports whether ev may be sent next. If continues is set, ev is of another
+// run than the events before it, so its place must be known.
+func (o *order) follows(ev *tdrelay.Event, continues bool) bool {
+	if isComment(ev) {
+		return true
+	}
+	if continues && (len(ev.ID) == 0 || !o.continuable()) {
+		return false
+	}
+	if len(ev.ID) == 0 || o.last == "" {
 		return true
 	}
-	before, err := strconv.ParseUint(last, 10, 64)
+	before, err := strconv.ParseUint(o.last, 10, 64)
 	if err != nil {
-		return true // last is not a number, so the order can't be checked.
+		return true // The order can't be checked.
 	}
-	now, err := strconv.ParseUint(string(id), 10, 64)
+	now, err := strconv.ParseUint(string(ev.ID), 10, 64)
 	return err == nil && now == before+1
 }
+
+// add records that ev has been sent.
+func (o *order) add(ev *tdrelay.Event) {
+	switch {
+	case isComment(ev):
+		return
+	case len(ev.ID) == 0:
+		o.unplaced = true
+	default:
+		o.last = string(ev.ID)
+	}
+	o.sent = true
+}
+
+// continuable reports whether it is known which event of another run would follow.
+func (o *order) continuable() bool {
+	if !o.sent {
+		return true
+	}
+	_, err := strconv.ParseUint(o.last, 10, 64)
+	return err == nil && !o.unplaced
+}
