Let the length of a stream not end its continuation

A stream with a Content-Length that was continued at another server ended as complete at that byte, whatever the second server sent: the first server's length was passed on to the caller, and events beyond it were dropped.

The length of a stream that may be continued is no longer passed on. The bytes sent are compared with it at the end instead; where they differ, the stream is broken off.

tdhost TestContinuationOfAStreamWithLength failed before for continuations that are too long: "until 6: got events 1 to 5, error <nil>". Servers of the platform are not known to send streams with a length.

--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -396,3 +397,28 @@
 		t.Errorf("got %q, error %v", got.body, got.err)
 	}
 }
+
+// TestContinuationOfAStreamWithLength guards against a stream with a Content-Length
+// that ends as complete with a continuation of another length.
+func TestContinuationOfAStreamWithLength(t *testing.T) {
+	first := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(events(1, 5))))
+		broken(events(1, 3))(w, r)
+	}
+	for _, c := range []struct {
+		last     int
+		complete bool
+	}{{4, false}, {5, true}, {6, false}, {9, false}} {
+		e := newEntry(t, first, func(w http.ResponseWriter, r *http.Request) {
+			for n := 4; n <= c.last; n++ {
+				stream(events(n, n))(w, r)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+		got := e.send(t, "/resume/1")
+		if (got.err == nil) != c.complete || !strings.HasPrefix(events(1, c.last), got.body) {
+			t.Errorf("until %d: got %q, error %v", c.last, got.body, got.err)
+		}
+	}
+}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -33,7 +33,7 @@
 var (
 	errOtherRequest    = errors.New("answer belongs to another request")
 	errUnsigned        = errors.New("success status without the server's signature")
-	errTruncated       = errors.New("answer shorter than its Content-Length")
+	errTruncated       = errors.New("answer differs from its Content-Length")
 	errResponseTimeout = errors.New("server did not begin to answer in time")
 	errEventOrder      = errors.New("missing or duplicate event")
 	errNoContinuation  = errors.New("answer doesn't continue the stream")
@@ -54,11 +54,13 @@
 	log     zerolog.Logger
 	timing  eventTiming
 
-	headSent bool // The response header of a stream has been sent to the caller.
-	status   int  // Status and media type in that header.
-	media    string
-	order    order // Of the events sent to the caller.
-	counted  bool  // The request has been counted in starts.
+	headSent  bool // The response header of a stream has been sent to the caller.
+	status    int  // Status and media type in that header.
+	media     string
+	length    int64 // Bytes in the stream, or -1 if unknown.
+	sentBytes int64
+	order     order // Of the events sent to the caller.
+	counted   bool  // The request has been counted in starts.
 }
 
 // New returns the Exchange of one request that was sent to host.
@@ -70,7 +72,7 @@
 func (x *Exchange) Do(ctx context.Context, t *tdflow.Attempt) tdflow.Result {
 	continues := x.headSent
 	out := x.attempt(ctx, t)
-	out.Final = x.headSent && !x.order.continuable()
+	out.Final = out.Final || x.headSent && !x.order.continuable()
 	x.logPart(ctx, t, out, continues)
 	return out
 }
@@ -281,8 +283,13 @@
 	if x.headSent {
 		return
 	}
-	x.headSent, x.status, x.media = true, answer.Status, mediaType(answer)
+	x.headSent, x.status, x.media, x.length = true, answer.Status, mediaType(answer), answer.Length
 	platform.EncodeAnswer(t.W.Header(), answer.Header)
+	if !t.Request.Route.NonIdempotent {
+		// With a length, the caller would take the stream for complete at that byte,
+		// also if a continuation differs.
+		t.W.Header().Del("Content-Length")
+	}
 	t.OnDelivered()
 	t.W.WriteHeader(answer.Status)
 }
@@ -296,12 +303,17 @@
 	if !x.headSent {
 		x.beginStream(t, answer)
 	}
+	if x.length >= 0 && x.sentBytes != x.length {
+		return tdflow.Result{Failure: tdflow.FailTruncated, Ran: tarragondeal.RanYes, Err: errTruncated, Final: true}
+	}
 	x.logLate(t)
 	return tdflow.Result{Ran: tarragondeal.RanYes}
 }
 
 func (x *Exchange) writeEvent(w http.ResponseWriter, rc *http.ResponseController, ev *tdrelay.Event, more bool) error {
-	if _, err := w.Write(ev.Raw); err != nil {
+	n, err := w.Write(ev.Raw)
+	x.sentBytes += int64(n)
+	if err != nil {
 		return err
 	}
 	x.order.add(ev)
