Make no further attempt after part of a long error response

An error response of over 1 MB to a stream's request is relayed as it arrives. When it broke, the request was sent to another server, whose events were joined to the part of the error response, and the whole ended as complete with the first status.

tdhost TestLongErrorResponseThatBreaks failed before: "status 500, 2097257 bytes, error <nil>, 2 servers".

--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -422,3 +422,17 @@
 		}
 	}
 }
+
+// TestLongErrorResponseThatBreaks guards against events that are joined to a part of
+// an error response.
+func TestLongErrorResponseThatBreaks(t *testing.T) {
+	e := newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, strings.Repeat("x", 2<<20))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}, stream(events(1, 5)))
+	if got := e.send(t, "/resume/1"); got.err == nil || strings.Contains(got.body, "id:") || len(e.ended()) != 1 {
+		t.Errorf("status %d, %d bytes, error %v, %d servers", got.status, len(got.body), got.err, len(e.ended()))
+	}
+}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -229,7 +229,9 @@
 		return tdflow.Result{Failure: tdflow.FailCallerGone, Ran: tarragondeal.RanYes, Err: err}
 	}
 	if _, err := io.Copy(t.W, answer.Body); err != nil {
-		return broken(ctx, err)
+		out := broken(ctx, err)
+		out.Final = true
+		return out
 	}
 	return tdflow.Result{Ran: tarragondeal.RanYes}
 }
