Check a caller's Last-Event-Id only where streams may be resumed

On a route whose streams can't be resumed, a stream whose request bore a Last-Event-Id was refused with 502 after it had run: its first event was expected to have the next number.

tdhost TestLastEventIDWithoutResuming failed before: "status:502 ... the backend server's answer was not this request's".

--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -97,6 +97,9 @@
 	platform.SetRequestID(w.Header(), caller.ID)
 	q, err := h.admit(w, r, caller, arrived)
 	if err == nil {
+		if !q.Route.Resumable {
+			caller.Resume = "" // The stream begins with its first event.
+		}
 		q.Exchange = tdpass.New(h.Backend, h.Starts, caller, r.Host, h.Clock, h.Log)
 		err = h.run(r.Context(), w, q)
 	}
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -436,3 +436,16 @@
 		t.Errorf("status %d, %d bytes, error %v, %d servers", got.status, len(got.body), got.err, len(e.ended()))
 	}
 }
+
+// TestLastEventIDWithoutResuming guards against a stream that is refused as out of
+// order since its caller sent a Last-Event-Id on a route that can't be resumed.
+func TestLastEventIDWithoutResuming(t *testing.T) {
+	e := newEntry(t, stream(events(1, 3)))
+	if got := e.send(t, "/stream/1", "Last-Event-Id", "12"); got.err != nil || got.body != events(1, 3) {
+		t.Errorf("%+v", got)
+	}
+	e = newEntry(t, broken(events(13, 14)), stream(events(15, 16)))
+	if got := e.send(t, "/resume/1", "Last-Event-Id", "12"); got.err != nil || got.body != events(13, 16) {
+		t.Errorf("%+v", got)
+	}
+}
