Relay empty lines between events

Empty lines beyond the one that ends an event were dropped, so that a caller got another body than the server sent; with a Content-Length the stream was broken off although it was whole.

tdhost TestEmptyLinesBetweenEvents failed in all four cases before, e.g. "got events 1 to 3 without them, error unexpected EOF".

--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -449,3 +449,22 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// TestEmptyLinesBetweenEvents guards against a body of which empty lines are missing.
+func TestEmptyLinesBetweenEvents(t *testing.T) {
+	text := "\n" + events(1, 2) + "\n\r\n" + events(3, 3) + "\n"
+	for _, length := range []bool{false, true} {
+		e := newEntry(t, func(w http.ResponseWriter, r *http.Request) {
+			if length {
+				w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+			}
+			stream(text)(w, r)
+		})
+		for _, path := range []string{"/resume/1", "/stream/1"} {
+			e.granted = 0
+			if got := e.send(t, path); got.err != nil || got.body != text {
+				t.Errorf("%s, length %t: got %q, error %v", path, length, got.body, got.err)
+			}
+		}
+	}
+}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -267,7 +267,9 @@
 		if first {
 			x.beginStream(t, answer)
 		}
-		x.timing.event(x.clock.Now())
+		if !isComment(&ev) {
+			x.timing.event(x.clock.Now())
+		}
 		if err := x.writeEvent(t.W, rc, &ev, events.More()); err != nil {
 			return tdflow.Result{Failure: tdflow.FailCallerGone, Ran: tarragondeal.RanYes, Err: err}
 		}
--- a/internal/entry/tdrelay/events.go
+++ b/internal/entry/tdrelay/events.go
@@ -26,8 +26,8 @@
 	return fmt.Sprintf("server-sent event is larger than %d bytes", e.Limit)
 }
 
-// Event is one server-sent event, or a comment. It is valid until the next
-// call to Events.Next.
+// Event is one server-sent event, a comment, or an empty line between events. It
+// is valid until the next call to Events.Next.
 type Event struct {
 	Raw  []byte // The event as read, including the empty line that ends it.
 	Name []byte
@@ -60,10 +60,6 @@
 		if len(line) > 0 {
 			continue
 		}
-		if start == 0 {
-			e.raw = e.raw[:0] // Extra empty line between events.
-			continue
-		}
 		return e.parse(), nil
 	}
 }
