--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -72,6 +73,7 @@
 type entry struct {
 	*servers
 	addr string
+	host *Host
 	logs *syncBuffer
 }
 
@@ -122,9 +124,9 @@
 	flow := tdflow.New(tdflow.Deps{
 		Dispatch: e.servers, Backend: backend, Meter: e.servers, Burn: e.servers, Clock: clock, Metrics: tally.NoopScope, Log: log,
 	}, tdflow.Options{Attempts: 3, WriteTimeout: time.Minute})
-	host := New(Deps{Flow: flow, Backend: backend, Starts: e.servers, Clock: clock, Log: log, Scope: tally.NoopScope})
-	host.SetView(tarragondeal.NewView(1, set), platform.CallerLimits{})
-	srv := httptest.NewServer(host)
+	e.host = New(Deps{Flow: flow, Backend: backend, Starts: e.servers, Clock: clock, Log: log, Scope: tally.NoopScope})
+	e.host.SetView(tarragondeal.NewView(1, set), platform.CallerLimits{})
+	srv := httptest.NewServer(e.host)
 	t.Cleanup(srv.Close)
 	e.addr = srv.Listener.Addr().String()
 	return e
@@ -468,3 +470,25 @@
 		}
 	}
 }
+
+// TestLeavingHostClosesConnections guards against a leaving host whose callers keep
+// their connections, which are closed when it stops.
+func TestLeavingHostClosesConnections(t *testing.T) {
+	e := newEntry(t, stream(events(1, 2)), status(http.StatusOK, "text/plain", "done"))
+	e.host.Leave()
+	for _, path := range []string{"/resume/1", "/plain/1", "/plain/2"} {
+		conn := e.raw(t, path)
+		in := bufio.NewReader(conn)
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(res.Body); err != nil {
+			t.Fatal(err)
+		}
+		_, err = in.ReadByte()
+		if !res.Close || !errors.Is(err, io.EOF) {
+			t.Errorf("%s: status %d, close %t, then %v", path, res.StatusCode, res.Close, err)
+		}
+	}
+}
