Never join a plain answer to a stream that is run again

On the router's own interface, too, an answer that was no stream was taken for the rest of one: when a broken stream was run again and the server answered with a 4xx status or a JSON body, the body was appended to the events and the request counted as served.

Such an answer now fails the attempt. Two new courses of tdflow failed before; the body they got was the events a and b and then {}.

--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -127,8 +127,13 @@
 	if f := a.checkHead(answer); f != FailNone {
 		return attemptResult{failure: f, ran: tarragondeal.RanUnknown}
 	}
-	if r.q.Model != nil && r.q.Model.Stream && isStream(answer) {
+	switch {
+	case r.q.Model != nil && r.q.Model.Stream && isStream(answer):
 		return a.relayStream(ctx, answer)
+	case r.stream.delivered && answer.Status >= http.StatusBadRequest:
+		return attemptResult{failure: FailServerError, ran: tarragondeal.RanUnknown}
+	case r.stream.delivered: // Its body would be joined to the stream.
+		return attemptResult{failure: FailInvalid, ran: tarragondeal.RanUnknown}
 	}
 	return a.relayPlain(ctx, answer)
 }
--- a/internal/entry/tdflow/course_test.go
+++ b/internal/entry/tdflow/course_test.go
@@ -196,12 +196,15 @@
 }
 
 var (
-	rerunNote = ": run again by s2 in duluth\n\n"
+	rerunNote = rerunNoteOf("s2")
 	crashed   = response{err: &tarragondeal.BackendError{Ran: tarragondeal.RanUnknown, Crashed: true, Err: io.EOF}}
 	unsent    = response{err: &tarragondeal.BackendError{Ran: tarragondeal.RanNot, Err: io.EOF}}
 	notFound  = plainResponse(http.StatusNotFound, "{}")
 )
 
+// rerunNoteOf returns the comment before the part of a stream that server sent.
+func rerunNoteOf(server string) string { return ": run again by " + server + " in duluth\n\n" }
+
 var _ = Describe("Run", func() {
 	type expect struct {
 		body     string // Complete body of the answer.
@@ -240,6 +243,8 @@
 		{name: "resumes at the same server", stream: true, steps: []response{broken, streamResponse(io.EOF, "c", ".", "[DONE]")}, want: expect{body: sse("a", "b", "c", ".", "[DONE]"), calls: 2, outcomes: kinds{served}}},
 		{name: "continues with a retry at another server", stream: true, steps: []response{broken, notFound, completeStream("a", "b", "c")}, want: expect{body: sse("a", "b") + rerunNote + sse("c", ".", "[DONE]"), calls: 3, outcomes: kinds{crash, served}, waste: []string{"crashed"}}},
 		{name: "reports an error when a retry differs", stream: true, steps: []response{broken, notFound, completeStream("a", "x", "c")}, want: expect{body: sse("a", "b") + rerunNote, code: "backendFailed", ran: tarragondeal.RanYes, event: true, calls: 3, outcomes: kinds{crash, cancelled}, waste: []string{"crashed", "differs"}}},
+		{name: "never takes an error response for the rest of a stream", stream: true, steps: []response{broken, notFound, notFound, completeStream("a", "b", "c")}, want: expect{body: sse("a", "b") + rerunNoteOf("s3") + sse("c", ".", "[DONE]"), calls: 4, outcomes: kinds{crash, refused, served}, waste: []string{"crashed", "serverFault"}}},
+		{name: "never takes a plain answer for the rest of a stream", stream: true, steps: []response{broken, notFound, plainResponse(200, "{}"), plainResponse(200, "{}")}, want: expect{body: sse("a", "b"), code: "backendFailed", ran: tarragondeal.RanYes, event: true, calls: 4, outcomes: kinds{crash, wrong, wrong}, waste: []string{"crashed", "wrong", "wrong"}}},
 		{name: "stops when its caller disconnects", stream: true, setup: func(o *fakeDeps, cancel context.CancelFunc) {
 			o.backend = append(o.backend, response{media: eventStream, body: io.MultiReader(strings.NewReader(sse("a")), &callReader{cancel}, iotest.ErrReader(errBlock))})
 		}, want: expect{body: sse("a"), aborted: true, calls: 1, outcomes: kinds{cancelled}, waste: []string{"cancelled"}}},
