--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -96,7 +96,7 @@
 
 // newEntry starts a host. The n-th attempt of a request gets the answer of the n-th
 // handler. The host's routes are /resume/ (resumable, two attempts), /resume3/ (the
-// same with three), /stream/ (not resumable) and /plain/ (no stream, idempotent).
+// same with three), /short/ (the same with a short deadline), /stream/ (not resumable) and /plain/ (no stream, idempotent).
 func newEntry(t *testing.T, handlers ...http.HandlerFunc) *entry {
 	t.Helper()
 	e := &entry{servers: &servers{}, logs: &syncBuffer{}}
@@ -108,16 +108,18 @@
 	class := tarragondeal.RequestClass{Name: "c", Events: true, FirstToken: tarragondeal.Duration(time.Second), Deadline: tarragondeal.Duration(10 * time.Second)}
 	plain := tarragondeal.RequestClass{Name: "p", Completion: tarragondeal.Duration(10 * time.Millisecond), Deadline: tarragondeal.Duration(10 * time.Second)}
 	route := tarragondeal.Route{Open: true, Pools: []string{"p"}, Host: "x.example", Class: "c", MaxAttempts: 2}
-	routes := make([]tarragondeal.Route, 4)
-	for n, name := range []string{"resume", "stream", "plain", "resume3"} {
+	short := tarragondeal.RequestClass{Name: "s", Events: true, Deadline: tarragondeal.Duration(200 * time.Millisecond)}
+	routes := make([]tarragondeal.Route, 5)
+	for n, name := range []string{"resume", "stream", "plain", "resume3", "short"} {
 		routes[n] = route
 		routes[n].Name, routes[n].Prefix = name, "/"+name+"/"
 	}
 	routes[0].Resumable, routes[1].NonIdempotent, routes[2].Class = true, true, "p"
 	routes[3].Resumable, routes[3].MaxAttempts = true, 3
+	routes[4].Resumable, routes[4].Class = true, "s"
 	set := &tarragondeal.Set{
 		DataCentres: []tarragondeal.DataCentre{{Name: "duluth"}}, ServerPools: []tarragondeal.ServerPool{{Name: "p"}},
-		RequestClasses: []tarragondeal.RequestClass{class, plain}, Routes: routes,
+		RequestClasses: []tarragondeal.RequestClass{class, plain, short}, Routes: routes,
 	}
 	clock, log := tdclock.New(), zerolog.New(e.logs)
 	backend := tdbackend.NewWith(tdbackend.Options{Verbatim: true})
@@ -492,3 +494,36 @@
 		}
 	}
 }
+
+// TestStreamAtItsDeadline guards against a stream that ends as complete when its
+// deadline passes, also if its caller has stopped reading.
+func TestStreamAtItsDeadline(t *testing.T) {
+	for _, slow := range []bool{false, true} {
+		e := newEntry(t, func(w http.ResponseWriter, r *http.Request) {
+			data := strings.Repeat("x", 16<<10)
+			w.Header().Set("Content-Type", "text/event-stream")
+			for n := 1; r.Context().Err() == nil && n < 2000; n++ {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data)
+				_ = http.NewResponseController(w).Flush()
+				if !slow {
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+			<-r.Context().Done()
+		})
+		conn := e.raw(t, "/short/1")
+		if slow {
+			time.Sleep(writeMargin + 500*time.Millisecond)
+		}
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, res.Body); err == nil || n == 0 {
+			t.Errorf("slow %t: %d bytes, error %v", slow, n, err)
+		}
+		if logs := e.logs.String(); slow == strings.Contains(logs, `"failure":"late"`) {
+			t.Errorf("slow %t: %s", slow, logs)
+		}
+	}
+}
