--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -40,7 +40,7 @@
 	StepRefuse                 // Answer with an error.
 	StepFail                   // End the stream with an error event.
 	StepAbort                  // Break the connection so that the caller sees the failure.
-	StepCallerGone             // End without an answer: the caller has disconnected.
+	StepCallerGone             // Break the connection: the caller has disconnected or stopped reading.
 )
 
 // State is the input of Next.
@@ -49,6 +49,7 @@
 	Idempotent  bool
 	Stream      bool // The answer is a model's stream.
 	Delivered   bool // Bytes have been sent to the caller.
+	Final       bool // No other attempt can continue what has been sent.
 	Resumed     bool // This attempt has already been resumed.
 	Attempts    int  // Made so far, including this one.
 	Unsent      int  // Attempts that reached no server.
@@ -67,7 +68,7 @@
 	case FailKeyWithdrawn, FailDeadline, FailNoServer, FailDiverged, FailRedirect:
 		return s.finalStep()
 	}
-	if s.Remaining <= 0 || s.Delivered && !s.Stream {
+	if s.Remaining <= 0 || s.Delivered && (s.Final || !s.Stream) {
 		return s.finalStep()
 	}
 	if s.resumable() {
@@ -158,8 +159,8 @@
 	FailResponseTimeout: "silent",
 }
 
-// failureName returns the name of a failure in log lines.
-func failureName(f Failure) string {
+// String returns the name of f in log lines.
+func (f Failure) String() string {
 	switch f {
 	case FailUnreachable:
 		return "unreachable"
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -32,9 +33,10 @@
 var (
 	errOtherRequest    = errors.New("answer belongs to another request")
 	errUnsigned        = errors.New("success status without the server's signature")
-	errTruncated       = errors.New("answer shorter than its Content-Length")
+	errTruncated       = errors.New("answer differs from its Content-Length")
 	errResponseTimeout = errors.New("server did not begin to answer in time")
 	errEventOrder      = errors.New("missing or duplicate event")
+	errNoContinuation  = errors.New("answer doesn't continue the stream")
 )
 
 // Starts counts requests that begin to run.
@@ -52,18 +54,30 @@
 	log     zerolog.Logger
 	timing  eventTiming
 
-	headSent    bool   // The response header of a stream has been sent to the caller.
-	lastEventID string // ID of the last event that the caller has received.
-	counted     bool   // The request has been counted in starts.
+	headSent  bool // The response header of a stream has been sent to the caller.
+	status    int  // Status and media type in that header.
+	media     string
+	length    int64 // Bytes in the stream, or -1 if unknown.
+	sentBytes int64
+	order     order // Of the events sent to the caller.
+	counted   bool  // The request has been counted in starts.
 }
 
 // New returns the Exchange of one request that was sent to host.
 func New(b tarragondeal.Backend, s Starts, c platform.Caller, host string, clock tarragondeal.Clock, log zerolog.Logger) *Exchange {
-	return &Exchange{backend: b, starts: s, caller: c, host: host, clock: clock, log: log, lastEventID: c.Resume}
+	return &Exchange{backend: b, starts: s, caller: c, host: host, clock: clock, log: log, order: order{last: c.Resume}}
 }
 
 // Do makes one attempt.
 func (x *Exchange) Do(ctx context.Context, t *tdflow.Attempt) tdflow.Result {
+	continues := x.headSent
+	out := x.attempt(ctx, t)
+	out.Final = out.Final || x.headSent && !x.order.continuable()
+	x.logPart(ctx, t, out, continues)
+	return out
+}
+
+func (x *Exchange) attempt(ctx context.Context, t *tdflow.Attempt) tdflow.Result {
 	ctx, timer := x.startResponseTimer(ctx, t)
 	defer timer.end()
 	answer, err := x.backend.Send(ctx, t.Server, x.call(t))
@@ -71,6 +85,9 @@
 		return timer.result(tdflow.SendResult(ctx, err))
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if x.headSent {
+		x.logContinuation(t, answer)
+	}
 	reply := platform.DecodeReply(answer.Status, answer.Header)
 	if reply.ID != x.caller.ID && x.caller.ID != "" {
 		answer.Drop()
@@ -80,6 +97,9 @@
 		return x.rejected(answer)
 	}
 	x.countStart(t)
+	if x.headSent {
+		return timer.result(x.continueStream(ctx, t, answer, timer))
+	}
 	success := answer.Status < http.StatusMultipleChoices
 	if success && !reply.Signed {
 		answer.Drop()
@@ -88,7 +108,9 @@
 	if success && t.Request.Class.Events {
 		return timer.result(x.relayStream(ctx, t, answer, timer))
 	}
-	timer.stop()
+	if !timer.stop() {
+		return timedOut()
+	}
 	return x.relayPlain(ctx, t, answer)
 }
 
@@ -106,8 +128,8 @@
 func (x *Exchange) call(t *tdflow.Attempt) tarragondeal.Call {
 	q := t.Request
 	sending := platform.RouterHeaders{Server: t.Server.ID, Workspace: q.Workspace.Name, Tier: t.Tier, Left: t.Left}
-	if x.headSent {
-		sending.Resume = x.lastEventID
+	if x.order.sent {
+		sending.Resume = x.order.last
 	}
 	return tarragondeal.Call{
 		Request: q.ID, Attempt: t.Number, Method: q.Method, Path: q.Path, Body: q.Body, Tier: t.Tier,
@@ -116,16 +138,44 @@
 	}
 }
 
+// continueStream relays the answer to a request that continues a broken stream. An
+// answer that isn't the rest of it must not reach the caller, who would take it for
+// the end of the stream.
+func (x *Exchange) continueStream(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
+	switch {
+	case answer.Status >= http.StatusMultipleChoices:
+		discard(answer)
+		return tdflow.Result{Failure: tdflow.FailServerError, Ran: tarragondeal.RanYes, Err: errNoContinuation}
+	case !platform.DecodeReply(answer.Status, answer.Header).Signed:
+		answer.Drop()
+		return invalid(errUnsigned)
+	case answer.Status != x.status || mediaType(answer) != x.media:
+		answer.Drop()
+		return invalid(errNoContinuation)
+	}
+	return x.relayStream(ctx, t, answer, timer)
+}
+
+// mediaType returns the media type of an answer without its parameters.
+func mediaType(answer *tarragondeal.Answer) string {
+	media, _, _ := mime.ParseMediaType(answer.Header.Get("Content-Type"))
+	return media
+}
+
 func invalid(err error) tdflow.Result {
 	return tdflow.Result{Failure: tdflow.FailInvalid, Ran: tarragondeal.RanUnknown, Err: err}
 }
 
-// maxRefusal bounds the bytes read from a refusal so that its connection can be
-// reused.
-const maxRefusal = 16 << 10
+// maxDiscarded bounds the bytes read from an answer that isn't relayed so that its
+// connection can be reused.
+const maxDiscarded = 16 << 10
+
+func discard(answer *tarragondeal.Answer) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxDiscarded))
+}
 
 func (x *Exchange) rejected(answer *tarragondeal.Answer) tdflow.Result {
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxRefusal))
+	discard(answer)
 	return tdflow.Result{Failure: tdflow.FailRejected, Ran: tarragondeal.RanNot}
 }
 
@@ -179,7 +229,9 @@
 		return tdflow.Result{Failure: tdflow.FailCallerGone, Ran: tarragondeal.RanYes, Err: err}
 	}
 	if _, err := io.Copy(t.W, answer.Body); err != nil {
-		return broken(ctx, err)
+		out := broken(ctx, err)
+		out.Final = true
+		return out
 	}
 	return tdflow.Result{Ran: tarragondeal.RanYes}
 }
@@ -196,23 +248,28 @@
 func (x *Exchange) relayStream(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
 	events := tdrelay.NewEvents(answer.Body)
 	rc := http.NewResponseController(t.W)
+	continues := x.order.sent
 	for first := true; ; first = false {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return x.endStream(t, answer)
+			return x.endStream(t, answer, timer)
 		}
 		if err != nil {
 			return broken(ctx, err)
 		}
-		if !follows(x.lastEventID, ev.ID, x.headSent) {
+		if !x.order.follows(&ev, continues) {
 			answer.Drop()
 			return invalid(errEventOrder)
 		}
+		if first && !timer.stop() {
+			return timedOut()
+		}
 		if first {
-			timer.stop()
 			x.beginStream(t, answer)
 		}
-		x.timing.event(x.clock.Now())
+		if !isComment(&ev) {
+			x.timing.event(x.clock.Now())
+		}
 		if err := x.writeEvent(t.W, rc, &ev, events.More()); err != nil {
 			return tdflow.Result{Failure: tdflow.FailCallerGone, Ran: tarragondeal.RanYes, Err: err}
 		}
@@ -230,29 +287,40 @@
 	if x.headSent {
 		return
 	}
-	x.headSent = true
+	x.headSent, x.status, x.media, x.length = true, answer.Status, mediaType(answer), answer.Length
 	platform.EncodeAnswer(t.W.Header(), answer.Header)
+	if !t.Request.Route.NonIdempotent {
+		// With a length, the caller would take the stream for complete at that byte,
+		// also if a continuation differs.
+		t.W.Header().Del("Content-Length")
+	}
 	t.OnDelivered()
 	t.W.WriteHeader(answer.Status)
 }
 
 // endStream ends a stream that the server has ended. A stream without events is
 // passed on as an empty response.
-func (x *Exchange) endStream(t *tdflow.Attempt, answer *tarragondeal.Answer) tdflow.Result {
+func (x *Exchange) endStream(t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
+	if !timer.stop() {
+		return timedOut()
+	}
 	if !x.headSent {
 		x.beginStream(t, answer)
 	}
+	if x.length >= 0 && x.sentBytes != x.length {
+		return tdflow.Result{Failure: tdflow.FailTruncated, Ran: tarragondeal.RanYes, Err: errTruncated, Final: true}
+	}
 	x.logLate(t)
 	return tdflow.Result{Ran: tarragondeal.RanYes}
 }
 
 func (x *Exchange) writeEvent(w http.ResponseWriter, rc *http.ResponseController, ev *tdrelay.Event, more bool) error {
-	if _, err := w.Write(ev.Raw); err != nil {
+	n, err := w.Write(ev.Raw)
+	x.sentBytes += int64(n)
+	if err != nil {
 		return err
 	}
-	if len(ev.ID) > 0 {
-		x.lastEventID = string(ev.ID)
-	}
+	x.order.add(ev)
 	if more {
 		return nil
 	}
