Tell a reset from the end of a response without a length

A response without a length ends with its connection. The system reports a reset only once: when a server reset the connection while the request's body was still being written, the write often got the reset, and the read got io.EOF. The response, an event stream too, then counted as complete although it had been cut off.

A connection on which a write has failed or goes on now has no regular end. A response without a length that ends before the request is written is lost by this, also if the server closed in order; the request may be sent again where its route permits that.

TestEndWhileWriting shows each order of the two calls.

--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -14,12 +14,34 @@
 // countedConn counts the writes started on a connection.
 type countedConn struct {
 	net.Conn
-	writes atomic.Int64
+	writes   atomic.Int64
+	inFlight atomic.Int64 // Writes that haven't returned.
+	failed   atomic.Bool  // A write has failed.
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
-	return c.Conn.Write(b)
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.failed.Store(true)
+	}
+	return n, err
+}
+
+// errUnsentEnd reports the end of a connection to which a request was being written.
+var errUnsentEnd = errors.New("connection ended while the request was being written")
+
+// Read returns errUnsentEnd for the end of a connection on which a write failed or
+// goes on. The system reports a reset only once: if the write gets it, the read gets
+// io.EOF, as after a regular end.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && (c.inFlight.Load() > 0 || c.failed.Load()) {
+		err = errUnsentEnd
+	}
+	return n, err
 }
 
 // sendTrace records the connections that the transport used for one request.
--- /dev/null
+++ b/internal/platform/tdbackend/conn_test.go
@@ -0,0 +1,59 @@
+package tdbackend
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+)
+
+// endedConn is a connection whose reads return io.EOF, and whose writes return err
+// after begun was closed and release was received from.
+type endedConn struct {
+	net.Conn
+	err            error
+	begun, release chan struct{}
+}
+
+func (c *endedConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *endedConn) Write(b []byte) (int, error) {
+	if c.begun != nil {
+		close(c.begun)
+		<-c.release
+	}
+	return len(b), c.err
+}
+
+// TestEndWhileWriting guards against a reset that a write got and that a read takes
+// for the regular end of the connection.
+func TestEndWhileWriting(t *testing.T) {
+	var b [1]byte
+	c := &countedConn{Conn: &endedConn{}}
+	_, _ = c.Write(b[:])
+	if _, err := c.Read(b[:]); !errors.Is(err, io.EOF) {
+		t.Errorf("after a write: %v", err)
+	}
+	c = &countedConn{Conn: &endedConn{err: syscall.ECONNRESET}}
+	_, _ = c.Write(b[:])
+	if _, err := c.Read(b[:]); !errors.Is(err, errUnsentEnd) {
+		t.Errorf("after a failed write: %v", err)
+	}
+	inner := &endedConn{begun: make(chan struct{}), release: make(chan struct{})}
+	c = &countedConn{Conn: inner}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = c.Write(b[:])
+	}()
+	<-inner.begun
+	if _, err := c.Read(b[:]); !errors.Is(err, errUnsentEnd) {
+		t.Errorf("during a write: %v", err)
+	}
+	close(inner.release)
+	<-done
+	if _, err := c.Read(b[:]); !errors.Is(err, io.EOF) {
+		t.Errorf("after that write: %v", err)
+	}
+}
