--- a/test/vm/stream_test.go
+++ b/test/vm/stream_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -112,6 +113,8 @@
 	}
 }
 
+func wait(d time.Duration) streamRun { return func(http.ResponseWriter) { time.Sleep(d) } }
+
 // unframed sends a header without a length and then text, and resets the
 // connection.
 func unframed(text string) streamRun {
@@ -220,6 +223,40 @@
 		}
 	}
 
+	// The next server may be asked at the moment at which the first one begins.
+	It("are of one run when a server begins as its response timeout passes", func() {
+		f := newFleet(1)
+		f.waitReady()
+		const deadline = 600 * time.Millisecond
+		twice := 0
+		for n := range 20 {
+			before := len(f.engine.received()) + len(f.engine2.received())
+			late := deadline/2 + time.Duration(n-10)*time.Millisecond
+			f.serveRuns(inOrder(wait(late), events(1, 2), wait(20*time.Millisecond), events(3, 5)), events(1, 5))
+			r := f.nodes[0].sendStream("/chat/1", map[string]string{"X-Deadline-Ms": strconv.FormatInt(deadline.Milliseconds(), 10)})
+			if r.status != http.StatusOK {
+				Expect(r.body).NotTo(ContainSubstring("piece"))
+				continue
+			}
+			_, err := checkStream(r.body, r.err, 1, chatEvents)
+			Expect(err).NotTo(HaveOccurred(), "began after %s: %s", late, r.body)
+			if len(f.engine.received())+len(f.engine2.received()) > before+1 {
+				twice++
+			}
+		}
+		GinkgoWriter.Println("requests that ran twice:", twice, "of 20")
+	})
+
+	It("are not ended as complete before the last one when the next server does not answer until the deadline", func() {
+		f := newFleet(1)
+		f.waitReady()
+		f.serveRuns(inOrder(events(1, 3), breakOff), inOrder(wait(time.Second), events(4, 5)))
+		r := f.nodes[0].sendStream("/chat/1", map[string]string{"X-Deadline-Ms": "500"})
+		_, err := checkStream(r.body, r.err, 1, chatEvents)
+		Expect(err).NotTo(HaveOccurred(), r.body)
+		Expect(r.err).To(HaveOccurred())
+	})
+
 	It("are not ended as complete before the last one by a node whose caller closed its sending side", func() {
 		f := newFleet(1)
 		f.waitReady()
