--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -56,6 +56,13 @@
 	s.outcomes = append(s.outcomes, o.Kind)
 }
 
+// reset grants the servers at addrs from now on.
+func (s *servers) reset(addrs []netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addrs, s.granted, s.outcomes = addrs, 0, nil
+}
+
 // ended returns the outcomes of the attempts that have ended.
 func (s *servers) ended() []tarragondeal.OutcomeKind {
 	s.mu.Lock()
@@ -88,6 +95,12 @@
 	return b.buf.Write(p)
 }
 
+func (b *syncBuffer) reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.buf.Reset()
+}
+
 func (b *syncBuffer) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
