tdmirror: count all trimmed changes when the history is trimmed

A node that receives copies of the store could miss changes for good: the sender answered with changes said to be complete, without some of them.

Cause: a listing is added to the history in the order of keys. When the history was trimmed, its start was set to the revision of the last trimmed change, although others trimmed with it had higher revisions. A receiver between the two got the rest of the history instead of the full copy.

The start is now the highest revision that was trimmed.

--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -290,7 +290,9 @@
 	}
 	m.history = append(m.history, e)
 	if over := len(m.history) - maxHistory; over > 0 {
-		m.historyStart = m.history[over-1].Revision
+		for _, trimmed := range m.history[:over] { // Not in the order of revisions after a listing.
+			m.historyStart = max(m.historyStart, trimmed.Revision)
+		}
 		m.history = slices.Delete(m.history, 0, over)
 	}
 }
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -30,6 +30,7 @@
 	events       []tarragondeal.Entry
 	historyStart tarragondeal.Revision // Watches from before this revision fail.
 	unavailable  bool
+	onAnswer     func() // Called when a call has its answer, before it returns. May be nil.
 }
 
 func newFakeSource() *fakeSource {
@@ -55,6 +56,18 @@
 }
 
 func (s *fakeSource) Page(_ context.Context, prefix, after string) (tarragondeal.Page, error) {
+	p, err := s.page(prefix, after)
+	s.answered()
+	return p, err
+}
+
+func (s *fakeSource) answered() {
+	if s.onAnswer != nil {
+		s.onAnswer()
+	}
+}
+
+func (s *fakeSource) page(prefix, after string) (tarragondeal.Page, error) {
 	if s.unavailable {
 		return tarragondeal.Page{}, errUnavailable
 	}
@@ -74,6 +87,12 @@
 }
 
 func (s *fakeSource) Watch(_ context.Context, _ string, after tarragondeal.Revision, _ time.Duration) ([]tarragondeal.Entry, tarragondeal.Revision, error) {
+	entries, rev, err := s.watch(after)
+	s.answered()
+	return entries, rev, err
+}
+
+func (s *fakeSource) watch(after tarragondeal.Revision) ([]tarragondeal.Entry, tarragondeal.Revision, error) {
 	if s.unavailable {
 		return nil, 0, errUnavailable
 	}
@@ -234,3 +253,30 @@
 		t.Errorf("%d entries up to %d, whole %t", len(entries), rev, whole)
 	}
 }
+
+// steps lets a mirror make n calls to the service.
+func steps(t *testing.T, m *Mirror, n int) {
+	t.Helper()
+	for range n {
+		if _, err := m.step(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestTrimmedHistoryIsComplete checks that a node whose revision lies between those
+// of trimmed changes gets the full copy: a listing is not in the order of revisions.
+func TestTrimmedHistoryIsComplete(t *testing.T) {
+	s, clock := newFakeSource(), &fakeClock{now: 1}
+	for n := range maxHistory + 2 {
+		s.put(fmt.Sprintf("a/%03d", n), "x")
+	}
+	receiver, m := newMirror(s, clock), newMirror(s, clock)
+	steps(t, receiver, 1)
+	s.put("a/000", "new")
+	steps(t, m, 1)
+	receiver.Apply(m.Since(receiver.Revision()))
+	if !maps.Equal(receiver.values(), s.values()) {
+		t.Errorf("a/000 is %q", receiver.values()["a/000"])
+	}
+}
