tdmirror: ignore late answers of the store that a copy has overtaken

A server that was gone came back into a node's list and stayed there until the next listing. The same holds for any entry, such as another node's.

Cause: a watch or a listing may be in flight while copies from another node are applied. Such a copy may remove an entry that the answer still has. The mirror doesn't keep removed entries, so it took the answer's one for new. Its revision was later than the removal already, so the removal wasn't received again.

Test: TestLateAnswerDoesNotRestoreRemovedEntry. Before the fix: 'watch: the mirror holds map[a/1:x a/2:x], the service map[a/1:x]', and the same for a listing. The copy is complete at its revision, so a key that it lacks did not exist then, and an entry that is not later is ignored. Answers are compared and applied under one lock.

--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -225,14 +225,18 @@
 		present[e.Key] = true
 	}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	for key, e := range m.items {
 		if !present[key] && e.Revision <= base {
 			all = append(all, tarragondeal.Entry{Key: key, Revision: max(e.Revision+1, base), Deleted: true})
 		}
 	}
 	m.listed = true
-	m.mu.Unlock()
-	m.apply(all, base)
+	known := m.rev
+	if base >= m.rev {
+		known = 0
+	}
+	m.merge(all, base, known)
 }
 
 // Apply applies changes up to revision rev that another node has copied. If whole
@@ -252,9 +256,16 @@
 func (m *Mirror) apply(entries []tarragondeal.Entry, rev tarragondeal.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.merge(entries, rev, m.rev)
+}
+
+// merge applies entries and passes those that are newer than the copy to the
+// subscribers. Keys that are not held did not exist at revision known, so an entry
+// of one that is not later than that comes from an answer that was overtaken.
+func (m *Mirror) merge(entries []tarragondeal.Entry, rev, known tarragondeal.Revision) {
 	var accepted []tarragondeal.Entry
 	for _, e := range entries {
-		if m.isMirrored(e.Key) && m.isNewer(e) {
+		if m.isMirrored(e.Key) && m.isNewer(e, known) {
 			m.put(e)
 			accepted = append(accepted, e)
 		}
@@ -274,12 +285,15 @@
 	return slices.ContainsFunc(m.opt.Prefixes, func(p string) bool { return strings.HasPrefix(key, p) })
 }
 
-func (m *Mirror) isNewer(e tarragondeal.Entry) bool {
+func (m *Mirror) isNewer(e tarragondeal.Entry, known tarragondeal.Revision) bool {
 	held, ok := m.items[e.Key]
-	if e.Deleted {
+	switch {
+	case e.Deleted:
 		return ok && e.Revision >= held.Revision
+	case ok:
+		return e.Revision > held.Revision
 	}
-	return !ok || e.Revision > held.Revision
+	return e.Revision > known
 }
 
 func (m *Mirror) put(e tarragondeal.Entry) {
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -264,6 +264,40 @@
 	}
 }
 
+// TestLateAnswerDoesNotRestoreRemovedEntry checks that a watch or a listing that was
+// answered before a copy from another node was applied does not restore an entry
+// that the copy removed.
+func TestLateAnswerDoesNotRestoreRemovedEntry(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		expired bool // The watch history, so that the mirror lists again.
+	}{
+		{"watch", false},
+		{"listing", true},
+	} {
+		s, clock := newFakeSource(), &fakeClock{now: 1}
+		m, other := newMirror(s, clock), newMirror(s, clock)
+		s.put("a/1", "x")
+		steps(t, m, 1)
+		s.put("a/2", "x")
+		steps(t, other, 1)
+		if c.expired {
+			s.historyStart = s.rev
+			steps(t, m, 1)
+		}
+		s.onAnswer = func() {
+			s.onAnswer = nil
+			s.remove("a/2")
+			steps(t, other, 1)
+			m.Apply(other.Since(m.Revision()))
+		}
+		steps(t, m, 2)
+		if !maps.Equal(m.values(), s.values()) {
+			t.Errorf("%s: the mirror holds %v, the service %v", c.name, m.values(), s.values())
+		}
+	}
+}
+
 // TestTrimmedHistoryIsComplete checks that a node whose revision lies between those
 // of trimmed changes gets the full copy: a listing is not in the order of revisions.
 func TestTrimmedHistoryIsComplete(t *testing.T) {
