tdmirror: copy changes that a listing already included

A node that receives copies could keep a server, or another entry, that was gone, although its copy was said to be complete.

An entry that is removed between two pages is missing from the listing, and the mirror records that as a removal at the listing's own revision, the earliest of its pages. The removal itself is received later by the watch; the mirror, which no longer held the entry, dropped it and didn't add it to the history. A receiver whose revision lay between the two got neither.

Test: TestRemovalDuringListingIsCopied. Before the fix: 'the receiver at 6 holds map[a/1:x a/2:x a/3:x b/1:x], the service map[a/1:x a/2:x a/3:x]'. All changes after the mirror's revision are now added to the history, whether or not they were new to it.

--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -236,7 +236,9 @@
 	if base >= m.rev {
 		known = 0
 	}
-	m.merge(all, base, known)
+	for _, e := range m.merge(all, base, known) {
+		m.record(e)
+	}
 }
 
 // Apply applies changes up to revision rev that another node has copied. If whole
@@ -256,14 +258,20 @@
 func (m *Mirror) apply(entries []tarragondeal.Entry, rev tarragondeal.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.merge(entries, rev, m.rev)
+	known := m.rev
+	m.merge(entries, rev, known)
+	for _, e := range entries {
+		if m.isMirrored(e.Key) && e.Revision > known {
+			m.record(e)
+		}
+	}
 }
 
 // merge applies entries and passes those that are newer than the copy to the
 // subscribers. Keys that are not held did not exist at revision known, so an entry
-// of one that is not later than that comes from an answer that was overtaken.
-func (m *Mirror) merge(entries []tarragondeal.Entry, rev, known tarragondeal.Revision) {
-	var accepted []tarragondeal.Entry
+// of one that is not later than that comes from an answer that was overtaken. It
+// returns the entries that were newer.
+func (m *Mirror) merge(entries []tarragondeal.Entry, rev, known tarragondeal.Revision) (accepted []tarragondeal.Entry) {
 	for _, e := range entries {
 		if m.isMirrored(e.Key) && m.isNewer(e, known) {
 			m.put(e)
@@ -272,13 +280,14 @@
 	}
 	m.rev = max(m.rev, rev)
 	if len(accepted) == 0 {
-		return
+		return nil
 	}
 	m.opt.Scope.Counter("changes").Inc(int64(len(accepted)))
 	c := Changes{Entries: accepted, AfterOutage: m.unavailable || m.availableSince != 0 && m.clock.Now().Sub(m.availableSince) < outageGrace}
 	for _, receive := range m.subscribers {
 		receive(c)
 	}
+	return accepted
 }
 
 func (m *Mirror) isMirrored(key string) bool {
@@ -302,6 +311,11 @@
 	} else {
 		m.items[e.Key] = e
 	}
+}
+
+// record adds a change to the history, whether or not it was new to this copy: a
+// listing may have included it before, but other nodes may lack it.
+func (m *Mirror) record(e tarragondeal.Entry) {
 	m.history = append(m.history, e)
 	if over := len(m.history) - maxHistory; over > 0 {
 		for _, trimmed := range m.history[:over] { // Not in the order of revisions after a listing.
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -314,3 +314,27 @@
 		t.Errorf("a/000 is %q", receiver.values()["a/000"])
 	}
 }
+
+// TestRemovalDuringListingIsCopied checks that a removal between two pages of a
+// listing reaches a node whose revision is later than the first page's.
+func TestRemovalDuringListingIsCopied(t *testing.T) {
+	s, clock := newFakeSource(), &fakeClock{now: 1}
+	s.put("a/1", "x")
+	s.put("b/1", "x")
+	receiver, m := newMirror(s, clock), newMirror(s, clock)
+	steps(t, m, 1)
+	s.put("a/2", "x")
+	s.historyStart = s.rev
+	steps(t, m, 1)
+	s.onAnswer = func() {
+		s.onAnswer = nil
+		s.put("a/3", "x")
+		steps(t, receiver, 1)
+		s.remove("b/1")
+	}
+	steps(t, m, 2)
+	receiver.Apply(m.Since(receiver.Revision()))
+	if receiver.Revision() != s.rev || !maps.Equal(receiver.values(), s.values()) {
+		t.Errorf("the receiver at %d holds %v, the service %v", receiver.Revision(), receiver.values(), s.values())
+	}
+}
