tdmirror: send the full copy to nodes behind the last listing

A node that receives copies of the store could keep a server that was gone, or any other removed entry, for as long as its process ran.

Cause: a listing names the entries that exist. Those that were created and removed since the mirror's last revision, or before its first listing, are not in it, so their removal is not in the history. The start of the history stayed where it was, 0 for a new process, and a receiver behind the listing got changes without these removals, said to be complete. The same holds for a full copy from another node, which is sent on.

Test: TestCopyAfterListingIncludesRemovals. Before the fix, for the first listing and for one after the watch history expired: 'the receiver at 4 holds map[a/1:x a/2:x], the service map[a/1:x]'. The history now begins again at each listing or full copy that is later than the mirror, so a node that is behind it gets the full copy, which shows what is missing.

--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -236,9 +236,11 @@
 	if base >= m.rev {
 		known = 0
 	}
-	for _, e := range m.merge(all, base, known) {
-		m.record(e)
+	if base > m.rev {
+		// Entries that were created and removed since m.rev are unknown.
+		m.history, m.historyStart = nil, base
 	}
+	m.merge(all, base, known)
 }
 
 // Apply applies changes up to revision rev that another node has copied. If whole
@@ -269,9 +271,9 @@
 
 // merge applies entries and passes those that are newer than the copy to the
 // subscribers. Keys that are not held did not exist at revision known, so an entry
-// of one that is not later than that comes from an answer that was overtaken. It
-// returns the entries that were newer.
-func (m *Mirror) merge(entries []tarragondeal.Entry, rev, known tarragondeal.Revision) (accepted []tarragondeal.Entry) {
+// of one that is not later than that comes from an answer that was overtaken.
+func (m *Mirror) merge(entries []tarragondeal.Entry, rev, known tarragondeal.Revision) {
+	var accepted []tarragondeal.Entry
 	for _, e := range entries {
 		if m.isMirrored(e.Key) && m.isNewer(e, known) {
 			m.put(e)
@@ -280,14 +282,13 @@
 	}
 	m.rev = max(m.rev, rev)
 	if len(accepted) == 0 {
-		return nil
+		return
 	}
 	m.opt.Scope.Counter("changes").Inc(int64(len(accepted)))
 	c := Changes{Entries: accepted, AfterOutage: m.unavailable || m.availableSince != 0 && m.clock.Now().Sub(m.availableSince) < outageGrace}
 	for _, receive := range m.subscribers {
 		receive(c)
 	}
-	return accepted
 }
 
 func (m *Mirror) isMirrored(key string) bool {
@@ -318,7 +319,7 @@
 func (m *Mirror) record(e tarragondeal.Entry) {
 	m.history = append(m.history, e)
 	if over := len(m.history) - maxHistory; over > 0 {
-		for _, trimmed := range m.history[:over] { // Not in the order of revisions after a listing.
+		for _, trimmed := range m.history[:over] {
 			m.historyStart = max(m.historyStart, trimmed.Revision)
 		}
 		m.history = slices.Delete(m.history, 0, over)
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -315,6 +315,34 @@
 	}
 }
 
+// TestCopyAfterListingIncludesRemovals checks that a node that is behind learns of
+// removals which the sender never saw, since it listed the keys afterwards.
+func TestCopyAfterListingIncludesRemovals(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		again bool // The sender had listed the keys before.
+	}{
+		{"first listing", false},
+		{"history expired", true},
+	} {
+		s, clock := newFakeSource(), &fakeClock{now: 1}
+		s.put("a/1", "x")
+		receiver, m := newMirror(s, clock), newMirror(s, clock)
+		if c.again {
+			steps(t, m, 1)
+		}
+		s.put("a/2", "x")
+		steps(t, receiver, 1)
+		s.remove("a/2")
+		s.historyStart = s.rev
+		steps(t, m, 2)
+		receiver.Apply(m.Since(receiver.Revision()))
+		if receiver.Revision() != s.rev || !maps.Equal(receiver.values(), s.values()) {
+			t.Errorf("%s: the receiver at %d holds %v, the service %v", c.name, receiver.Revision(), receiver.values(), s.values())
+		}
+	}
+}
+
 // TestRemovalDuringListingIsCopied checks that a removal between two pages of a
 // listing reaches a node whose revision is later than the first page's.
 func TestRemovalDuringListingIsCopied(t *testing.T) {
