tdmirror: don't restore what a listing no longer has

A server that was gone came back into a node's list until the node received the removal a second time; with a store that became unavailable just then, for as long as that lasted.

Cause: the prefixes of the keys are listed one after another, and the copy is complete only at the revision of the first listing. A key that a later one lacks is known to be gone at a later revision, but only the earlier one was kept. A copy from another node, at a revision between the two, still has the key, and it was taken for new.

Test: TestOlderCopyDoesNotRestoreListedRemoval. The revision of each prefix's listing is kept, and an entry that is not held must be later than that. A removal now bears the revision of the listing that showed it.

--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -85,6 +85,7 @@
 	history        []tarragondeal.Entry
 	historyStart   tarragondeal.Revision // The history holds all changes after this revision.
 	listed         bool
+	listings       []listing // The last listings, without their entries.
 	unavailable    bool
 	availableSince tarragondeal.Instant // When the last outage ended; zero before the first.
 	subscribers    []func(Changes)
@@ -173,40 +174,43 @@
 	return len(entries) > 0, nil
 }
 
-// list reads all keys and removes the entries that are missing from the listing,
-// unless they are newer than it.
+// listing is a full copy of the keys with some prefix. An entry that is not in it
+// did not exist at its revision; entries in it may be later.
+type listing struct {
+	prefix  string
+	entries []tarragondeal.Entry
+	rev     tarragondeal.Revision
+}
+
+// list reads all keys and removes the entries that are missing from the listings,
+// unless they are newer than these.
 func (m *Mirror) list(ctx context.Context) error {
-	var all []tarragondeal.Entry
-	var base tarragondeal.Revision
-	for n, prefix := range m.opt.Prefixes {
-		entries, rev, err := m.listPrefix(ctx, prefix)
+	all := make([]listing, 0, len(m.opt.Prefixes))
+	for _, prefix := range m.opt.Prefixes {
+		l, err := m.listPrefix(ctx, prefix)
 		if err != nil {
 			return err
 		}
-		all = append(all, entries...)
-		if n == 0 || rev < base {
-			base = rev
-		}
+		all = append(all, l)
 	}
-	m.replace(all, base)
+	m.applyListings(all)
 	return nil
 }
 
-func (m *Mirror) listPrefix(ctx context.Context, prefix string) ([]tarragondeal.Entry, tarragondeal.Revision, error) {
-	var all []tarragondeal.Entry
-	var base tarragondeal.Revision
+func (m *Mirror) listPrefix(ctx context.Context, prefix string) (listing, error) {
+	l := listing{prefix: prefix}
 	after := ""
 	for first := true; ; first = false {
 		page, err := m.page(ctx, prefix, after)
 		if err != nil {
-			return nil, 0, err
+			return l, err
 		}
 		if first {
-			base = page.Revision
+			l.rev = page.Revision
 		}
-		all = append(all, page.Entries...)
+		l.entries = append(l.entries, page.Entries...)
 		if !page.More || len(page.Entries) == 0 {
-			return all, base, nil
+			return l, nil
 		}
 		after = page.Entries[len(page.Entries)-1].Key
 	}
@@ -218,17 +222,34 @@
 	return m.source.Page(ctx, prefix, after)
 }
 
-// replace applies a full copy that is complete at revision base.
-func (m *Mirror) replace(all []tarragondeal.Entry, base tarragondeal.Revision) {
-	present := make(map[string]bool, len(all))
-	for _, e := range all {
-		present[e.Key] = true
-	}
+// applyListings applies listings of all keys.
+func (m *Mirror) applyListings(all []listing) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.listings = nil // Superseded, and not to be compared with the new ones.
+	m.replace(all...)
+	m.listings = all
+	for n := range all {
+		all[n].entries = nil
+	}
+}
+
+// replace applies listings, which together are a full copy. It is complete at the
+// earliest of their revisions.
+func (m *Mirror) replace(all ...listing) {
+	present := make(map[string]bool)
+	var entries []tarragondeal.Entry
+	base := all[0].rev
+	for _, l := range all {
+		base = min(base, l.rev)
+		entries = append(entries, l.entries...)
+		for _, e := range l.entries {
+			present[e.Key] = true
+		}
+	}
 	for key, e := range m.items {
-		if !present[key] && e.Revision <= base {
-			all = append(all, tarragondeal.Entry{Key: key, Revision: max(e.Revision+1, base), Deleted: true})
+		if rev := listedAt(all, key); !present[key] && e.Revision <= rev {
+			entries = append(entries, tarragondeal.Entry{Key: key, Revision: rev, Deleted: true})
 		}
 	}
 	m.listed = true
@@ -240,26 +261,42 @@
 		// Entries that were created and removed since m.rev are unknown.
 		m.history, m.historyStart = nil, base
 	}
-	m.merge(all, base, known)
+	m.merge(entries, base, known)
+}
+
+// listedAt returns the revision of the listing that covers a key, or zero.
+func listedAt(all []listing, key string) tarragondeal.Revision {
+	for _, l := range all {
+		if strings.HasPrefix(key, l.prefix) {
+			return l.rev
+		}
+	}
+	return 0
 }
 
 // Apply applies changes up to revision rev that another node has copied. If whole
 // is set, entries is that node's full copy. Changes that are not newer than this
 // copy are ignored.
 func (m *Mirror) Apply(entries []tarragondeal.Entry, rev tarragondeal.Revision, whole bool) {
-	if rev <= m.Revision() {
-		return
-	}
-	if whole {
-		m.replace(entries, rev)
-		return
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case rev <= m.rev:
+	case whole:
+		m.replace(listing{entries: entries, rev: rev})
+	default:
+		m.add(entries, rev)
 	}
-	m.apply(entries, rev)
 }
 
 func (m *Mirror) apply(entries []tarragondeal.Entry, rev tarragondeal.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.add(entries, rev)
+}
+
+// add applies all changes from the copy's revision to rev.
+func (m *Mirror) add(entries []tarragondeal.Entry, rev tarragondeal.Revision) {
 	known := m.rev
 	m.merge(entries, rev, known)
 	for _, e := range entries {
@@ -270,8 +307,9 @@
 }
 
 // merge applies entries and passes those that are newer than the copy to the
-// subscribers. Keys that are not held did not exist at revision known, so an entry
-// of one that is not later than that comes from an answer that was overtaken.
+// subscribers. Keys that are not held did not exist at revision known, nor when they
+// were listed, so an entry of one that is not later comes from an answer or a copy
+// that was overtaken.
 func (m *Mirror) merge(entries []tarragondeal.Entry, rev, known tarragondeal.Revision) {
 	var accepted []tarragondeal.Entry
 	for _, e := range entries {
@@ -303,7 +341,7 @@
 	case ok:
 		return e.Revision > held.Revision
 	}
-	return e.Revision > known
+	return e.Revision > max(known, listedAt(m.listings, e.Key))
 }
 
 func (m *Mirror) put(e tarragondeal.Entry) {
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -366,3 +366,27 @@
 		t.Errorf("the receiver at %d holds %v, the service %v", receiver.Revision(), receiver.values(), s.values())
 	}
 }
+
+// TestOlderCopyDoesNotRestoreListedRemoval checks that an entry that was missing from
+// a listing is not restored by a copy that is older than the listing's last page.
+func TestOlderCopyDoesNotRestoreListedRemoval(t *testing.T) {
+	s, clock := newFakeSource(), &fakeClock{now: 1}
+	s.put("a/1", "x")
+	s.put("b/1", "x")
+	m, other := newMirror(s, clock), newMirror(s, clock)
+	steps(t, m, 1)
+	s.put("a/2", "x")
+	s.historyStart = s.rev
+	steps(t, m, 1)
+	s.onAnswer = func() {
+		s.onAnswer = nil
+		s.put("a/3", "x")
+		steps(t, other, 1)
+		s.remove("b/1")
+	}
+	steps(t, m, 1)
+	m.Apply(other.Since(0))
+	if _, ok := m.values()["b/1"]; ok {
+		t.Error("an entry that was missing from the listing was restored by an older copy")
+	}
+}
