tdmirror: test mirrors that follow and mirrors that receive copies together

TestCopiesAgree had one mirror that follows the store and one that receives its copies at once. It now has four, with copies between any two that are delayed, repeated or lost, restarts, more changes than the history holds, and changes and copies while a call to the store is in flight. It compares each copy with what the store held at the copy's revision or later after every step, besides the checks it had: no entry goes back, and all agree with the store at the end.

--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -130,58 +130,170 @@
 	return out
 }
 
-// TestCopiesAgree checks a mirror that follows the service, and one that receives
-// copies from it, through changes, expired watch history and outages. Both must hold
-// the same entries as the service once they have caught up, and no entry may go back
-// to an earlier revision.
-func TestCopiesAgree(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		s, clock := newFakeSource(), &fakeClock{now: 1}
-		direct, second := newMirror(s, clock), newMirror(s, clock)
-		newest := make(map[string]tarragondeal.Revision)
-		direct.Subscribe(func(c Changes) {
-			for _, e := range c.Entries {
-				if e.Revision < newest[e.Key] {
-					t.Fatalf("%s goes back from %d to %d", e.Key, newest[e.Key], e.Revision)
-				}
-				newest[e.Key] = e.Revision
+// sentCopy is a copy on its way to a mirror.
+type sentCopy struct {
+	to      *testMirror
+	entries []tarragondeal.Entry
+	rev     tarragondeal.Revision
+	whole   bool
+}
+
+// testMirror is a mirror that checks its own changes.
+type testMirror struct {
+	*Mirror
+	follows bool
+}
+
+// fleet is a service, the mirrors that follow it or receive copies, and the copies
+// on their way.
+type fleet struct {
+	*rapid.T
+	service *fakeSource
+	mirrors []*testMirror
+	copies  []sentCopy
+}
+
+func (f *fleet) newMirror(follows bool) *testMirror {
+	m := &testMirror{follows: follows}
+	m.Mirror = New(f.service, &fakeClock{now: 1}, Options{
+		Prefixes: []string{"a/", "b/"}, Follows: func() bool { return m.follows }, Log: zerolog.Nop(),
+	})
+	newest := make(map[string]tarragondeal.Revision)
+	m.Subscribe(func(c Changes) {
+		for _, e := range c.Entries {
+			if e.Revision < newest[e.Key] {
+				f.Fatalf("%s goes back from %d to %d", e.Key, newest[e.Key], e.Revision)
 			}
-		})
-		step := func(m *Mirror) {
-			if _, err := m.step(context.Background()); err == nil {
-				m.recordSuccess()
-			} else {
-				m.recordFailure(errUnavailable)
+			newest[e.Key] = e.Revision
+		}
+	})
+	return m
+}
+
+func (f *fleet) step(m *testMirror) {
+	if m.listed && !m.follows {
+		return // It would only wait.
+	}
+	if _, err := m.step(context.Background()); err == nil {
+		m.recordSuccess()
+	} else {
+		m.recordFailure(errUnavailable)
+	}
+}
+
+// act lets the service or a copy make progress.
+func (f *fleet) act() {
+	s := f.service
+	key := fmt.Sprintf("%s/%d", rapid.SampledFrom([]string{"a", "b", "c"}).Draw(f.T, "prefix"), rapid.IntRange(0, 4).Draw(f.T, "key"))
+	m := rapid.SampledFrom(f.mirrors).Draw(f.T, "mirror")
+	switch rapid.IntRange(0, 8).Draw(f.T, "what") {
+	case 0, 1:
+		s.put(key, fmt.Sprint(s.rev))
+	case 2:
+		s.remove(key)
+	case 3:
+		s.historyStart = s.rev
+	case 4:
+		s.unavailable = !s.unavailable
+	case 5:
+		from := rapid.SampledFrom(f.mirrors).Draw(f.T, "from")
+		entries, rev, whole := from.Since(m.Revision())
+		f.copies = append(f.copies, sentCopy{m, entries, rev, whole})
+	case 6, 7:
+		if len(f.copies) == 0 {
+			return
+		}
+		n := rapid.IntRange(0, len(f.copies)-1).Draw(f.T, "copy")
+		c := f.copies[n]
+		if rapid.Bool().Draw(f.T, "last time") {
+			f.copies = slices.Delete(f.copies, n, n+1)
+		}
+		if rapid.IntRange(0, 4).Draw(f.T, "lost") > 0 {
+			c.to.Apply(c.entries, c.rev, c.whole)
+		}
+	case 8:
+		if rapid.IntRange(0, 4).Draw(f.T, "many") == 0 {
+			for n := range maxHistory + 10 {
+				s.put(fmt.Sprintf("a/%d", n%7), fmt.Sprint(s.rev))
+			}
+		}
+	}
+	f.check()
+}
+
+// check compares each mirror with what the service held at the mirror's revision or
+// later.
+func (f *fleet) check() {
+	for n, m := range f.mirrors {
+		if !m.listed {
+			continue
+		}
+		possible := make(map[string][]tarragondeal.Revision) // 0 means that the key didn't exist.
+		for _, e := range f.service.events {
+			held := e.Revision
+			if e.Deleted {
+				held = 0
+			}
+			switch {
+			case !m.isMirrored(e.Key):
+			case e.Revision <= m.rev:
+				possible[e.Key] = []tarragondeal.Revision{held}
+			case possible[e.Key] == nil:
+				possible[e.Key] = []tarragondeal.Revision{0, held}
+			default:
+				possible[e.Key] = append(possible[e.Key], held)
+			}
+		}
+		for key, revs := range possible {
+			if held := m.items[key].Revision; !slices.Contains(revs, held) {
+				f.Fatalf("mirror %d at %d holds %s of revision %d, want one of %v", n, m.rev, key, held, revs)
 			}
 		}
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			key := fmt.Sprintf("%s/%d", rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "prefix"), rapid.IntRange(0, 4).Draw(t, "key"))
-			switch rapid.IntRange(0, 6).Draw(t, "what") {
-			case 0, 1:
-				s.put(key, fmt.Sprint(s.rev))
-			case 2:
-				s.remove(key)
-			case 3:
-				s.historyStart = s.rev
-			case 4:
-				s.unavailable = !s.unavailable
-			case 5:
-				step(direct)
-			case 6:
-				second.Apply(direct.Since(second.Revision()))
+	}
+}
+
+// TestCopiesAgree checks mirrors that follow the service and mirrors that receive
+// copies, which may be delayed, repeated or lost, through changes, expired watch
+// history, outages and restarts. Calls to the service may be overtaken. No entry may
+// go back, a copy must be complete at its revision, and all mirrors must hold the
+// same entries as the service once they have caught up.
+func TestCopiesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{T: t, service: newFakeSource()}
+		for n := range 4 {
+			f.mirrors = append(f.mirrors, f.newMirror(n < 2))
+		}
+		s := f.service
+		s.onAnswer = func() {
+			for range rapid.SampledFrom([]int{0, 0, 0, 1, 3}).Draw(t, "meanwhile") {
+				f.act()
 			}
 		}
-		s.unavailable = false
-		for range 3 { // Expired history takes a failed watch, a listing and a watch.
-			step(direct)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch n := rapid.IntRange(0, 40).Draw(t, "step"); {
+			case n == 0: // A node restarts.
+				n := rapid.IntRange(0, len(f.mirrors)-1).Draw(t, "restarts")
+				f.mirrors[n] = f.newMirror(f.mirrors[n].follows)
+			case n < 15:
+				f.step(rapid.SampledFrom(f.mirrors).Draw(t, "calls"))
+				f.check()
+			default:
+				f.act()
+			}
 		}
-		second.Apply(direct.Since(second.Revision()))
-		if !maps.Equal(direct.values(), s.values()) {
-			t.Fatalf("the mirror holds %v, the service %v", direct.values(), s.values())
+		s.onAnswer, s.unavailable = nil, false
+		for _, m := range f.mirrors[:2] {
+			for range 3 { // Expired history takes a failed watch, a listing and a watch.
+				f.step(m)
+			}
 		}
-		if !maps.Equal(second.values(), s.values()) {
-			t.Fatalf("the second copy holds %v, the service %v", second.values(), s.values())
+		for n, m := range f.mirrors {
+			m.Apply(f.mirrors[n%2].Since(m.Revision()))
+			if !maps.Equal(m.values(), s.values()) {
+				t.Fatalf("mirror %d holds %v, the service %v", n, m.values(), s.values())
+			}
 		}
+		f.check()
 	})
 }
 
