tdbegun: don't sum up a window that was dropped from the record

Cause: the record in the store holds the 12 latest windows by number. A clock that is ahead closes windows of the future, which push out windows that were reported. Once the clock is right again, a holder of the duty finds such a window missing from the record and sums it up again.

Test: TestClockThatStepsBackReportsNoWindowTwice, with a clock that moves ahead by one window in each. Before the fix: 'reported map[acme:1] and map[acme:3]'. The record now keeps the latest window that was dropped, and only later ones are summed up.

--- a/internal/account/tdbegun/begun_test.go
+++ b/internal/account/tdbegun/begun_test.go
@@ -249,3 +249,38 @@
 		}
 	})
 }
+
+// TestClockThatStepsBackReportsNoWindowTwice checks that a window that was reported is
+// not summed up again after a clock was ahead for a while: the windows of that time
+// must not push it out of the record.
+func TestClockThatStepsBackReportsNoWindowTwice(t *testing.T) {
+	clock := &fakeClock{now: tarragondeal.Instant(100 * length)}
+	d := &fakePlatform{held: true, reported: make(map[int64][]map[string]int64)}
+	a, b := newCounter("a", clock, &deadProcess{}), newCounter("b", clock, &deadProcess{})
+	ctx := context.Background()
+	a.Began("acme")
+	for range 3 {
+		b.Began("acme")
+	}
+	window := a.Window()
+	clock.now = clock.now.Add(length + 3*time.Second)
+	term := newTerm(a, clock, d, true)
+	term.reportDue(ctx)
+	trueTime := clock.now
+	for range maxRecordWindows { // A clock ahead by one window, then two, and so on.
+		clock.now = clock.now.Add(length)
+		a.Began("acme")
+		clock.now = clock.now.Add(length)
+		term.reportDue(ctx)
+	}
+	clock.now = trueTime
+	newTerm(b, clock, d, true).reportDue(ctx)
+	for _, r := range d.reported[window] {
+		if !maps.Equal(r, d.reported[window][0]) {
+			t.Errorf("reported %v and %v", d.reported[window][0], r)
+		}
+	}
+	if len(d.reported[window]) == 0 {
+		t.Error("not reported")
+	}
+}
--- a/internal/account/tdbegun/reporter.go
+++ b/internal/account/tdbegun/reporter.go
@@ -65,9 +65,10 @@
 func NewReporter(d Deps, o Options) *Reporter { return &Reporter{Deps: d, opt: o} }
 
 // record is the value at recordKey. Once a window is in it, its sums never
-// change.
+// change, and a window that may have been dropped from it is not summed up again.
 type record struct {
 	Windows map[int64]map[string]int64 `json:"windows"`
+	Dropped int64                      `json:"dropped,omitempty"` // The latest window that was dropped.
 }
 
 // term is one period in which this node holds the duty.
@@ -108,6 +109,9 @@
 			continue
 		}
 		sums, ok := t.record.Windows[number]
+		if !ok && number <= t.record.Dropped {
+			continue
+		}
 		if !ok {
 			if sums = t.closeWindow(ctx, number); sums == nil {
 				continue
@@ -162,11 +166,12 @@
 		t.sent[number] = true // No request began, so there is nothing to report.
 		return nil
 	}
-	next := record{Windows: maps.Clone(t.record.Windows)}
+	next := record{Windows: maps.Clone(t.record.Windows), Dropped: t.record.Dropped}
 	next.Windows[number] = sums
 	numbers := slices.Sorted(maps.Keys(next.Windows))
 	for _, old := range numbers[:max(0, len(numbers)-maxRecordWindows)] {
 		delete(next.Windows, old)
+		next.Dropped = max(next.Dropped, old)
 	}
 	value, err := json.Marshal(next)
 	if err != nil {
