tdmirror: apply the events of one watch in the order of revisions

An entry that was written and then removed could be held for good.

Cause: the store's watch names the events since a revision, without a promise of their order, and the mirror applied them as they came. With the removal first, the write before it was taken for a new entry.

Test: TestEventsOutOfOrder. Before the fix: 'the mirror holds map[a/1:y]'. Changes are now sorted by revision, which also keeps the history of changes for other nodes in that order.

--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -14,6 +14,7 @@
 package tdmirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -295,8 +296,12 @@
 	m.add(entries, rev)
 }
 
-// add applies all changes from the copy's revision to rev.
+// add applies all changes from the copy's revision to rev. The service does not
+// promise an order of events.
 func (m *Mirror) add(entries []tarragondeal.Entry, rev tarragondeal.Revision) {
+	entries = slices.SortedStableFunc(slices.Values(entries), func(a, b tarragondeal.Entry) int {
+		return cmp.Compare(a.Revision, b.Revision)
+	})
 	known := m.rev
 	m.merge(entries, rev, known)
 	for _, e := range entries {
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -502,3 +502,19 @@
 		t.Error("an entry that was missing from the listing was restored by an older copy")
 	}
 }
+
+// TestEventsOutOfOrder checks that the events of one watch may be in any order: an
+// entry that was written and then removed is not held afterwards.
+func TestEventsOutOfOrder(t *testing.T) {
+	s, clock := newFakeSource(), &fakeClock{now: 1}
+	s.put("a/1", "x")
+	m := newMirror(s, clock)
+	steps(t, m, 1)
+	s.put("a/1", "y")
+	s.remove("a/1")
+	slices.Reverse(s.events)
+	steps(t, m, 1)
+	if len(m.values()) != 0 {
+		t.Errorf("the mirror holds %v", m.values())
+	}
+}
