tdlisting: count the grace of expired servers from the end of the outage

A node used a server for 1.8 s after its removal, if one of the node's calls to the store had failed up to two seconds before. With the time until the node learns of the removal that exceeds the 2 s within which requests must stop (DRAIN), for servers that leave without draining.

Cause: entries that expired in an outage of the store are listed again within two seconds of its return. The grace period was counted from the removal, though, so a removal 1.9 s after the return was held back for another 1.8 s. A single watch that was cut counts as an outage.

Test: TestServerRemovedAfterOutageIsGoneInTime. Before the fix: 'removed 1s after the outage: kept for 1s' and 'removed 1.9s after the outage: kept for 100ms' at the time when live servers are listed again. Changes now say when the outage ended, and a server is kept until two seconds after that, and never longer than before.

--- a/internal/fleet/tdlisting/listing_test.go
+++ b/internal/fleet/tdlisting/listing_test.go
@@ -122,3 +122,27 @@
 		t.Errorf("applied versions are %v", applied)
 	}
 }
+
+// TestServerRemovedAfterOutageIsGoneInTime checks that a server that is removed some
+// time after an outage is kept no longer than until live servers are listed again,
+// which is counted from the end of the outage.
+func TestServerRemovedAfterOutageIsGoneInTime(t *testing.T) {
+	for _, since := range []time.Duration{0, time.Second, 1900 * time.Millisecond} {
+		l := newServerList()
+		end := l.clock.now
+		l.put("s/1", "live")
+		l.clock.now = end.Add(since)
+		l.Follow(tdmirror.Changes{
+			Entries: []tarragondeal.Entry{{Key: "s/1", Revision: 2, Deleted: true}}, AfterOutage: true, OutageEnd: end,
+		})
+		l.removeExpired()
+		if len(l.current) != 1 {
+			t.Errorf("removed %s after the outage: not kept", since)
+		}
+		l.clock.now = end.Add(relistTime)
+		l.removeExpired()
+		if len(l.current) != 0 {
+			t.Errorf("removed %s after the outage: kept for %s", since, l.clock.now.Sub(end.Add(since)))
+		}
+	}
+}
--- a/internal/fleet/tdlisting/servers.go
+++ b/internal/fleet/tdlisting/servers.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// expiryGrace is how long a server is kept whose entry was missing when the
-	// store came back. Live servers are listed again within two seconds.
+	// relistTime is how long after the end of an outage live servers whose
+	// entries expired are listed again.
+	relistTime = 2 * time.Second
+	// expiryGrace is how long a server is kept at most whose entry was missing
+	// when the store came back.
 	expiryGrace = 1800 * time.Millisecond
 	// expiryCheckInterval is how often expired servers are checked for removal.
 	expiryCheckInterval = 100 * time.Millisecond
@@ -55,7 +58,7 @@
 	changed := false
 	for _, e := range c.Entries {
 		if strings.HasPrefix(e.Key, s.prefix) {
-			changed = s.applyEntry(e, c.AfterOutage) || changed
+			changed = s.applyEntry(e, c) || changed
 		}
 	}
 	if changed {
@@ -63,10 +66,14 @@
 	}
 }
 
-func (s *Servers) applyEntry(e tarragondeal.Entry, afterOutage bool) bool {
+func (s *Servers) applyEntry(e tarragondeal.Entry, c tdmirror.Changes) bool {
 	if e.Deleted {
-		if afterOutage {
-			s.expired[e.Key] = s.clock.Now().Add(expiryGrace)
+		if c.AfterOutage {
+			until := s.clock.Now().Add(expiryGrace)
+			if c.OutageEnd != 0 {
+				until = min(until, c.OutageEnd.Add(relistTime))
+			}
+			s.expired[e.Key] = until
 			s.log.Info().Str("key", e.Key).Uint64("revision", uint64(e.Revision)).Msg("server entry expired after an outage, keeping it for now")
 			return false
 		}
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -69,6 +69,9 @@
 	// AfterOutage is set if the service is unavailable or was so within the last
 	// outageGrace: entries that expired meanwhile may be created again.
 	AfterOutage bool
+	// OutageEnd is when that outage ended. It is zero while the service is
+	// unavailable.
+	OutageEnd tarragondeal.Instant
 }
 
 // outageGrace is how long after an outage changes are marked with AfterOutage.
@@ -328,7 +331,10 @@
 		return
 	}
 	m.opt.Scope.Counter("changes").Inc(int64(len(accepted)))
-	c := Changes{Entries: accepted, AfterOutage: m.unavailable || m.availableSince != 0 && m.clock.Now().Sub(m.availableSince) < outageGrace}
+	c := Changes{Entries: accepted, AfterOutage: m.unavailable}
+	if !m.unavailable && m.availableSince != 0 && m.clock.Now().Sub(m.availableSince) < outageGrace {
+		c.AfterOutage, c.OutageEnd = true, m.availableSince
+	}
 	for _, receive := range m.subscribers {
 		receive(c)
 	}
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -322,15 +322,17 @@
 	}{
 		{"no outage", false, 0, false},
 		{"when the service is available again", true, 0, true},
+		{"soon after the outage", true, time.Second, true},
 		{"long after the outage", true, time.Minute, false},
 	} {
 		s, clock := newFakeSource(), &fakeClock{now: tarragondeal.Instant(time.Hour)}
 		s.put("a/1", "x")
 		m := newMirror(s, clock)
 		var afterOutage, called bool
+		var end tarragondeal.Instant
 		m.Subscribe(func(changes Changes) {
 			if changes.Entries[0].Deleted {
-				afterOutage, called = changes.AfterOutage, true
+				afterOutage, end, called = changes.AfterOutage, changes.OutageEnd, true
 			}
 		})
 		_, _ = m.step(context.Background())
@@ -347,6 +349,13 @@
 		if !called || afterOutage != c.want {
 			t.Errorf("%s: called %t, after outage %t", c.name, called, afterOutage)
 		}
+		var wantEnd tarragondeal.Instant
+		if c.want && c.after > 0 {
+			wantEnd = clock.now.Add(-c.after)
+		}
+		if end != wantEnd {
+			t.Errorf("%s: the outage ended at %d, want %d", c.name, end, wantEnd)
+		}
 	}
 }
 
