Log why an attempt at an engine failed, and retries that the budget denied

An attempt at an engine that fails, or that the caller cancels before it is answered, is now logged with its tier, the load assumed at the engine, and the time since a lower tier last began there. A denied retry is logged. A request without a server is logged with its tier and why the listed servers can't be used. Requests served in time at the first attempt still write nothing.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -73,6 +73,7 @@
 	sentLog        []sentEntry
 	seq            uint64
 	lastHeard      map[tarragondeal.NodeID]tarragondeal.Instant // When a node's load was last received.
+	lastStarts     map[string]tierStarts                        // By pool.
 }
 
 // openGrant is a grant that has not ended.
@@ -91,6 +92,7 @@
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant), crashes: newCrashes(d.Clock),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
+		lastStarts: make(map[string]tierStarts),
 	}
 }
 
@@ -175,7 +177,7 @@
 			return g, err
 		}
 		if f.Clock.Now() >= until || !tdclock.Sleep(ctx, pollInterval) {
-			f.Log.Info().Str("request", string(a.Request)).Strs("pools", a.Pools).Int("avoided", len(a.Avoid)).Msg("no server to send to")
+			f.logNoServer(&a)
 			return tarragondeal.Grant{}, refused(tarragondeal.ReasonNoServer, "no backend server is at hand", noServerRetryAfter)
 		}
 	}
@@ -290,6 +292,9 @@
 	}
 	open.started = true
 	open.server.lastAnswer = f.Clock.Now()
+	if open.server.engine != nil {
+		f.recordStart(open.server.Pool, open.request.ask.Tier, open.server.lastAnswer)
+	}
 	if open.server.engine != nil && open.uncontended {
 		open.server.learnRate(open.uncached, f.Clock.Now().Sub(open.sent))
 		f.meanRate += rateWeight / 4 * (open.server.rate - f.meanRate)
@@ -316,6 +321,9 @@
 // recordOutcome updates the state of a server by the outcome of a request.
 func (f *Fit) recordOutcome(open *openGrant, o tarragondeal.Outcome) {
 	now := f.Clock.Now()
+	if open.server.engine != nil {
+		f.logFailure(open, o.Kind, now)
+	}
 	switch o.Kind {
 	case tarragondeal.OutcomeServed:
 		open.server.served.add(now, 1)
@@ -356,7 +364,11 @@
 func (f *Fit) MayRetry(a tarragondeal.Ask) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget(&a).Take()
+	ok := f.budget(&a).Take()
+	if !ok {
+		f.Log.Info().Str("request", string(a.Request)).Strs("pools", a.Pools).Int("tier", a.Tier).Int("attempt", a.Attempt).Msg("no retry left in the budget")
+	}
+	return ok
 }
 
 // budget returns the retry budget of an ask's pools. Each node may retry a
--- /dev/null
+++ b/internal/dispatch/tdfit/trace.go
@@ -0,0 +1,80 @@
+package tdfit
+
+import "tarragondeal"
+
+// tierStarts holds when an engine last began to answer a request of each tier.
+type tierStarts map[int]tarragondeal.Instant
+
+// recordStart records that an engine of a pool began to answer a request of this
+// node.
+func (f *Fit) recordStart(pool string, tier int, now tarragondeal.Instant) {
+	if f.lastStarts[pool] == nil {
+		f.lastStarts[pool] = make(tierStarts)
+	}
+	f.lastStarts[pool][tier] = now
+}
+
+// lowerStart returns when a request of a tier below tier last began, or zero.
+func (t tierStarts) lowerStart(tier int) tarragondeal.Instant {
+	var last tarragondeal.Instant
+	for n, at := range t {
+		if n > tier {
+			last = max(last, at)
+		}
+	}
+	return last
+}
+
+// outcomeNames are the names of failed outcomes in log lines. Of the others, only
+// requests that callers cancelled before the engine began to answer are logged.
+var outcomeNames = map[tarragondeal.OutcomeKind]string{
+	tarragondeal.OutcomeRefused:     "refused",
+	tarragondeal.OutcomeCrashed:     "crashed",
+	tarragondeal.OutcomeLate:        "late",
+	tarragondeal.OutcomeWrong:       "wrong",
+	tarragondeal.OutcomeUnreachable: "unreachable",
+}
+
+// logFailure logs an attempt at an engine that failed, or that the caller cancelled
+// before it was answered, with the load that this node assumes there and when a
+// lower tier last began at the pool.
+func (f *Fit) logFailure(open *openGrant, kind tarragondeal.OutcomeKind, now tarragondeal.Instant) {
+	name, ok := outcomeNames[kind]
+	if kind == tarragondeal.OutcomeCancelled && !open.started {
+		name, ok = "cancelled", true
+	}
+	if !ok {
+		return
+	}
+	s, a := open.server, open.request.ask
+	t := f.totalUse(s, now)
+	line := f.Log.Info().Str("request", string(a.Request)).Int("attempt", a.Attempt).Int("tier", a.Tier).Str("server", string(s.ID)).
+		Str("outcome", name).Bool("answered", open.started).Dur("after", now.Sub(open.sent)).
+		Int("running", t.running).Int("slots", s.slots()).Int("tokens", t.tokens).Int("capacity", s.engine.KVTokens).
+		Dur("prefillBacklog", s.backlog(now)).Str("state", string(s.State))
+	if lower := f.lastStarts[s.Pool].lowerStart(a.Tier); lower > 0 {
+		line = line.Dur("sinceLowerTierStart", now.Sub(lower))
+	}
+	line.Msg("attempt at engine failed")
+}
+
+// logNoServer logs that no server could be granted to a request, and why.
+func (f *Fit) logNoServer(a *tarragondeal.Ask) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	listed, leaving, backoff := 0, 0, 0
+	for _, pool := range a.Pools {
+		for _, s := range f.pools[pool] {
+			listed++
+			switch {
+			case s.State != tarragondeal.VMLive:
+				leaving++
+			case now < s.backoffUntil:
+				backoff++
+			}
+		}
+	}
+	f.Log.Info().Str("request", string(a.Request)).Strs("pools", a.Pools).Int("tier", a.Tier).Int("listed", listed).Int("leaving", leaving).
+		Int("backoff", backoff).Int("avoided", len(a.Avoid)).Msg("no server to send to")
+}
