Rank the classes of a workspace's tier at engines

Cause: an engine got the tier of the workspace as the request's priority if the workspace has one, and nothing of the class.

The priority now is the tier of the request and, within it, that of its class, if the configuration uses at most three tiers; otherwise as before. The workspace's tier still goes first, so no request falls behind one that it went before.

While nodes of both versions run, requests of the older ones rank higher.

--- a/config.go
+++ b/config.go
@@ -19,6 +19,7 @@
 	Workspaces     map[string]*Workspace
 	Routes         map[string]*Route
 	Keys           map[string]*Key
+	LowestTier     int // Of all classes and workspaces.
 }
 
 // NewView indexes a validated set. The set must not be modified afterwards.
@@ -32,9 +33,21 @@
 		Workspaces:     index(set.Workspaces, func(o *Workspace) string { return o.Name }),
 		Routes:         index(set.Routes, func(o *Route) string { return o.Name }),
 		Keys:           index(set.Keys, func(o *Key) string { return o.Name }),
+		LowestTier:     lowestTier(set),
 	}
 }
 
+func lowestTier(set *Set) int {
+	lowest := 0
+	for n := range set.RequestClasses {
+		lowest = max(lowest, set.RequestClasses[n].Tier)
+	}
+	for n := range set.Workspaces {
+		lowest = max(lowest, set.Workspaces[n].Tier)
+	}
+	return lowest
+}
+
 func index[T any](objects []T, name func(*T) string) map[string]*T {
 	m := make(map[string]*T, len(objects))
 	for n := range objects {
--- a/internal/dispatch/tdfit/trace.go
+++ b/internal/dispatch/tdfit/trace.go
@@ -48,7 +48,7 @@
 	}
 	s, a := open.server, open.request.ask
 	t := f.totalUse(s, now)
-	line := f.Log.Info().Str("request", string(a.Request)).Int("attempt", a.Attempt).Int("tier", a.Tier).Str("server", string(s.ID)).
+	line := f.Log.Info().Str("request", string(a.Request)).Int("attempt", a.Attempt).Int("tier", a.Tier).Str("class", a.Class).Str("server", string(s.ID)).
 		Str("outcome", name).Bool("answered", open.started).Dur("after", now.Sub(open.sent)).
 		Int("running", t.running).Int("slots", s.slots()).Int("tokens", t.tokens).Int("capacity", s.engine.KVTokens).
 		Dur("prefillBacklog", s.backlog(now)).Str("state", string(s.State))
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -105,7 +105,10 @@
 // call returns the request to send to the server.
 func (x *Exchange) call(t *tdflow.Attempt) tarragondeal.Call {
 	q := t.Request
-	sending := platform.RouterHeaders{Server: t.Server.ID, Workspace: q.Workspace.Name, Tier: t.Tier, Left: t.Left}
+	sending := platform.RouterHeaders{
+		Server: t.Server.ID, Workspace: q.Workspace.Name, Left: t.Left,
+		Tier: t.Tier, ClassTier: q.Class.Tier, LowestTier: q.View.LowestTier,
+	}
 	if x.headSent {
 		sending.Resume = x.lastEventID
 	}
