tdmesh: log who follows the store, the source of copies and its age

The field is optional: nodes of earlier versions neither send nor read it. No decision depends on it yet.

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -58,8 +58,12 @@
 		})
 	}
 	if len(entries) > 0 {
-		m.Log.Info().Str("peer", s.GetNode()).Uint64("revision", c.GetRevision()).Int("changes", len(entries)).
-			Bool("whole", c.GetWhole()).Msg("applying store changes from another node")
+		line := m.Log.Info().Str("peer", s.GetNode()).Uint64("revision", c.GetRevision()).Int("changes", len(entries)).
+			Bool("whole", c.GetWhole())
+		if s.CopyAgeMillis != nil {
+			line.Uint32("copyAgeMillis", s.GetCopyAgeMillis())
+		}
+		line.Msg("applying store changes from another node")
 	}
 	m.Mirror.Apply(entries, tarragondeal.Revision(c.GetRevision()), c.GetWhole())
 }
@@ -67,20 +71,46 @@
 // Follows reports whether this node should follow the store itself. In a large
 // fleet only a few relays do, and nodes that have no source of copies.
 func (m *Mesh) Follows() bool {
+	revision := m.Mirror.Revision()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.peers) < fullMeshSize || m.isRelay(m.self.Name) && m.higherRankedFollowers() < maxFollowers {
-		return true
+	reason := m.reasonToFollow()
+	if reason != m.followReason {
+		m.Log.Info().Str("reason", string(reason)).Str("before", string(m.followReason)).Uint64("revision", uint64(revision)).
+			Msg("reason to follow the store changed")
+		m.followReason = reason
+	}
+	return reason != ""
+}
+
+// followReason is why a node follows the store; empty if it does not.
+type followReason string
+
+const (
+	followSmallFleet followReason = "small fleet"
+	followRank       followReason = "rank"
+	followNoSource   followReason = "no source"
+)
+
+func (m *Mesh) reasonToFollow() followReason {
+	if len(m.peers) < fullMeshSize {
+		return followSmallFleet
+	}
+	if m.isRelay(m.self.Name) && m.higherRankedFollowers() < maxFollowers {
+		return followRank
 	}
 	now := m.Clock.Now()
 	if m.newestSource() != nil {
 		m.noSourceSince = 0
-		return false
+		return ""
 	}
 	if m.noSourceSince == 0 {
 		m.noSourceSince = now
 	}
-	return now.Sub(m.noSourceSince) > noSourceTimeout
+	if now.Sub(m.noSourceSince) > noSourceTimeout {
+		return followNoSource
+	}
+	return ""
 }
 
 // higherRankedFollowers returns how many live relays take precedence over this one
@@ -104,10 +134,26 @@
 func (m *Mesh) chooseSource(follows bool, revision tarragondeal.Revision) tarragondeal.NodeID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	before := m.source
+	m.updateSource(follows, revision)
+	if m.source != before {
+		line := m.Log.Info().Str("peer", string(m.source)).Str("before", string(before)).Uint64("revision", uint64(revision))
+		if p := m.peers[m.source]; p != nil {
+			line.Uint64("newest", uint64(p.revision))
+			if p.copyAt != 0 {
+				line.Dur("copyAge", m.Clock.Now().Sub(p.copyAt))
+			}
+		}
+		line.Msg("source of copies changed")
+	}
+	return m.source
+}
+
+func (m *Mesh) updateSource(follows bool, revision tarragondeal.Revision) {
 	best := m.newestSource()
 	if best == nil || follows && !m.isBehind(best, revision) {
 		m.source = ""
-		return m.source
+		return
 	}
 	now := m.Clock.Now()
 	p := m.peers[m.source]
@@ -123,7 +169,23 @@
 			Str("instead", string(best.node.Name)).Uint64("newest", uint64(best.revision)).Msg("source is behind, switching to another node")
 		m.source, m.sourceBehindSince = best.node.Name, 0
 	}
-	return m.source
+}
+
+// copyAge returns how long ago the store answered the node whose copy this one has,
+// or false if it is not known. A copy of the same or a later revision than a peer's
+// is at least as new as the peer's. Only followers count, and this node's source,
+// which takes no copies from it: an age passed around a circle of nodes would lose
+// the time on the way.
+func (m *Mesh) copyAge(follows bool) (time.Duration, bool) {
+	at, revision := m.Mirror.ConfirmedAt(), m.Mirror.Revision()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if !follows && (p.followsStore || p.node.Name == m.source) && p.revision <= revision && m.isDirect(p) {
+			at = max(at, p.copyAt)
+		}
+	}
+	return m.Clock.Now().Sub(at), at != 0
 }
 
 // isBehind reports whether this node has been behind another one for longer than
--- a/internal/fleet/tdmesh/entry.go
+++ b/internal/fleet/tdmesh/entry.go
@@ -27,8 +27,12 @@
 // expirePeers removes peers that are neither listed in the store nor alive.
 func (m *Mesh) expirePeers(ctx context.Context) error {
 	silentSince := make(map[tarragondeal.NodeID]tarragondeal.Instant)
+	copyAge := m.Scope.Gauge("copyAgeSeconds")
 	for tdclock.Sleep(ctx, expireInterval) {
 		m.removeSilent(silentSince)
+		if age, ok := m.copyAge(false); ok {
+			copyAge.Update(age.Seconds())
+		}
 	}
 	return nil
 }
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -76,6 +76,7 @@
 	sourceBehindSince tarragondeal.Instant              // Zero while the source is up to date.
 	selfBehindSince   tarragondeal.Instant              // Zero while no other node has a newer revision.
 	noSourceSince     tarragondeal.Instant              // Since when no source of copies is available; zero while one is.
+	followReason      followReason                      // At the last check.
 	group             *tdtask.Group
 }
 
@@ -122,6 +123,7 @@
 	followsStore bool
 	hasCopies    bool
 	source       tarragondeal.NodeID
+	copyAt       tarragondeal.Instant // When the store confirmed its copy; zero if not known.
 
 	cancel   context.CancelFunc // Ends the stream that this node opened; nil without one.
 	openedAt tarragondeal.Instant
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -197,6 +197,10 @@
 	p.lastState, p.leaf = now, w.peerIsLeaf
 	p.revision, p.source = tarragondeal.Revision(s.GetRevision()), tarragondeal.NodeID(s.GetSource())
 	p.followsStore, p.hasCopies = s.GetFollows(), s.GetFed()
+	p.copyAt = 0
+	if s.CopyAgeMillis != nil {
+		p.copyAt = now.Add(-time.Duration(s.GetCopyAgeMillis()) * time.Millisecond)
+	}
 	m.updateForwarded(p, s.GetBehind(), s.GetWhole())
 	return true
 }
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"tarragondeal"
@@ -56,6 +57,10 @@
 		Node: string(m.self.Name), Incarnation: m.self.Incarnation, Ready: m.Ready(), Revision: uint64(revision),
 		WallNanos: wall, Follows: follows, Fed: m.canProvideCopies(follows, source), Source: string(source),
 	}
+	if age, ok := m.copyAge(follows); ok {
+		millis := uint32(min(max(age, 0)/time.Millisecond, math.MaxUint32))
+		s.CopyAgeMillis = &millis
+	}
 	forwarded, known := w.addPresences(s, time.Duration(wall))
 	if !known {
 		return s // Sections are sent only to a known peer.
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -87,6 +87,7 @@
 	listed         bool
 	unavailable    bool
 	availableSince tarragondeal.Instant // When the last outage ended; zero before the first.
+	confirmedAt    tarragondeal.Instant // When the service last answered; zero before the first answer.
 	subscribers    []func(Changes)
 }
 
@@ -118,6 +119,20 @@
 	return m.unavailable
 }
 
+// ConfirmedAt returns when the service last answered a watch or a listing, and the
+// copy was complete. It is zero before the first answer.
+func (m *Mirror) ConfirmedAt() tarragondeal.Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.confirmedAt
+}
+
+func (m *Mirror) recordAnswer(at tarragondeal.Instant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmedAt = max(m.confirmedAt, at)
+}
+
 // Run follows the service until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	delay := minRetryDelay
@@ -170,6 +185,7 @@
 		return false, err
 	}
 	m.apply(entries, max(next, rev))
+	m.recordAnswer(m.clock.Now())
 	return len(entries) > 0, nil
 }
 
@@ -178,6 +194,7 @@
 func (m *Mirror) list(ctx context.Context) error {
 	var all []tarragondeal.Entry
 	var base tarragondeal.Revision
+	start := m.clock.Now()
 	for n, prefix := range m.opt.Prefixes {
 		entries, rev, err := m.listPrefix(ctx, prefix)
 		if err != nil {
@@ -189,6 +206,7 @@
 		}
 	}
 	m.replace(all, base)
+	m.recordAnswer(start)
 	return nil
 }
 
