tdmirror: count the store as available only once it has answered

Run recorded a success whenever step returned no error, also when the node merely did not follow the store. Success is now recorded where the store has answered a watch or a listing. A node that stops calling the store ends its outage without the line, so that removals are not treated as those of an outage for ever.

TestNotFollowingIsNoAnswer failed before: it logged "store is available again" without any answer.

--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -128,6 +128,7 @@
 }
 
 func (m *Mirror) recordAnswer(at tarragondeal.Instant) {
+	m.recordSuccess()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.confirmedAt = max(m.confirmedAt, at)
@@ -139,7 +140,6 @@
 	for ctx.Err() == nil {
 		changed, err := m.step(ctx)
 		if err == nil {
-			m.recordSuccess()
 			delay = minRetryDelay
 			if changed {
 				tdclock.Sleep(ctx, changeBatchDelay)
@@ -167,6 +167,7 @@
 		return false, m.list(ctx)
 	}
 	if m.opt.Follows != nil && !m.opt.Follows() {
+		m.endOutage()
 		tdclock.Sleep(ctx, followCheckInterval)
 		return false, nil
 	}
@@ -175,6 +176,7 @@
 	entries, next, err := m.source.Watch(ctx, "", rev, watchTimeout)
 	var historyErr *tarragondeal.HistoryError
 	if errors.As(err, &historyErr) {
+		m.recordSuccess()
 		m.opt.Log.Info().Uint64("revision", uint64(rev)).Msg("watch history expired, listing again")
 		m.mu.Lock()
 		m.listed = false
@@ -342,6 +344,16 @@
 	m.opt.Log.Info().Uint64("revision", uint64(m.rev)).Msg("store is available again")
 }
 
+// endOutage ends the outage of a node that no longer calls the service. Whether the
+// service is available to it is not known then.
+func (m *Mirror) endOutage() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.unavailable {
+		m.unavailable, m.availableSince = false, m.clock.Now()
+	}
+}
+
 func (m *Mirror) recordFailure(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -1,6 +1,7 @@
 package tdmirror
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -8,7 +9,9 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -219,6 +222,33 @@
 	}
 }
 
+// TestNotFollowingIsNoAnswer guards against a mirror that counts the service as
+// available because it no longer calls it.
+func TestNotFollowingIsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeSource()
+		var follows atomic.Bool
+		follows.Store(true)
+		var log bytes.Buffer
+		m := New(s, &fakeClock{now: 1}, Options{Prefixes: []string{"a/"}, Follows: follows.Load, Log: zerolog.New(&log)})
+		if err := m.list(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		s.unavailable = true
+		go func() { done <- m.Run(ctx) }()
+		time.Sleep(time.Second)
+		follows.Store(false)
+		time.Sleep(time.Second)
+		cancel()
+		<-done
+		if !strings.Contains(log.String(), "store is unavailable") || strings.Contains(log.String(), "store is available again") {
+			t.Errorf("logged %s", log.String())
+		}
+	})
+}
+
 func TestSinceOldRevisionReturnsWholeCopy(t *testing.T) {
 	s, clock := newFakeSource(), &fakeClock{now: 1}
 	m := newMirror(s, clock)
