tdmesh: say that a node follows the store only while the store answers it

Callers got 404 for routes that a later version had, and answers as an older version permits. State.follows was set from the intent to follow as long as no call had failed, so that a node cut off from the store said it followed for 2.7 s, until its first watch timed out, and was a source of copies meanwhile.

A node now says so only if the store has answered it within the time that a watch takes at most. The first watch after a pause or a failure is short, so that the answer comes at once. A peer that follows is a source only while the age of its copy, which its state has, is below that bound and the time until its next state. A state of an earlier version has no age; it is used as before.

TestFollowsOnlyWhileStoreAnswers and TestAgeOfSource failed before. TestStoreFollowers now runs with a store that answers, as followers without one no longer count; its checks are the same.

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/fleet/tdmirror"
 )
 
 const (
@@ -13,6 +14,9 @@
 	// noSourceTimeout is how long a node without any source of copies waits
 	// before it follows the store itself.
 	noSourceTimeout = 500 * time.Millisecond
+	// maxFollowerAge is how old the copy of a source that follows the store may
+	// be: as old as its last answer, and the time until its next state.
+	maxFollowerAge = tdmirror.MaxAnswerAge + 400*time.Millisecond
 	// maxSourceLag is how long a source may be behind other nodes before one of
 	// those replaces it: the source's own watch may have stalled.
 	maxSourceLag = 500 * time.Millisecond
@@ -113,6 +117,19 @@
 	return ""
 }
 
+// reachesStore reports whether the store is available to this node: it has answered
+// recently, and no call has failed since.
+func (m *Mesh) reachesStore() bool {
+	at := m.Mirror.ConfirmedAt()
+	return at != 0 && m.Clock.Now().Sub(at) < tdmirror.MaxAnswerAge && !m.Mirror.Unavailable()
+}
+
+// isFollower reports whether a peer follows the store and its copy is recent. The age
+// of a copy is not known from nodes of earlier versions.
+func (m *Mesh) isFollower(p *peer) bool {
+	return m.isDirect(p) && p.followsStore && (p.copyAt == 0 || m.Clock.Now().Sub(p.copyAt) < maxFollowerAge)
+}
+
 // higherRankedFollowers returns how many live relays take precedence over this one
 // as followers of the store, by rank within the data centre and then by name.
 func (m *Mesh) higherRankedFollowers() int {
@@ -180,10 +197,14 @@
 	at, revision := m.Mirror.ConfirmedAt(), m.Mirror.Revision()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if !follows && (p.followsStore || p.node.Name == m.source) && p.revision <= revision && m.isDirect(p) {
-			at = max(at, p.copyAt)
+	if !follows {
+		for _, p := range m.peers {
+			if (p.followsStore || p.node.Name == m.source) && p.revision <= revision && m.isDirect(p) {
+				m.copyAt = max(m.copyAt, p.copyAt)
+			}
 		}
+		m.copyAt = max(m.copyAt, at)
+		at = m.copyAt
 	}
 	return m.Clock.Now().Sub(at), at != 0
 }
@@ -208,14 +229,13 @@
 func (m *Mesh) canProvideCopies(follows bool, source tarragondeal.NodeID) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.peers[source]
-	return follows || p != nil && p.followsStore
+	return follows || m.isFollower(m.peers[source])
 }
 
 // isSource reports whether a peer can provide copies to this node. It must follow
 // the store itself, or be this node's relay and receive copies from a follower.
 func (m *Mesh) isSource(p *peer) bool {
-	return m.isDirect(p) && (p.followsStore || p.hasCopies && p.node.Name == m.parent)
+	return m.isFollower(p) || m.isDirect(p) && p.hasCopies && p.node.Name == m.parent
 }
 
 // newestSource returns the source with the latest revision of the store, or nil if
--- /dev/null
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -0,0 +1,360 @@
+package tdmesh
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragondeal"
+	"tarragondeal/internal/fleet/tdmirror"
+)
+
+const (
+	// linkDelay is the time that a state takes from one node to another.
+	linkDelay = 5 * time.Millisecond
+	// storeDelay is the time that the store takes to answer.
+	storeDelay = 5 * time.Millisecond
+	// versionBound is how late a version may be on a node that reaches the store:
+	// half a second less than what the users' rules permit in a large fleet.
+	versionBound = 2500 * time.Millisecond
+	versionKey   = "version"
+)
+
+var errReset = errors.New("connection reset")
+
+// liveStore is a store that answers in real time, except to nodes that are cut off.
+type liveStore struct {
+	mu       sync.Mutex
+	revision tarragondeal.Revision
+	events   []tarragondeal.Entry
+	changed  chan struct{} // Closed by the next change.
+	cut      map[tarragondeal.NodeID]bool
+	resets   bool          // Calls of nodes that are cut off fail at once instead of getting no answer.
+	delay    time.Duration // Of each answer.
+	calls    map[tarragondeal.NodeID]int
+}
+
+func newLiveStore() *liveStore {
+	return &liveStore{
+		revision: 1, changed: make(chan struct{}), cut: make(map[tarragondeal.NodeID]bool), delay: storeDelay,
+		calls: make(map[tarragondeal.NodeID]int),
+	}
+}
+
+// write changes the version and returns its revision.
+func (s *liveStore) write() tarragondeal.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.events = append(s.events, tarragondeal.Entry{Key: versionKey, Revision: s.revision})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+// cutOff makes the store unavailable to the given nodes only.
+func (s *liveStore) cutOff(names ...tarragondeal.NodeID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.cut)
+	for _, name := range names {
+		s.cut[name] = true
+	}
+}
+
+func (s *liveStore) totalCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, calls := range s.calls {
+		n += calls
+	}
+	return n
+}
+
+// access is the access of one node to the store.
+type access struct {
+	*liveStore
+	node tarragondeal.NodeID
+}
+
+func (a access) Page(ctx context.Context, _, _ string) (tarragondeal.Page, error) {
+	entries, revision, err := a.Watch(ctx, "", 0, 0)
+	return tarragondeal.Page{Entries: entries, Revision: revision}, err
+}
+
+func (a access) Watch(ctx context.Context, _ string, after tarragondeal.Revision, wait time.Duration) ([]tarragondeal.Entry, tarragondeal.Revision, error) {
+	a.mu.Lock()
+	a.calls[a.node]++
+	a.mu.Unlock()
+	deadline := time.After(wait)
+	for timedOut := wait == 0; ; {
+		a.mu.Lock()
+		cut, resets, changed, revision, delay := a.cut[a.node], a.resets, a.changed, a.revision, a.delay
+		var out []tarragondeal.Entry
+		for _, e := range a.events {
+			if e.Revision > after {
+				out = append(out, e)
+			}
+		}
+		a.mu.Unlock()
+		switch {
+		case cut && resets:
+			return nil, 0, errReset
+		case cut:
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		case timedOut || len(out) > 0:
+			select {
+			case <-time.After(delay):
+				return out, revision, nil
+			case <-ctx.Done():
+				return nil, 0, ctx.Err()
+			}
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			timedOut = true
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// liveFleet is a fleet whose nodes exchange states and call the store in real time.
+// It runs in the bubble of a test.
+type liveFleet struct {
+	ctx     context.Context
+	start   time.Time
+	store   *liveStore
+	nodes   map[tarragondeal.NodeID]*liveNode
+	running sync.WaitGroup
+}
+
+type liveNode struct {
+	*Mesh
+	streams  map[tarragondeal.NodeID]*liveStream
+	switches int // How often the node has begun or stopped to follow the store.
+	followed bool
+}
+
+// liveStream is one end of a stream.
+type liveStream struct {
+	ctx          context.Context
+	in, out      chan *State
+	cancelStream context.CancelFunc
+}
+
+func (s *liveStream) Send(state *State) error {
+	time.Sleep(linkDelay)
+	select {
+	case s.out <- state:
+		return nil
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
+func (s *liveStream) Recv() (*State, error) {
+	select {
+	case state := <-s.in:
+		return state, nil
+	case <-s.ctx.Done():
+		return nil, io.EOF
+	}
+}
+
+func (f *liveFleet) Now() tarragondeal.Instant {
+	return tarragondeal.Instant(time.Hour + time.Since(f.start))
+}
+func (f *liveFleet) Wall() time.Time { return time.Now().UTC() }
+
+// runLiveFleet runs test with a fleet in centres data centres, once all nodes see
+// one another.
+func runLiveFleet(t *testing.T, size, centres int, test func(t *testing.T, f *liveFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := &liveFleet{ctx: ctx, start: time.Now(), store: newLiveStore(), nodes: make(map[tarragondeal.NodeID]*liveNode)}
+		for n := range size {
+			f.add(tarragondeal.NodeID(fmt.Sprintf("n%03d", n)), fmt.Sprintf("dc%d", n%centres))
+		}
+		for _, m := range f.nodes {
+			for _, other := range f.nodes {
+				if other != m {
+					m.addListed(other.self)
+				}
+			}
+		}
+		for _, m := range f.nodes {
+			f.running.Go(func() { _ = m.Mirror.Run(ctx) })
+		}
+		f.running.Go(f.reconcile)
+		f.store.write()
+		time.Sleep(4 * time.Second)
+		test(t, f)
+		cancel()
+		f.running.Wait()
+	})
+}
+
+func (f *liveFleet) add(name tarragondeal.NodeID, centre string) {
+	m := &liveNode{streams: make(map[tarragondeal.NodeID]*liveStream)}
+	mirror := tdmirror.New(access{liveStore: f.store, node: name}, f, tdmirror.Options{
+		Prefixes: []string{versionKey}, Follows: func() bool { return m.Follows() }, Log: zerolog.Nop(),
+	})
+	m.Mesh = New(Deps{Mirror: mirror, Clock: f, Ready: func() bool { return true }, Log: zerolog.Nop()},
+		Node{Name: name, Incarnation: 1, DataCentre: centre, Processor: 0.2})
+	f.nodes[name] = m
+}
+
+// reconcile opens and ends streams as the nodes desire.
+func (f *liveFleet) reconcile() {
+	for f.ctx.Err() == nil {
+		time.Sleep(reconcileInterval)
+		for _, m := range f.nodes {
+			m.mu.Lock()
+			want := m.desiredStreams()
+			if followed := m.followReason != ""; followed != m.followed {
+				m.followed = followed
+				m.switches++
+			}
+			m.mu.Unlock()
+			for to, s := range m.streams {
+				if s.ctx.Err() != nil {
+					delete(m.streams, to)
+				} else if !want[to] {
+					s.cancelStream()
+					delete(m.streams, to)
+				}
+			}
+			for to := range want {
+				if m.streams[to] == nil && f.nodes[to] != nil {
+					m.streams[to] = f.open(m, to)
+				}
+			}
+		}
+	}
+}
+
+func (f *liveFleet) open(m *liveNode, to tarragondeal.NodeID) *liveStream {
+	ctx, cancel := context.WithCancel(f.ctx)
+	there, back := make(chan *State, 1), make(chan *State, 1)
+	near := &liveStream{ctx: ctx, in: back, out: there}
+	far := &liveStream{ctx: ctx, in: there, out: back}
+	w := m.newStateWriter(to)
+	w.cancel = cancel
+	f.running.Go(func() { _ = m.exchange(ctx, near, w) })
+	peer := f.nodes[to]
+	f.running.Go(func() { _ = peer.exchange(ctx, far, peer.newStateWriter("")) })
+	near.cancelStream = cancel
+	return near
+}
+
+// followers returns the nodes that follow the store, by name.
+func (f *liveFleet) followers() []tarragondeal.NodeID {
+	var out []tarragondeal.NodeID
+	for name, m := range f.nodes {
+		if m.Follows() {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (f *liveFleet) relays() []tarragondeal.NodeID {
+	var out []tarragondeal.NodeID
+	for name, m := range f.nodes {
+		if m.isRelay(name) {
+			out = append(out, name)
+		}
+	}
+	return slices.SortedFunc(slices.Values(out), cmp.Compare[tarragondeal.NodeID])
+}
+
+// spread returns every nth node.
+func (f *liveFleet) spread(n int) []tarragondeal.NodeID {
+	var out []tarragondeal.NodeID
+	for k, name := range slices.Sorted(maps.Keys(f.nodes)) {
+		if k%n == 0 {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// lacking returns how many nodes that reach the store lack a revision, and one of
+// them.
+func (f *liveFleet) lacking(revision tarragondeal.Revision) (n int, example tarragondeal.NodeID) {
+	f.store.mu.Lock()
+	cut := maps.Clone(f.store.cut)
+	f.store.mu.Unlock()
+	for name, m := range f.nodes {
+		if !cut[name] && m.Mirror.Revision() < revision {
+			n++
+			example = name
+		}
+	}
+	return n, example
+}
+
+// TestFollowsOnlyWhileStoreAnswers guards against nodes that say that they follow the
+// store although it has not answered them: others would take their old copies for
+// recent ones.
+func TestFollowsOnlyWhileStoreAnswers(t *testing.T) {
+	never := newMesh("a", &fakeClock{now: tarragondeal.Instant(time.Hour)})
+	if !never.Follows() || never.newStateWriter("b").nextState().GetFollows() {
+		t.Error("a node says that it follows the store before the first answer")
+	}
+	runLiveFleet(t, 4, 1, func(t *testing.T, f *liveFleet) {
+		says := func(name tarragondeal.NodeID) bool { return f.nodes[name].newStateWriter("").nextState().GetFollows() }
+		f.store.cutOff("n000")
+		time.Sleep(tdmirror.MaxAnswerAge)
+		if says("n000") || !says("n001") {
+			t.Errorf("follows the store: %t though cut off, %t though not", says("n000"), says("n001"))
+		}
+		f.store.cutOff()
+		time.Sleep(2 * time.Second)
+		if !says("n000") {
+			t.Error("does not follow the store again")
+		}
+	})
+}
+
+// TestAgeOfSource guards against copies from a node whose own copy is old. States of
+// earlier versions have no age.
+func TestAgeOfSource(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		known bool
+		age   time.Duration
+		want  tarragondeal.NodeID
+	}{
+		{"recent", true, time.Second, "b"},
+		{"old", true, 4 * time.Second, ""},
+		{"of an earlier version", false, 0, "b"},
+	} {
+		m := newMesh("a", &fakeClock{now: tarragondeal.Instant(time.Hour)})
+		m.addListed(Node{Name: "b", Incarnation: 1})
+		s := &State{Node: "b", Incarnation: 1, Follows: true}
+		if millis := uint32(c.age.Milliseconds()); c.known {
+			s.CopyAgeMillis = &millis
+		}
+		m.recordState(s, m.newStateWriter(""))
+		if got := m.currentSource(true); got != c.want {
+			t.Errorf("%s: takes copies from %q", c.name, got)
+		}
+	}
+}
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -77,6 +77,7 @@
 	selfBehindSince   tarragondeal.Instant              // Zero while no other node has a newer revision.
 	noSourceSince     tarragondeal.Instant              // Since when no source of copies is available; zero while one is.
 	followReason      followReason                      // At the last check.
+	copyAt            tarragondeal.Instant              // When the store confirmed this node's copy at the latest; zero if not known.
 	group             *tdtask.Group
 }
 
--- a/internal/fleet/tdmesh/relay_test.go
+++ b/internal/fleet/tdmesh/relay_test.go
@@ -294,28 +294,28 @@
 // store, that all other nodes have a source of copies, and that a node without a
 // source follows the store itself.
 func TestStoreFollowers(t *testing.T) {
-	f := newFleet(t, 60)
-	f.runUntil("all nodes see all others alive", 6, f.allConnected)
-	f.runRound()
-	followers, copying := 0, 0
-	for _, m := range f.nodes {
-		if m.Follows() {
-			followers++
-		} else if m.chooseSource(false, 0) != "" {
-			copying++
+	runLiveFleet(t, 60, 3, func(t *testing.T, f *liveFleet) {
+		followers, copying := 0, 0
+		for _, m := range f.nodes {
+			if m.Follows() {
+				followers++
+			} else if m.chooseSource(false, 0) != "" {
+				copying++
+			}
 		}
-	}
-	if followers != maxFollowers || followers+copying != len(f.nodes) {
-		t.Errorf("%d follow the store and %d take copies, of %d", followers, copying, len(f.nodes))
-	}
-	alone := newMesh("z", f.clock)
+		if followers != maxFollowers || followers+copying != len(f.nodes) {
+			t.Errorf("%d follow the store and %d take copies, of %d", followers, copying, len(f.nodes))
+		}
+	})
+	clock := &fakeClock{now: tarragondeal.Instant(time.Hour)}
+	alone := newMesh("z", clock)
 	for n := range 20 {
 		alone.addListed(Node{Name: tarragondeal.NodeID(fmt.Sprint("n", n)), Processor: 1})
 	}
 	if alone.Follows() {
 		t.Error("a node follows the store before noSourceTimeout has passed")
 	}
-	f.clock.now = f.clock.now.Add(noSourceTimeout + time.Millisecond)
+	clock.now = clock.now.Add(noSourceTimeout + time.Millisecond)
 	if !alone.Follows() {
 		t.Error("a node without a source does not follow the store")
 	}
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -49,8 +49,8 @@
 // nextState returns the next state to send.
 func (w *stateWriter) nextState() *State {
 	m := w.m
-	unavailable, revision := m.Mirror.Unavailable(), m.Mirror.Revision()
-	follows := !unavailable && m.Follows()
+	revision := m.Mirror.Revision()
+	follows := m.Follows() && m.reachesStore()
 	source := m.chooseSource(follows, revision)
 	wall := m.Clock.Wall().UnixNano()
 	s := &State{
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -34,6 +34,10 @@
 	// connection is detected watchGrace later.
 	watchTimeout = 2 * time.Second
 	watchGrace   = 700 * time.Millisecond
+	// confirmWait is the wait of a watch whose answer confirms that the service
+	// is available, and confirmTimeout bounds that watch.
+	confirmWait    = 50 * time.Millisecond
+	confirmTimeout = time.Second
 	// pageTimeout bounds reading one page.
 	pageTimeout = 1500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call. The
@@ -52,6 +56,10 @@
 	maxHistory = 256
 )
 
+// MaxAnswerAge is how long ago the last answer may be while the service is available
+// to a node that follows it.
+const MaxAnswerAge = changeBatchDelay + watchTimeout + watchGrace
+
 // Options configure a Mirror.
 type Options struct {
 	Prefixes []string // Prefixes of the keys to copy.
@@ -171,9 +179,10 @@
 		tdclock.Sleep(ctx, followCheckInterval)
 		return false, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout+watchGrace)
+	wait, timeout := m.watchTimes()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	entries, next, err := m.source.Watch(ctx, "", rev, watchTimeout)
+	entries, next, err := m.source.Watch(ctx, "", rev, wait)
 	var historyErr *tarragondeal.HistoryError
 	if errors.As(err, &historyErr) {
 		m.recordSuccess()
@@ -191,6 +200,18 @@
 	return len(entries) > 0, nil
 }
 
+// watchTimes returns how long the service may hold the next watch open, and the
+// timeout of the call. A watch is short unless the service has answered recently, so
+// that other nodes soon know whether it is available to this one.
+func (m *Mirror) watchTimes() (wait, timeout time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.unavailable || m.clock.Now().Sub(m.confirmedAt) > MaxAnswerAge {
+		return confirmWait, confirmTimeout
+	}
+	return watchTimeout, watchTimeout + watchGrace
+}
+
 // list reads all keys and removes the entries that are missing from the listing,
 // unless they are newer than it.
 func (m *Mirror) list(ctx context.Context) error {
