tdmesh: count only relays that reach the store as its followers

A relay now counts those that say they follow and whose copy is recent, so that all relays follow as soon as fewer than four do, and those that rank last stop again once four others have had an answer.

TestRelaysReplaceFollowers failed before, with none and with three followers.

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -130,16 +130,12 @@
 	return m.isDirect(p) && p.followsStore && (p.copyAt == 0 || m.Clock.Now().Sub(p.copyAt) < maxFollowerAge)
 }
 
-// higherRankedFollowers returns how many live relays take precedence over this one
-// as followers of the store, by rank within the data centre and then by name.
+// higherRankedFollowers returns how many relays that follow the store take precedence
+// over this one, by rank within the data centre and then by name.
 func (m *Mesh) higherRankedFollowers() int {
 	ownRank, n := m.relays[m.self.Name], 0
 	for name, rank := range m.relays {
-		p := m.peers[name]
-		if p == nil {
-			continue
-		}
-		if _, ok := m.alive(p); ok && (rank < ownRank || rank == ownRank && name < m.self.Name) {
+		if (rank < ownRank || rank == ownRank && name < m.self.Name) && m.isFollower(m.peers[name]) {
 			n++
 		}
 	}
--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -358,3 +358,20 @@
 		}
 	}
 }
+
+// TestRelaysReplaceFollowers guards against a store that nobody follows: relays that
+// precede this one but do not reach the store must not keep it from following.
+func TestRelaysReplaceFollowers(t *testing.T) {
+	for _, followers := range []int{0, maxFollowers - 1, maxFollowers, maxFollowers + 1} {
+		f := newFleet(t, 60)
+		m := f.nodes["n057"]
+		n := 0
+		for _, name := range []string{"n007", "n017", "n027", "n037", "n047"} {
+			m.recordState(&State{Node: name, Incarnation: 1, Follows: n < followers}, m.newStateWriter(""))
+			n++
+		}
+		if got, want := m.Follows(), followers < maxFollowers; got != want {
+			t.Errorf("%d relays follow the store: this one follows %t", followers, got)
+		}
+	}
+}
