tdmesh: take no copies from a node whose source is this one

A node that followed the store for want of a source stopped as soon as its relay had copies, also if these were its own: both then waited for changes that nobody read.

A peer whose source is this node is no source for it. So that such a node does not follow the store for ever, its relay prefers another relay of the same revision as its source.

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -171,7 +171,7 @@
 	now := m.Clock.Now()
 	p := m.peers[m.source]
 	switch {
-	case p == nil || !m.isSource(p):
+	case p == nil || !m.isSource(p) || best.revision >= p.revision && m.isRelay(best.node.Name) && !m.isRelay(p.node.Name):
 		m.source, m.sourceBehindSince = best.node.Name, 0
 	case p.revision >= best.revision:
 		m.sourceBehindSince = 0
@@ -229,17 +229,24 @@
 }
 
 // isSource reports whether a peer can provide copies to this node. It must follow
-// the store itself, or be this node's relay and receive copies from a follower.
+// the store itself, or be this node's relay and receive copies from a follower. A
+// peer that receives its copies from this node is no source.
 func (m *Mesh) isSource(p *peer) bool {
+	if p.source == m.self.Name {
+		return false
+	}
 	return m.isFollower(p) || m.isDirect(p) && p.hasCopies && p.node.Name == m.parent
 }
 
 // newestSource returns the source with the latest revision of the store, or nil if
-// there is no source.
+// there is no source. Of several it is a relay.
 func (m *Mesh) newestSource() *peer {
 	var best *peer
 	for _, p := range m.peers {
-		if m.isSource(p) && (best == nil || p.revision > best.revision) {
+		if !m.isSource(p) {
+			continue
+		}
+		if best == nil || p.revision > best.revision || p.revision == best.revision && m.isRelay(p.node.Name) && !m.isRelay(best.node.Name) {
 			best = p
 		}
 	}
--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -375,3 +375,45 @@
 		}
 	}
 }
+
+// TestCopiesDoNotReturn guards against two nodes that take each other for a source: a
+// node would stop following the store because its relay has copies, which are its own.
+func TestCopiesDoNotReturn(t *testing.T) {
+	for _, c := range []struct {
+		name, source string
+		want         tarragondeal.NodeID
+	}{
+		{"from a follower", "n003", "n002"},
+		{"from this node", "n001", ""},
+	} {
+		f := newFleet(t, 40)
+		m := f.nodes["n001"].Mesh
+		m.parent = "n002"
+		m.recordState(&State{Node: "n002", Incarnation: 1, Fed: true, Source: c.source}, m.newStateWriter("n002"))
+		if got := m.currentSource(true); got != c.want {
+			t.Errorf("%s: takes copies from %q", c.name, got)
+		}
+	}
+}
+
+// TestRelayPrecedesLeafAsSource guards against a leaf that follows the store for ever
+// because its relay once had no other source.
+func TestRelayPrecedesLeafAsSource(t *testing.T) {
+	f := newFleet(t, 40)
+	m := f.nodes["n007"].Mesh
+	for _, c := range []struct {
+		follower tarragondeal.NodeID
+		revision uint64
+		want     tarragondeal.NodeID
+	}{
+		{"n001", 5, "n001"},
+		{"n017", 4, "n001"},
+		{"n017", 5, "n017"},
+		{"n001", 5, "n017"},
+	} {
+		m.recordState(&State{Node: string(c.follower), Incarnation: 1, Follows: true, Revision: c.revision}, m.newStateWriter(""))
+		if got := m.currentSource(true); got != c.want {
+			t.Errorf("after %s at %d: takes copies from %q", c.follower, c.revision, got)
+		}
+	}
+}
