tdmirror: detect a store that no longer answers within 1.5 s

Callers on nodes that reach the store were answered as an older version permits more than 3 s after a version was acknowledged. The nodes that follow the store noticed up to 2.7 s after a cut that it no longer answered (a watch of 2 s and 0.7 s), which left no time for others to take over.

A watch now takes 1 s and may be 0.5 s late. That is one call a second for each follower rather than half of one. A node without a source waits for a random time of 250 to 500 ms rather than 500 ms, so that the first of them become sources of the others.

TestFollowersCutOff runs a fleet with its own intervals and timeouts in simulated time: the followers, all relays, or a third or half of the nodes as well are cut off at several points of a watch, silently or by resets, from a fast and a slow store, and versions are written meanwhile. TestStoreUnavailableToAll bounds the calls of an outage for all.

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -11,8 +11,9 @@
 	// maxFollowers is how many relays of a large fleet follow the store. The
 	// other nodes receive copies, which saves calls to the store.
 	maxFollowers = 4
-	// noSourceTimeout is how long a node without any source of copies waits
-	// before it follows the store itself.
+	// noSourceTimeout is the longest time that a node without any source of copies
+	// waits before it follows the store itself. Each node waits for a random time
+	// from half of it, so that the first ones become sources of the others.
 	noSourceTimeout = 500 * time.Millisecond
 	// maxFollowerAge is how old the copy of a source that follows the store may
 	// be: as old as its last answer, and the time until its next state.
@@ -111,7 +112,7 @@
 	if m.noSourceSince == 0 {
 		m.noSourceSince = now
 	}
-	if now.Sub(m.noSourceSince) > noSourceTimeout {
+	if now.Sub(m.noSourceSince) > m.noSourceTimeout {
 		return followNoSource
 	}
 	return ""
--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// set changes how the store fails and how long it takes.
+func (s *liveStore) set(resets bool, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resets, s.delay = resets, delay
+}
+
 func (s *liveStore) totalCalls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -144,9 +151,9 @@
 
 type liveNode struct {
 	*Mesh
-	streams  map[tarragondeal.NodeID]*liveStream
-	switches int // How often the node has begun or stopped to follow the store.
-	followed bool
+	streams        map[tarragondeal.NodeID]*liveStream
+	followSwitches int // How often the node has begun or stopped to follow the store.
+	followed       bool
 }
 
 // liveStream is one end of a stream.
@@ -228,7 +235,7 @@
 			want := m.desiredStreams()
 			if followed := m.followReason != ""; followed != m.followed {
 				m.followed = followed
-				m.switches++
+				m.followSwitches++
 			}
 			m.mu.Unlock()
 			for to, s := range m.streams {
@@ -274,6 +281,17 @@
 	return out
 }
 
+// switches returns how often each node has begun or stopped to follow the store.
+func (f *liveFleet) switches() map[tarragondeal.NodeID]int {
+	out := make(map[tarragondeal.NodeID]int)
+	for name, m := range f.nodes {
+		m.mu.Lock()
+		out[name] = m.followSwitches
+		m.mu.Unlock()
+	}
+	return out
+}
+
 func (f *liveFleet) relays() []tarragondeal.NodeID {
 	var out []tarragondeal.NodeID
 	for name, m := range f.nodes {
@@ -284,11 +302,11 @@
 	return slices.SortedFunc(slices.Values(out), cmp.Compare[tarragondeal.NodeID])
 }
 
-// spread returns every nth node.
+// spread returns every nth node, and none if n is zero.
 func (f *liveFleet) spread(n int) []tarragondeal.NodeID {
 	var out []tarragondeal.NodeID
 	for k, name := range slices.Sorted(maps.Keys(f.nodes)) {
-		if k%n == 0 {
+		if n > 0 && k%n == 0 {
 			out = append(out, name)
 		}
 	}
@@ -343,7 +361,7 @@
 		want  tarragondeal.NodeID
 	}{
 		{"recent", true, time.Second, "b"},
-		{"old", true, 4 * time.Second, ""},
+		{"old", true, 2500 * time.Millisecond, ""},
 		{"of an earlier version", false, 0, "b"},
 	} {
 		m := newMesh("a", &fakeClock{now: tarragondeal.Instant(time.Hour)})
@@ -417,3 +435,92 @@
 		}
 	}
 }
+
+// TestFollowersCutOff guards against versions that come late because all nodes that
+// follow the store are cut off from it at the same moment: each node that reaches the
+// store must have each version in time, and the followers must not keep changing.
+func TestFollowersCutOff(t *testing.T) {
+	followers := func(f *liveFleet) []tarragondeal.NodeID { return f.followers() }
+	relays := func(f *liveFleet) []tarragondeal.NodeID { return f.relays() }
+	for _, c := range []struct {
+		name   string
+		cut    func(f *liveFleet) []tarragondeal.NodeID
+		others int           // Every how many nodes are cut off too.
+		phase  time.Duration // When they are cut off, counted from the same moment.
+		resets bool
+		delay  time.Duration
+	}{
+		{"the followers", followers, 0, 0, false, storeDelay},
+		{"the followers, 0.35 s later", followers, 0, 350 * time.Millisecond, false, storeDelay},
+		{"the followers, 0.7 s later", followers, 0, 700 * time.Millisecond, false, storeDelay},
+		{"the followers, 1.05 s later", followers, 0, 1050 * time.Millisecond, false, storeDelay},
+		{"the followers, by resets", followers, 0, 0, true, storeDelay},
+		{"the followers, of a slow store", followers, 0, 0, false, 200 * time.Millisecond},
+		{"the followers and a third of all nodes", followers, 3, 500 * time.Millisecond, false, storeDelay},
+		{"the followers and half of all nodes", followers, 2, 1050 * time.Millisecond, false, storeDelay},
+		{"all relays but one", func(f *liveFleet) []tarragondeal.NodeID { return f.relays()[:9] }, 0, 0, false, storeDelay},
+		{"all relays", relays, 0, 1050 * time.Millisecond, false, storeDelay},
+		{"all relays and a third of all nodes", relays, 3, 200 * time.Millisecond, false, storeDelay},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runLiveFleet(t, 30, 5, func(t *testing.T, f *liveFleet) {
+				f.store.set(c.resets, c.delay)
+				time.Sleep(c.phase)
+				f.store.cutOff(append(c.cut(f), f.spread(c.others)...)...)
+				for _, pause := range []time.Duration{10, 700, 750, 1000} {
+					time.Sleep(pause * time.Millisecond)
+					revision := f.store.write()
+					f.running.Go(func() {
+						time.Sleep(versionBound)
+						if n, example := f.lacking(revision); n > 0 {
+							t.Errorf("%d nodes that reach the store lack revision %d, %s among them", n, revision, example)
+						}
+					})
+				}
+				time.Sleep(versionBound)
+				before := f.switches()
+				time.Sleep(4 * time.Second)
+				for name, n := range f.switches() {
+					if n -= before[name]; n > 1 {
+						t.Errorf("%s began or stopped to follow the store %d times", name, n)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestStoreUnavailableToAll guards against a flood of calls when the store is
+// unavailable to all nodes, and against versions that come late after it.
+func TestStoreUnavailableToAll(t *testing.T) {
+	for _, resets := range []bool{false, true} {
+		t.Run(fmt.Sprintf("resets %t", resets), func(t *testing.T) {
+			runLiveFleet(t, 30, 5, func(t *testing.T, f *liveFleet) {
+				f.store.set(resets, storeDelay)
+				f.store.cutOff(slices.Collect(maps.Keys(f.nodes))...)
+				for second := range 8 {
+					before := f.store.totalCalls()
+					time.Sleep(time.Second)
+					if n := f.store.totalCalls() - before; n > 4*len(f.nodes) {
+						t.Errorf("%d calls in second %d", n, second)
+					}
+				}
+				f.store.cutOff()
+				before := f.store.totalCalls()
+				revision := f.store.write()
+				time.Sleep(time.Second)
+				if n := f.store.totalCalls() - before; n > 4*len(f.nodes) {
+					t.Errorf("%d calls in the first second after it", n)
+				}
+				time.Sleep(versionBound - time.Second)
+				if n, example := f.lacking(revision); n > 0 {
+					t.Errorf("%d nodes lack the version, %s among them", n, example)
+				}
+				time.Sleep(time.Second)
+				if n := len(f.followers()); n != maxFollowers {
+					t.Errorf("%d nodes follow the store", n)
+				}
+			})
+		})
+	}
+}
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -76,6 +77,7 @@
 	sourceBehindSince tarragondeal.Instant              // Zero while the source is up to date.
 	selfBehindSince   tarragondeal.Instant              // Zero while no other node has a newer revision.
 	noSourceSince     tarragondeal.Instant              // Since when no source of copies is available; zero while one is.
+	noSourceTimeout   time.Duration                     // How long this node waits without a source before it follows the store.
 	followReason      followReason                      // At the last check.
 	copyAt            tarragondeal.Instant              // When the store confirmed this node's copy at the latest; zero if not known.
 	group             *tdtask.Group
@@ -136,6 +138,7 @@
 	m := &Mesh{
 		Deps: d, self: self, receivers: make(map[string]receiver),
 		peers: make(map[tarragondeal.NodeID]*peer), forwarded: make(map[tarragondeal.NodeID]presences), noSourceSince: d.Clock.Now(),
+		noSourceTimeout: noSourceTimeout/2 + rand.N(noSourceTimeout/2),
 	}
 	m.assignRelays()
 	d.Mirror.Subscribe(m.applyChanges)
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -32,8 +32,8 @@
 const (
 	// watchTimeout is how long the service may hold one watch open. A silent
 	// connection is detected watchGrace later.
-	watchTimeout = 2 * time.Second
-	watchGrace   = 700 * time.Millisecond
+	watchTimeout = time.Second
+	watchGrace   = 500 * time.Millisecond
 	// confirmWait is the wait of a watch whose answer confirms that the service
 	// is available, and confirmTimeout bounds that watch.
 	confirmWait    = 50 * time.Millisecond
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -242,7 +242,9 @@
 		follows.Store(false)
 		time.Sleep(time.Second)
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 		if !strings.Contains(log.String(), "store is unavailable") || strings.Contains(log.String(), "store is available again") {
 			t.Errorf("logged %s", log.String())
 		}
