--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -4,15 +4,20 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/fleet/tdmirror"
 )
 
 const (
 	// maxFollowers is how many relays of a large fleet follow the store. The
 	// other nodes receive copies, which saves calls to the store.
 	maxFollowers = 4
-	// noSourceTimeout is how long a node without any source of copies waits
-	// before it follows the store itself.
+	// noSourceTimeout is the longest time that a node without any source of copies
+	// waits before it follows the store itself. Each node waits for a random time
+	// from half of it, so that the first ones become sources of the others.
 	noSourceTimeout = 500 * time.Millisecond
+	// maxFollowerAge is how old the copy of a source that follows the store may
+	// be: as old as its last answer, and the time until its next state.
+	maxFollowerAge = tdmirror.MaxAnswerAge + 400*time.Millisecond
 	// maxSourceLag is how long a source may be behind other nodes before one of
 	// those replaces it: the source's own watch may have stalled.
 	maxSourceLag = 500 * time.Millisecond
@@ -58,8 +63,12 @@
 		})
 	}
 	if len(entries) > 0 {
-		m.Log.Info().Str("peer", s.GetNode()).Uint64("revision", c.GetRevision()).Int("changes", len(entries)).
-			Bool("whole", c.GetWhole()).Msg("applying store changes from another node")
+		line := m.Log.Info().Str("peer", s.GetNode()).Uint64("revision", c.GetRevision()).Int("changes", len(entries)).
+			Bool("whole", c.GetWhole())
+		if s.CopyAgeMillis != nil {
+			line.Uint32("copyAgeMillis", s.GetCopyAgeMillis())
+		}
+		line.Msg("applying store changes from another node")
 	}
 	m.Mirror.Apply(entries, tarragondeal.Revision(c.GetRevision()), c.GetWhole())
 }
@@ -67,32 +76,67 @@
 // Follows reports whether this node should follow the store itself. In a large
 // fleet only a few relays do, and nodes that have no source of copies.
 func (m *Mesh) Follows() bool {
+	revision := m.Mirror.Revision()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.peers) < fullMeshSize || m.isRelay(m.self.Name) && m.higherRankedFollowers() < maxFollowers {
-		return true
+	reason := m.reasonToFollow()
+	if reason != m.followReason {
+		m.Log.Info().Str("reason", string(reason)).Str("before", string(m.followReason)).Uint64("revision", uint64(revision)).
+			Msg("reason to follow the store changed")
+		m.followReason = reason
+	}
+	return reason != ""
+}
+
+// followReason is why a node follows the store; empty if it does not.
+type followReason string
+
+const (
+	followSmallFleet followReason = "small fleet"
+	followRank       followReason = "rank"
+	followNoSource   followReason = "no source"
+)
+
+func (m *Mesh) reasonToFollow() followReason {
+	if len(m.peers) < fullMeshSize {
+		return followSmallFleet
+	}
+	if m.isRelay(m.self.Name) && m.higherRankedFollowers() < maxFollowers {
+		return followRank
 	}
 	now := m.Clock.Now()
 	if m.newestSource() != nil {
 		m.noSourceSince = 0
-		return false
+		return ""
 	}
 	if m.noSourceSince == 0 {
 		m.noSourceSince = now
 	}
-	return now.Sub(m.noSourceSince) > noSourceTimeout
+	if now.Sub(m.noSourceSince) > m.noSourceTimeout {
+		return followNoSource
+	}
+	return ""
+}
+
+// reachesStore reports whether the store is available to this node: it has answered
+// recently, and no call has failed since.
+func (m *Mesh) reachesStore() bool {
+	at := m.Mirror.ConfirmedAt()
+	return at != 0 && m.Clock.Now().Sub(at) < tdmirror.MaxAnswerAge && !m.Mirror.Unavailable()
 }
 
-// higherRankedFollowers returns how many live relays take precedence over this one
-// as followers of the store, by rank within the data centre and then by name.
+// isFollower reports whether a peer follows the store and its copy is recent. The age
+// of a copy is not known from nodes of earlier versions.
+func (m *Mesh) isFollower(p *peer) bool {
+	return m.isDirect(p) && p.followsStore && (p.copyAt == 0 || m.Clock.Now().Sub(p.copyAt) < maxFollowerAge)
+}
+
+// higherRankedFollowers returns how many relays that follow the store take precedence
+// over this one, by rank within the data centre and then by name.
 func (m *Mesh) higherRankedFollowers() int {
 	ownRank, n := m.relays[m.self.Name], 0
 	for name, rank := range m.relays {
-		p := m.peers[name]
-		if p == nil {
-			continue
-		}
-		if _, ok := m.alive(p); ok && (rank < ownRank || rank == ownRank && name < m.self.Name) {
+		if (rank < ownRank || rank == ownRank && name < m.self.Name) && m.isFollower(m.peers[name]) {
 			n++
 		}
 	}
@@ -104,15 +148,31 @@
 func (m *Mesh) chooseSource(follows bool, revision tarragondeal.Revision) tarragondeal.NodeID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	before := m.source
+	m.updateSource(follows, revision)
+	if m.source != before {
+		line := m.Log.Info().Str("peer", string(m.source)).Str("before", string(before)).Uint64("revision", uint64(revision))
+		if p := m.peers[m.source]; p != nil {
+			line.Uint64("newest", uint64(p.revision))
+			if p.copyAt != 0 {
+				line.Dur("copyAge", m.Clock.Now().Sub(p.copyAt))
+			}
+		}
+		line.Msg("source of copies changed")
+	}
+	return m.source
+}
+
+func (m *Mesh) updateSource(follows bool, revision tarragondeal.Revision) {
 	best := m.newestSource()
 	if best == nil || follows && !m.isBehind(best, revision) {
 		m.source = ""
-		return m.source
+		return
 	}
 	now := m.Clock.Now()
 	p := m.peers[m.source]
 	switch {
-	case p == nil || !m.isSource(p):
+	case p == nil || !m.isSource(p) || best.revision >= p.revision && m.isRelay(best.node.Name) && !m.isRelay(p.node.Name):
 		m.source, m.sourceBehindSince = best.node.Name, 0
 	case p.revision >= best.revision:
 		m.sourceBehindSince = 0
@@ -123,7 +183,27 @@
 			Str("instead", string(best.node.Name)).Uint64("newest", uint64(best.revision)).Msg("source is behind, switching to another node")
 		m.source, m.sourceBehindSince = best.node.Name, 0
 	}
-	return m.source
+}
+
+// copyAge returns how long ago the store answered the node whose copy this one has,
+// or false if it is not known. A copy of the same or a later revision than a peer's
+// is at least as new as the peer's. Only followers count, and this node's source,
+// which takes no copies from it: an age passed around a circle of nodes would lose
+// the time on the way.
+func (m *Mesh) copyAge(follows bool) (time.Duration, bool) {
+	at, revision := m.Mirror.ConfirmedAt(), m.Mirror.Revision()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !follows {
+		for _, p := range m.peers {
+			if (p.followsStore || p.node.Name == m.source) && p.revision <= revision && m.isDirect(p) {
+				m.copyAt = max(m.copyAt, p.copyAt)
+			}
+		}
+		m.copyAt = max(m.copyAt, at)
+		at = m.copyAt
+	}
+	return m.Clock.Now().Sub(at), at != 0
 }
 
 // isBehind reports whether this node has been behind another one for longer than
@@ -146,22 +226,28 @@
 func (m *Mesh) canProvideCopies(follows bool, source tarragondeal.NodeID) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.peers[source]
-	return follows || p != nil && p.followsStore
+	return follows || m.isFollower(m.peers[source])
 }
 
 // isSource reports whether a peer can provide copies to this node. It must follow
-// the store itself, or be this node's relay and receive copies from a follower.
+// the store itself, or be this node's relay and receive copies from a follower. A
+// peer that receives its copies from this node is no source.
 func (m *Mesh) isSource(p *peer) bool {
-	return m.isDirect(p) && (p.followsStore || p.hasCopies && p.node.Name == m.parent)
+	if p.source == m.self.Name {
+		return false
+	}
+	return m.isFollower(p) || m.isDirect(p) && p.hasCopies && p.node.Name == m.parent
 }
 
 // newestSource returns the source with the latest revision of the store, or nil if
-// there is no source.
+// there is no source. Of several it is a relay.
 func (m *Mesh) newestSource() *peer {
 	var best *peer
 	for _, p := range m.peers {
-		if m.isSource(p) && (best == nil || p.revision > best.revision) {
+		if !m.isSource(p) {
+			continue
+		}
+		if best == nil || p.revision > best.revision || p.revision == best.revision && m.isRelay(p.node.Name) && !m.isRelay(best.node.Name) {
 			best = p
 		}
 	}
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -33,8 +33,12 @@
 const (
 	// watchTimeout is how long the service may hold one watch open. A silent
 	// connection is detected watchGrace later.
-	watchTimeout = 2 * time.Second
-	watchGrace   = 700 * time.Millisecond
+	watchTimeout = time.Second
+	watchGrace   = 500 * time.Millisecond
+	// confirmWait is the wait of a watch whose answer confirms that the service
+	// is available, and confirmTimeout bounds that watch.
+	confirmWait    = 50 * time.Millisecond
+	confirmTimeout = time.Second
 	// pageTimeout bounds reading one page.
 	pageTimeout = 1500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call. The
@@ -53,6 +57,10 @@
 	maxHistory = 256
 )
 
+// MaxAnswerAge is how long ago the last answer may be while the service is available
+// to a node that follows it.
+const MaxAnswerAge = changeBatchDelay + watchTimeout + watchGrace
+
 // Options configure a Mirror.
 type Options struct {
 	Prefixes []string // Prefixes of the keys to copy.
@@ -92,6 +100,7 @@
 	listings       []listing // The last listings, without their entries.
 	unavailable    bool
 	availableSince tarragondeal.Instant // When the last outage ended; zero before the first.
+	confirmedAt    tarragondeal.Instant // When the service last answered; zero before the first answer.
 	subscribers    []func(Changes)
 }
 
@@ -123,13 +132,27 @@
 	return m.unavailable
 }
 
+// ConfirmedAt returns when the service last answered a watch or a listing, and the
+// copy was complete. It is zero before the first answer.
+func (m *Mirror) ConfirmedAt() tarragondeal.Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.confirmedAt
+}
+
+func (m *Mirror) recordAnswer(at tarragondeal.Instant) {
+	m.recordSuccess()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmedAt = max(m.confirmedAt, at)
+}
+
 // Run follows the service until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		changed, err := m.step(ctx)
 		if err == nil {
-			m.recordSuccess()
 			delay = minRetryDelay
 			if changed {
 				tdclock.Sleep(ctx, changeBatchDelay)
@@ -157,14 +180,17 @@
 		return false, m.list(ctx)
 	}
 	if m.opt.Follows != nil && !m.opt.Follows() {
+		m.endOutage()
 		tdclock.Sleep(ctx, followCheckInterval)
 		return false, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout+watchGrace)
+	wait, timeout := m.watchTimes()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	entries, next, err := m.source.Watch(ctx, "", rev, watchTimeout)
+	entries, next, err := m.source.Watch(ctx, "", rev, wait)
 	var historyErr *tarragondeal.HistoryError
 	if errors.As(err, &historyErr) {
+		m.recordSuccess()
 		m.opt.Log.Info().Uint64("revision", uint64(rev)).Msg("watch history expired, listing again")
 		m.mu.Lock()
 		m.listed = false
@@ -175,9 +201,22 @@
 		return false, err
 	}
 	m.apply(entries, max(next, rev))
+	m.recordAnswer(m.clock.Now())
 	return len(entries) > 0, nil
 }
 
+// watchTimes returns how long the service may hold the next watch open, and the
+// timeout of the call. A watch is short unless the service has answered recently, so
+// that other nodes soon know whether it is available to this one.
+func (m *Mirror) watchTimes() (wait, timeout time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.unavailable || m.clock.Now().Sub(m.confirmedAt) > MaxAnswerAge {
+		return confirmWait, confirmTimeout
+	}
+	return watchTimeout, watchTimeout + watchGrace
+}
+
 // listing is a full copy of the keys with some prefix. An entry that is not in it
 // did not exist at its revision; entries in it may be later.
 type listing struct {
@@ -189,6 +228,7 @@
 // list reads all keys and removes the entries that are missing from the listings,
 // unless they are newer than these.
 func (m *Mirror) list(ctx context.Context) error {
+	start := m.clock.Now()
 	all := make([]listing, 0, len(m.opt.Prefixes))
 	for _, prefix := range m.opt.Prefixes {
 		l, err := m.listPrefix(ctx, prefix)
@@ -198,6 +238,7 @@
 		all = append(all, l)
 	}
 	m.applyListings(all)
+	m.recordAnswer(start)
 	return nil
 }
 
@@ -404,6 +445,16 @@
 	m.opt.Log.Info().Uint64("revision", uint64(m.rev)).Msg("store is available again")
 }
 
+// endOutage ends the outage of a node that no longer calls the service. Whether the
+// service is available to it is not known then.
+func (m *Mirror) endOutage() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.unavailable {
+		m.unavailable, m.availableSince = false, m.clock.Now()
+	}
+}
+
 func (m *Mirror) recordFailure(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
