tdbackend: Take an answer for whole whose end is read before its last write returns

A response without a length was lost although its server had read the whole request and closed in order. The end was read while the goroutine that had written the request had not yet returned from its write, and was taken for the end of a request that isn't sent. Callers got a broken stream, or 502 for a request that had run.

The end of a connection now waits for a write that goes on. If the write got a reset, it fails; if its data was sent, it returns without an error. A write that doesn't return within 250 ms counts as before.

TestEndAfterWrite failed before: "sent: connection ended while the request was being written".

--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -9,20 +9,25 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // countedConn counts the writes started on a connection.
 type countedConn struct {
 	net.Conn
-	writes   atomic.Int64
-	inFlight atomic.Int64 // Writes that haven't returned.
-	failed   atomic.Bool  // A write has failed.
+	writes  atomic.Int64
+	writing atomic.Pointer[pendingWrite] // The latest write, or nil.
+	failed  atomic.Bool                  // A write has failed.
 }
 
+// pendingWrite is closed when its write has returned.
+type pendingWrite chan struct{}
+
 func (c *countedConn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
-	c.inFlight.Add(1)
-	defer c.inFlight.Add(-1)
+	pending := make(pendingWrite)
+	c.writing.Store(&pending)
+	defer close(pending)
 	n, err := c.Conn.Write(b)
 	if err != nil {
 		c.failed.Store(true)
@@ -33,17 +38,42 @@
 // errUnsentEnd reports the end of a connection to which a request was being written.
 var errUnsentEnd = errors.New("connection ended while the request was being written")
 
+// maxWriteWait is how long the end of a connection waits for a write to return.
+const maxWriteWait = 250 * time.Millisecond
+
 // Read returns errUnsentEnd for the end of a connection on which a write failed or
 // goes on. The system reports a reset only once: if the write gets it, the read gets
-// io.EOF, as after a regular end.
+// io.EOF, as after a regular end. A write that has sent its data, or has got the
+// reset, returns soon after the end is read.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, io.EOF) && (c.inFlight.Load() > 0 || c.failed.Load()) {
+	if errors.Is(err, io.EOF) && (!c.waitWritten() || c.failed.Load()) {
 		err = errUnsentEnd
 	}
 	return n, err
 }
 
+// waitWritten waits for the latest write and reports whether it has returned.
+func (c *countedConn) waitWritten() bool {
+	pending := c.writing.Load()
+	if pending == nil {
+		return true
+	}
+	select {
+	case <-*pending:
+		return true
+	default:
+	}
+	timer := time.NewTimer(maxWriteWait)
+	defer timer.Stop()
+	select {
+	case <-*pending:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // sendTrace records the connections that the transport used for one request.
 type sendTrace struct {
 	mu   sync.Mutex
--- a/internal/platform/tdbackend/conn_test.go
+++ b/internal/platform/tdbackend/conn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // endedConn is a connection whose reads return io.EOF, and whose writes return err
@@ -57,3 +58,27 @@
 		t.Errorf("after that write: %v", err)
 	}
 }
+
+// TestEndAfterWrite guards against a response without a length that is lost although
+// its request was sent: its end is read before the last write has returned.
+func TestEndAfterWrite(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error // Of the write.
+		want error
+	}{{"sent", nil, io.EOF}, {"reset", syscall.ECONNRESET, errUnsentEnd}} {
+		inner := &endedConn{err: c.err, begun: make(chan struct{}), release: make(chan struct{})}
+		conn := &countedConn{Conn: inner}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = conn.Write(make([]byte, 1))
+		}()
+		<-inner.begun
+		time.AfterFunc(20*time.Millisecond, func() { close(inner.release) })
+		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		<-done
+	}
+}
