--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -427,6 +427,31 @@
 	}
 }
 
+// TestHeadOfAStream guards against a HEAD request for a stream with a length that gets
+// no answer.
+func TestHeadOfAStream(t *testing.T) {
+	for _, path := range []string{"/resume/1", "/stream/1", "/plain/1"} {
+		e := newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Content-Length", strconv.Itoa(len(events(1, 3))))
+		})
+		req, err := http.NewRequest(http.MethodHead, "http://"+e.addr+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "x.example"
+		res, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Errorf("%s: %v", path, err)
+			continue
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != http.StatusOK || res.Header.Get("X-Server-Stamp") == "" {
+			t.Errorf("%s: status %d, header %v", path, res.StatusCode, res.Header)
+		}
+	}
+}
+
 // TestLongErrorResponseThatBreaks guards against events that are joined to a part of
 // an error response.
 func TestLongErrorResponseThatBreaks(t *testing.T) {
