tdpass: Go on with a stream that is resumed after another ID than a number

A caller that resumed a stream whose IDs are no numbers got one event, or nothing, and then a broken connection, at each attempt. All events of a resumed stream were checked as those of another run, and the second one failed the check, since the place of events after an ID that is no number isn't known.

The check needs a number to begin from. Without one, the stream passes as it does for a caller that doesn't resume, and still isn't continued when it breaks. After a number, events without IDs are refused as before.

tdhost TestResumingAfterAnotherIDThanANumber failed before: no answer, EOF.

--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -479,6 +479,26 @@
 	}
 }
 
+// TestResumingAfterAnotherIDThanANumber guards against a stream that breaks after one
+// event since its caller resumed after an event whose ID is no number.
+func TestResumingAfterAnotherIDThanANumber(t *testing.T) {
+	text := "id: b\ndata: b\n\nid: c\ndata: c\n\n"
+	e := newEntry(t, stream(text))
+	if got := e.send(t, "/resume/1", "Last-Event-Id", "a"); got.err != nil || got.body != text {
+		t.Errorf("%+v", got)
+	}
+	// The place of a broken run's events isn't known, so no other run follows.
+	e = newEntry(t, broken(text), stream("id: d\ndata: d\n\n"))
+	if got := e.send(t, "/resume/1", "Last-Event-Id", "a"); got.err == nil || !strings.HasPrefix(text, got.body) {
+		t.Errorf("broken: %+v", got)
+	}
+	// Events without IDs don't follow a numbered one, which the caller has.
+	e = newEntry(t, stream("data: b\n\n"))
+	if got := e.send(t, "/resume/1", "Last-Event-Id", "3"); got.status == http.StatusOK {
+		t.Errorf("after a number, without IDs: %+v", got)
+	}
+}
+
 // TestEmptyLinesBetweenEvents guards against a body of which empty lines are missing.
 func TestEmptyLinesBetweenEvents(t *testing.T) {
 	text := "\n" + events(1, 2) + "\n\r\n" + events(3, 3) + "\n"
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -248,7 +248,7 @@
 func (x *Exchange) relayStream(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
 	events := tdrelay.NewEvents(answer.Body)
 	rc := http.NewResponseController(t.W)
-	continues := x.order.sent || x.order.last != "" // The caller may have the events of another run.
+	continues := x.order.sent || x.order.numbered() // The caller may have the events of another run.
 	for first := true; ; first = false {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/entry/tdpass/order.go
+++ b/internal/entry/tdpass/order.go
@@ -52,9 +52,12 @@
 
 // continuable reports whether it is known which event of another run would follow.
 func (o *order) continuable() bool {
-	if !o.sent {
-		return true
-	}
+	return !o.sent || o.numbered() && !o.unplaced
+}
+
+// numbered reports whether the last ID is a number, so that the place of the next
+// event can be checked.
+func (o *order) numbered() bool {
 	_, err := strconv.ParseUint(o.last, 10, 64)
-	return err == nil && !o.unplaced
+	return err == nil
 }
