tdflow: Never end a stream as complete when its next server breaks the connection

On the router's own interface a stream ended normally after its first events, without an error event or the end marker. The first server had broken it and could not resume it, and the server of the next attempt broke the connection before it answered. That failure permits to resume the stream at the same server, which only an attempt that has sent a part of the stream can do: the step had no effect, the attempts ended, and the HTTP server completed the response.

An attempt is now resumable once it relays a part of the stream, so that the request goes on to its next attempt. A request whose last step gives no answer breaks the connection.

--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -51,7 +51,7 @@
 type streamState struct {
 	s         *tdrelay.Stream
 	delivered bool // Sending to the caller has begun, streamed or not.
-	resumed   bool // The current attempt has been resumed.
+	resumable bool // The current attempt has sent a part of it and has not been resumed.
 }
 
 func (s *streamState) started() bool { return s.s != nil && s.s.Started() }
@@ -74,7 +74,7 @@
 
 func (r *run) attempt(ctx context.Context) attemptResult {
 	r.attempts++
-	r.stream.resumed = false
+	r.stream.resumable = false
 	a := &attempt{r: r, started: r.f.Clock.Now(), tokensBefore: r.stream.tokens()}
 	r.current = a
 	err := a.reserve(ctx)
@@ -178,6 +178,7 @@
 		s := a.grant.Server
 		r.stream.s.WriteComment(fmt.Sprintf("run again by %s in %s", s.ID, s.DataCentre))
 	}
+	r.stream.resumable = true
 	out := a.relayPart(ctx, answer, r.stream.s.Events())
 	if Next(r.state(out.failure)) == StepResume {
 		out = a.resume(ctx, out)
@@ -210,7 +211,7 @@
 // resume returns the original result.
 func (a *attempt) resume(ctx context.Context, broken attemptResult) attemptResult {
 	r := a.r
-	r.stream.resumed = true
+	r.stream.resumable = false
 	body, err := json.Marshal(tdwire.Resume{
 		Request: fmt.Sprintf("%s.%d", r.q.ID, r.attempts), From: r.stream.s.Events(),
 	})
--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -50,7 +50,7 @@
 	Stream      bool // The answer is a model's stream.
 	Delivered   bool // Bytes have been sent to the caller.
 	Final       bool // No other attempt can continue what has been sent.
-	Resumed     bool // This attempt has already been resumed.
+	Resumed     bool // This attempt has already been resumed, or has sent nothing of the stream.
 	Attempts    int  // Made so far, including this one.
 	Unsent      int  // Attempts that reached no server.
 	MaxAttempts int
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -224,11 +224,11 @@
 func (r *run) state(f Failure) State {
 	s := State{
 		Failure: f, Idempotent: r.ask.Idempotent, Stream: r.stream.s != nil, Delivered: r.stream.delivered,
-		Resumed: r.stream.resumed, Attempts: r.attempts, MaxAttempts: r.f.opt.Attempts, Remaining: r.remaining(),
+		Resumed: !r.stream.resumable, Attempts: r.attempts, MaxAttempts: r.f.opt.Attempts, Remaining: r.remaining(),
 	}
 	if r.q.Exchange != nil {
 		// A broken stream is continued at another server, never at the same one.
-		s.Stream, s.Resumed, s.Unsent = r.q.Class.Events, true, r.unsent
+		s.Stream, s.Unsent = r.q.Class.Events, r.unsent
 	}
 	if r.q.Attempts > 0 {
 		s.MaxAttempts = r.q.Attempts
@@ -261,14 +261,12 @@
 	case StepRefuse:
 		return err
 	case StepFail:
-		if r.stream.s == nil {
-			panic(http.ErrAbortHandler) // The caller must see that the answer is incomplete.
+		if r.stream.s != nil {
+			r.stream.s.Fail(err)
+			return nil
 		}
-		r.stream.s.Fail(err)
-	case StepAbort:
-		panic(http.ErrAbortHandler) // The caller must see that the answer is incomplete.
 	}
-	return nil
+	panic(http.ErrAbortHandler) // The caller must see that the answer is incomplete.
 }
 
 // callerError returns the error reported to the caller for a failed attempt.
