tdflow: Break the connection when a plain answer breaks after an attempt to stream

On the router's own interface a plain answer that broke was ended as complete, or with an error event inside it, if the request was for a stream and its first server had broken the connection before the first event.

An answer now counts as a stream only once an event of it has been sent.

Seen in these tests only.

--- a/internal/entry/tdflow/course_test.go
+++ b/internal/entry/tdflow/course_test.go
@@ -202,6 +202,9 @@
 	notFound  = plainResponse(http.StatusNotFound, "{}")
 )
 
+// longJSON is the part of a JSON answer that is too long to be buffered.
+var longJSON = "[" + strings.Repeat("1,", 512<<10)
+
 // rerunNoteOf returns the comment before the part of a stream that server sent.
 func rerunNoteOf(server string) string { return ": run again by " + server + " in duluth\n\n" }
 
@@ -247,6 +250,10 @@
 		{name: "never takes a plain answer for the rest of a stream", stream: true, steps: []response{broken, notFound, plainResponse(200, "{}"), plainResponse(200, "{}")}, want: expect{body: sse("a", "b"), code: "backendFailed", ran: tarragondeal.RanYes, event: true, calls: 4, outcomes: kinds{crash, wrong, wrong}, waste: []string{"crashed", "wrong", "wrong"}}},
 		{name: "never ends as complete a stream whose next server breaks the connection without an answer", stream: true, steps: []response{broken, notFound, crashed, crashed}, want: expect{body: sse("a", "b"), code: "backendFailed", ran: tarragondeal.RanYes, event: true, calls: 4, outcomes: kinds{crash, crash, crash}, waste: []string{"crashed", "crashed", "crashed"}}},
 		{name: "continues at a third server when the next one breaks the connection without an answer", stream: true, steps: []response{broken, notFound, crashed, completeStream("a", "b", "c")}, want: expect{body: sse("a", "b") + rerunNoteOf("s3") + sse("c", ".", "[DONE]"), calls: 4, outcomes: kinds{crash, crash, served}, waste: []string{"crashed", "crashed"}}},
+		{name: "never ends as complete a long plain answer that breaks after an attempt to stream", stream: true, steps: []response{streamResponse(io.ErrUnexpectedEOF), {media: "application/json", text: longJSON, readErr: io.ErrUnexpectedEOF}}, want: expect{body: longJSON, aborted: true, calls: 2, outcomes: kinds{crash, crash}, waste: []string{"crashed", "crashed"}}},
+		{name: "never joins an error event to a plain answer", stream: true, steps: []response{streamResponse(io.ErrUnexpectedEOF), {status: http.StatusBadRequest, media: eventStream, text: "data: a\n\n", readErr: errBlock}}, setup: func(o *fakeDeps, _ context.CancelFunc) {
+			o.backend[1].before = func() { time.AfterFunc(20*time.Millisecond, o.withdraw) }
+		}, want: expect{body: "data: a\n\n", aborted: true, calls: 2, outcomes: kinds{crash, cancelled}, waste: []string{"crashed", "keyWithdrawn"}}},
 		{name: "stops when its caller disconnects", stream: true, setup: func(o *fakeDeps, cancel context.CancelFunc) {
 			o.backend = append(o.backend, response{media: eventStream, body: io.MultiReader(strings.NewReader(sse("a")), &callReader{cancel}, iotest.ErrReader(errBlock))})
 		}, want: expect{body: sse("a"), aborted: true, calls: 1, outcomes: kinds{cancelled}, waste: []string{"cancelled"}}},
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -223,7 +223,7 @@
 
 func (r *run) state(f Failure) State {
 	s := State{
-		Failure: f, Idempotent: r.ask.Idempotent, Stream: r.stream.s != nil, Delivered: r.stream.delivered,
+		Failure: f, Idempotent: r.ask.Idempotent, Stream: r.stream.started(), Delivered: r.stream.delivered,
 		Resumed: !r.stream.resumable, Attempts: r.attempts, MaxAttempts: r.f.opt.Attempts, Remaining: r.remaining(),
 	}
 	if r.q.Exchange != nil {
@@ -261,7 +261,7 @@
 	case StepRefuse:
 		return err
 	case StepFail:
-		if r.stream.s != nil {
+		if r.stream.started() {
 			r.stream.s.Fail(err)
 			return nil
 		}
