Reset the connection of an HTTP/1.0 caller whose answer breaks

A caller of HTTP/1.0 got a broken stream that looked complete: the response to it has neither chunks nor, for a stream, a length, and ends with its connection, which was closed in order. That holds for each answer without a length, on both interfaces of callers.

Such a connection is now reset, as a server's answer of this kind counts as incomplete if it is reset. A node that stops at the end of its grace still closes these connections in order; this is left open.

The platform's callers use HTTP/1.1, so this is not what the users saw there.

--- a/internal/entry/tdfront/front.go
+++ b/internal/entry/tdfront/front.go
@@ -103,6 +103,7 @@
 	r.NotFound = errorHandler(refused(tarragondeal.ReasonNoRoute, "nothing is served at this path"))
 	r.MethodNotAllowed = errorHandler(refused(tarragondeal.ReasonNoRoute, "this path is not served with this method"))
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		defer tdrelay.ResetOnPanic(w, req)
 		if f.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -84,6 +84,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer tdrelay.ResetOnPanic(w, r)
 	arrived := h.Clock.Now()
 	h.inFlight.Add(1)
 	defer func() {
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -499,6 +499,39 @@
 	}
 }
 
+// TestBrokenStreamOfAnHTTP10Caller guards against a stream that ends as complete before
+// its last event for a caller whose responses end with the connection.
+func TestBrokenStreamOfAnHTTP10Caller(t *testing.T) {
+	for _, path := range []string{"/resume/1", "/stream/1"} {
+		e := newEntry(t, broken(events(1, 3)), status(http.StatusInternalServerError, "text/plain", "failed"))
+		got, err := e.sendHTTP10(t, path)
+		if err == nil {
+			t.Errorf("%s: ended as complete: %q", path, got)
+		}
+		e = newEntry(t, stream(events(1, 3)))
+		if got, err = e.sendHTTP10(t, path); err != nil || !strings.HasSuffix(got, "\r\n\r\n"+events(1, 3)) {
+			t.Errorf("%s, complete: %q, %v", path, got, err)
+		}
+	}
+}
+
+// sendHTTP10 sends a request and reads until the end of the connection.
+func (e *entry) sendHTTP10(t *testing.T, path string) (string, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", e.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.0\r\nHost: x.example\r\nX-Request-Id: q1\r\nContent-Length: 2\r\n\r\n{}", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(c)
+	return string(text), err
+}
+
 // TestEmptyLinesBetweenEvents guards against a body of which empty lines are missing.
 func TestEmptyLinesBetweenEvents(t *testing.T) {
 	text := "\n" + events(1, 2) + "\n\r\n" + events(3, 3) + "\n"
