tdpass: Never take text that isn't events for the rest of a stream

A broken stream was continued by an answer with status 200 and the media type of event streams whose body was other text, e.g. {"error": 1} and an empty line. Such text has neither an ID nor data, passed as a comment does, and the stream ended as complete after it.

Until the first event of a continuation has been placed after those that the caller has, only comments, empty lines and fields of the standard pass. The answer to a request that isn't continued passes as its server made it.

A continuation without any event still ends the stream as complete: it may have broken after its last event.

--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -249,6 +249,7 @@
 	events := tdrelay.NewEvents(answer.Body)
 	rc := http.NewResponseController(t.W)
 	continues := x.order.sent || x.order.numbered() // The caller may have the events of another run.
+	placed := !continues                            // An event of this run has been placed after those of the other.
 	for first := true; ; first = false {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -257,7 +258,8 @@
 		if err != nil {
 			return broken(ctx, err)
 		}
-		if !x.order.follows(&ev, continues) {
+		comment := isComment(&ev)
+		if !x.order.follows(&ev, continues) || !placed && comment && ev.Unknown {
 			answer.Drop()
 			return invalid(errEventOrder)
 		}
@@ -267,7 +269,8 @@
 		if first {
 			x.beginStream(t, answer)
 		}
-		if !isComment(&ev) {
+		if !comment {
+			placed = true
 			x.timing.event(x.clock.Now())
 		}
 		if err := x.writeEvent(t.W, rc, &ev, events.More()); err != nil {
--- a/internal/entry/tdrelay/events.go
+++ b/internal/entry/tdrelay/events.go
@@ -33,6 +33,8 @@
 	Name []byte
 	ID   []byte
 	Data []byte // Nil if the event has none.
+	// Unknown is set if a line is neither a comment nor a field of the standard.
+	Unknown bool
 }
 
 // Events reads server-sent events from a stream.
@@ -105,6 +107,9 @@
 		case "data":
 			out.Data = e.joinData(out.Data, value, lines)
 			lines++
+		case "", "retry":
+		default:
+			out.Unknown = true
 		}
 	}
 	return out
