--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -393,6 +393,11 @@
 		{"a second run with an event without an ID", events(1, 3), events(4, 4) + "data: a\n\n", events(1, 4), false},
 		{"a second run from the start", events(1, 3), events(1, 5), events(1, 3), false},
 		{"a second run with a gap", events(1, 3), events(4, 4) + events(6, 6), events(1, 4), false},
+		{"a second run of other text", events(1, 3), "{\"error\": 1}\n\n", events(1, 3), false},
+		{"a second run with other text first", events(1, 3), "<html>\n\n" + events(4, 5), events(1, 3), false},
+		{"a second run with a field of its own", events(1, 3), "x: 1\n" + events(4, 4) + "x: 2\n\n" + events(5, 5), events(1, 3) + "x: 1\n" + events(4, 4) + "x: 2\n\n" + events(5, 5), true},
+		{"a second run with a retry time first", events(1, 3), "retry: 5\n\n" + events(4, 5), events(1, 3) + "retry: 5\n\n" + events(4, 5), true},
+		{"other text only", "<html>\n\n", events(1, 3), "<html>\n\n" + events(1, 3), true},
 		{"comments only", ": wait\n\n", events(1, 3), ": wait\n\n" + events(1, 3), true},
 		{"comments between", events(1, 3) + ": wait\n\n", ": wait\n\n" + events(4, 5), events(1, 3) + ": wait\n\n: wait\n\n" + events(4, 5), true},
 		{"broken inside an event", events(1, 3) + "id: 4\nda", events(4, 5), events(1, 5), true},
@@ -440,6 +445,31 @@
 	}
 }
 
+// TestHeadOfAStream guards against a HEAD request for a stream with a length that gets
+// no answer.
+func TestHeadOfAStream(t *testing.T) {
+	for _, path := range []string{"/resume/1", "/stream/1", "/plain/1"} {
+		e := newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Content-Length", strconv.Itoa(len(events(1, 3))))
+		})
+		req, err := http.NewRequest(http.MethodHead, "http://"+e.addr+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "x.example"
+		res, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Errorf("%s: %v", path, err)
+			continue
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != http.StatusOK || res.Header.Get("X-Server-Stamp") == "" {
+			t.Errorf("%s: status %d, header %v", path, res.StatusCode, res.Header)
+		}
+	}
+}
+
 // TestLongErrorResponseThatBreaks guards against events that are joined to a part of
 // an error response.
 func TestLongErrorResponseThatBreaks(t *testing.T) {
@@ -467,6 +497,59 @@
 	}
 }
 
+// TestResumingAfterAnotherIDThanANumber guards against a stream that breaks after one
+// event since its caller resumed after an event whose ID is no number.
+func TestResumingAfterAnotherIDThanANumber(t *testing.T) {
+	text := "id: b\ndata: b\n\nid: c\ndata: c\n\n"
+	e := newEntry(t, stream(text))
+	if got := e.send(t, "/resume/1", "Last-Event-Id", "a"); got.err != nil || got.body != text {
+		t.Errorf("%+v", got)
+	}
+	// The place of a broken run's events isn't known, so no other run follows.
+	e = newEntry(t, broken(text), stream("id: d\ndata: d\n\n"))
+	if got := e.send(t, "/resume/1", "Last-Event-Id", "a"); got.err == nil || !strings.HasPrefix(text, got.body) {
+		t.Errorf("broken: %+v", got)
+	}
+	// Events without IDs don't follow a numbered one, which the caller has.
+	e = newEntry(t, stream("data: b\n\n"))
+	if got := e.send(t, "/resume/1", "Last-Event-Id", "3"); got.status == http.StatusOK {
+		t.Errorf("after a number, without IDs: %+v", got)
+	}
+}
+
+// TestBrokenStreamOfAnHTTP10Caller guards against a stream that ends as complete before
+// its last event for a caller whose responses end with the connection.
+func TestBrokenStreamOfAnHTTP10Caller(t *testing.T) {
+	for _, path := range []string{"/resume/1", "/stream/1"} {
+		e := newEntry(t, broken(events(1, 3)), status(http.StatusInternalServerError, "text/plain", "failed"))
+		got, err := e.sendHTTP10(t, path)
+		if err == nil {
+			t.Errorf("%s: ended as complete: %q", path, got)
+		}
+		e = newEntry(t, stream(events(1, 3)))
+		if got, err = e.sendHTTP10(t, path); err != nil || !strings.HasSuffix(got, "\r\n\r\n"+events(1, 3)) {
+			t.Errorf("%s, complete: %q, %v", path, got, err)
+		}
+	}
+}
+
+// sendHTTP10 sends a request and reads until the end of the connection.
+func (e *entry) sendHTTP10(t *testing.T, path string) (string, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", e.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.0\r\nHost: x.example\r\nX-Request-Id: q1\r\nContent-Length: 2\r\n\r\n{}", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(c)
+	return string(text), err
+}
+
 // TestEmptyLinesBetweenEvents guards against a body of which empty lines are missing.
 func TestEmptyLinesBetweenEvents(t *testing.T) {
 	text := "\n" + events(1, 2) + "\n\r\n" + events(3, 3) + "\n"
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -251,7 +251,8 @@
 func (x *Exchange) relayStream(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
 	events := tdrelay.NewEvents(answer.Body)
 	rc := http.NewResponseController(t.W)
-	continues := x.order.sent || x.order.last != "" // The caller may have the events of another run.
+	continues := x.order.sent || x.order.numbered() // The caller may have the events of another run.
+	placed := !continues                            // An event of this run has been placed after those of the other.
 	for first := true; ; first = false {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -260,7 +261,8 @@
 		if err != nil {
 			return broken(ctx, err)
 		}
-		if !x.order.follows(&ev, continues) {
+		comment := isComment(&ev)
+		if !x.order.follows(&ev, continues) || !placed && comment && ev.Unknown {
 			answer.Drop()
 			return invalid(errEventOrder)
 		}
@@ -270,7 +272,8 @@
 		if first {
 			x.beginStream(t, answer)
 		}
-		if !isComment(&ev) {
+		if !comment {
+			placed = true
 			x.timing.event(x.clock.Now())
 		}
 		if err := x.writeEvent(t.W, rc, &ev, events.More()); err != nil {
@@ -310,7 +313,7 @@
 	if !x.headSent {
 		x.beginStream(t, answer)
 	}
-	if x.length >= 0 && x.sentBytes != x.length {
+	if x.length >= 0 && x.sentBytes != x.length && t.Request.Method != http.MethodHead {
 		return tdflow.Result{Failure: tdflow.FailTruncated, Ran: tarragondeal.RanYes, Err: errTruncated, Final: true}
 	}
 	x.logLate(t)
