tdmirror: don't restore what a full copy no longer has

A server that was gone came back into a node's list for a while if the node received two full copies, the first of which no longer had it.

Its full copy lacks the entry. A second full copy, of a later revision but made before the removal, still has it, and entries of full copies were applied whatever their revision.

Test: TestFullCopyDoesNotRestoreRemovedEntry. Before the fix: 'an entry was restored that an earlier full copy lacked'. An entry in a full copy from another node must now be later than the mirror's revision if it is not held, as in other copies. All entries of a full copy are applied only by a mirror that has not listed the keys (TestFullCopyCompletesPartOfACopy fails without that: it then lacks a/1), and those of the mirror's own listing, which corrects a copy that is not complete.

--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -231,7 +231,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listings = nil // Superseded, and not to be compared with the new ones.
-	m.replace(all...)
+	m.replace(all, true)
 	m.listings = all
 	for n := range all {
 		all[n].entries = nil
@@ -239,8 +239,10 @@
 }
 
 // replace applies listings, which together are a full copy. It is complete at the
-// earliest of their revisions.
-func (m *Mirror) replace(all ...listing) {
+// earliest of their revisions. All their entries are applied if they are not older
+// than this copy, and either come from the service itself or this copy is not known
+// to be complete.
+func (m *Mirror) replace(all []listing, own bool) {
 	present := make(map[string]bool)
 	var entries []tarragondeal.Entry
 	base := all[0].rev
@@ -256,11 +258,11 @@
 			entries = append(entries, tarragondeal.Entry{Key: key, Revision: rev, Deleted: true})
 		}
 	}
-	m.listed = true
 	known := m.rev
-	if base >= m.rev {
+	if (own || !m.listed) && base >= m.rev {
 		known = 0
 	}
+	m.listed = true
 	if base > m.rev {
 		// Entries that were created and removed since m.rev are unknown.
 		m.history, m.historyStart = nil, base
@@ -287,7 +289,7 @@
 	switch {
 	case rev <= m.rev:
 	case whole:
-		m.replace(listing{entries: entries, rev: rev})
+		m.replace([]listing{{entries: entries, rev: rev}}, false)
 	default:
 		m.add(entries, rev)
 	}
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -527,3 +527,52 @@
 		t.Errorf("the mirror holds %v", m.values())
 	}
 }
+
+// TestFullCopyDoesNotRestoreRemovedEntry checks that an entry that a full copy lacks is
+// not restored by another one that is later, but was made before the removal: the first
+// sender may have listed the keys again and be ahead of its own revision.
+func TestFullCopyDoesNotRestoreRemovedEntry(t *testing.T) {
+	s, clock := newFakeSource(), &fakeClock{now: 1}
+	s.put("a/1", "x")
+	receiver, m, other := newMirror(s, clock), newMirror(s, clock), newMirror(s, clock)
+	steps(t, receiver, 1)
+	steps(t, m, 1)
+	s.put("b/1", "x") // After the receiver's own listing.
+	steps(t, receiver, 1)
+	s.put("a/2", "x")
+	s.historyStart = s.rev
+	steps(t, m, 1)
+	s.onAnswer = func() {
+		s.onAnswer = nil
+		s.put("a/3", "x")
+		steps(t, other, 1)
+		s.remove("b/1")
+	}
+	steps(t, m, 1)
+	receiver.Apply(m.Since(receiver.Revision()))
+	if _, ok := receiver.values()["b/1"]; ok {
+		t.Fatal("the first copy has the entry")
+	}
+	receiver.Apply(other.Since(0))
+	if _, ok := receiver.values()["b/1"]; ok {
+		t.Error("an entry was restored that an earlier full copy lacked")
+	}
+}
+
+// TestFullCopyCompletesPartOfACopy checks that a mirror without a listing that has
+// applied only changes takes all entries of a later full copy.
+func TestFullCopyCompletesPartOfACopy(t *testing.T) {
+	s, clock := newFakeSource(), &fakeClock{now: 1}
+	s.put("a/1", "x")
+	m, receiver := newMirror(s, clock), newMirror(s, clock)
+	steps(t, m, 1)
+	s.put("a/2", "x")
+	steps(t, m, 1)
+	receiver.Apply(m.Since(2))
+	s.put("a/3", "x")
+	steps(t, m, 1)
+	receiver.Apply(m.Since(0))
+	if !maps.Equal(receiver.values(), s.values()) {
+		t.Errorf("the receiver holds %v, the service %v", receiver.values(), s.values())
+	}
+}
