tdmirror: repeat a short watch sooner while the store is silent

When the store compacts its history, watches are silent for a second.

The timeout of a short watch is now 0.4 s and doubles with each failure in a row up to 1.6 s, so that a slow store is still read.

TestServiceAnswersAgain failed before, after a short silence.

--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -35,9 +35,11 @@
 	watchTimeout = time.Second
 	watchGrace   = 500 * time.Millisecond
 	// confirmWait is the wait of a watch whose answer confirms that the service
-	// is available, and confirmTimeout bounds that watch.
-	confirmWait    = 50 * time.Millisecond
-	confirmTimeout = time.Second
+	// is available. Its timeout doubles with each failure in a row from
+	// minConfirmTimeout, up to maxConfirmTimeout for a slow service.
+	confirmWait       = 50 * time.Millisecond
+	minConfirmTimeout = 400 * time.Millisecond
+	maxConfirmTimeout = 1600 * time.Millisecond
 	// pageTimeout bounds reading one page.
 	pageTimeout = 1500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call. The
@@ -94,6 +96,7 @@
 	historyStart   tarragondeal.Revision // The history holds all changes after this revision.
 	listed         bool
 	unavailable    bool
+	failures       int                  // Calls that failed since the last one that did not.
 	availableSince tarragondeal.Instant // When the last outage ended; zero before the first.
 	confirmedAt    tarragondeal.Instant // When the service last answered; zero before the first answer.
 	subscribers    []func(Changes)
@@ -207,7 +210,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.unavailable || m.clock.Now().Sub(m.confirmedAt) > MaxAnswerAge {
-		return confirmWait, confirmTimeout
+		return confirmWait, min(minConfirmTimeout<<min(max(m.failures-1, 0), 2), maxConfirmTimeout)
 	}
 	return watchTimeout, watchTimeout + watchGrace
 }
@@ -358,6 +361,7 @@
 func (m *Mirror) recordSuccess() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.failures = 0
 	if !m.unavailable {
 		return
 	}
@@ -370,6 +374,7 @@
 func (m *Mirror) endOutage() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.failures = 0
 	if m.unavailable {
 		m.unavailable, m.availableSince = false, m.clock.Now()
 	}
@@ -379,6 +384,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.opt.Scope.Counter("failures").Inc(1)
+	m.failures++
 	if m.unavailable {
 		return
 	}
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -251,6 +251,69 @@
 	})
 }
 
+// delayedSource is a service that answers after a delay, or never while it is silent.
+type delayedSource struct {
+	*fakeSource
+	silent atomic.Bool
+	delay  time.Duration
+}
+
+func (s *delayedSource) Watch(ctx context.Context, prefix string, after tarragondeal.Revision, wait time.Duration) ([]tarragondeal.Entry, tarragondeal.Revision, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	select {
+	case <-time.After(wait + s.delay):
+		return s.fakeSource.Watch(ctx, prefix, after, wait)
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// bubbleClock is the clock of a test's bubble.
+type bubbleClock struct{ start time.Time }
+
+func (c bubbleClock) Now() tarragondeal.Instant {
+	return tarragondeal.Instant(time.Hour + time.Since(c.start))
+}
+func (c bubbleClock) Wall() time.Time { return time.Now().UTC() }
+
+// TestServiceAnswersAgain guards against a mirror that notices late that a service,
+// fast or slow, answers again after it was silent.
+func TestServiceAnswersAgain(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		silent, delay time.Duration
+		within        time.Duration
+	}{
+		{"after a short silence", 1700 * time.Millisecond, 5 * time.Millisecond, 600 * time.Millisecond},
+		{"after a long silence", 9 * time.Second, 5 * time.Millisecond, 2500 * time.Millisecond},
+		{"slowly", 1700 * time.Millisecond, time.Second, 4 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			clock := bubbleClock{start: time.Now()}
+			s := &delayedSource{fakeSource: newFakeSource(), delay: c.delay}
+			m := New(s, clock, Options{Prefixes: []string{"a/"}, Log: zerolog.Nop()})
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error)
+			s.silent.Store(true)
+			go func() { done <- m.Run(ctx) }()
+			time.Sleep(c.silent)
+			s.silent.Store(false)
+			again := clock.Now()
+			time.Sleep(c.within)
+			if m.ConfirmedAt() <= again {
+				t.Errorf("%s: not noticed within %s", c.name, c.within)
+			}
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 func TestSinceOldRevisionReturnsWholeCopy(t *testing.T) {
 	s, clock := newFakeSource(), &fakeClock{now: 1}
 	m := newMirror(s, clock)
