tdmesh: let the first leaves that lack a source follow before the others

After the same silence of the store 45 leaves of 64 began to follow it within 0.4 s, too close to each other for the first of them to become sources of the others in time. They now wait for 300 to 600 ms rather than 250 to 500 ms.

TestHistoryDiscarded bounds the calls after such a silence, and checks that a version written meanwhile is in time.

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -13,8 +13,10 @@
 	maxFollowers = 4
 	// noSourceTimeout is the longest time that a node without any source of copies
 	// waits before it follows the store itself. Each node waits for a random time
-	// from half of it, so that the first ones become sources of the others.
-	noSourceTimeout = 500 * time.Millisecond
+	// from minNoSourceTimeout, which is long enough for other relays to follow, so
+	// that the first ones become sources of the others.
+	noSourceTimeout    = 600 * time.Millisecond
+	minNoSourceTimeout = 300 * time.Millisecond
 	// maxFollowerAge is how old the copy of a source that follows the store may
 	// be: as old as its last answer, and the time until its next state.
 	maxFollowerAge = tdmirror.MaxAnswerAge + 400*time.Millisecond
--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -34,14 +34,16 @@
 
 // liveStore is a store that answers in real time, except to nodes that are cut off.
 type liveStore struct {
-	mu       sync.Mutex
-	revision tarragondeal.Revision
-	events   []tarragondeal.Entry
-	changed  chan struct{} // Closed by the next change.
-	cut      map[tarragondeal.NodeID]bool
-	resets   bool          // Calls of nodes that are cut off fail at once instead of getting no answer.
-	delay    time.Duration // Of each answer.
-	calls    map[tarragondeal.NodeID]int
+	mu           sync.Mutex
+	revision     tarragondeal.Revision
+	events       []tarragondeal.Entry
+	changed      chan struct{} // Closed by the next change.
+	cut          map[tarragondeal.NodeID]bool
+	resets       bool                  // Calls of nodes that are cut off fail at once instead of getting no answer.
+	delay        time.Duration         // Of each answer.
+	silent       chan struct{}         // Closed when watches are answered again; nil while they are.
+	historyStart tarragondeal.Revision // Watches from before this revision fail.
+	calls        map[tarragondeal.NodeID]int
 }
 
 func newLiveStore() *liveStore {
@@ -79,6 +81,22 @@
 	s.resets, s.delay = resets, delay
 }
 
+// compact answers no watch for silence, then cuts the waiting ones and discards the
+// history.
+func (s *liveStore) compact(silence time.Duration) {
+	s.mu.Lock()
+	silent := make(chan struct{})
+	s.silent = silent
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.mu.Unlock()
+	time.Sleep(silence)
+	s.mu.Lock()
+	s.historyStart, s.silent = s.revision, nil
+	s.mu.Unlock()
+	close(silent)
+}
+
 func (s *liveStore) totalCalls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,8 +114,20 @@
 }
 
 func (a access) Page(ctx context.Context, _, _ string) (tarragondeal.Page, error) {
-	entries, revision, err := a.Watch(ctx, "", 0, 0)
-	return tarragondeal.Page{Entries: entries, Revision: revision}, err
+	a.mu.Lock()
+	a.calls[a.node]++
+	cut, resets, delay := a.cut[a.node], a.resets, a.delay
+	page := tarragondeal.Page{Entries: a.events, Revision: a.revision}
+	a.mu.Unlock()
+	if cut && resets {
+		return tarragondeal.Page{}, errReset
+	}
+	if cut {
+		<-ctx.Done()
+		return tarragondeal.Page{}, ctx.Err()
+	}
+	time.Sleep(delay)
+	return page, nil
 }
 
 func (a access) Watch(ctx context.Context, _ string, after tarragondeal.Revision, wait time.Duration) ([]tarragondeal.Entry, tarragondeal.Revision, error) {
@@ -108,6 +138,7 @@
 	for timedOut := wait == 0; ; {
 		a.mu.Lock()
 		cut, resets, changed, revision, delay := a.cut[a.node], a.resets, a.changed, a.revision, a.delay
+		silent, historyStart := a.silent, a.historyStart
 		var out []tarragondeal.Entry
 		for _, e := range a.events {
 			if e.Revision > after {
@@ -121,6 +152,15 @@
 		case cut:
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
+		case silent != nil:
+			select {
+			case <-silent:
+				return nil, 0, errReset
+			case <-ctx.Done():
+				return nil, 0, ctx.Err()
+			}
+		case after < historyStart:
+			return nil, 0, &tarragondeal.HistoryError{After: after}
 		case timedOut || len(out) > 0:
 			select {
 			case <-time.After(delay):
@@ -524,3 +564,33 @@
 		})
 	}
 }
+
+// TestHistoryDiscarded guards against a flood of calls, and versions that come late,
+// when the watches of all followers are silent for a second and cut then, and the store
+// has discarded the history.
+func TestHistoryDiscarded(t *testing.T) {
+	for _, phase := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+		for _, cut := range []bool{false, true} {
+			t.Run(fmt.Sprintf("after %s, relays cut off %t", phase, cut), func(t *testing.T) {
+				runLiveFleet(t, 30, 5, func(t *testing.T, f *liveFleet) {
+					if cut {
+						f.store.cutOff(f.relays()[2:]...)
+						time.Sleep(5 * time.Second)
+					}
+					time.Sleep(phase)
+					before := f.store.totalCalls()
+					f.running.Go(func() { f.store.compact(time.Second) })
+					time.Sleep(500 * time.Millisecond)
+					revision := f.store.write()
+					time.Sleep(versionBound)
+					if n, example := f.lacking(revision); n > 0 {
+						t.Errorf("%d nodes lack the version, %s among them", n, example)
+					}
+					if n := f.store.totalCalls() - before; n > 2*len(f.nodes) {
+						t.Errorf("%d calls", n)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -138,7 +138,7 @@
 	m := &Mesh{
 		Deps: d, self: self, receivers: make(map[string]receiver),
 		peers: make(map[tarragondeal.NodeID]*peer), forwarded: make(map[tarragondeal.NodeID]presences), noSourceSince: d.Clock.Now(),
-		noSourceTimeout: noSourceTimeout/2 + rand.N(noSourceTimeout/2),
+		noSourceTimeout: minNoSourceTimeout + rand.N(noSourceTimeout-minNoSourceTimeout),
 	}
 	m.assignRelays()
 	d.Mirror.Subscribe(m.applyChanges)
