--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -36,9 +36,11 @@
 	watchTimeout = time.Second
 	watchGrace   = 500 * time.Millisecond
 	// confirmWait is the wait of a watch whose answer confirms that the service
-	// is available, and confirmTimeout bounds that watch.
-	confirmWait    = 50 * time.Millisecond
-	confirmTimeout = time.Second
+	// is available. Its timeout doubles with each failure in a row from
+	// minConfirmTimeout, up to maxConfirmTimeout for a slow service.
+	confirmWait       = 50 * time.Millisecond
+	minConfirmTimeout = 400 * time.Millisecond
+	maxConfirmTimeout = 1600 * time.Millisecond
 	// pageTimeout bounds reading one page.
 	pageTimeout = 1500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call. The
@@ -99,6 +101,7 @@
 	listed         bool
 	listings       []listing // The last listings, without their entries.
 	unavailable    bool
+	failures       int                  // Calls that failed since the last one that did not.
 	availableSince tarragondeal.Instant // When the last outage ended; zero before the first.
 	confirmedAt    tarragondeal.Instant // When the service last answered; zero before the first answer.
 	subscribers    []func(Changes)
@@ -212,7 +215,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.unavailable || m.clock.Now().Sub(m.confirmedAt) > MaxAnswerAge {
-		return confirmWait, confirmTimeout
+		return confirmWait, min(minConfirmTimeout<<min(max(m.failures-1, 0), 2), maxConfirmTimeout)
 	}
 	return watchTimeout, watchTimeout + watchGrace
 }
@@ -440,6 +443,7 @@
 func (m *Mirror) recordSuccess() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.failures = 0
 	if !m.unavailable {
 		return
 	}
@@ -452,6 +456,7 @@
 func (m *Mirror) endOutage() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.failures = 0
 	if m.unavailable {
 		m.unavailable, m.availableSince = false, m.clock.Now()
 	}
@@ -461,6 +466,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.opt.Scope.Counter("failures").Inc(1)
+	m.failures++
 	if m.unavailable {
 		return
 	}
