--- a/internal/entry/tdfront/front_test.go
+++ b/internal/entry/tdfront/front_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,6 +34,7 @@
 	admitErr       error
 	requests       []*tdflow.Request
 	hold           chan struct{} // If not nil, Run blocks until it is closed.
+	breaks         bool          // Run breaks the connection in the answer.
 	arrived        chan struct{}
 	releasedTokens int
 }
@@ -52,6 +56,10 @@
 	}
 	q.Tokens = 7
 	_, err := w.Write([]byte("served"))
+	if o.breaks {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	return err
 }
 
@@ -149,6 +157,21 @@
 		Expect(front.Open()).To(BeZero())
 	})
 
+	// A caller of HTTP/1.0 took a broken answer for complete.
+	It("resets the connection of an HTTP/1.0 caller whose answer breaks", func() {
+		o.breaks = true
+		srv := httptest.NewServer(front.Handler())
+		DeferCleanup(srv.Close)
+		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.0\r\nContent-Length: 16\r\n\r\n{\"model\":\"help\"}")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(conn)
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+		Expect(o.requests).To(HaveLen(1))
+	})
+
 	It("lists the models that a caller may use", func() {
 		Expect(call("GET", "/v1/models", "").Body.String()).To(MatchJSON(`{"object":"list","data":[{"id":"help","object":"model"}]}`))
 		w := call("GET", "/v1/models", "", "Authorization", bearer(key))
