tdbackend: Pass on no response that switches protocols

A server's response 101 without a body was passed on to the caller as the signed success of its request, plain or stream. The caller had not asked for another protocol: its request's Upgrade header isn't sent on. With a body the caller got a closed connection or 502.

Such a response now fails the attempt, and whether the request ran is unknown.

The new course of tdbackend failed before: no error. Seen from no backend server.

--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -105,6 +105,10 @@
 	}
 }
 
+// errSwitched reports a response that changes the connection's protocol. No request
+// asks for that.
+var errSwitched = errors.New("server switched protocols")
+
 // Send sends one attempt and returns the response as soon as its header is read.
 // The error is a *tarragondeal.BackendError.
 func (b *Backend) Send(ctx context.Context, s tarragondeal.Server, c tarragondeal.Call) (*tarragondeal.Answer, error) {
@@ -121,6 +125,10 @@
 	if err != nil {
 		return nil, sendError(ctx, s.ID, t.wrote(), err)
 	}
+	if res.StatusCode == http.StatusSwitchingProtocols {
+		_ = res.Body.Close()
+		return nil, &tarragondeal.BackendError{Server: s.ID, Ran: tarragondeal.RanUnknown, Err: errSwitched}
+	}
 	body := res.Body
 	if !b.opt.Verbatim {
 		body = delimitedBody(res)
--- a/internal/platform/tdbackend/backend_test.go
+++ b/internal/platform/tdbackend/backend_test.go
@@ -64,6 +64,8 @@
 	}{
 		{"reports unknown when the connection breaks after the request", http.MethodPost, "", []byte("x"), true},
 		{"does not retry a request without a body", http.MethodGet, "", nil, true},
+		// Callers got the response, though they had not asked for another protocol.
+		{"reports unknown when the server switches protocols", http.MethodPost, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", []byte("x"), false},
 		{"reports unknown when the response header is truncated", http.MethodPost, "HTTP/1.1 200 OK\r\nContent-Le", []byte("x"), true},
 	} {
 		It(c.name, func() {
