test/vm: Demand the events of streams that a sound server goes on with

The tests of broken streams passed if no broken stream was continued and no stream was resumed: a response that broke off, or one with another status, was accepted for each case. Each case now demands status 200 and the first event, and those whose next server goes on demand all events, also for a caller that resumes. What was checked before is still checked.

--- a/test/vm/stream_test.go
+++ b/test/vm/stream_test.go
@@ -131,44 +131,45 @@
 const chatEvents = 5 // Number of events of a stand-in's stream.
 
 // brokenStreams are streams that break midway. The server that is asked next does
-// what next says.
+// what next says. If complete is set, the caller gets all events.
 var brokenStreams = []struct {
 	name        string
 	first, next streamRun
+	complete    bool
 }{
-	{"the next server answers 500", inOrder(events(1, 3), breakOff), answer(http.StatusInternalServerError, "failed")},
-	{"the next server answers 504", inOrder(events(1, 3), breakOff), answer(http.StatusGatewayTimeout, "late")},
-	{"the next server answers 503 and may have run it", inOrder(events(1, 3), breakOff), answer(http.StatusServiceUnavailable, "failed")},
-	{"the next server answers 404", inOrder(events(1, 3), breakOff), answer(http.StatusNotFound, "not found")},
-	{"the next server answers 302", inOrder(events(1, 3), breakOff), answer(http.StatusFound, "elsewhere")},
-	{"the next server answers 204", inOrder(events(1, 3), breakOff), answer(http.StatusNoContent, "")},
-	{"the next server answers 500 without a body", inOrder(events(1, 3), breakOff), answer(http.StatusInternalServerError, "")},
-	{"the next server answers 500 and then the missing events", inOrder(events(1, 3), breakOff), answer(http.StatusInternalServerError, streamBody(4, 4))},
-	{"the next server answers 500 with a long body", inOrder(events(1, 3), breakOff), answer(http.StatusInternalServerError, strings.Repeat("failed ", 1<<18))},
-	{"the next server did not run it", inOrder(events(1, 3), breakOff), inOrder(header("X-Not-Run", "1"), answer(http.StatusServiceUnavailable, ""))},
-	{"the next server answers without its signature", inOrder(events(1, 3), breakOff), inOrder(header("X-Server-Stamp", ""), events(4, 5))},
-	{"the next server answers another request", inOrder(events(1, 3), breakOff), inOrder(header("X-Request-Id", "another"), events(4, 5))},
-	{"the next server answers with no events", inOrder(events(1, 3), breakOff), answer(http.StatusOK, "")},
-	{"the next server answers with something else than events", inOrder(events(1, 3), breakOff), answer(http.StatusOK, "{\"piece\": 4}\n\n")},
-	{"the next server ends inside an event", inOrder(events(1, 3), breakOff), write("id: 4\ndata: pie")},
-	{"the next server begins again", inOrder(events(1, 3), breakOff), events(1, 5)},
-	{"the next server begins again, without IDs", inOrder(events(1, 3), breakOff), eventsWithoutIDs(1, 5)},
-	{"the next server goes on without IDs", inOrder(events(1, 3), breakOff), eventsWithoutIDs(4, 5)},
-	{"the next server begins again without IDs, then with them", inOrder(events(1, 3), breakOff), inOrder(eventsWithoutIDs(1, 3), events(4, 5))},
-	{"the next server repeats the last event", inOrder(events(1, 3), breakOff), events(3, 5)},
-	{"the next server leaves out an event", inOrder(events(1, 3), breakOff), events(5, 5)},
-	{"the next server breaks off at once", inOrder(events(1, 3), breakOff), breakOff},
-	{"the next server breaks off again", inOrder(events(1, 3), breakOff), inOrder(events(4, 4), breakOff)},
-	{"the next server goes on", inOrder(events(1, 3), breakOff), events(4, 5)},
-	{"no event has an ID, the next server begins again", inOrder(eventsWithoutIDs(1, 3), breakOff), events(1, 5)},
-	{"no event has an ID, the next server begins again without IDs", inOrder(eventsWithoutIDs(1, 3), breakOff), eventsWithoutIDs(1, 5)},
-	{"the last event sent has no ID", inOrder(events(1, 2), eventsWithoutIDs(3, 3), breakOff), events(3, 5)},
-	{"the stream breaks inside an event", inOrder(events(1, 3), write("id: 4\nda"), breakOff), events(4, 5)},
-	{"the stream breaks inside an event, the next server answers 500", inOrder(events(1, 3), write("id: 4\nda"), breakOff), answer(http.StatusInternalServerError, "failed")},
-	{"the stream has no length and is reset", unframed(streamBody(1, 3)), events(4, 5)},
-	{"the stream has no length and is reset, the next server answers 500", unframed(streamBody(1, 3)), answer(http.StatusInternalServerError, "failed")},
-	{"the stream breaks after its last event, the next server answers 500", inOrder(events(1, 5), breakOff), answer(http.StatusInternalServerError, "failed")},
-	{"the stream breaks after its last event, the next server has no more", inOrder(events(1, 5), breakOff), answer(http.StatusOK, "")},
+	{"the next server answers 500", inOrder(events(1, 3), breakOff), answer(http.StatusInternalServerError, "failed"), false},
+	{"the next server answers 504", inOrder(events(1, 3), breakOff), answer(http.StatusGatewayTimeout, "late"), false},
+	{"the next server answers 503 and may have run it", inOrder(events(1, 3), breakOff), answer(http.StatusServiceUnavailable, "failed"), false},
+	{"the next server answers 404", inOrder(events(1, 3), breakOff), answer(http.StatusNotFound, "not found"), false},
+	{"the next server answers 302", inOrder(events(1, 3), breakOff), answer(http.StatusFound, "elsewhere"), false},
+	{"the next server answers 204", inOrder(events(1, 3), breakOff), answer(http.StatusNoContent, ""), false},
+	{"the next server answers 500 without a body", inOrder(events(1, 3), breakOff), answer(http.StatusInternalServerError, ""), false},
+	{"the next server answers 500 and then the missing events", inOrder(events(1, 3), breakOff), answer(http.StatusInternalServerError, streamBody(4, 4)), false},
+	{"the next server answers 500 with a long body", inOrder(events(1, 3), breakOff), answer(http.StatusInternalServerError, strings.Repeat("failed ", 1<<18)), false},
+	{"the next server did not run it", inOrder(events(1, 3), breakOff), inOrder(header("X-Not-Run", "1"), answer(http.StatusServiceUnavailable, "")), false},
+	{"the next server answers without its signature", inOrder(events(1, 3), breakOff), inOrder(header("X-Server-Stamp", ""), events(4, 5)), false},
+	{"the next server answers another request", inOrder(events(1, 3), breakOff), inOrder(header("X-Request-Id", "another"), events(4, 5)), false},
+	{"the next server answers with no events", inOrder(events(1, 3), breakOff), answer(http.StatusOK, ""), false},
+	{"the next server answers with something else than events", inOrder(events(1, 3), breakOff), answer(http.StatusOK, "{\"piece\": 4}\n\n"), false},
+	{"the next server ends inside an event", inOrder(events(1, 3), breakOff), write("id: 4\ndata: pie"), false},
+	{"the next server begins again", inOrder(events(1, 3), breakOff), events(1, 5), false},
+	{"the next server begins again, without IDs", inOrder(events(1, 3), breakOff), eventsWithoutIDs(1, 5), false},
+	{"the next server goes on without IDs", inOrder(events(1, 3), breakOff), eventsWithoutIDs(4, 5), false},
+	{"the next server begins again without IDs, then with them", inOrder(events(1, 3), breakOff), inOrder(eventsWithoutIDs(1, 3), events(4, 5)), false},
+	{"the next server repeats the last event", inOrder(events(1, 3), breakOff), events(3, 5), false},
+	{"the next server leaves out an event", inOrder(events(1, 3), breakOff), events(5, 5), false},
+	{"the next server breaks off at once", inOrder(events(1, 3), breakOff), breakOff, false},
+	{"the next server breaks off again", inOrder(events(1, 3), breakOff), inOrder(events(4, 4), breakOff), false},
+	{"the next server goes on", inOrder(events(1, 3), breakOff), events(4, 5), true},
+	{"no event has an ID, the next server begins again", inOrder(eventsWithoutIDs(1, 3), breakOff), events(1, 5), false},
+	{"no event has an ID, the next server begins again without IDs", inOrder(eventsWithoutIDs(1, 3), breakOff), eventsWithoutIDs(1, 5), false},
+	{"the last event sent has no ID", inOrder(events(1, 2), eventsWithoutIDs(3, 3), breakOff), events(3, 5), false},
+	{"the stream breaks inside an event", inOrder(events(1, 3), write("id: 4\nda"), breakOff), events(4, 5), true},
+	{"the stream breaks inside an event, the next server answers 500", inOrder(events(1, 3), write("id: 4\nda"), breakOff), answer(http.StatusInternalServerError, "failed"), false},
+	{"the stream has no length and is reset", unframed(streamBody(1, 3)), events(4, 5), true},
+	{"the stream has no length and is reset, the next server answers 500", unframed(streamBody(1, 3)), answer(http.StatusInternalServerError, "failed"), false},
+	{"the stream breaks after its last event, the next server answers 500", inOrder(events(1, 5), breakOff), answer(http.StatusInternalServerError, "failed"), false},
+	{"the stream breaks after its last event, the next server has no more", inOrder(events(1, 5), breakOff), answer(http.StatusOK, ""), false},
 }
 
 // serveRuns makes the fleet's engines do run first for a request, and next for each
@@ -210,12 +211,11 @@
 				f.waitReady()
 				f.serveRuns(c.first, c.next)
 				r := f.nodes[0].send(http.MethodPost, "/chat/1", "key-a", "")
-				if r.status != http.StatusOK {
-					Expect(r.body).NotTo(ContainSubstring("piece"))
-					return
-				}
-				_, err := checkStream(r.body, r.err, 1, chatEvents)
+				Expect(r.status).To(Equal(http.StatusOK), r.body) // Events were sent before it broke.
+				last, err := checkStream(r.body, r.err, 1, chatEvents)
 				Expect(err).NotTo(HaveOccurred(), r.body)
+				Expect(last).To(BeNumerically(">", 0))
+				Expect(!c.complete || r.err == nil).To(BeTrue(), "broken off: %q, %v", r.body, r.err)
 			})
 		}
 	}
@@ -273,22 +273,24 @@
 
 	// Callers that resume a stream must not get events that they have, or miss some.
 	for _, c := range []struct {
-		name string
-		run  streamRun
+		name     string
+		run      streamRun
+		complete bool
 	}{
-		{"the server goes on", events(4, 5)},
-		{"the server begins again", events(1, 5)},
-		{"the server begins again without IDs", eventsWithoutIDs(1, 5)},
-		{"the server leaves out an event", events(5, 5)},
-		{"the server repeats the last event", events(3, 5)},
-		{"the server answers 500", answer(http.StatusInternalServerError, "failed")},
-		{"the server breaks off and begins again", inOrder(events(4, 4), breakOff)},
+		{"the server goes on", events(4, 5), true},
+		{"the server begins again", events(1, 5), false},
+		{"the server begins again without IDs", eventsWithoutIDs(1, 5), false},
+		{"the server leaves out an event", events(5, 5), false},
+		{"the server repeats the last event", events(3, 5), false},
+		{"the server answers 500", answer(http.StatusInternalServerError, "failed"), false},
+		{"the server breaks off and begins again", inOrder(events(4, 4), breakOff), false},
 	} {
 		It("follow the last one that the caller had: "+c.name, func() {
 			f := newFleet(1)
 			f.waitReady()
 			f.serveRuns(c.run, c.run)
 			r := f.nodes[0].sendStream("/chat/1", map[string]string{"Last-Event-Id": "3"})
+			Expect(!c.complete || r.status == http.StatusOK && r.err == nil).To(BeTrue(), "status %d, %v", r.status, r.err)
 			if r.status != http.StatusOK {
 				Expect(r.body).NotTo(ContainSubstring("piece"))
 				return
