tdpass: Send empty lines before a stream's first event with that event

A server that sent an empty line and then broke the connection or fell silent had begun the caller's response: no other server's answer or failure could follow, and the response was broken off. Since empty lines are relayed, one of them sent the header, stopped the response timer and counted the request as begun.

Empty lines before the first event of an attempt are now kept, up to 4 kB, and sent with it, or at the end of a stream without events. The body stays as the server sent it.

tdhost TestEmptyLinesBeforeTheFirstEvent: three of six cases failed before, e.g. "broken, then a failure: status 200, "\n\n", error unexpected EOF" for a server's 500, and a silent server of which no retry was made. Comments begin a response as before.

--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -556,6 +556,34 @@
 	}
 }
 
+// TestEmptyLinesBeforeTheFirstEvent guards against a stream that is taken for begun, so
+// that no other answer is possible, though its server has sent only empty lines.
+func TestEmptyLinesBeforeTheFirstEvent(t *testing.T) {
+	silent := func(w http.ResponseWriter, r *http.Request) {
+		stream("\n\r\n")(w, r)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	for _, c := range []struct {
+		name, path  string
+		first, next http.HandlerFunc
+		status      int
+		body        string
+	}{
+		{"broken, then a failure", "/resume/1", broken("\n\n"), status(http.StatusInternalServerError, "text/plain", "failed"), 500, "failed"},
+		{"broken, then a stream", "/resume/1", broken("\n"), stream("\n" + events(1, 3)), 200, "\n" + events(1, 3)},
+		{"silent, then a stream", "/short/1", silent, stream(events(1, 3)), 200, events(1, 3)},
+		{"nothing else", "/stream/1", stream("\n\r\n"), nil, 200, "\n\r\n"},
+		{"a continuation", "/resume/1", broken(events(1, 2)), stream("\n" + events(3, 3)), 200, events(1, 2) + "\n" + events(3, 3)},
+		{"many", "/stream/1", stream(strings.Repeat("\n", 64<<10) + events(1, 3)), nil, 200, strings.Repeat("\n", 64<<10) + events(1, 3)},
+	} {
+		e := newEntry(t, c.first, c.next)
+		if got := e.send(t, c.path); got.err != nil || got.status != c.status || got.body != c.body {
+			t.Errorf("%s: status %d, %.99q, error %v", c.name, got.status, got.body, got.err)
+		}
+	}
+}
+
 // TestLeavingHostClosesConnections guards against a leaving host whose callers keep
 // their connections, which are closed when it stops.
 func TestLeavingHostClosesConnections(t *testing.T) {
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -244,33 +245,68 @@
 	return out
 }
 
+// maxLeadingBytes bounds the empty lines that are kept until the first event.
+const maxLeadingBytes = 4 << 10
+
+// part is the part of a stream that one attempt supplies.
+type part struct {
+	continues bool   // The caller may have the events of another run.
+	placed    bool   // The place of the part's first event is checked, or need not be.
+	begun     bool   // A part of it has been sent.
+	leading   []byte // Empty lines before the first event, which are sent with it.
+}
+
+// follows reports whether ev may be sent next.
+func (p *part) follows(o *order, ev *tdrelay.Event) bool {
+	return o.follows(ev, p.continues) && (p.placed || !isComment(ev) || !ev.Unknown)
+}
+
+// keeps keeps ev if it is an empty line before the first event. Until that event
+// another attempt can answer.
+func (p *part) keeps(ev *tdrelay.Event) bool {
+	if p.begun || !ev.IsEmpty() || len(p.leading) >= maxLeadingBytes {
+		return false
+	}
+	p.leading = append(p.leading, ev.Raw...)
+	return true
+}
+
+// begin adds the empty lines kept to ev, which is sent first.
+func (p *part) begin(ev *tdrelay.Event) {
+	p.begun = true
+	ev.Raw = slices.Concat(p.leading, ev.Raw)
+}
+
 // relayStream relays the events of a stream.
 func (x *Exchange) relayStream(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
 	events := tdrelay.NewEvents(answer.Body)
 	rc := http.NewResponseController(t.W)
-	continues := x.order.sent || x.order.numbered() // The caller may have the events of another run.
-	placed := !continues                            // An event of this run has been placed after those of the other.
-	for first := true; ; first = false {
+	continues := x.order.sent || x.order.numbered()
+	p := part{continues: continues, placed: !continues}
+	for {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return x.endStream(t, answer, timer)
+			return x.endStream(t, answer, timer, &p)
 		}
 		if err != nil {
 			return broken(ctx, err)
 		}
-		comment := isComment(&ev)
-		if !x.order.follows(&ev, continues) || !placed && comment && ev.Unknown {
+		if !p.follows(&x.order, &ev) {
 			answer.Drop()
 			return invalid(errEventOrder)
 		}
-		if first && !timer.stop() {
-			return timedOut()
+		if p.keeps(&ev) {
+			continue
 		}
-		if first {
+		if !p.begun {
+			if !timer.stop() {
+				return timedOut()
+			}
 			x.beginStream(t, answer)
+			p.begin(&ev)
 		}
-		if !comment {
-			placed = true
+		if !isComment(&ev) {
+			p.placed = true
 			x.timing.event(x.clock.Now())
 		}
 		if err := x.writeEvent(t.W, rc, &ev, events.More()); err != nil {
@@ -302,14 +338,21 @@
 }
 
 // endStream ends a stream that the server has ended. A stream without events is
-// passed on as an empty response.
-func (x *Exchange) endStream(t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
+// passed on as a response that holds only its empty lines.
+func (x *Exchange) endStream(t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer, p *part) tdflow.Result {
 	if !timer.stop() {
 		return timedOut()
 	}
 	if !x.headSent {
 		x.beginStream(t, answer)
 	}
+	if !p.begun {
+		n, err := t.W.Write(p.leading)
+		x.sentBytes += int64(n)
+		if err != nil {
+			return tdflow.Result{Failure: tdflow.FailCallerGone, Ran: tarragondeal.RanYes, Err: err}
+		}
+	}
 	if x.length >= 0 && x.sentBytes != x.length && t.Request.Method != http.MethodHead {
 		return tdflow.Result{Failure: tdflow.FailTruncated, Ran: tarragondeal.RanYes, Err: errTruncated, Final: true}
 	}
--- a/internal/entry/tdrelay/events.go
+++ b/internal/entry/tdrelay/events.go
@@ -37,6 +37,9 @@
 	Unknown bool
 }
 
+// IsEmpty reports whether e is an empty line between events.
+func (e *Event) IsEmpty() bool { return len(trimLineEnd(e.Raw)) == 0 }
+
 // Events reads server-sent events from a stream.
 type Events struct {
 	r    *bufio.Reader
