tdrelay: Begin no stream with empty lines

Empty lines before the first event are left out again; between events they pass.

A new course of tdflow failed before: it got "\n\r\n" and an error event at the deadline in place of the second server's answer with status 400.

--- a/internal/entry/tdrelay/stream.go
+++ b/internal/entry/tdrelay/stream.go
@@ -113,6 +113,9 @@
 		if ev.Data == nil && skip > 0 {
 			continue // Comments are not counted in skip.
 		}
+		if ev.IsEmpty() && !s.started {
+			continue // Another attempt can still answer.
+		}
 		end, more, err := f.handleEvent(ev)
 		if !more || err != nil {
 			return end, err
