tdrelay: Pass on no cut JSON answer that ends with its connection as complete

On the router's own interface an answer without a length ends with its server's connection. Of JSON it was assumed that its text shows where it ends, but that was looked at only if the answer was not encoded, not empty and up to 256 kB long. Callers got other cut answers as complete, and a claim recorded them.

An encoded or empty answer of this kind is now incomplete, as those of other media types are, and the end of a long one is followed while it is relayed: if its JSON value has not ended, the connection to the caller is broken. tarragondeal.Answer says whether its body ends only with the connection.

The users' interface doesn't use this path. Event streams of plain services are not covered: they have no end marker.

--- a/backend.go
+++ b/backend.go
@@ -36,6 +36,9 @@
 	Body    io.ReadCloser
 	Length  int64  // Bytes in the body, or -1 if unknown.
 	Request string // The request id that the backend server echoed, if any.
+	// Unframed is set if the body ends only with its connection, so that it may
+	// be truncated.
+	Unframed bool
 	// Drop closes the connection when the answer belongs to another request.
 	// It is nil if the backend does not support this.
 	Drop func()
--- a/internal/entry/tdrelay/plain.go
+++ b/internal/entry/tdrelay/plain.go
@@ -49,11 +49,13 @@
 	length    int64
 	rest      io.Reader // The unread part, or nil.
 	flushEach bool      // Flush after each read.
+	end       *jsonEnd  // Shows whether the rest is complete; nil if its framing does.
 }
 
 var (
 	errLength = errors.New("length differs from Content-Length")
 	errJSON   = errors.New("JSON is not complete")
+	errFrame  = errors.New("answer ended only with its connection")
 )
 
 // ReadPlain reads an answer that is not a model's stream and checks that it is
@@ -69,17 +71,25 @@
 	if err != nil {
 		return nil, &BrokenError{End: EndBroken, Err: err}
 	}
+	encoded := a.Header.Get("Content-Encoding") != ""
+	if a.Unframed && (encoded || len(body) == 0) {
+		return nil, &BrokenError{End: EndBroken, Err: errFrame}
+	}
 	o.Body = body
 	_, _ = o.digest.Write(body)
 	if len(body) > maxBufferedBytes {
 		o.Omitted, o.rest = true, a.Body
+		if a.Unframed {
+			o.end = &jsonEnd{}
+			_, _ = o.end.Write(body)
+		}
 		return o, nil
 	}
 	if a.Length >= 0 && a.Length != int64(len(body)) {
 		return nil, &BrokenError{End: EndTruncated, Err: errLength}
 	}
 	o.length = int64(len(body))
-	if media != "application/json" || len(body) == 0 || a.Header.Get("Content-Encoding") != "" {
+	if media != "application/json" || len(body) == 0 || encoded {
 		return o, nil
 	}
 	if !json.Valid(body) {
@@ -147,12 +157,17 @@
 		}
 		_, _ = o.digest.Write(buf[:n])
 		done += int64(n)
+		if o.end != nil {
+			_, _ = o.end.Write(buf[:n])
+		}
 		if o.flushEach {
 			_ = rc.Flush()
 		}
 		switch {
 		case errors.Is(rerr, io.EOF) && o.length >= 0 && done != o.length:
 			return &BrokenError{End: EndTruncated, Err: errLength}
+		case errors.Is(rerr, io.EOF) && o.end != nil && !o.end.complete():
+			return &BrokenError{End: EndTruncated, Err: errJSON}
 		case errors.Is(rerr, io.EOF):
 			return nil
 		case rerr != nil:
@@ -167,7 +182,14 @@
 	if o.rest == nil {
 		return nil
 	}
-	_, err := io.Copy(o.digest, o.rest)
+	to := io.Writer(o.digest)
+	if o.end != nil {
+		to = io.MultiWriter(o.digest, o.end)
+	}
+	_, err := io.Copy(to, o.rest)
+	if err == nil && o.end != nil && !o.end.complete() {
+		err = &BrokenError{End: EndTruncated, Err: errJSON}
+	}
 	return err
 }
 
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -130,13 +130,17 @@
 // connection.
 var errCloseDelimited = errors.New("response is delimited only by the end of the connection")
 
+// unframed reports whether the body of a response ends only with its connection.
+func unframed(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.ProtoMajor <= 1
+}
+
 // delimitedBody returns the body of a response. If the body ends only with its
 // connection, it may be truncated, so reading its end returns errCloseDelimited
 // instead of io.EOF. Event streams and JSON are excepted: their format shows
 // where they end.
 func delimitedBody(res *http.Response) io.ReadCloser {
-	chunked := len(res.TransferEncoding) > 0
-	if res.ContentLength >= 0 || chunked || res.ProtoMajor > 1 {
+	if !unframed(res) {
 		return res.Body
 	}
 	media, _, _ := mime.ParseMediaType(res.Header.Get("Content-Type"))
