--- a/internal/entry/tdrelay/jsonend.go
+++ b/internal/entry/tdrelay/jsonend.go
@@ -1,6 +1,6 @@
 package tdrelay
 
-// jsonEnd finds the end of a JSON object or array that is read in parts.
+// jsonEnd finds the end of a JSON object, array or string that is read in parts.
 type jsonEnd struct {
 	depth           int // Open objects and arrays.
 	quoted, escaped bool
@@ -24,6 +24,7 @@
 		e.escaped = false
 	case e.quoted:
 		e.escaped, e.quoted = b == '\\', b != '"'
+		e.ended = !e.quoted && e.depth == 0
 	case b == ' ' || b == '\t' || b == '\r' || b == '\n':
 	case e.ended:
 		e.extra = true
--- a/internal/entry/tdrelay/plain_test.go
+++ b/internal/entry/tdrelay/plain_test.go
@@ -20,6 +20,7 @@
 // complete although its server's connection ended in the middle of it.
 func TestAnswerThatEndsWithItsConnection(t *testing.T) {
 	long := `["a]}\"",` + strings.Repeat(`{"b":[1]},`, maxBufferedBytes/8)
+	text := strings.Repeat("x", 2*maxBufferedBytes)
 	const encoded = "Content-Encoding: gzip\r\n"
 	for _, c := range []struct {
 		name, header, body string
@@ -34,6 +35,8 @@
 		{"long, cut in a string", "", long + `"]`, false},
 		{"long, cut after an escape", "", long + `"\"]`, false},
 		{"long, more after its end", "", long + "2]]", false},
+		{"long string", "", `"` + text + `"`, true},
+		{"long string, cut", "", `"` + text, false},
 		{"long, encoded", encoded, long + "2]", false},
 	} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
