tdrelay: Digest the part of an answer whose write to the caller fails

A caller that repeated the request was told a digest that no answer of the server has.

TestDigestAfterTheCallerHasGone failed before, with another digest than that of the body.

--- a/internal/entry/tdrelay/plain.go
+++ b/internal/entry/tdrelay/plain.go
@@ -151,15 +151,15 @@
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, rerr := o.rest.Read(buf)
-		extendDeadline(rc, write)
-		if _, err := w.Write(buf[:n]); err != nil {
-			return &BrokenError{End: EndCallerGone, Err: err}
-		}
 		_, _ = o.digest.Write(buf[:n])
-		done += int64(n)
 		if o.end != nil {
 			_, _ = o.end.Write(buf[:n])
 		}
+		done += int64(n)
+		extendDeadline(rc, write)
+		if _, err := w.Write(buf[:n]); err != nil {
+			return &BrokenError{End: EndCallerGone, Err: err}
+		}
 		if o.flushEach {
 			_ = rc.Flush()
 		}
--- a/internal/entry/tdrelay/plain_test.go
+++ b/internal/entry/tdrelay/plain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"io"
 	"net"
 	"net/http"
@@ -77,3 +79,33 @@
 		<-done
 	}
 }
+
+// goneWriter fails each write of the rest of an answer.
+type goneWriter struct {
+	http.ResponseWriter
+	writes int
+}
+
+func (w *goneWriter) Write(b []byte) (int, error) {
+	if w.writes++; w.writes > 1 {
+		return 0, net.ErrClosed
+	}
+	return len(b), nil
+}
+
+// TestDigestAfterTheCallerHasGone guards against a recorded digest that isn't that of
+// the complete answer: the part whose write failed was missing.
+func TestDigestAfterTheCallerHasGone(t *testing.T) {
+	body := strings.Repeat("0123456789", maxBufferedBytes/5)
+	plain, err := ReadPlain(&tarragondeal.Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(body)), Length: int64(len(body))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := plain.Deliver(&goneWriter{ResponseWriter: httptest.NewRecorder()}, 0); err == nil {
+		t.Error("no error for a caller that has gone")
+	}
+	want := sha256.Sum256([]byte(body))
+	if err := plain.Drain(); err != nil || !bytes.Equal(plain.Digest(), want[:]) {
+		t.Errorf("digest %x of the answer with %x, error %v", plain.Digest(), want, err)
+	}
+}
