tdpass: Take the retry of an attempt from the budget once

A retry was taken from the fleet's budget twice if an answer that is not passed on (not run, of another request, or without its signature) arrived while the response timer was taking it: once by the timer and once for the answer. With an empty budget the request could be refused though its retry was paid.

An attempt now reports whether its timer has taken a retry.

tdhost TestRetryIsTakenOnce failed before in its three cases, "2 retries taken".

--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -45,6 +45,8 @@
 	// nil if there is none.
 	answer func(http.ResponseWriter) error
 	final  bool // No other attempt can continue the answer.
+	// retryTaken is set if the attempt has taken a retry from the budget.
+	retryTaken bool
 }
 
 // streamState is the state of the caller's stream across attempts.
--- a/internal/entry/tdflow/exchange.go
+++ b/internal/entry/tdflow/exchange.go
@@ -46,6 +46,8 @@
 	// Final is set if no other attempt can continue what has been sent to the
 	// caller.
 	Final bool
+	// RetryTaken is set if the attempt has taken a retry from the budget.
+	RetryTaken bool
 }
 
 // exchange makes an attempt through the request's Exchange.
@@ -62,7 +64,9 @@
 		},
 		OnDelivered: func() { r.stream.delivered = true },
 	})
-	return attemptResult{failure: out.Failure, ran: out.Ran, err: out.Err, answer: out.Answer, final: out.Final}
+	return attemptResult{
+		failure: out.Failure, ran: out.Ran, err: out.Err, answer: out.Answer, final: out.Final, retryTaken: out.RetryTaken,
+	}
 }
 
 // SendResult returns the result of an attempt whose call to the backend failed
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -204,7 +204,7 @@
 		if res.failure == FailUnreachable || res.failure == FailPlacement {
 			r.unsent++
 		}
-		if step == StepRetry && res.failure.NeedsBudget() && !r.f.Dispatch.MayRetry(r.ask) {
+		if step == StepRetry && res.failure.NeedsBudget() && !res.retryTaken && !r.f.Dispatch.MayRetry(r.ask) {
 			step = s.finalStep()
 		}
 		r.recordWaste(res, step)
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -365,6 +365,34 @@
 	}
 }
 
+// TestRetryIsTakenOnce guards against a retry that is taken from the budget twice: by
+// the response timer, and for the answer that arrives meanwhile.
+func TestRetryIsTakenOnce(t *testing.T) {
+	for _, header := range [][2]string{{"X-Not-Run", "1"}, {"X-Request-Id", "another"}, {"X-Server-Stamp", ""}} {
+		asked := make(chan struct{}) // The response timer has gone off.
+		begun := make(chan struct{})
+		e := newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+			<-asked
+			w.Header().Set(header[0], header[1])
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			close(begun)
+		}, status(http.StatusOK, "text/plain", "done"))
+		taken := 0
+		e.budget = func() bool {
+			if taken++; taken == 1 {
+				close(asked)
+				<-begun
+				time.Sleep(100 * time.Millisecond)
+			}
+			return true
+		}
+		if got := e.send(t, "/plain/1"); got.err != nil || got.body != "done" || taken != 1 {
+			t.Errorf("%s: got %d %q, error %v, %d retries taken", header[0], got.status, got.body, got.err, taken)
+		}
+	}
+}
+
 // TestStreamThatCannotBeContinued guards against parts of two runs that are joined
 // although nothing shows that the second goes on where the first broke.
 func TestStreamThatCannotBeContinued(t *testing.T) {
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -78,9 +78,9 @@
 	return out
 }
 
-func (x *Exchange) attempt(ctx context.Context, t *tdflow.Attempt) tdflow.Result {
+func (x *Exchange) attempt(ctx context.Context, t *tdflow.Attempt) (out tdflow.Result) {
 	ctx, timer := x.startResponseTimer(ctx, t)
-	defer timer.end()
+	defer func() { out.RetryTaken = timer.end() }()
 	answer, err := x.backend.Send(ctx, t.Server, x.call(t))
 	if err != nil {
 		return timer.result(tdflow.SendResult(ctx, err))
--- a/internal/entry/tdpass/silence.go
+++ b/internal/entry/tdpass/silence.go
@@ -58,10 +58,12 @@
 	return !rt.fired
 }
 
-// end stops the timer and releases the attempt's context.
-func (rt *responseTimer) end() {
-	rt.stop()
+// end stops the timer and releases the attempt's context. It reports whether the
+// timer has taken a retry from the budget.
+func (rt *responseTimer) end() bool {
+	continues := rt.stop()
 	rt.cancel(nil)
+	return !continues
 }
 
 // result stops the timer. It returns r, or a response timeout if the timer has
