--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -94,7 +94,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: c}, nil
+			return newCountedConn(c), nil
 		},
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        o.Idle,
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -9,20 +9,25 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // countedConn counts the writes started on a connection.
 type countedConn struct {
 	net.Conn
-	writes   atomic.Int64
-	inFlight atomic.Int64 // Writes that haven't returned.
-	failed   atomic.Bool  // A write has failed.
+	writes  atomic.Int64
+	writing chan struct{} // Holds an element during a write.
+	failed  atomic.Bool   // A write has failed.
+}
+
+func newCountedConn(c net.Conn) *countedConn {
+	return &countedConn{Conn: c, writing: make(chan struct{}, 1)}
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
-	c.inFlight.Add(1)
-	defer c.inFlight.Add(-1)
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
 	n, err := c.Conn.Write(b)
 	if err != nil {
 		c.failed.Store(true)
@@ -33,17 +38,34 @@
 // errUnsentEnd reports the end of a connection to which a request was being written.
 var errUnsentEnd = errors.New("connection ended while the request was being written")
 
+// maxWriteWait bounds the wait for a write at the end of its connection.
+const maxWriteWait = 100 * time.Millisecond
+
 // Read returns errUnsentEnd for the end of a connection on which a write failed or
-// goes on. The system reports a reset only once: if the write gets it, the read gets
-// io.EOF, as after a regular end.
+// doesn't return. The system reports a reset only once: if the write gets it, the
+// read gets io.EOF, as after a regular end.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, io.EOF) && (c.inFlight.Load() > 0 || c.failed.Load()) {
+	if errors.Is(err, io.EOF) && !c.written() {
 		err = errUnsentEnd
 	}
 	return n, err
 }
 
+// written waits for a write in progress and reports whether all writes so far have
+// succeeded.
+func (c *countedConn) written() bool {
+	timeout := time.NewTimer(maxWriteWait)
+	defer timeout.Stop()
+	select {
+	case c.writing <- struct{}{}:
+		<-c.writing
+		return !c.failed.Load()
+	case <-timeout.C:
+		return false
+	}
+}
+
 // sendTrace records the connections that the transport used for one request.
 type sendTrace struct {
 	mu   sync.Mutex
--- a/internal/platform/tdbackend/conn_test.go
+++ b/internal/platform/tdbackend/conn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // endedConn is a connection whose reads return io.EOF, and whose writes return err
@@ -27,21 +28,40 @@
 }
 
 // TestEndWhileWriting guards against a reset that a write got and that a read takes
-// for the regular end of the connection.
+// for the regular end of the connection, and against a regular end that is taken for
+// a reset since a write that succeeds hasn't returned yet.
 func TestEndWhileWriting(t *testing.T) {
 	var b [1]byte
-	c := &countedConn{Conn: &endedConn{}}
+	c := newCountedConn(&endedConn{})
 	_, _ = c.Write(b[:])
 	if _, err := c.Read(b[:]); !errors.Is(err, io.EOF) {
 		t.Errorf("after a write: %v", err)
 	}
-	c = &countedConn{Conn: &endedConn{err: syscall.ECONNRESET}}
+	c = newCountedConn(&endedConn{err: syscall.ECONNRESET})
 	_, _ = c.Write(b[:])
 	if _, err := c.Read(b[:]); !errors.Is(err, errUnsentEnd) {
 		t.Errorf("after a failed write: %v", err)
 	}
+	for _, want := range []error{io.EOF, errUnsentEnd} {
+		inner := &endedConn{begun: make(chan struct{}), release: make(chan struct{})}
+		if errors.Is(want, errUnsentEnd) {
+			inner.err = syscall.ECONNRESET
+		}
+		c = newCountedConn(inner)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = c.Write(b[:])
+		}()
+		<-inner.begun
+		time.AfterFunc(maxWriteWait/5, func() { close(inner.release) })
+		if _, err := c.Read(b[:]); !errors.Is(err, want) {
+			t.Errorf("during a write: %v, want %v", err, want)
+		}
+		<-done
+	}
 	inner := &endedConn{begun: make(chan struct{}), release: make(chan struct{})}
-	c = &countedConn{Conn: inner}
+	c = newCountedConn(inner)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -49,7 +69,7 @@
 	}()
 	<-inner.begun
 	if _, err := c.Read(b[:]); !errors.Is(err, errUnsentEnd) {
-		t.Errorf("during a write: %v", err)
+		t.Errorf("during a write that doesn't return: %v", err)
 	}
 	close(inner.release)
 	<-done
