Detect an event stream that ends with its connection inside an event

On the router's own interface a plain service's event stream without a length counted as complete when its connection ended inside an event. (The interface of the users' platform parses events and was not affected.)

Such a body now ends with an error. Test: "rejects one that ends inside an event" failed before. A body that ends between two events can't be told from a complete one.

--- a/internal/platform/tdbackend/backend_test.go
+++ b/internal/platform/tdbackend/backend_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -108,6 +109,10 @@
 		name, response string
 		complete       bool
 	}{
+		{"accepts an event stream that ends with the connection after an event", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nok\n\n", true},
+		{"accepts one with other line breaks", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nok\r\n\r\n", true},
+		{"accepts one without events", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", true},
+		{"rejects one that ends inside an event", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nok\n\nok\n", false},
 		{"accepts a body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true},
 		{"rejects a body that ends only with the connection", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nok", false},
 		{"rejects a body shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false},
@@ -122,7 +127,8 @@
 			Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = answer.Body.Close() }()
 			text, err := io.ReadAll(answer.Body)
-			Expect(string(text)).To(Equal("ok"))
+			_, sent, _ := strings.Cut(c.response, "\r\n\r\n")
+			Expect(string(text)).To(Equal(sent))
 			Expect(err == nil).To(Equal(c.complete))
 		})
 	}
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -124,20 +124,47 @@
 
 // delimitedBody returns the body of a response. If the body ends only with its
 // connection, it may be truncated, so reading its end returns errCloseDelimited
-// instead of io.EOF. Event streams and JSON are excepted: their format shows
-// where they end.
+// instead of io.EOF. JSON is excepted: its format shows where it ends; and so are
+// event streams, unless they end inside an event.
 func delimitedBody(res *http.Response) io.ReadCloser {
 	chunked := len(res.TransferEncoding) > 0
 	if res.ContentLength >= 0 || chunked || res.ProtoMajor > 1 {
 		return res.Body
 	}
 	media, _, _ := mime.ParseMediaType(res.Header.Get("Content-Type"))
-	if media == "text/event-stream" || media == "application/json" {
+	switch media {
+	case "application/json":
 		return res.Body
+	case "text/event-stream":
+		return &closeDelimitedEvents{ReadCloser: res.Body}
 	}
 	return closeDelimitedBody{res.Body}
 }
 
+// closeDelimitedEvents is an event stream that ends with its connection.
+type closeDelimitedEvents struct {
+	io.ReadCloser
+	line   bool // The current line isn't empty.
+	inside bool // An event has begun and not ended.
+}
+
+func (b *closeDelimitedEvents) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	for _, c := range p[:n] {
+		switch c {
+		case '\r':
+		case '\n':
+			b.inside, b.line = b.line, false
+		default:
+			b.inside, b.line = true, true
+		}
+	}
+	if b.inside && errors.Is(err, io.EOF) {
+		err = errCloseDelimited
+	}
+	return n, err
+}
+
 type closeDelimitedBody struct{ io.ReadCloser }
 
 func (b closeDelimitedBody) Read(p []byte) (int, error) {
