--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -76,7 +76,7 @@
 func (s *servers) Observe(tarragondeal.Sample)                   {}
 func (s *servers) Began(string)                                  {}
 
-// entry is a host with backend servers that answer each as told.
+// entry is a host with backend servers.
 type entry struct {
 	*servers
 	addr string
@@ -211,8 +211,8 @@
 	}
 }
 
-// TestContinuationIsLogged guards against a continued stream whose parts can't be
-// told from the logs.
+// TestContinuationIsLogged guards against a continued stream whose parts the logs
+// don't show.
 func TestContinuationIsLogged(t *testing.T) {
 	e := newEntry(t, broken(events(1, 3)), stream(events(4, 5)))
 	if got := e.send(t, "/resume/1"); got.err != nil || got.body != events(1, 5) {
@@ -749,3 +749,29 @@
 	}()
 	return netip.MustParseAddrPort(ln.Addr().String())
 }
+
+// TestHeadOfAStream guards against the answer to a HEAD request that is broken off
+// since it has a length and no body.
+func TestHeadOfAStream(t *testing.T) {
+	for _, path := range []string{"/resume/1", "/stream/1"} {
+		e := newEntry(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			stream("")(w, r)
+		})
+		req, err := http.NewRequest(http.MethodHead, "http://"+e.addr+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "x.example"
+		req.Header.Set("X-Request-Id", "q1")
+		res, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Errorf("%s: %v", path, err)
+			continue
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != http.StatusOK || strings.Contains(e.logs.String(), "broke") {
+			t.Errorf("%s: status %d, logs %s", path, res.StatusCode, e.logs)
+		}
+	}
+}
