--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -750,9 +750,9 @@
 	return netip.MustParseAddrPort(ln.Addr().String())
 }
 
-// TestHeadOfAStream guards against the answer to a HEAD request that is broken off
+// TestHeadIsNoBrokenStream guards against the answer to a HEAD request that is broken off
 // since it has a length and no body.
-func TestHeadOfAStream(t *testing.T) {
+func TestHeadIsNoBrokenStream(t *testing.T) {
 	for _, path := range []string{"/resume/1", "/stream/1"} {
 		e := newEntry(t, func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Content-Length", "9")
