tdmesh: apply a copy only if it goes on from the revision that is held

A node that receives copies of the store could lack a change for good, such as a server that left or a configuration, although its copy said to be complete.

Cause: a copy named the revision that it reaches, but not the one from which it goes on; the sender assumed that all copies before it had been applied. A receiver ignores a state while the sender is missing from its list, which happens when the sender's entry expires and is written again. It then applied the next copy, reported that copy's revision, and the sender never sent the missing changes. Sending again after 700 ms did not help while changes came more often than that.

A copy now names that revision, and a receiver that is behind it waits. The sender begins again from the reported revision if that has not advanced for 700 ms. Copies of earlier versions have no such revision and are applied as before.

TestCopiesAfterAnIgnoredOne failed before: 'at revision 30 the copy holds 29 entries, want 30'.

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -23,8 +23,8 @@
 	// maxSourceLag is how long a source may be behind other nodes before one of
 	// those replaces it: the source's own watch may have stalled.
 	maxSourceLag = 500 * time.Millisecond
-	// copyResendAfter is how long the receiver of a copy may take to report its
-	// revision; after that the copy is sent again.
+	// copyResendAfter is how long the receiver of copies may take to report a later
+	// revision; after that they are sent again.
 	copyResendAfter = 700 * time.Millisecond
 )
 
@@ -36,28 +36,50 @@
 	m.mu.Lock()
 	p := m.peers[w.peer]
 	wants := p != nil && p.source == m.self.Name
-	if wants && (p.revision > w.sentRevision || now.Sub(w.copySentAt) > copyResendAfter) {
-		w.sentRevision = p.revision
+	if wants {
+		w.recordReported(p.revision, now)
 	}
 	m.mu.Unlock()
 	if !wants || w.sentRevision >= revision {
 		return nil
 	}
-	entries, rev, whole := m.Mirror.Since(w.sentRevision)
-	w.sentRevision, w.copySentAt = rev, now
+	after := w.sentRevision
+	entries, rev, whole := m.Mirror.Since(after)
+	w.sentRevision = rev
 	out := &Copy{Revision: uint64(rev), Whole: whole}
+	if !whole {
+		out.After = uint64(after)
+	}
 	for _, e := range entries {
 		out.Items = append(out.Items, &Item{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: e.Deleted})
 	}
 	return out
 }
 
+// recordReported records the revision that the peer has reported. If it has not
+// advanced for copyResendAfter since a copy was sent, what was sent is sent again: the
+// peer may have ignored a state.
+func (w *stateWriter) recordReported(revision tarragondeal.Revision, now tarragondeal.Instant) {
+	switch {
+	case revision >= w.sentRevision || now.Sub(w.reportedAt) > copyResendAfter:
+		w.sentRevision, w.reportedAt = revision, now
+	case revision > w.reportedRevision:
+		w.reportedAt = now
+	}
+	w.reportedRevision = revision
+}
+
 // applyCopy applies changes of the store that another node has sent.
 func (m *Mesh) applyCopy(s *State) {
 	c := s.GetCopy()
 	if c == nil {
 		return
 	}
+	if held := m.Mirror.Revision(); uint64(held) < c.GetAfter() {
+		m.Log.Info().Str("peer", s.GetNode()).Uint64("revision", uint64(held)).Uint64("after", c.GetAfter()).
+			Msg("changes before a copy are missing, waiting for them")
+		return
+	}
 	entries := make([]tarragondeal.Entry, 0, len(c.GetItems()))
 	for _, i := range c.GetItems() {
 		entries = append(entries, tarragondeal.Entry{
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -14,13 +14,14 @@
 
 // stateWriter builds the states that are sent on one stream.
 type stateWriter struct {
-	m            *Mesh
-	openedTo     tarragondeal.NodeID // The node to which this one opened the stream; empty if it accepted it.
-	writers      []Writer
-	sentRevision tarragondeal.Revision // The store's revision in the last copy that was sent.
-	copySentAt   tarragondeal.Instant
-	sent         map[tarragondeal.NodeID]presence
-	sentWhole    bool // A complete list of presences has been sent.
+	m                *Mesh
+	openedTo         tarragondeal.NodeID // The node to which this one opened the stream; empty if it accepted it.
+	writers          []Writer
+	sentRevision     tarragondeal.Revision // The store's revision in the last copy that was sent.
+	reportedRevision tarragondeal.Revision // The revision that the peer reported last.
+	reportedAt       tarragondeal.Instant  // When the peer had all that was sent, or advanced.
+	sent             map[tarragondeal.NodeID]presence
+	sentWhole        bool // A complete list of presences has been sent.
 
 	// Guarded by the mutex of the mesh.
 	peer       tarragondeal.NodeID // Empty until the peer's first state.
