tdmesh: send everything again to a node that ignored states

A node could lack for good what another one had sent it: loads of engines, counts of begun requests and, from a relay, the presences of all its leaves. Requests then went to engines that another node had filled, a window's sums lacked requests, and live nodes were taken for gone.

Cause: a state holds only what has changed since the previous one on the same stream. A receiver ignores a state while the sender is missing from its list (its entry expires while it is cut off or frozen for longer than the TTL, and the sender opens its streams before the entry is written again and read), or while a previous process of the sender with a later incarnation still counts as alive. It also drops a relay's presences when it removes the relay.

A state now says whether the node has ignored states on the stream, or removed the peer, since its previous state. The peer then sends everything, as on a new stream: receivers already handle that. As each ignored state is reported, this ends with a complete state that is accepted.

Before the fix TestStatesAfterIgnoredOnes failed in all cases ('the receiver has news 0 of the sender, want 1', 'not all nodes see all others alive'), and TestStatesOfAnEarlierIncarnation with 'news 0 of the restarted process, want 1'. go test -race of tdmesh, tdbegun and tdfit passes.

--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -313,6 +313,9 @@
 	if p.cancel != nil {
 		p.cancel()
 	}
+	if p.writer != nil {
+		p.writer.missed = true // The peer may be listed again while its stream is open.
+	}
 	delete(m.peers, p.node.Name)
 	delete(m.forwarded, p.node.Name)
 	m.assignRelays()
--- a/internal/fleet/tdmesh/relay_test.go
+++ b/internal/fleet/tdmesh/relay_test.go
@@ -416,3 +416,49 @@
 		t.Error("the relay lost its leaf with the other stream")
 	}
 }
+
+// TestStatesAfterIgnoredOnes guards against sections and presences that a node lacks
+// for good, after it ignored states since their sender was not in its list: the sender
+// sends only what has changed since its previous state.
+func TestStatesAfterIgnoredOnes(t *testing.T) {
+	for _, rounds := range []int{0, 1, 2, 5} {
+		f := newFleet(t, 40)
+		f.runUntil("all nodes see all others alive", 6, f.allConnected)
+		sender, receiver := f.nodes["n007"], f.nodes["n017"] // Relays.
+		receiver.removePeer(receiver.peers["n007"])
+		sender.news = 1
+		for range rounds {
+			f.runRound()
+		}
+		receiver.addListed(sender.self)
+		for range 10 {
+			f.runRound()
+		}
+		if got := receiver.received["n007"]; got != 1 {
+			t.Errorf("%d rounds: the receiver has news %d of the sender, want 1", rounds, got)
+		}
+		if !f.allConnected() {
+			t.Errorf("%d rounds: not all nodes see all others alive", rounds)
+		}
+	}
+}
+
+// TestStatesOfAnEarlierIncarnation guards against sections that a node lacks for good,
+// after it ignored states of a restarted process since the previous one counted as
+// alive and had a later incarnation.
+func TestStatesOfAnEarlierIncarnation(t *testing.T) {
+	f := newFleet(t, 0)
+	f.add("a", 0)
+	f.add("b", 0)
+	a, b := f.nodes["a"], f.nodes["b"]
+	a.addListed(b.self)
+	b.addListed(a.self)
+	b.recordState(&State{Node: "a", Incarnation: 2}, b.newStateWriter(""))
+	a.news = 1
+	for range 20 {
+		f.runRound()
+	}
+	if got := b.received["a"]; got != 1 {
+		t.Errorf("news %d of the restarted process, want 1", got)
+	}
+}
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -170,18 +170,25 @@
 
 // recordState updates a peer from its state. It reports false if the state is
 // ignored: the peer is unknown, the stream is closed, a later incarnation of the
-// peer is alive, or another stream to the peer takes precedence.
+// peer is alive, or another stream to the peer takes precedence. On a stream that
+// stays open, the peer then sends everything again.
 func (m *Mesh) recordState(s *State, w *stateWriter) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	name := tarragondeal.NodeID(s.GetNode())
 	p := m.peers[name]
-	if p == nil || w.closed {
+	w.peerMissed = w.peerMissed || s.GetMissed()
+	if w.closed {
+		return false
+	}
+	if p == nil {
+		w.missed = true
 		return false
 	}
 	// Incarnations come from wall clocks, which may step back. After the
 	// previous process has gone silent, a lower one is a new process.
 	if s.GetIncarnation() < p.incarnation && m.isDirect(p) {
+		w.missed = true
 		return false
 	}
 	if w.peer, w.peerIsLeaf = name, s.GetLeaf(); !m.selectStream(p, w) {
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -27,6 +27,8 @@
 	peer       tarragondeal.NodeID // Empty until the peer's first state.
 	peerIsLeaf bool                // The peer is a leaf of this node.
 	closed     bool                // States received on the stream are ignored.
+	missed     bool                // States were ignored since the last one that was sent.
+	peerMissed bool                // The peer has ignored states; everything is sent again.
 	cancel     context.CancelFunc  // Ends a stream that this node opened; nil for others.
 }
 
@@ -40,11 +42,31 @@
 }
 
 func (m *Mesh) newStateWriter(to tarragondeal.NodeID) *stateWriter {
-	w := &stateWriter{m: m, openedTo: to, sent: make(map[tarragondeal.NodeID]presence)}
-	for _, p := range m.publishers {
+	w := &stateWriter{m: m, openedTo: to}
+	w.reset()
+	return w
+}
+
+// reset makes the next state complete.
+func (w *stateWriter) reset() {
+	w.writers = nil
+	for _, p := range w.m.publishers {
 		w.writers = append(w.writers, p.open())
 	}
-	return w
+	w.sent, w.sentWhole = make(map[tarragondeal.NodeID]presence), false
+}
+
+// takeMissed returns whether states of the peer were ignored since the last call. If the
+// peer has ignored states, the next state is made complete.
+func (w *stateWriter) takeMissed() bool {
+	w.m.mu.Lock()
+	missed, peerMissed := w.missed, w.peerMissed
+	w.missed, w.peerMissed = false, false
+	w.m.mu.Unlock()
+	if peerMissed {
+		w.reset()
+	}
+	return missed
 }
 
 // nextState returns the next state to send.
@@ -57,6 +79,7 @@
 	s := &State{
 		Node: string(m.self.Name), Incarnation: m.self.Incarnation, Ready: m.Ready(), Revision: uint64(revision),
 		WallNanos: wall, Follows: follows, Fed: m.canProvideCopies(follows, source), Source: string(source),
+		Missed: w.takeMissed(),
 	}
 	if age, ok := m.copyAge(follows); ok {
 		millis := uint32(min(max(age, 0)/time.Millisecond, math.MaxUint32))
