tdmesh: run the cases of the fleets in simulated time in parallel

Each case has its own bubble and its own fleet, and all its times are simulated, so that no case depends on the others or on the machine. Cases, times and bounds are unchanged.

--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -503,6 +504,7 @@
 		{"all relays and a third of all nodes", relays, 3, 200 * time.Millisecond, false, storeDelay},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			runLiveFleet(t, 30, 5, func(t *testing.T, f *liveFleet) {
 				f.store.set(c.resets, c.delay)
 				time.Sleep(c.phase)
@@ -535,6 +537,7 @@
 func TestStoreUnavailableToAll(t *testing.T) {
 	for _, resets := range []bool{false, true} {
 		t.Run(fmt.Sprintf("resets %t", resets), func(t *testing.T) {
+			t.Parallel()
 			runLiveFleet(t, 30, 5, func(t *testing.T, f *liveFleet) {
 				f.store.set(resets, storeDelay)
 				f.store.cutOff(slices.Collect(maps.Keys(f.nodes))...)
@@ -571,10 +574,16 @@
 // one depend on the random waits of the nodes.
 func TestHistoryDiscarded(t *testing.T) {
 	const size = 30
-	calls, cases := 0, 0
+	var calls, cases atomic.Int64
+	t.Cleanup(func() { // After all cases, which run in parallel.
+		if calls.Load() > cases.Load()*size*3/2 {
+			t.Errorf("%d calls in %d cases", calls.Load(), cases.Load())
+		}
+	})
 	for _, phase := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
 		for _, cut := range []bool{false, true} {
 			t.Run(fmt.Sprintf("after %s, relays cut off %t", phase, cut), func(t *testing.T) {
+				t.Parallel()
 				runLiveFleet(t, size, 5, func(t *testing.T, f *liveFleet) {
 					if cut {
 						f.store.cutOff(f.relays()[2:]...)
@@ -589,13 +598,10 @@
 					if n, example := f.lacking(revision); n > 0 {
 						t.Errorf("%d nodes lack the version, %s among them", n, example)
 					}
-					calls += f.store.totalCalls() - before
-					cases++
+					calls.Add(int64(f.store.totalCalls() - before))
+					cases.Add(1)
 				})
 			})
 		}
 	}
-	if calls > cases*size*3/2 {
-		t.Errorf("%d calls in %d cases", calls, cases)
-	}
 }
