tdmirror: watch a slow store for a shorter time

With a store that takes more than half a second to answer, versions came late and nodes kept beginning and stopping to follow the store.

So each one failed, the follower counted as cut off until a short watch was answered, and other relays and leaves took over and met the same.

A watch is now shorter by what twice the delay of the last one without changes exceeds the 500 ms. The time after which a silent connection is detected, and the age from which others don't use a follower's copies, stay as they are, and so does a watch of a store that answers within 250 ms.

TestSlowStore failed before at 700 ms ('119 calls in 10 s') and 1 s ('127 calls in 10 s'), each with 'began or stopped to follow the store'; at 400 ms it passed. go test -race of tdmirror, tdmesh and tdlisting passes.

--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -532,6 +532,36 @@
 	}
 }
 
+// TestSlowStore guards against followers that keep changing, and versions that come
+// late, when the store answers all calls slowly.
+func TestSlowStore(t *testing.T) {
+	for _, delay := range []time.Duration{400 * time.Millisecond, 700 * time.Millisecond, time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			runLiveFleet(t, 30, 5, func(t *testing.T, f *liveFleet) {
+				f.store.set(false, delay)
+				time.Sleep(10 * time.Second)
+				before, calls := f.switches(), f.store.totalCalls()
+				for range 4 {
+					revision := f.store.write()
+					time.Sleep(versionBound)
+					if n, example := f.lacking(revision); n > 0 {
+						t.Errorf("%d nodes lack revision %d, %s among them", n, revision, example)
+					}
+				}
+				for name, n := range f.switches() {
+					if n -= before[name]; n > 0 {
+						t.Errorf("%s began or stopped to follow the store %d times", name, n)
+					}
+				}
+				if n := f.store.totalCalls() - calls; n > 15*maxFollowers {
+					t.Errorf("%d calls in 10 s", n)
+				}
+			})
+		})
+	}
+}
+
 // TestStoreUnavailableToAll guards against a flood of calls when the store is
 // unavailable to all nodes, and against versions that come late after it.
 func TestStoreUnavailableToAll(t *testing.T) {
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -32,7 +32,8 @@
 
 const (
 	// watchTimeout is how long the service may hold one watch open. A silent
-	// connection is detected watchGrace later.
+	// connection is detected watchGrace later. A slow service may hold it open for
+	// less, so that it has twice its delay to answer in the same time.
 	watchTimeout = time.Second
 	watchGrace   = 500 * time.Millisecond
 	// confirmWait is the wait of a watch whose answer confirms that the service
@@ -102,6 +103,7 @@
 	listings       []listing // The last listings, without their entries.
 	unavailable    bool
 	failures       int                  // Calls that failed since the last one that did not.
+	delay          time.Duration        // How late the service answered the last watch without changes.
 	availableSince tarragondeal.Instant // When the last outage ended; zero before the first.
 	confirmedAt    tarragondeal.Instant // When the service last answered; zero before the first answer.
 	subscribers    []func(Changes)
@@ -190,6 +192,7 @@
 	wait, timeout := m.watchTimes()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	start := m.clock.Now()
 	entries, next, err := m.source.Watch(ctx, "", rev, wait)
 	var historyErr *tarragondeal.HistoryError
 	if errors.As(err, &historyErr) {
@@ -204,7 +207,11 @@
 		return false, err
 	}
 	m.apply(entries, max(next, rev))
-	m.recordAnswer(m.clock.Now())
+	now := m.clock.Now()
+	if len(entries) == 0 {
+		m.recordDelay(now.Sub(start) - wait)
+	}
+	m.recordAnswer(now)
 	return len(entries) > 0, nil
 }
 
@@ -217,7 +224,14 @@
 	if m.unavailable || m.clock.Now().Sub(m.confirmedAt) > MaxAnswerAge {
 		return confirmWait, min(minConfirmTimeout<<min(max(m.failures-1, 0), 2), maxConfirmTimeout)
 	}
-	return watchTimeout, watchTimeout + watchGrace
+	excess := max(0, 2*m.delay-watchGrace)
+	return max(confirmWait, watchTimeout-excess), watchTimeout + watchGrace
+}
+
+func (m *Mirror) recordDelay(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.delay = max(0, d)
 }
 
 // listing is a full copy of the keys with some prefix. An entry that is not in it
