tdhost: let a caller that doesn't read block the writer on any machine

On the busy machine 2.8 MB had been sent by then, and the buffers took them, so that the deadline came first and the case was not the one to be tested; that nothing looked complete held.

The send buffer of the node's connections and the receive buffer of that caller are now 16 kB each.

--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -141,12 +141,22 @@
 	}, tdflow.Options{Attempts: 3, WriteTimeout: time.Minute})
 	e.host = New(Deps{Flow: flow, Backend: backend, Starts: e.servers, Clock: clock, Log: log, Scope: tally.NoopScope})
 	e.host.SetView(tarragondeal.NewView(1, set), platform.CallerLimits{})
-	srv := httptest.NewServer(e.host)
+	srv := httptest.NewUnstartedServer(e.host)
+	srv.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		// A caller that doesn't read soon blocks the writer, however slow the machine is.
+		_ = c.(*net.TCPConn).SetWriteBuffer(connBuffer)
+		return ctx
+	}
+	srv.Start()
 	t.Cleanup(srv.Close)
 	e.addr = srv.Listener.Addr().String()
 	return e
 }
 
+// connBuffer is the size in bytes of the send buffer of an entry's connections, and of
+// the receive buffer of a caller that doesn't read.
+const connBuffer = 16 << 10
+
 func signed(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
@@ -665,6 +675,9 @@
 		})
 		conn := e.raw(t, "/short/1")
 		if slow {
+			if err := conn.SetReadBuffer(connBuffer); err != nil {
+				t.Fatal(err)
+			}
 			time.Sleep(writeMargin + 500*time.Millisecond)
 		}
 		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
