--- /dev/null
+++ b/internal/fleet/tdmesh/follow.go
@@ -0,0 +1,186 @@
+package tdmesh
+
+import (
+	"time"
+
+	"tarragondeal"
+	"tarragondeal/internal/fleet/tdmirror"
+)
+
+const (
+	// maxFollowers is how many relays of a large fleet follow the store. The
+	// other nodes receive copies, which saves calls to the store.
+	maxFollowers = 4
+	// noSourceTimeout is the longest time that a node without any source of copies
+	// waits before it follows the store itself. Each node waits for a random time
+	// from minNoSourceTimeout, which is long enough for other relays to follow, so
+	// that the first ones become sources of the others.
+	noSourceTimeout    = 600 * time.Millisecond
+	minNoSourceTimeout = 300 * time.Millisecond
+	// maxFollowerAge is how old the copy of a source that follows the store may
+	// be: as old as its last answer, and the time until its next state.
+	maxFollowerAge = tdmirror.MaxAnswerAge + 400*time.Millisecond
+	// maxSourceLag is how long a source may be behind other nodes before one of
+	// those replaces it: the source's own watch may have stalled.
+	maxSourceLag = 500 * time.Millisecond
+)
+
+// Follows reports whether this node should follow the store itself. In a large
+// fleet only a few relays do, and nodes that have no source of copies.
+func (m *Mesh) Follows() bool {
+	revision := m.Mirror.Revision()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	reason := m.reasonToFollow()
+	if reason != m.followReason {
+		m.Log.Info().Str("reason", string(reason)).Str("before", string(m.followReason)).Uint64("revision", uint64(revision)).
+			Msg("reason to follow the store changed")
+		m.followReason = reason
+	}
+	return reason != ""
+}
+
+// followReason is why a node follows the store; empty if it does not.
+type followReason string
+
+const (
+	followSmallFleet followReason = "small fleet"
+	followRank       followReason = "rank"
+	followNoSource   followReason = "no source"
+)
+
+func (m *Mesh) reasonToFollow() followReason {
+	if len(m.peers) < fullMeshSize {
+		return followSmallFleet
+	}
+	if m.isRelay(m.self.Name) && m.higherRankedFollowers() < maxFollowers {
+		return followRank
+	}
+	now := m.Clock.Now()
+	if m.newestSource() != nil {
+		m.noSourceSince = 0
+		return ""
+	}
+	if m.noSourceSince == 0 {
+		m.noSourceSince = now
+	}
+	if now.Sub(m.noSourceSince) > m.noSourceTimeout {
+		return followNoSource
+	}
+	return ""
+}
+
+// reachesStore reports whether the store is available to this node: it has answered
+// recently, and no call has failed since.
+func (m *Mesh) reachesStore() bool {
+	at := m.Mirror.ConfirmedAt()
+	return at != 0 && m.Clock.Now().Sub(at) < tdmirror.MaxAnswerAge && !m.Mirror.Unavailable()
+}
+
+// isFollower reports whether a peer follows the store and its copy is recent. The age
+// of a copy is not known from nodes of earlier versions.
+func (m *Mesh) isFollower(p *peer) bool {
+	return m.isDirect(p) && p.followsStore && (p.copyAt == 0 || m.Clock.Now().Sub(p.copyAt) < maxFollowerAge)
+}
+
+// higherRankedFollowers returns how many relays that follow the store take precedence
+// over this one, by rank within the data centre and then by name.
+func (m *Mesh) higherRankedFollowers() int {
+	ownRank, n := m.relays[m.self.Name], 0
+	for name, rank := range m.relays {
+		if (rank < ownRank || rank == ownRank && name < m.self.Name) && m.isFollower(m.peers[name]) {
+			n++
+		}
+	}
+	return n
+}
+
+// chooseSource returns the node that this node receives copies of the store from.
+// It is empty if this node needs no copies or no node can provide them.
+func (m *Mesh) chooseSource(follows bool, revision tarragondeal.Revision) tarragondeal.NodeID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.source
+	m.updateSource(follows, revision)
+	if m.source != before {
+		line := m.Log.Info().Str("peer", string(m.source)).Str("before", string(before)).Uint64("revision", uint64(revision))
+		if p := m.peers[m.source]; p != nil {
+			line.Uint64("newest", uint64(p.revision))
+			if p.copyAt != 0 {
+				line.Dur("copyAge", m.Clock.Now().Sub(p.copyAt))
+			}
+		}
+		line.Msg("source of copies changed")
+	}
+	return m.source
+}
+
+func (m *Mesh) updateSource(follows bool, revision tarragondeal.Revision) {
+	best := m.newestSource()
+	if best == nil || follows && !m.isBehind(best, revision) {
+		m.source = ""
+		return
+	}
+	now := m.Clock.Now()
+	p := m.peers[m.source]
+	switch {
+	case p == nil || !m.isSource(p) || best.revision >= p.revision && m.isRelay(best.node.Name) && !m.isRelay(p.node.Name):
+		m.source, m.sourceBehindSince = best.node.Name, 0
+	case p.revision >= best.revision:
+		m.sourceBehindSince = 0
+	case m.sourceBehindSince == 0:
+		m.sourceBehindSince = now
+	case now.Sub(m.sourceBehindSince) > maxSourceLag:
+		m.Log.Info().Str("peer", string(m.source)).Uint64("revision", uint64(p.revision)).
+			Str("instead", string(best.node.Name)).Uint64("newest", uint64(best.revision)).Msg("source is behind, switching to another node")
+		m.source, m.sourceBehindSince = best.node.Name, 0
+	}
+}
+
+// isBehind reports whether this node has been behind another one for longer than
+// maxSourceLag although it follows the store: its watch may have stalled.
+func (m *Mesh) isBehind(best *peer, revision tarragondeal.Revision) bool {
+	now := m.Clock.Now()
+	if revision >= best.revision {
+		m.selfBehindSince = 0
+		return false
+	}
+	if m.selfBehindSince == 0 {
+		m.selfBehindSince = now
+	}
+	return now.Sub(m.selfBehindSince) > maxSourceLag
+}
+
+// canProvideCopies reports whether this node can send copies to others: it follows
+// the store, or its source does. Copies are not forwarded further, so that two
+// nodes can't take each other for a source.
+func (m *Mesh) canProvideCopies(follows bool, source tarragondeal.NodeID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return follows || m.isFollower(m.peers[source])
+}
+
+// isSource reports whether a peer can provide copies to this node. It must follow
+// the store itself, or be this node's relay and receive copies from a follower. A
+// peer that receives its copies from this node is no source.
+func (m *Mesh) isSource(p *peer) bool {
+	if p.source == m.self.Name {
+		return false
+	}
+	return m.isFollower(p) || m.isDirect(p) && p.hasCopies && p.node.Name == m.parent
+}
+
+// newestSource returns the source with the latest revision of the store, or nil if
+// there is no source. Of several it is a relay.
+func (m *Mesh) newestSource() *peer {
+	var best *peer
+	for _, p := range m.peers {
+		if !m.isSource(p) {
+			continue
+		}
+		if best == nil || p.revision > best.revision || p.revision == best.revision && m.isRelay(p.node.Name) && !m.isRelay(best.node.Name) {
+			best = p
+		}
+	}
+	return best
+}
--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -418,7 +418,7 @@
 	}
 }
 
-// TestRelaysReplaceFollowers guards against a store that nobody follows: relays that
+// TestRelaysReplaceFollowers guards against a store that no node follows: relays that
 // precede this one but do not reach the store must not keep it from following.
 func TestRelaysReplaceFollowers(t *testing.T) {
 	for _, followers := range []int{0, maxFollowers - 1, maxFollowers, maxFollowers + 1} {
