--- /dev/null
+++ b/internal/fleet/tdmirror/apply.go
@@ -0,0 +1,125 @@
+package tdmirror
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"tarragondeal"
+)
+
+// Apply applies changes up to revision rev that another node has copied. If whole
+// is set, entries is that node's full copy. Changes that are not newer than this
+// copy are ignored.
+func (m *Mirror) Apply(entries []tarragondeal.Entry, rev tarragondeal.Revision, whole bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case rev <= m.rev:
+	case whole:
+		m.replace([]listing{{entries: entries, rev: rev}}, false)
+	default:
+		m.add(entries, rev)
+	}
+}
+
+func (m *Mirror) apply(entries []tarragondeal.Entry, rev tarragondeal.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.add(entries, rev)
+}
+
+// add applies all changes from the copy's revision to rev. The service does not
+// promise an order of events.
+func (m *Mirror) add(entries []tarragondeal.Entry, rev tarragondeal.Revision) {
+	entries = slices.SortedStableFunc(slices.Values(entries), func(a, b tarragondeal.Entry) int {
+		return cmp.Compare(a.Revision, b.Revision)
+	})
+	known := m.rev
+	m.merge(entries, rev, known)
+	for _, e := range entries {
+		if m.isMirrored(e.Key) && e.Revision > known {
+			m.record(e)
+		}
+	}
+}
+
+// merge applies entries and passes those that are newer than the copy to the
+// subscribers. Keys that are not held did not exist at revision known, nor when they
+// were listed, so an entry of one that is not later comes from an answer or a copy
+// that was overtaken.
+func (m *Mirror) merge(entries []tarragondeal.Entry, rev, known tarragondeal.Revision) {
+	var accepted []tarragondeal.Entry
+	for _, e := range entries {
+		if m.isMirrored(e.Key) && m.isNewer(e, known) {
+			m.put(e)
+			accepted = append(accepted, e)
+		}
+	}
+	m.rev = max(m.rev, rev)
+	if len(accepted) == 0 {
+		return
+	}
+	m.opt.Scope.Counter("changes").Inc(int64(len(accepted)))
+	c := Changes{Entries: accepted, AfterOutage: m.unavailable}
+	if !m.unavailable && m.availableSince != 0 && m.clock.Now().Sub(m.availableSince) < outageGrace {
+		c.AfterOutage, c.OutageEnd = true, m.availableSince
+	}
+	for _, receive := range m.subscribers {
+		receive(c)
+	}
+}
+
+func (m *Mirror) isMirrored(key string) bool {
+	return slices.ContainsFunc(m.opt.Prefixes, func(p string) bool { return strings.HasPrefix(key, p) })
+}
+
+func (m *Mirror) isNewer(e tarragondeal.Entry, known tarragondeal.Revision) bool {
+	held, ok := m.items[e.Key]
+	switch {
+	case e.Deleted:
+		return ok && e.Revision >= held.Revision
+	case ok:
+		return e.Revision > held.Revision
+	}
+	return e.Revision > max(known, listedAt(m.listings, e.Key))
+}
+
+func (m *Mirror) put(e tarragondeal.Entry) {
+	if e.Deleted {
+		delete(m.items, e.Key)
+	} else {
+		m.items[e.Key] = e
+	}
+}
+
+// record adds a change to the history, whether or not it was new to this copy: a
+// listing may have included it before, but other nodes may lack it.
+func (m *Mirror) record(e tarragondeal.Entry) {
+	m.history = append(m.history, e)
+	if over := len(m.history) - maxHistory; over > 0 {
+		for _, trimmed := range m.history[:over] {
+			m.historyStart = max(m.historyStart, trimmed.Revision)
+		}
+		m.history = slices.Delete(m.history, 0, over)
+	}
+}
+
+// Since returns the changes after a revision, and the revision up to which they are
+// complete. If after is zero or older than the history, it returns the full copy.
+func (m *Mirror) Since(after tarragondeal.Revision) (entries []tarragondeal.Entry, rev tarragondeal.Revision, whole bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if after == 0 || after < m.historyStart {
+		for _, e := range m.items {
+			entries = append(entries, e)
+		}
+		return entries, m.rev, true
+	}
+	for _, e := range m.history {
+		if e.Revision > after {
+			entries = append(entries, e)
+		}
+	}
+	return entries, m.rev, false
+}
