Read the limits that servers announce, and log requests sent to them

A node logs when the limit of a server appears, changes or ends, with the request whose answer said so, and each request and attempt that it sends to a server with a limit, with the age of what it knows.

tdpass.New takes its dependencies as a struct, since there is one more.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -74,6 +74,7 @@
 	seq            uint64
 	lastHeard      map[tarragondeal.NodeID]tarragondeal.Instant // When a node's load was last received.
 	lastStarts     map[string]tierStarts                        // By pool.
+	limits         map[serverRun]*serverLimit
 }
 
 // openGrant is a grant that has not ended.
@@ -92,7 +93,7 @@
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant), crashes: newCrashes(d.Clock),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
-		lastStarts: make(map[string]tierStarts),
+		lastStarts: make(map[string]tierStarts), limits: make(map[serverRun]*serverLimit),
 	}
 }
 
@@ -262,6 +263,7 @@
 	if r.tight {
 		s.own.tight++
 	}
+	f.logLimited(r.ask, s, now)
 	id := tarragondeal.GrantID(strconv.FormatUint(f.lastGrant.Add(1), 10))
 	f.grants[id] = open
 	return tarragondeal.Grant{
--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -34,6 +34,7 @@
 	Flow    Flow
 	Backend tarragondeal.Backend
 	Starts  tdpass.Starts
+	Limits  tarragondeal.ServerLimits
 	Clock   tarragondeal.Clock
 	Log     zerolog.Logger
 	Scope   tally.Scope
@@ -101,7 +102,9 @@
 		if !q.Route.Resumable {
 			caller.Resume = "" // The stream begins with its first event.
 		}
-		q.Exchange = tdpass.New(h.Backend, h.Starts, caller, r.Host, h.Clock, h.Log)
+		q.Exchange = tdpass.New(tdpass.Deps{
+			Backend: h.Backend, Starts: h.Starts, Limits: h.Limits, Clock: h.Clock, Log: h.Log,
+		}, caller, r.Host)
 		err = h.run(r.Context(), w, q)
 	}
 	if err != nil {
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -75,6 +75,8 @@
 func (s *servers) Waste(tarragondeal.Waste)                      {}
 func (s *servers) Observe(tarragondeal.Sample)                   {}
 func (s *servers) Began(string)                                  {}
+func (s *servers) ObserveLimit(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.ServerLimit, tarragondeal.Instant) {
+}
 
 // entry is a host with backend servers.
 type entry struct {
@@ -139,7 +141,7 @@
 	flow := tdflow.New(tdflow.Deps{
 		Dispatch: e.servers, Backend: backend, Meter: e.servers, Burn: e.servers, Clock: clock, Metrics: tally.NoopScope, Log: log,
 	}, tdflow.Options{Attempts: 3, WriteTimeout: time.Minute})
-	e.host = New(Deps{Flow: flow, Backend: backend, Starts: e.servers, Clock: clock, Log: log, Scope: tally.NoopScope})
+	e.host = New(Deps{Flow: flow, Backend: backend, Starts: e.servers, Limits: e.servers, Clock: clock, Log: log, Scope: tally.NoopScope})
 	e.host.SetView(tarragondeal.NewView(1, set), platform.CallerLimits{})
 	srv := httptest.NewUnstartedServer(e.host)
 	srv.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
--- a/internal/entry/tdpass/doc.go
+++ b/internal/entry/tdpass/doc.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	x := tdpass.New(backend, starts, caller, host, clock, log)
+//	x := tdpass.New(tdpass.Deps{...}, caller, host)
 //	request.Exchange = x
 //	err := flow.Run(ctx, w, request)
 package tdpass
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -42,15 +42,21 @@
 	Began(workspace string)
 }
 
+// Deps holds the dependencies of an Exchange.
+type Deps struct {
+	Backend tarragondeal.Backend
+	Starts  Starts
+	Limits  tarragondeal.ServerLimits
+	Clock   tarragondeal.Clock
+	Log     zerolog.Logger
+}
+
 // Exchange relays one request. Its state spans all attempts of the request.
 type Exchange struct {
-	backend tarragondeal.Backend
-	starts  Starts
-	caller  platform.Caller
-	host    string
-	clock   tarragondeal.Clock
-	log     zerolog.Logger
-	timing  eventTiming
+	Deps
+	caller platform.Caller
+	host   string
+	timing eventTiming
 
 	headSent  bool // The response header of a stream has been sent to the caller.
 	status    int  // Status and media type in that header.
@@ -62,8 +68,8 @@
 }
 
 // New returns the Exchange of one request that was sent to host.
-func New(b tarragondeal.Backend, s Starts, c platform.Caller, host string, clock tarragondeal.Clock, log zerolog.Logger) *Exchange {
-	return &Exchange{backend: b, starts: s, caller: c, host: host, clock: clock, log: log, order: order{last: c.Resume}}
+func New(d Deps, c platform.Caller, host string) *Exchange {
+	return &Exchange{Deps: d, caller: c, host: host, order: order{last: c.Resume}}
 }
 
 // Do makes one attempt.
@@ -78,7 +84,8 @@
 func (x *Exchange) attempt(ctx context.Context, t *tdflow.Attempt) (out tdflow.Result) {
 	ctx, timer := x.startResponseTimer(ctx, t)
 	defer func() { out.RetryTaken = timer.end() }()
-	answer, err := x.backend.Send(ctx, t.Server, x.call(t))
+	sent := x.Clock.Now()
+	answer, err := x.Backend.Send(ctx, t.Server, x.call(t))
 	if err != nil {
 		return timer.result(tdflow.SendResult(ctx, err))
 	}
@@ -91,6 +98,7 @@
 		answer.Drop()
 		return invalid(errOtherRequest)
 	}
+	x.observeLimit(t, answer.Status, &reply, sent)
 	if reply.NotRun {
 		return x.rejected(answer)
 	}
@@ -112,6 +120,20 @@
 	return x.relayPlain(ctx, t, answer)
 }
 
+// observeLimit passes on what an answer says about the server's limit. A 421 may come
+// from another server at the same address, and without a signature or a limit an
+// answer may not come from the server's software at all.
+func (x *Exchange) observeLimit(t *tdflow.Attempt, status int, r *platform.Reply, sent tarragondeal.Instant) {
+	if r.LimitErr != nil {
+		x.Log.Warn().Err(r.LimitErr).Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Msg("invalid server limit")
+		return
+	}
+	if status == http.StatusMisdirectedRequest || !r.Limit.Announced && !r.Signed {
+		return
+	}
+	x.Limits.ObserveLimit(t.Server, t.Request.ID, r.Limit, sent)
+}
+
 // countStart counts a request, once, when its server begins to answer. A stream is
 // counted at its first event.
 func (x *Exchange) countStart(t *tdflow.Attempt) {
@@ -119,7 +141,7 @@
 		return
 	}
 	x.counted = true
-	x.starts.Began(t.Request.Workspace.Name)
+	x.Starts.Began(t.Request.Workspace.Name)
 }
 
 // call returns the request to send to the server.
@@ -192,7 +214,7 @@
 // detects itself.
 func (x *Exchange) deliverError(deliver func(http.ResponseWriter) error, w http.ResponseWriter) error {
 	if err := deliver(w); err != nil {
-		x.log.Info().Err(err).Str("request", x.caller.ID).Msg("writing the server's error response to the caller failed")
+		x.Log.Info().Err(err).Str("request", x.caller.ID).Msg("writing the server's error response to the caller failed")
 	}
 	return nil
 }
--- a/internal/entry/tdpass/log.go
+++ b/internal/entry/tdpass/log.go
@@ -9,7 +9,7 @@
 
 // logContinuation logs how a server answers a request to continue a broken stream.
 func (x *Exchange) logContinuation(t *tdflow.Attempt, answer *tarragondeal.Answer) {
-	x.log.Info().Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Int("attempt", t.Number).
+	x.Log.Info().Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Int("attempt", t.Number).
 		Str("afterEvent", x.order.last).Int("status", answer.Status).Str("media", answer.Header.Get("Content-Type")).
 		Int64("length", answer.Length).Msg("broken stream continued at another server")
 }
@@ -24,7 +24,7 @@
 	if out.Failure == tdflow.FailNone {
 		message = "continued stream is complete"
 	}
-	line := x.log.Info().Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Int("attempt", t.Number).
+	line := x.Log.Info().Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Int("attempt", t.Number).
 		Str("lastEvent", x.order.last).Int("events", x.timing.events)
 	if out.Failure != tdflow.FailNone {
 		line = line.Stringer("failure", out.Failure).AnErr("error", out.Err).AnErr("cause", context.Cause(ctx))
--- a/internal/entry/tdpass/stream.go
+++ b/internal/entry/tdpass/stream.go
@@ -100,7 +100,7 @@
 		}
 		if !isComment(&ev) {
 			p.placed = true
-			x.timing.event(x.clock.Now())
+			x.timing.event(x.Clock.Now())
 		}
 		if err := x.writeEvent(t.W, rc, &ev, events.More()); err != nil {
 			return tdflow.Result{Failure: tdflow.FailCallerGone, Ran: tarragondeal.RanYes, Err: err}
@@ -113,7 +113,7 @@
 func (x *Exchange) beginStream(t *tdflow.Attempt, answer *tarragondeal.Answer) {
 	if !x.counted {
 		x.counted = true
-		x.starts.Began(t.Request.Workspace.Name)
+		x.Starts.Began(t.Request.Workspace.Name)
 	}
 	t.OnBegin()
 	if x.headSent {
--- a/internal/entry/tdpass/timing.go
+++ b/internal/entry/tdpass/timing.go
@@ -35,7 +35,7 @@
 	if !late && !slow {
 		return
 	}
-	x.log.Info().Str("request", x.caller.ID).Str("class", class.Name).Str("server", string(t.Server.ID)).
+	x.Log.Info().Str("request", x.caller.ID).Str("class", class.Name).Str("server", string(t.Server.ID)).
 		Dur("firstEvent", first).Dur("objective", time.Duration(class.FirstToken)).
 		Dur("longestPause", x.timing.longest).Int("atEvent", x.timing.longestAt).Dur("permittedPause", gap).
 		Int("events", x.timing.events).Int("attempt", t.Number).Msg("stream missed the targets of its class")
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -170,7 +170,7 @@
 	}, tdflow.Options{Attempts: defaultMaxAttempts})
 	n.host = tdhost.New(tdhost.Deps{
 		Flow: flow, Backend: tdbackend.NewWith(tdbackend.Options{Dialer: tddial.New(), Idle: serverIdleTimeout, Verbatim: true}),
-		Starts: n.begun, Clock: n.clock, Log: log, Scope: scope,
+		Starts: n.begun, Limits: n.fit, Clock: n.clock, Log: log, Scope: scope,
 	})
 }
 
--- a/limit.go
+++ b/limit.go
@@ -9,3 +9,18 @@
 	// routes.
 	Admit(ws *Workspace, key *Key, route *Route, tokens int) (release func(tokens int), err error)
 }
+
+// ServerLimit is the rate of requests that a backend server accepts from all nodes
+// together, as announced in an answer.
+type ServerLimit struct {
+	Announced bool    // The answer announces a limit.
+	PerSecond float64 // Requests per second, not negative.
+}
+
+// ServerLimits records the limits that backend servers announce.
+type ServerLimits interface {
+	// ObserveLimit records the limit in an answer of s to a request that was sent
+	// at sent. An answer without a limit ends the one that was announced before
+	// the request was sent.
+	ObserveLimit(s Server, request RequestID, l ServerLimit, sent Instant)
+}
