--- a/test/vm/server_test.go
+++ b/test/vm/server_test.go
@@ -33,6 +33,7 @@
 	breakAfter int  // Number of events after which the connection breaks; 0 means never.
 	reject     bool
 	status     int                                          // Status of all answers, if not 0; requests have run.
+	limit      string                                       // Requests per second that answers announce; empty means no limit.
 	chat       func(w http.ResponseWriter, r *http.Request) // Answers streams, if set.
 }
 
@@ -70,6 +71,9 @@
 		rejected: s.reject || r.Header.Get("X-Expect-Instance") != s.id,
 	})
 	delay, events, breakAfter, reject, status, chat := s.delay, s.events, s.breakAfter, s.reject, s.status, s.chat
+	if s.limit != "" {
+		w.Header().Set("Server-Limit", s.limit)
+	}
 	suffix := ""
 	if s.named {
 		suffix = " of " + r.URL.Path
