Keep the limits that servers announce, over all nodes together

What callers saw: a server in need that announces how many requests a second it accepts from all nodes got as many as before (14 in 4 s where 11 are permitted; 13 and 26 for 11 and 24 in the users' record), and its requests were slow or lost with it.

Cause: nothing acted on the limit. A node chose servers by its estimate of their load alone, and there was no way to hold a rate that is far under one request a second and node.

Change: tdshare divides a rate over the nodes without messages. Time is divided into slots; each slot's permits belong to nodes found by rendezvous hashing, and last one second at most, so that neither the number of nodes nor unused permits add to the rate. tdfit asks for a permit where a server becomes the choice of an attempt, the one place through which first attempts, retries and continuations pass. What a server announced goes to all nodes with their load, the latest announcement first; it ends with an answer without a limit to a later request, or with the server's run. More urgent requests that wait use permits first; one that no permit will serve in time is refused at once.

Weighed: an equal share for each node (one request in advance for each is 59 requests, 11 are permitted); an owner of each server who grants (a call to another node on the path of a request, and a takeover when it dies); a few nodes that alone use the server (their failure leaves it unused).

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -15,6 +15,7 @@
 	"tarragondeal"
 	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/dispatch/tdretry"
+	"tarragondeal/internal/dispatch/tdshare"
 )
 
 const (
@@ -43,6 +44,9 @@
 type Deps struct {
 	Clock tarragondeal.Clock
 	Size  func() int // Number of nodes in the fleet.
+	Self  tarragondeal.NodeID
+	Nodes func() []tarragondeal.NodeID // All nodes in the fleet, including Self.
+	Wall  func() time.Time             // A clock on which the nodes agree.
 	Log   zerolog.Logger
 	Scope tally.Scope
 }
@@ -75,6 +79,9 @@
 	lastHeard      map[tarragondeal.NodeID]tarragondeal.Instant // When a node's load was last received.
 	lastStarts     map[string]tierStarts                        // By pool.
 	limits         map[serverRun]*serverLimit
+	fleet          tdshare.Fleet // As of fleetAt.
+	fleetAt        tarragondeal.Instant
+	waiting        map[string]map[int]int // Requests without a server, by pool and tier.
 }
 
 // openGrant is a grant that has not ended.
@@ -94,6 +101,7 @@
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant), crashes: newCrashes(d.Clock),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
 		lastStarts: make(map[string]tierStarts), limits: make(map[serverRun]*serverLimit),
+		waiting: make(map[string]map[int]int),
 	}
 }
 
@@ -164,6 +172,7 @@
 		}
 	}
 	f.indexPools()
+	f.evictLimits()
 }
 
 // Reserve chooses a server for a request. If there is none, it waits for a share
@@ -177,6 +186,13 @@
 		if ok || err != nil {
 			return g, err
 		}
+		if first {
+			f.addWaiting(&a, 1)
+			defer f.addWaiting(&a, -1)
+		}
+		if err := f.refuseLimited(&a, until); err != nil {
+			return tarragondeal.Grant{}, err
+		}
 		if f.Clock.Now() >= until || !tdclock.Sleep(ctx, pollInterval) {
 			f.logNoServer(&a)
 			return tarragondeal.Grant{}, refused(tarragondeal.ReasonNoServer, "no backend server is at hand", noServerRetryAfter)
@@ -235,7 +251,7 @@
 	var best *server
 	var least time.Duration
 	for _, s := range f.candidates(r, pool) {
-		if s.State != tarragondeal.VMLive || now < s.backoffUntil || slices.Contains(r.ask.Avoid, s.ID) {
+		if s.State != tarragondeal.VMLive || now < s.backoffUntil || slices.Contains(r.ask.Avoid, s.ID) || !f.withinLimit(r.ask, s, now) {
 			continue
 		}
 		if s.engine != nil {
@@ -263,7 +279,7 @@
 	if r.tight {
 		s.own.tight++
 	}
-	f.logLimited(r.ask, s, now)
+	f.takePermit(r.ask, s, now)
 	id := tarragondeal.GrantID(strconv.FormatUint(f.lastGrant.Add(1), 10))
 	f.grants[id] = open
 	return tarragondeal.Grant{
--- a/internal/dispatch/tdfit/fit_test.go
+++ b/internal/dispatch/tdfit/fit_test.go
@@ -29,7 +29,12 @@
 
 func newTestFit(engines int) *testFit {
 	clock := &fakeClock{now: tarragondeal.Instant(time.Hour)}
-	f := New(Deps{Clock: clock, Size: func() int { return 7 }, Log: zerolog.Nop(), Scope: tally.NoopScope}, Options{
+	return newTestFitAt("node-0", []tarragondeal.NodeID{"node-0"}, clock, engines)
+}
+
+// newTestFitAt returns a Fit of one node of a fleet.
+func newTestFitAt(self tarragondeal.NodeID, nodes []tarragondeal.NodeID, clock *fakeClock, engines int) *testFit {
+	f := New(Deps{Clock: clock, Size: func() int { return 7 }, Self: self, Nodes: func() []tarragondeal.NodeID { return nodes }, Wall: clock.Wall, Log: zerolog.Nop(), Scope: tally.NoopScope}, Options{
 		DataCentre: "a", Bounds: tarragondeal.Bounds{RetryRatio: 0.2, RetrySlack: 54},
 	})
 	f.SetView(tarragondeal.NewView(1, &tarragondeal.Set{
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -51,6 +51,7 @@
 func (f *Fit) Writer() func(include func(tarragondeal.NodeID) bool) []byte {
 	var seq uint64
 	uses := make(map[tarragondeal.ServerID]use)
+	limits := make(map[serverRun]sentLimit)
 	first := true
 	return func(include func(tarragondeal.NodeID) bool) []byte {
 		f.mu.Lock()
@@ -61,6 +62,7 @@
 		m := &Load{
 			Sent: f.sentSince(seq, include), Crashes: f.crashes.recent(),
 			Uses: f.changedUses(uses, include, f.Clock.Now()), Whole: first,
+			Limits: f.changedLimits(limits, f.Clock.Now()),
 		}
 		seq, first = f.seq, false
 		out, err := proto.Marshal(m)
@@ -117,6 +119,7 @@
 	f.lastHeard[from] = now
 	f.receiveUses(from, &m)
 	f.receiveSent(from, m.GetSent(), now)
+	f.receiveLimits(from, m.GetLimits(), now)
 	for _, c := range m.GetCrashes() {
 		f.crashes.add(c.GetFingerprint(), tarragondeal.ServerID(c.GetServer()))
 	}
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -257,6 +257,18 @@
 	return 1 + len(m.peers)
 }
 
+// Nodes returns the names of all known nodes, including this one, in no order.
+func (m *Mesh) Nodes() []tarragondeal.NodeID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]tarragondeal.NodeID, 0, 1+len(m.peers))
+	out = append(out, m.self.Name)
+	for name := range m.peers {
+		out = append(out, name)
+	}
+	return out
+}
+
 // applyChanges applies changes of the node entries in the store.
 func (m *Mesh) applyChanges(c tdmirror.Changes) {
 	for _, e := range c.Entries {
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -158,7 +158,7 @@
 
 func (n *Node) buildEntry() {
 	n.fit = tdfit.New(tdfit.Deps{
-		Clock: n.clock, Size: n.mesh.Size, Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
+		Clock: n.clock, Size: n.mesh.Size, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall, Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
 	}, tdfit.Options{DataCentre: n.vm.DataCentre, Bounds: n.vm.Bounds})
 	n.mesh.Publish(tdfit.Topic, func() tdmesh.Writer { return n.fit.Writer() })
 	n.mesh.Receive(tdfit.Topic, n.fit.Receive, n.fit.Lost)
