--- a/internal/dispatch/tdshare/share_test.go
+++ b/internal/dispatch/tdshare/share_test.go
@@ -200,3 +200,18 @@
 		}
 	}
 }
+
+// BenchmarkAvailable measures the search for a permit in a fleet of 350 nodes, with
+// the time advancing by a slot for each.
+func BenchmarkAvailable(b *testing.B) {
+	for _, rate := range []float64{1, 3.2, 50} {
+		b.Run(fmt.Sprint(rate), func(b *testing.B) {
+			m := newMembers(350)[0]
+			now := start
+			for b.Loop() {
+				now = now.Add(SlotTime)
+				m.send(now, rate, 1)
+			}
+		})
+	}
+}
--- a/test/vm/soak_test.go
+++ b/test/vm/soak_test.go
@@ -23,6 +23,9 @@
 	log      []string
 	statuses map[string][]int // The statuses received by callers, by target.
 	streams  streamCounts
+	// limitFrom are the times at which the second engine first announced a limit,
+	// one for each of its runs; empty if it announces none.
+	limitFrom []time.Time
 }
 
 // streamCounts counts the streams of a soak, to show what it has covered.
@@ -113,6 +116,22 @@
 		time.Sleep(pause)
 		srv.update(func(x *server) { x.status = 0 })
 		s.store.put("servers/"+srv.id, srv.entry("model", "ready"))
+		if srv == s.engine2 && len(s.limitFrom) > 0 {
+			s.limitFrom = append(s.limitFrom, time.Now())
+		}
+	}
+}
+
+// checkLimit checks the requests that the second engine received in each of its runs.
+func (s *soak) checkLimit() {
+	for n, from := range s.limitFrom {
+		to := time.Now()
+		if n+1 < len(s.limitFrom) {
+			to = s.limitFrom[n+1]
+		}
+		if got := mostInWindow(s.engine2, from.Add(limitGrace), to); got > permitted(soakLimit) {
+			s.logf("VIOLATION: %d requests in %s at a server that accepts %d a second", got, limitWindow, soakLimit)
+		}
 	}
 }
 
@@ -266,6 +285,9 @@
 	soakEvents  = 12
 	soakPause   = 10 * time.Millisecond
 	soakResumes = 8
+	// soakLimit is the limit that an engine announces in the seeds for which
+	// soakLimited returns true, in requests per second.
+	soakLimit = 2
 	// soakFirstSeed is the first seed, and soakSeedCount the number of seeds unless
 	// TARRAGONDEAL_SOAK sets it.
 	soakFirstSeed, soakSeedCount = 1, 2
@@ -281,6 +303,8 @@
 	return small
 }
 
+func soakLimited(seed int) bool { return seed%3 == 2 }
+
 var _ = Describe("random faults", func() {
 	count := soakSeedCount
 	if n, err := strconv.Atoi(os.Getenv("TARRAGONDEAL_SOAK")); err == nil {
@@ -291,6 +315,10 @@
 			s := &soak{fleet: newFleet(soakFleetSize(seed)), rng: rand.New(rand.NewPCG(uint64(seed), 0)), statuses: make(map[string][]int)}
 			s.updateEngines(func(x *server) { x.events, x.named, x.delay = soakEvents, true, soakPause })
 			s.waitReady()
+			if soakLimited(seed) {
+				announce(s.engine2, strconv.Itoa(soakLimit))
+				s.limitFrom = []time.Time{time.Now()}
+			}
 			s.mu.Lock()
 			s.statuses = make(map[string][]int)
 			s.mu.Unlock()
@@ -314,6 +342,7 @@
 				Eventually(func() int { return n.get("/look/1", "key-a").status }, "10s", "20ms").Should(Equal(http.StatusOK))
 			}
 			s.countContinued()
+			s.checkLimit()
 			GinkgoWriter.Printf("seed %d: %+v\n", seed, s.streams)
 			Expect(s.streams.Complete).To(BeNumerically(">", 0))
 			Expect(s.violations()).To(BeEmpty(), strings.Join(s.log, "\n"))
