Log the software versions of servers and of the streams that go on at them

Lines: the version with each listed server; both servers and versions where a node continues a broken stream; and a new one where a caller resumes a stream, with the request that it names, the event, the server and its version.

--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -58,8 +58,9 @@
 	host   string
 	timing eventTiming
 
-	headSent  bool // The response header of a stream has been sent to the caller.
-	status    int  // Status and media type in that header.
+	headSent  bool                // The response header of a stream has been sent to the caller.
+	begunAt   tarragondeal.Server // The server whose header that is.
+	status    int                 // Status and media type in that header.
 	media     string
 	length    int64 // Bytes in the stream, or -1 if unknown.
 	sentBytes int64
@@ -90,8 +91,11 @@
 		return timer.result(tdflow.SendResult(ctx, err))
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if x.headSent {
+	switch {
+	case x.headSent:
 		x.logContinuation(t, answer)
+	case x.caller.Resume != "":
+		x.logResumed(t, answer)
 	}
 	reply := platform.DecodeReply(answer.Status, answer.Header)
 	if reply.ID != x.caller.ID && x.caller.ID != "" {
--- a/internal/entry/tdpass/stream.go
+++ b/internal/entry/tdpass/stream.go
@@ -119,7 +119,8 @@
 	if x.headSent {
 		return
 	}
-	x.headSent, x.status, x.media, x.length = true, answer.Status, mediaType(answer), answer.Length
+	x.headSent, x.begunAt = true, t.Server
+	x.status, x.media, x.length = answer.Status, mediaType(answer), answer.Length
 	platform.EncodeAnswer(t.W.Header(), answer.Header)
 	if !t.Request.Route.NonIdempotent {
 		// With a length, the caller would take the stream for complete at that byte,
--- a/internal/fleet/tdlisting/servers.go
+++ b/internal/fleet/tdlisting/servers.go
@@ -87,7 +87,7 @@
 	}
 	s.known[e.Key] = server
 	s.log.Info().Str("server", string(server.ID)).Str("pool", server.Pool).Str("dataCentre", server.DataCentre).
-		Str("state", string(server.State)).Uint64("revision", uint64(e.Revision)).Msg("server listed")
+		Str("state", string(server.State)).Str("version", server.SoftwareVersion).Uint64("revision", uint64(e.Revision)).Msg("server listed")
 	return true
 }
 
--- a/platform.go
+++ b/platform.go
@@ -26,8 +26,24 @@
 	Spot       bool          // The platform may take the server back at any time.
 	WarmUpLeft time.Duration // Rest of the warm-up, during which it is slow.
 	StartedAt  time.Time     // Start of this incarnation; zero if unknown.
+	// SoftwareVersion is the version of the server's software, not of a model's
+	// weights; empty if unknown.
+	SoftwareVersion string
 }
 
+// Software identifies the software of backend servers. What two versions write to a
+// stream doesn't fit together.
+type Software struct {
+	Pool    string
+	Version string // Empty if unknown; then it equals no other.
+}
+
+// Known reports whether the version is known.
+func (s Software) Known() bool { return s.Version != "" }
+
+// Software returns the software of the server.
+func (s *Server) Software() Software { return Software{Pool: s.Pool, Version: s.SoftwareVersion} }
+
 // EntryVM is one entry VM on the platform's list.
 type EntryVM struct {
 	Node       NodeID
