--- a/test/vm/node_test.go
+++ b/test/vm/node_test.go
@@ -216,7 +216,9 @@
 			map[string]any{"name": "model", "engine": map[string]any{"slots": 8, "kvCapacity": 90000, "stride": 4}},
 			map[string]any{"name": "records"},
 		},
-		"tenants": []any{map[string]any{"name": "acme", "apiKeys": f.keys}},
+		"tenants": []any{
+			map[string]any{"name": "acme", "apiKeys": f.keys}, map[string]any{"name": "other", "apiKeys": []string{"key-other"}},
+		},
 	})
 }
 
--- a/test/vm/server_test.go
+++ b/test/vm/server_test.go
@@ -22,8 +22,9 @@
 
 // server is a stand-in for a backend server.
 type server struct {
-	id  string
-	srv *httptest.Server
+	id      string
+	version string // Of the software, in the server's entry.
+	srv     *httptest.Server
 
 	mu         sync.Mutex
 	requests   []receivedRequest
@@ -33,12 +34,13 @@
 	breakAfter int  // Number of events after which the connection breaks; 0 means never.
 	reject     bool
 	status     int                                          // Status of all answers, if not 0; requests have run.
+	signs      bool                                         // Events name the version of the software.
 	limit      string                                       // Requests per second that answers announce; empty means no limit.
 	chat       func(w http.ResponseWriter, r *http.Request) // Answers streams, if set.
 }
 
 func newServer(id string) *server {
-	s := &server{id: id, events: chatEvents}
+	s := &server{id: id, version: "v1", events: chatEvents}
 	s.srv = httptest.NewServer(s)
 	return s
 }
@@ -46,7 +48,7 @@
 // entry returns the server's entry in the store.
 func (s *server) entry(pool, state string) map[string]any {
 	return map[string]any{
-		"service": pool, "addr": strings.TrimPrefix(s.srv.URL, "http://"), "zone": "duluth", "version": "v1",
+		"service": pool, "addr": strings.TrimPrefix(s.srv.URL, "http://"), "zone": "duluth", "version": s.version,
 		"slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	}
 }
@@ -78,6 +80,9 @@
 	if s.named {
 		suffix = " of " + r.URL.Path
 	}
+	if s.signs {
+		suffix += " by " + s.version
+	}
 	s.mu.Unlock()
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	switch {
