Continue a broken stream only at the software version that began it

Cause: an attempt that continues a stream chose its server like any first attempt.

Change: once a node has sent a part of a stream to its caller, the further attempts ask the dispatcher for the same software. tdfit, which chooses every server, grants no other one, and refuses at once if no listed server has the version; the answer then breaks off, so that the caller sees that it is incomplete. A server without a version continues nothing. Large pools, of which a sample is compared otherwise, are searched as a whole.

--- a/dispatch.go
+++ b/dispatch.go
@@ -47,6 +47,9 @@
 	Output int
 	// Gap is the longest permitted pause between events; zero means no limit.
 	Gap time.Duration
+	// Software, if set, is the only software that may answer: the one that began
+	// the stream of which the caller has a part.
+	Software *Software
 }
 
 // PromptPart is a part of a prompt that other requests may share.
--- a/error.go
+++ b/error.go
@@ -29,6 +29,7 @@
 	ReasonNotPermitted     Reason = "notPermitted"
 	ReasonNoPlace          Reason = "noPermittedPlace"
 	ReasonNoServer         Reason = "noServer"
+	ReasonNoServerVersion  Reason = "noServerOfVersion" // No server has the version that began the stream.
 	ReasonOverload         Reason = "overload"
 	ReasonLimit            Reason = "limit"
 	ReasonDeadline         Reason = "deadline"
--- a/internal/dispatch/tdfit/fit_test.go
+++ b/internal/dispatch/tdfit/fit_test.go
@@ -493,3 +493,52 @@
 		}
 	}
 }
+
+// TestStreamGoesOnAtItsVersion guards against a stream that is continued by another
+// software version, in small pools and in large ones of which servers are sampled, and
+// against a request that waits although no server has the version.
+func TestStreamGoesOnAtItsVersion(t *testing.T) {
+	for _, size := range []int{4, 60} {
+		w := newTestFit(0)
+		var list []tarragondeal.Server
+		for n := range size {
+			version := "v2"
+			switch {
+			case n < 2:
+				version = "v1"
+			case n == 2:
+				version = ""
+			}
+			list = append(list, tarragondeal.Server{
+				ID: tarragondeal.ServerID(fmt.Sprintf("m%d", n)), Pool: "m", DataCentre: "a", State: tarragondeal.VMLive, SoftwareVersion: version,
+			})
+		}
+		w.SetServers(list)
+		a := liveStream()
+		for _, version := range []string{"v1", "v2"} {
+			a.Software = &tarragondeal.Software{Pool: "m", Version: version}
+			for range 50 {
+				g, err := w.reserve(a)
+				if err != nil || g.Server.SoftwareVersion != version {
+					t.Fatalf("%d servers: %s goes on at %+v, %v", size, version, g.Server, err)
+				}
+			}
+		}
+		for _, c := range []struct {
+			software tarragondeal.Software
+			avoid    []tarragondeal.ServerID
+		}{
+			{tarragondeal.Software{Pool: "m", Version: "v3"}, nil},
+			{tarragondeal.Software{Pool: "m"}, nil}, // A server without a version continues nothing.
+			{tarragondeal.Software{Pool: "other", Version: "v1"}, nil},
+			{tarragondeal.Software{Pool: "m", Version: "v1"}, []tarragondeal.ServerID{"m0", "m1"}},
+		} {
+			a.Software, a.Avoid, a.Target = &c.software, c.avoid, time.Hour // With the clock of the test it would wait for ever.
+			_, err := w.reserve(a)
+			var refusal *tarragondeal.RefusedError
+			if !errors.As(err, &refusal) || refusal.Reason != tarragondeal.ReasonNoServerVersion {
+				t.Errorf("%d servers: %+v: %v", size, c, err)
+			}
+		}
+	}
+}
--- a/internal/dispatch/tdfit/limit.go
+++ b/internal/dispatch/tdfit/limit.go
@@ -1,7 +1,6 @@
 package tdfit
 
 import (
-	"slices"
 	"time"
 
 	"tarragondeal"
@@ -176,7 +175,7 @@
 	limited, rate, waiting := 0, 0.0, 0
 	for _, pool := range a.Pools {
 		for _, s := range f.pools[pool] {
-			if s.State != tarragondeal.VMLive || slices.Contains(a.Avoid, s.ID) {
+			if !eligible(a, s) {
 				continue
 			}
 			l := f.limitOf(s)
--- a/internal/dispatch/tdfit/prefixindex.go
+++ b/internal/dispatch/tdfit/prefixindex.go
@@ -64,7 +64,7 @@
 // request.
 func (f *Fit) candidates(r *request, pool string) []*server {
 	all := f.pools[pool]
-	if len(all) <= smallPool {
+	if len(all) <= smallPool || r.ask.Software != nil { // Few may have the version.
 		return all
 	}
 	out := make([]*server, 0, sampleSize+maxServersPerPrefix)
--- a/internal/entry/tdflow/exchange.go
+++ b/internal/entry/tdflow/exchange.go
@@ -62,7 +62,13 @@
 			a.firstToken()
 			r.f.Dispatch.Progress(a.grant, 1)
 		},
-		OnDelivered: func() { r.stream.delivered = true },
+		OnDelivered: func() {
+			r.stream.delivered = true
+			if r.q.Class.Events {
+				software := a.grant.Server.Software()
+				r.ask.Software = &software
+			}
+		},
 	})
 	return attemptResult{
 		failure: out.Failure, ran: out.Ran, err: out.Err, answer: out.Answer, final: out.Final, retryTaken: out.RetryTaken,
--- a/internal/entry/tdrelay/error.go
+++ b/internal/entry/tdrelay/error.go
@@ -63,6 +63,7 @@
 	tarragondeal.ReasonAlreadyRunning:   time.Second,
 	tarragondeal.ReasonStoreUnavailable: 2 * time.Second,
 	tarragondeal.ReasonNoServer:         2 * time.Second,
+	tarragondeal.ReasonNoServerVersion:  2 * time.Second,
 	tarragondeal.ReasonOverload:         2 * time.Second,
 	tarragondeal.ReasonConnections:      time.Second,
 	tarragondeal.ReasonNotReady:         time.Second,
--- a/platform.go
+++ b/platform.go
@@ -41,6 +41,9 @@
 // Known reports whether the version is known.
 func (s Software) Known() bool { return s.Version != "" }
 
+// Continues reports whether s can continue what other has begun.
+func (s Software) Continues(other Software) bool { return s.Known() && s == other }
+
 // Software returns the software of the server.
 func (s *Server) Software() Software { return Software{Pool: s.Pool, Version: s.SoftwareVersion} }
 
