Resume a caller's stream only at the software version that began it

Cause: a node served a request with Last-Event-Id like a new one. Nothing read which request had begun the stream, and no node but the one that had begun it could know the version.

Without a record the stream goes on only if its pool has had one version alone for as long as the stream may have run, by a list of servers that the store has just confirmed; nodes that start learn that history from their peers. Otherwise the caller gets 503, not run, with the code unknownVersion, or noServerOfVersion if no server of the version is left.

--- a/error.go
+++ b/error.go
@@ -30,6 +30,7 @@
 	ReasonNoPlace          Reason = "noPermittedPlace"
 	ReasonNoServer         Reason = "noServer"
 	ReasonNoServerVersion  Reason = "noServerOfVersion" // No server has the version that began the stream.
+	ReasonUnknownVersion   Reason = "unknownVersion"    // It is not known which version began the stream.
 	ReasonOverload         Reason = "overload"
 	ReasonLimit            Reason = "limit"
 	ReasonDeadline         Reason = "deadline"
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -84,6 +84,8 @@
 	Parts  []tarragondeal.PromptPart
 	Input  int
 	Output int
+	// Software, if set, is the only software that may answer.
+	Software *tarragondeal.Software
 
 	// Tokens is the number of input and output tokens, set when the request
 	// has ended.
--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -35,6 +35,7 @@
 	Backend tarragondeal.Backend
 	Starts  tdpass.Starts
 	Limits  tarragondeal.ServerLimits
+	Origins tarragondeal.StreamOrigins
 	Clock   tarragondeal.Clock
 	Log     zerolog.Logger
 	Scope   tally.Scope
@@ -99,13 +100,7 @@
 	platform.SetRequestID(w.Header(), caller.ID)
 	q, err := h.admit(w, r, caller, arrived)
 	if err == nil {
-		if !q.Route.Resumable {
-			caller.Resume = "" // The stream begins with its first event.
-		}
-		q.Exchange = tdpass.New(tdpass.Deps{
-			Backend: h.Backend, Starts: h.Starts, Limits: h.Limits, Clock: h.Clock, Log: h.Log,
-		}, caller, r.Host)
-		err = h.run(r.Context(), w, q)
+		err = h.serve(r.Context(), w, q, caller, r.Host)
 	}
 	if err != nil {
 		h.refuse(w, r, caller, err, arrived)
@@ -113,6 +108,37 @@
 	h.Scope.Timer("request").Record(h.Clock.Now().Sub(arrived))
 }
 
+// serve serves an admitted request.
+func (h *Host) serve(ctx context.Context, w http.ResponseWriter, q *tdflow.Request, c platform.Caller, host string) error {
+	if !q.Route.Resumable {
+		c.Resume = "" // The stream begins with its first event.
+	}
+	if c.Resume != "" {
+		if err := h.findSoftware(ctx, q, c); err != nil {
+			return err
+		}
+	}
+	x := tdpass.New(tdpass.Deps{
+		Backend: h.Backend, Starts: h.Starts, Limits: h.Limits, Origins: h.Origins, Clock: h.Clock, Log: h.Log,
+	}, c, host)
+	defer x.End()
+	q.Exchange = x
+	return h.run(ctx, w, q)
+}
+
+// findSoftware binds a request that resumes a stream to the software that began it.
+func (h *Host) findSoftware(ctx context.Context, q *tdflow.Request, c platform.Caller) error {
+	s, err := h.Origins.Find(ctx, tarragondeal.OriginQuery{
+		Workspace: q.Workspace.Name, Request: tarragondeal.RequestID(c.Resumes), Pools: q.Route.Pools,
+		MaxAge: time.Duration(q.Class.Deadline),
+	})
+	if err != nil {
+		return err
+	}
+	q.Software = &s
+	return nil
+}
+
 // writeMargin is added to a request's deadline to get the write deadline of its
 // connection.
 const writeMargin = 2 * time.Second
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -78,6 +78,14 @@
 func (s *servers) ObserveLimit(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.ServerLimit, tarragondeal.Instant) {
 }
 
+// origins knows one software only.
+type origins struct{}
+
+func (origins) Began(string, tarragondeal.RequestID, tarragondeal.Software) func() { return func() {} }
+func (origins) Find(context.Context, tarragondeal.OriginQuery) (tarragondeal.Software, error) {
+	return tarragondeal.Software{Pool: "p", Version: "v1"}, nil
+}
+
 // entry is a host with backend servers.
 type entry struct {
 	*servers
@@ -141,7 +149,7 @@
 	flow := tdflow.New(tdflow.Deps{
 		Dispatch: e.servers, Backend: backend, Meter: e.servers, Burn: e.servers, Clock: clock, Metrics: tally.NoopScope, Log: log,
 	}, tdflow.Options{Attempts: 3, WriteTimeout: time.Minute})
-	e.host = New(Deps{Flow: flow, Backend: backend, Starts: e.servers, Limits: e.servers, Clock: clock, Log: log, Scope: tally.NoopScope})
+	e.host = New(Deps{Flow: flow, Backend: backend, Starts: e.servers, Limits: e.servers, Origins: origins{}, Clock: clock, Log: log, Scope: tally.NoopScope})
 	e.host.SetView(tarragondeal.NewView(1, set), platform.CallerLimits{})
 	srv := httptest.NewUnstartedServer(e.host)
 	srv.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
--- /dev/null
+++ b/internal/entry/tdorigin/doc.go
@@ -0,0 +1,21 @@
+// Package tdorigin remembers at which software of the backend servers each stream
+// began, so that a caller that resumes a stream at any node gets the rest from a
+// server whose events fit those before.
+//
+// The node that sends the first event of a stream to the caller announces the
+// stream to all other nodes with its next state. A record is kept for a while after
+// the stream has ended; as long as it is open, its node announces it again.
+//
+// A stream without a record began at the only software of its pool, if there has been
+// no other one as long as the stream may have run. For that, nodes keep which software
+// was listed, and tell each other since when they know all of it.
+//
+// # Usage
+//
+//	o := tdorigin.New(tdorigin.Deps{...}, tdorigin.Options{})
+//	o.SetServers(servers)
+//	ended := o.Began(workspace, request, server.Software())
+//	software, err := o.Find(ctx, query)
+package tdorigin
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative origin.proto
--- /dev/null
+++ b/internal/entry/tdorigin/history.go
@@ -0,0 +1,109 @@
+package tdorigin
+
+import (
+	"slices"
+	"time"
+
+	"tarragondeal"
+)
+
+// historyTTL is how long software is kept after it was listed last.
+const historyTTL = 10 * time.Minute
+
+// history holds which software was listed, and since when it holds all.
+type history struct {
+	last     map[tarragondeal.Software]tarragondeal.Instant // When it was listed last; now for present.
+	present  map[tarragondeal.Software]bool
+	complete bool                 // Since completeFrom.
+	from     tarragondeal.Instant // Holds all software that was listed since then.
+	changes  uint64
+}
+
+// newHistory returns a history without software. If always is set, no software was
+// ever listed before.
+func newHistory(always bool) history {
+	h := history{last: make(map[tarragondeal.Software]tarragondeal.Instant), present: make(map[tarragondeal.Software]bool)}
+	if always {
+		h.complete, h.from = true, farPast
+	}
+	return h
+}
+
+// farPast is earlier than any time that matters.
+const farPast = -tarragondeal.Instant(1 << 60)
+
+// set replaces the software that is listed.
+func (h *history) set(list []tarragondeal.Server, now tarragondeal.Instant) {
+	present := make(map[tarragondeal.Software]bool)
+	for n := range list {
+		present[list[n].Software()] = true
+	}
+	for s := range h.present {
+		h.last[s] = now
+		if !present[s] {
+			h.changes++
+		}
+	}
+	for s := range present {
+		h.last[s] = now
+		if !h.present[s] {
+			h.changes++
+		}
+	}
+	h.present = present
+	if !h.complete {
+		h.complete, h.from = true, now
+		h.changes++
+	}
+	for s, at := range h.last {
+		if !present[s] && now.Sub(at) > historyTTL {
+			delete(h.last, s)
+		}
+	}
+}
+
+// merge adds what a peer knows.
+func (h *history) merge(listed map[tarragondeal.Software]tarragondeal.Instant, from tarragondeal.Instant) {
+	for s, at := range listed {
+		if known, ok := h.last[s]; !ok || at > known {
+			h.last[s] = at
+			if !ok {
+				h.changes++
+			}
+		}
+	}
+	// Only the list of this node says what has been listed since the message.
+	if h.complete && from < h.from {
+		h.from = from
+		h.changes++
+	}
+}
+
+// only returns the software of a pool if no other was listed in the given time.
+func (h *history) only(pool string, age time.Duration, now tarragondeal.Instant) (tarragondeal.Software, bool) {
+	since := now.Add(-age)
+	if !h.complete || h.from > since {
+		return tarragondeal.Software{}, false
+	}
+	var out tarragondeal.Software
+	n := 0
+	for s, at := range h.last {
+		if s.Pool == pool && (h.present[s] || at >= since) {
+			out = s
+			n++
+		}
+	}
+	return out, n == 1 && out.Known()
+}
+
+// listed returns the versions of pools that were listed within recordTTL, sorted.
+func (h *history) listed(pools []string, now tarragondeal.Instant) []string {
+	var out []string
+	for s, at := range h.last {
+		if slices.Contains(pools, s.Pool) && (h.present[s] || now.Sub(at) <= recordTTL) {
+			out = append(out, s.Version)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/entry/tdorigin/origin_test.go
@@ -0,0 +1,285 @@
+package tdorigin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"tarragondeal"
+)
+
+// fakeClock is a clock that the test advances.
+type fakeClock struct{ now tarragondeal.Instant }
+
+func (c *fakeClock) Now() tarragondeal.Instant { return c.now }
+func (c *fakeClock) Wall() time.Time           { return time.Unix(0, int64(c.now)).UTC() }
+
+var (
+	v1 = tarragondeal.Software{Pool: "m", Version: "v1"}
+	v2 = tarragondeal.Software{Pool: "m", Version: "v2"}
+)
+
+// fleet is a fleet whose nodes exchange their records.
+type fleet struct {
+	clock   *fakeClock
+	nodes   []*Origins
+	links   map[[2]int]func(func(tarragondeal.NodeID) bool) []byte
+	current bool
+}
+
+func newFleet(size int, first bool) *fleet {
+	w := &fleet{clock: &fakeClock{now: tarragondeal.Instant(time.Hour)}, links: make(map[[2]int]func(func(tarragondeal.NodeID) bool) []byte), current: true}
+	for range size {
+		w.start(first)
+	}
+	return w
+}
+
+// start adds a node.
+func (w *fleet) start(first bool) {
+	w.nodes = append(w.nodes, New(Deps{
+		Clock: w.clock, Current: func() bool { return w.current }, Log: zerolog.Nop(), Scope: tally.NoopScope,
+	}, Options{FirstStart: first}))
+}
+
+// restart replaces a node by one that knows nothing.
+func (w *fleet) restart(n int) {
+	w.start(false)
+	w.nodes[n] = w.nodes[len(w.nodes)-1]
+	w.nodes = w.nodes[:len(w.nodes)-1]
+	for link := range w.links {
+		if link[0] == n || link[1] == n {
+			delete(w.links, link)
+		}
+	}
+}
+
+func name(n int) tarragondeal.NodeID { return tarragondeal.NodeID(fmt.Sprint("node-", n)) }
+
+// exchange sends the messages of all nodes but those that are down. With relays, node
+// 0 is the only one that all others have a stream to.
+func (w *fleet) exchange(relays bool, down ...int) {
+	for from := range w.nodes {
+		for to := range w.nodes {
+			direct := !relays || from == 0 || to == 0
+			if from == to || !direct || slices.Contains(down, from) || slices.Contains(down, to) {
+				continue
+			}
+			link := [2]int{from, to}
+			if w.links[link] == nil {
+				w.links[link] = w.nodes[from].Writer()
+			}
+			forwards := func(of tarragondeal.NodeID) bool { return relays && from == 0 && of != name(to) }
+			if payload := w.links[link](forwards); payload != nil {
+				w.nodes[to].Receive(name(from), payload)
+			}
+		}
+	}
+}
+
+// list gives all nodes a list of servers with the software.
+func (w *fleet) list(software ...tarragondeal.Software) {
+	for _, n := range w.nodes {
+		n.SetServers(servers(software))
+	}
+}
+
+func servers(software []tarragondeal.Software) []tarragondeal.Server {
+	var out []tarragondeal.Server
+	for _, s := range software {
+		out = append(out, tarragondeal.Server{Pool: s.Pool, SoftwareVersion: s.Version})
+	}
+	return out
+}
+
+func (w *fleet) advance(d time.Duration) { w.clock.now = w.clock.now.Add(d) }
+
+// found returns what a node knows of a request's stream without waiting.
+func (w *fleet) found(n int, request string) (tarragondeal.Software, bool) {
+	s, source := w.nodes[n].find(tarragondeal.OriginQuery{Workspace: "a", Request: tarragondeal.RequestID(request), Pools: []string{"m"}, MaxAge: 5 * time.Second})
+	return s, source != ""
+}
+
+func (w *fleet) expect(t *testing.T, what string, n int, request string, want tarragondeal.Software) {
+	t.Helper()
+	s, ok := w.found(n, request)
+	if ok != want.Known() || s != want {
+		t.Errorf("%s: node %d has %+v (%t) for %s, want %+v", what, n, s, ok, request, want)
+	}
+}
+
+var unknown = tarragondeal.Software{}
+
+// TestStreamIsKnownToAllNodes guards against a stream whose version is lost with the
+// node that began it, and against another stream's version.
+func TestStreamIsKnownToAllNodes(t *testing.T) {
+	for _, relays := range []bool{false, true} {
+		w := newFleet(5, true)
+		w.list(v1, v2)
+		w.exchange(relays)
+		w.nodes[1].Began("a", "r1", v1)
+		w.nodes[2].Began("a", "r2", v2)
+		w.nodes[2].Began("b", "r3", v2)
+		w.advance(100 * time.Millisecond)
+		w.exchange(relays)
+		w.exchange(relays)
+		for n := range w.nodes {
+			w.expect(t, "begun", n, "r1", v1)
+			w.expect(t, "begun", n, "r2", v2)
+			w.expect(t, "another workspace's", n, "r3", unknown)
+			w.expect(t, "never begun", n, "r4", unknown)
+			w.expect(t, "without an id", n, "", unknown)
+		}
+		// The node that began r1 is gone. One that starts learns of it from the others.
+		w.restart(4)
+		w.nodes[4].SetServers(servers([]tarragondeal.Software{v1, v2}))
+		w.exchange(relays, 1)
+		w.exchange(relays, 1)
+		w.expect(t, "after a restart", 4, "r1", v1)
+	}
+}
+
+// TestRecordsExpire guards against records that are kept for ever, and ones that
+// expire while their stream is open.
+func TestRecordsExpire(t *testing.T) {
+	w := newFleet(3, true)
+	w.list(v1, v2)
+	ended := w.nodes[0].Began("a", "long", v1)
+	w.nodes[0].Began("a", "short", v2)()
+	for range 600 {
+		w.exchange(false)
+		w.advance(100 * time.Millisecond)
+	}
+	for n := range w.nodes {
+		w.expect(t, "open", n, "long", v1)
+		w.expect(t, "ended", n, "short", unknown)
+	}
+	ended()
+	for range 600 {
+		w.exchange(false)
+		w.advance(100 * time.Millisecond)
+	}
+	for n, o := range w.nodes {
+		w.expect(t, "ended", n, "long", unknown)
+		if len(o.records) > 0 || len(o.open) > 0 || len(o.expiry) > 0 {
+			t.Errorf("node %d keeps %d records", n, len(o.records))
+		}
+	}
+}
+
+// TestRecordsAreBounded guards against memory that grows with the streams of a burst.
+func TestRecordsAreBounded(t *testing.T) {
+	w := newFleet(1, true)
+	for n := range maxRecords + 1000 {
+		w.nodes[0].Began("a", tarragondeal.RequestID(fmt.Sprint(n)), v1)()
+	}
+	if n := len(w.nodes[0].records); n > maxRecords {
+		t.Errorf("%d records", n)
+	}
+	w.list(v1, v2)
+	w.expect(t, "oldest", 0, "0", unknown)
+	w.expect(t, "latest", 0, fmt.Sprint(maxRecords+999), v1)
+}
+
+// TestOneRequestAtTwoVersions guards against a choice between two versions of which
+// either may have begun the stream.
+func TestOneRequestAtTwoVersions(t *testing.T) {
+	w := newFleet(2, true)
+	w.list(v1, v2)
+	w.nodes[0].Began("a", "r", v1)
+	w.nodes[1].Began("a", "r", v2)
+	w.exchange(false)
+	for n := range w.nodes {
+		w.expect(t, "two versions", n, "r", unknown)
+	}
+}
+
+// TestOnlyVersion guards against a stream without a record that goes on at another
+// version than its own: one that came since, at a node that doesn't know what was
+// listed before, or whose list is old.
+func TestOnlyVersion(t *testing.T) {
+	w := newFleet(2, true)
+	w.list(v1)
+	w.expect(t, "one version", 0, "r", v1)
+	w.current = false
+	w.expect(t, "old list", 0, "r", unknown)
+	w.current = true
+
+	w.list(v1, v2)
+	w.expect(t, "two versions", 0, "r", unknown)
+	w.list(v2)
+	w.expect(t, "the first one just left", 0, "r", unknown)
+	w.advance(recordTTL + time.Second)
+	w.expect(t, "the first one left long ago", 0, "r", v2)
+
+	w.list(v2, tarragondeal.Software{Pool: "m"})
+	w.expect(t, "a server without a version", 0, "r", unknown)
+	w.list(v2, tarragondeal.Software{Pool: "other", Version: "v1"})
+	w.advance(recordTTL + time.Second)
+	w.expect(t, "another pool", 0, "r", v2)
+}
+
+// TestOnlyVersionAfterRestart guards against a node that starts again and takes the
+// only version that it has seen for the only one that there was.
+func TestOnlyVersionAfterRestart(t *testing.T) {
+	w := newFleet(3, false)
+	w.list(v1)
+	w.expect(t, "no node knows more", 0, "r", unknown)
+	w.advance(recordTTL + time.Second)
+	w.expect(t, "known for long", 0, "r", v1)
+
+	w.restart(2)
+	w.nodes[2].SetServers(servers([]tarragondeal.Software{v1}))
+	w.expect(t, "before the first message", 2, "r", unknown)
+	w.exchange(false)
+	w.expect(t, "peers know", 2, "r", v1)
+
+	w.list(v2)
+	w.exchange(false)
+	w.restart(2)
+	w.nodes[2].SetServers(servers([]tarragondeal.Software{v2}))
+	w.exchange(false)
+	w.expect(t, "peers know of another one", 2, "r", unknown)
+}
+
+// TestFindWaits guards against a refusal since a record is still on its way, and
+// against a caller that waits for ever.
+func TestFindWaits(t *testing.T) {
+	w := newFleet(1, true)
+	w.list(v1, v2)
+	o := w.nodes[0]
+	q := tarragondeal.OriginQuery{Workspace: "a", Request: "r", Pools: []string{"m"}}
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		o.Began("a", "r", v2)
+	}()
+	if s, err := o.Find(context.Background(), q); err != nil || s != v2 {
+		t.Errorf("found %+v, %v", s, err)
+	}
+	q.Request = "none"
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := o.Find(ctx, q)
+	var refusal *tarragondeal.RefusedError
+	if !errors.As(err, &refusal) || refusal.Reason != tarragondeal.ReasonUnknownVersion || refusal.Ran != tarragondeal.RanNot || refusal.RetryAfter <= 0 {
+		t.Errorf("refused with %v", err)
+	}
+}
+
+// TestInvalidMessages guards against messages of a peer that can't be read and stop the
+// node, or leave records.
+func TestInvalidMessages(t *testing.T) {
+	w := newFleet(1, true)
+	for _, payload := range [][]byte{nil, {0xff}, []byte("\x0a\x08\x0a\x01m\x12\x02v1\x1a\x00"), []byte("\x0a\x0c\x0a\x01m\x12\x02v1\x1a\x03abc")} {
+		w.nodes[0].Receive("node-1", payload)
+	}
+	if len(w.nodes[0].records) > 0 {
+		t.Errorf("%d records", len(w.nodes[0].records))
+	}
+}
--- /dev/null
+++ b/internal/entry/tdorigin/peers.go
@@ -0,0 +1,190 @@
+package tdorigin
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"tarragondeal"
+)
+
+// Topic is the mesh topic on which nodes announce streams.
+const Topic = "origin"
+
+const (
+	// maxLog bounds the log of announcements, and the records that are sent on a new
+	// stream of states, or on one that falls further behind.
+	maxLog = 4096
+	// listedInterval is how often the software that was listed is sent without a
+	// change.
+	listedInterval = 5 * time.Second
+)
+
+// announcement is a stream that began. From is the peer that announced it, or
+// empty for this node.
+type announcement struct {
+	from     tarragondeal.NodeID
+	key      key
+	software *tarragondeal.Software
+}
+
+func (o *Origins) append(a announcement) {
+	o.seq++
+	o.log = append(o.log, a)
+	if len(o.log) >= 2*maxLog {
+		o.log = append(o.log[:0], o.log[maxLog:]...)
+	}
+}
+
+// SetServers replaces the list of servers.
+func (o *Origins) SetServers(list []tarragondeal.Server) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history.set(list, o.Clock.Now())
+}
+
+// sentState is what was last sent on one stream of states.
+type sentState struct {
+	first    bool
+	seq      uint64
+	changes  uint64
+	listedAt tarragondeal.Instant
+}
+
+// Writer returns a function that encodes the announcements since its last call, for
+// one peer: those of this node and of the nodes for which include returns true. The
+// first call encodes the latest records, also those of nodes that are gone.
+func (o *Origins) Writer() func(include func(tarragondeal.NodeID) bool) []byte {
+	sent := sentState{first: true}
+	return func(include func(tarragondeal.NodeID) bool) []byte {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		now := o.Clock.Now()
+		o.refresh(now)
+		m := &Message{}
+		o.addStreams(m, &sent, include)
+		o.addListed(m, &sent, now)
+		sent.first = false
+		if len(m.Streams) == 0 && len(m.Listed) == 0 {
+			return nil
+		}
+		out, err := proto.Marshal(m)
+		if err != nil {
+			o.Log.Error().Err(err).Msg("can't encode the origins of streams")
+			return nil
+		}
+		return out
+	}
+}
+
+// refresh announces open streams again that were announced long ago.
+func (o *Origins) refresh(now tarragondeal.Instant) {
+	for k, at := range o.open {
+		r, ok := o.records[k]
+		if now.Sub(at) < refreshInterval || !ok {
+			continue
+		}
+		o.open[k] = now
+		if o.add(k, *r.software, now) {
+			o.append(announcement{key: k, software: r.software})
+		}
+	}
+}
+
+// addStreams adds the announcements that were not sent yet to a message.
+func (o *Origins) addStreams(m *Message, sent *sentState, include func(tarragondeal.NodeID) bool) {
+	groups := make(map[*tarragondeal.Software][]byte)
+	missing := int(o.seq - sent.seq)
+	if sent.first || missing > len(o.log) {
+		for _, q := range o.expiry[max(0, len(o.expiry)-maxLog):] {
+			if r, ok := o.records[q.key]; ok && r.at == q.at {
+				groups[r.software] = appendKey(groups[r.software], q.key)
+				if r.other != nil {
+					groups[r.other] = appendKey(groups[r.other], q.key)
+				}
+			}
+		}
+	} else {
+		for _, a := range o.log[len(o.log)-missing:] {
+			if a.from == "" || include(a.from) {
+				groups[a.software] = appendKey(groups[a.software], a.key)
+			}
+		}
+	}
+	sent.seq = o.seq
+	for s, keys := range groups {
+		m.Streams = append(m.Streams, &Streams{Pool: s.Pool, Version: s.Version, Keys: keys})
+	}
+}
+
+func appendKey(b []byte, k key) []byte {
+	for n := range keyBytes {
+		b = append(b, byte(k>>(8*n)))
+	}
+	return b
+}
+
+// addListed adds the software that was listed to a message, if it has changed or was
+// not sent for long.
+func (o *Origins) addListed(m *Message, sent *sentState, now tarragondeal.Instant) {
+	h := &o.history
+	if !h.complete || !sent.first && sent.changes == h.changes && now.Sub(sent.listedAt) < listedInterval {
+		return
+	}
+	sent.changes, sent.listedAt = h.changes, now
+	for s, at := range h.last {
+		age := now.Sub(at)
+		if h.present[s] {
+			age = 0
+		}
+		m.Listed = append(m.Listed, &Listed{Pool: s.Pool, Version: s.Version, AgeMillis: uint64(age.Milliseconds())})
+	}
+	m.CompleteMillis = uint64(min(now.Sub(max(h.from, farPast)), historyTTL).Milliseconds())
+}
+
+// Receive merges a message of a peer.
+func (o *Origins) Receive(from tarragondeal.NodeID, payload []byte) {
+	var m Message
+	if err := proto.Unmarshal(payload, &m); err != nil {
+		o.Log.Warn().Err(err).Str("peer", string(from)).Msg("can't decode the origins of streams of a peer")
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.Clock.Now()
+	for _, g := range m.GetStreams() {
+		s := tarragondeal.Software{Pool: g.GetPool(), Version: g.GetVersion()}
+		if !s.Known() || len(g.GetKeys())%keyBytes != 0 {
+			o.Log.Warn().Str("peer", string(from)).Str("pool", s.Pool).Int("bytes", len(g.GetKeys())).Msg("invalid origins of streams of a peer")
+			continue
+		}
+		for b := g.GetKeys(); len(b) > 0; b = b[keyBytes:] {
+			if k := decodeKey(b); o.add(k, s, now) {
+				o.append(announcement{from: from, key: k, software: o.intern(s)})
+			}
+		}
+	}
+	o.receiveListed(&m, now)
+}
+
+func decodeKey(b []byte) key {
+	var k key
+	for n := range keyBytes {
+		k |= key(b[n]) << (8 * n)
+	}
+	return k
+}
+
+func (o *Origins) receiveListed(m *Message, now tarragondeal.Instant) {
+	if len(m.GetListed()) == 0 {
+		return
+	}
+	ago := func(millis uint64) tarragondeal.Instant {
+		return now.Add(-time.Duration(min(millis, uint64(historyTTL.Milliseconds()))) * time.Millisecond)
+	}
+	listed := make(map[tarragondeal.Software]tarragondeal.Instant)
+	for _, l := range m.GetListed() {
+		listed[tarragondeal.Software{Pool: l.GetPool(), Version: l.GetVersion()}] = ago(l.GetAgeMillis())
+	}
+	o.history.merge(listed, ago(m.GetCompleteMillis()))
+}
--- a/internal/entry/tdpass/doc.go
+++ b/internal/entry/tdpass/doc.go
@@ -12,4 +12,5 @@
 //	x := tdpass.New(tdpass.Deps{...}, caller, host)
 //	request.Exchange = x
 //	err := flow.Run(ctx, w, request)
+//	x.End()
 package tdpass
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -47,6 +47,7 @@
 	Backend tarragondeal.Backend
 	Starts  Starts
 	Limits  tarragondeal.ServerLimits
+	Origins tarragondeal.StreamOrigins
 	Clock   tarragondeal.Clock
 	Log     zerolog.Logger
 }
@@ -60,6 +61,7 @@
 
 	headSent  bool                // The response header of a stream has been sent to the caller.
 	begunAt   tarragondeal.Server // The server whose header that is.
+	ended     func()              // Ends the record of the stream's origin; nil without one.
 	status    int                 // Status and media type in that header.
 	media     string
 	length    int64 // Bytes in the stream, or -1 if unknown.
@@ -73,6 +75,13 @@
 	return &Exchange{Deps: d, caller: c, host: host, order: order{last: c.Resume}}
 }
 
+// End must be called when the request has ended.
+func (x *Exchange) End() {
+	if x.ended != nil {
+		x.ended()
+	}
+}
+
 // Do makes one attempt.
 func (x *Exchange) Do(ctx context.Context, t *tdflow.Attempt) tdflow.Result {
 	continues := x.headSent
--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -79,6 +79,10 @@
 	m.Mirror.Apply(entries, tarragondeal.Revision(c.GetRevision()), c.GetWhole())
 }
 
+// CopyAge returns how long ago the store confirmed this node's copy, whether to this
+// node or to the one whose copy it has, or false if it is not known.
+func (m *Mesh) CopyAge() (time.Duration, bool) { return m.copyAge(false) }
+
 // copyAge returns how long ago the store answered the node whose copy this one has,
 // or false if it is not known. A copy of the same or a later revision than a peer's
 // is at least as new as the peer's. Only followers count, and this node's source,
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -21,6 +21,7 @@
 	"tarragondeal/internal/dispatch/tdfit"
 	"tarragondeal/internal/entry/tdflow"
 	"tarragondeal/internal/entry/tdhost"
+	"tarragondeal/internal/entry/tdorigin"
 	"tarragondeal/internal/fleet/tdlease"
 	"tarragondeal/internal/fleet/tdlisting"
 	"tarragondeal/internal/fleet/tdmesh"
@@ -49,6 +50,9 @@
 	// configurations set.
 	readHeaderTimeout = 10 * time.Second
 	callerIdleTimeout = 90 * time.Second
+	// maxListAge is the age up to which the list of servers is up to date. It is
+	// above the time between two answers of the store, over relays too.
+	maxListAge = 2 * time.Second
 	// maxHeaderBytes limits the size of a request's header.
 	maxHeaderBytes = 64 << 10
 )
@@ -70,6 +74,7 @@
 	servers    *tdlisting.Servers
 	fit        *tdfit.Fit
 	begun      *tdbegun.Counter
+	origins    *tdorigin.Origins
 	host       *tdhost.Host
 	heldBefore bool // Whether this process has held dutyLease before; used only by runDuties.
 
@@ -162,6 +167,11 @@
 	}, tdfit.Options{DataCentre: n.vm.DataCentre, Bounds: n.vm.Bounds})
 	n.mesh.Publish(tdfit.Topic, func() tdmesh.Writer { return n.fit.Writer() })
 	n.mesh.Receive(tdfit.Topic, n.fit.Receive, n.fit.Lost)
+	n.origins = tdorigin.New(tdorigin.Deps{
+		Clock: n.clock, Current: n.listIsCurrent, Log: tdlog.Part(n.log, "origin"), Scope: n.metrics.Scope.SubScope("origin"),
+	}, tdorigin.Options{FirstStart: n.vm.FirstStart})
+	n.mesh.Publish(tdorigin.Topic, func() tdmesh.Writer { return n.origins.Writer() })
+	n.mesh.Receive(tdorigin.Topic, n.origins.Receive, nil)
 	scope := n.metrics.Scope.SubScope("entry")
 	log := tdlog.Part(n.log, "entry")
 	metrics := &requestMetrics{scope: scope}
@@ -170,7 +180,7 @@
 	}, tdflow.Options{Attempts: defaultMaxAttempts})
 	n.host = tdhost.New(tdhost.Deps{
 		Flow: flow, Backend: tdbackend.NewWith(tdbackend.Options{Dialer: tddial.New(), Idle: serverIdleTimeout, Verbatim: true}),
-		Starts: n.begun, Limits: n.fit, Clock: n.clock, Log: log, Scope: scope,
+		Starts: n.begun, Limits: n.fit, Origins: n.origins, Clock: n.clock, Log: log, Scope: scope,
 	})
 }
 
@@ -178,12 +188,25 @@
 // store.
 func (n *Node) subscribe() {
 	n.config = tdlisting.NewConfig(platform.ConfigKey, tdlog.Part(n.log, "config"), n.applyConfig)
-	n.servers = tdlisting.NewServers(platform.ServersPrefix, platform.DecodeServer, n.clock, tdlog.Part(n.log, "servers"), n.fit.SetServers)
+	n.servers = tdlisting.NewServers(platform.ServersPrefix, platform.DecodeServer, n.clock, tdlog.Part(n.log, "servers"), n.setServers)
 	n.mirror.Subscribe(n.config.Follow)
 	n.mirror.Subscribe(n.servers.Follow)
 	n.addTask("follow servers", n.servers.Run)
 }
 
+// setServers passes the list of servers on.
+func (n *Node) setServers(list []tarragondeal.Server) {
+	n.origins.SetServers(list)
+	n.fit.SetServers(list)
+}
+
+// listIsCurrent reports whether the store has confirmed this node's copy, and with it
+// the list of servers, a short time ago.
+func (n *Node) listIsCurrent() bool {
+	age, ok := n.mesh.CopyAge()
+	return ok && age <= maxListAge
+}
+
 // applyConfig applies a configuration and returns its version. It returns an
 // error if the version is not later than inForce.
 func (n *Node) applyConfig(value []byte, inForce tarragondeal.Version) (tarragondeal.Version, error) {
--- a/test/vm/soak_test.go
+++ b/test/vm/soak_test.go
@@ -138,12 +138,13 @@
 // receiveStream requests a stream and resumes it, at another node each time, until
 // it is complete.
 func (s *soak) receiveStream(caller, k int, target string) {
-	last := 0
+	last, first, received := 0, "", ""
 	for try := range soakResumes {
 		n := s.nodes[(caller+k+try)%len(s.nodes)]
-		headers := map[string]string{}
+		id := fmt.Sprintf("s%d", requests.Add(1))
+		headers := map[string]string{"X-Request-Id": id}
 		if last > 0 {
-			headers["Last-Event-Id"] = strconv.Itoa(last)
+			headers["Last-Event-Id"], headers["Resumes"] = strconv.Itoa(last), first
 		}
 		r := n.sendStream(target, headers)
 		s.mu.Lock()
@@ -157,13 +158,22 @@
 			continue
 		}
 		// An event of another stream still names its path, and is not expected.
-		body := strings.ReplaceAll(r.body, " of "+target+"\n", "\n")
+		body := strings.ReplaceAll(r.body, " of "+target, "")
+		received += body
+		if versions := versionsOf(received); len(versions) > 1 {
+			s.logf("VIOLATION: %s at %s, try %d holds events of %v: %q", target, n.name, try+1, versions, received)
+			return
+		}
+		body = eventVersion.ReplaceAllString(body, "")
 		now, err := checkStream(body, r.err, last+1, soakEvents)
 		if err != nil {
 			s.logf("VIOLATION: %s at %s, try %d after event %d: %v: %q", target, n.name, try+1, last, err, r.body)
 			return
 		}
 		s.countStream(last > 0, now > last, r.err)
+		if last == 0 {
+			first = id
+		}
 		if last = now; last == soakEvents {
 			return
 		}
@@ -305,6 +315,9 @@
 
 func soakLimited(seed int) bool { return seed%3 == 2 }
 
+// soakVersions reports whether the engines of a seed run two versions of their software.
+func soakVersions(seed int) bool { return seed%4 < 2 }
+
 var _ = Describe("random faults", func() {
 	count := soakSeedCount
 	if n, err := strconv.Atoi(os.Getenv("TARRAGONDEAL_SOAK")); err == nil {
@@ -313,7 +326,11 @@
 	for seed := soakFirstSeed; seed < soakFirstSeed+count; seed++ {
 		It(fmt.Sprintf("violate no guarantee, seed %d", seed), func() {
 			s := &soak{fleet: newFleet(soakFleetSize(seed)), rng: rand.New(rand.NewPCG(uint64(seed), 0)), statuses: make(map[string][]int)}
-			s.updateEngines(func(x *server) { x.events, x.named, x.delay = soakEvents, true, soakPause })
+			s.updateEngines(func(x *server) { x.events, x.named, x.signs, x.delay = soakEvents, true, true, soakPause })
+			if soakVersions(seed) {
+				s.engine2.update(func(x *server) { x.version = "v2" })
+				s.store.put("servers/"+s.engine2.id, s.engine2.entry("model", "ready"))
+			}
 			s.waitReady()
 			if soakLimited(seed) {
 				announce(s.engine2, strconv.Itoa(soakLimit))
