--- a/internal/entry/tdorigin/origin_test.go
+++ b/internal/entry/tdorigin/origin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -283,3 +284,34 @@
 		t.Errorf("%d records", len(w.nodes[0].records))
 	}
 }
+
+// BenchmarkReceive measures the announcements of one second in a fleet with 2,000
+// streams a second, and reports the heap for each record kept.
+func BenchmarkReceive(b *testing.B) {
+	const perSecond = 2000
+	from, to := newFleet(1, true).nodes[0], newFleet(1, true)
+	write := from.Writer()
+	all := func(tarragondeal.NodeID) bool { return true }
+	write(all)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	n, size := 0, 0
+	for b.Loop() {
+		b.StopTimer()
+		for range perSecond {
+			n++
+			from.Began("a", tarragondeal.RequestID(fmt.Sprint(n)), v1)()
+		}
+		payload := write(all)
+		size = len(payload)
+		b.StartTimer()
+		to.nodes[0].Receive("node-1", payload)
+		to.advance(time.Second)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	records := len(from.records) + len(to.nodes[0].records)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(records), "B/record")
+	b.ReportMetric(float64(size), "B/s")
+}
