--- a/internal/entry/tdpass/stream.go
+++ b/internal/entry/tdpass/stream.go
@@ -120,7 +120,9 @@
 		return
 	}
 	x.headSent, x.begunAt = true, t.Server
-	x.ended = x.Origins.Began(t.Request.Workspace.Name, tarragondeal.RequestID(x.caller.ID), t.Server.Software())
+	if t.Request.Route.Resumable {
+		x.ended = x.Origins.Began(t.Request.Workspace.Name, tarragondeal.RequestID(x.caller.ID), t.Server.Software())
+	}
 	x.status, x.media, x.length = answer.Status, mediaType(answer), answer.Length
 	platform.EncodeAnswer(t.W.Header(), answer.Header)
 	if !t.Request.Route.NonIdempotent {
