tdorigin: forward what a leaf announced last before it died

What callers would see: in a fleet with relays, a stream whose node died is refused as of unknown version at many nodes, though the node had announced it.

Cause: a relay forwards the announcements of its leaves. When a leaf's stream of states ends, it is no leaf any more, and what the relay had received and not yet forwarded (up to 0.2 s of it) was dropped: the origins of just the streams that broke with the leaf.

Change: announcements of a node are forwarded for 2 s after its states no longer are.

Result: tdorigin.TestLeafThatDies failed before at the other relay and its leaf, and passes. The spec of test/vm that kills nodes of 11 kills a relay and a leaf now. Found by reading.

--- a/internal/dispatch/tdshare/share.go
+++ b/internal/dispatch/tdshare/share.go
@@ -3,7 +3,7 @@
 //
 // Time is divided into slots of equal length, the same at all nodes. Each slot has
 // a number of permits for the server, on average as many as the server accepts
-// requests in that time. Each permit belongs to one node, chosen by rendezvous
+// requests in that time. Each permit belongs to one node, found by rendezvous
 // hashing, which may send one request with it while the slot lasts or soon after.
 //
 // Nodes that know the same members and the same time never use the same permit. A
--- a/internal/entry/tdorigin/doc.go
+++ b/internal/entry/tdorigin/doc.go
@@ -8,7 +8,7 @@
 //
 // A stream without a record began at the only software of its pool, if there has been
 // no other one as long as the stream may have run. For that, nodes keep which software
-// was listed, and tell each other since when they know all of it.
+// was listed, and exchange since when each of them knows all of it.
 //
 // # Usage
 //
--- a/internal/entry/tdorigin/origin.go
+++ b/internal/entry/tdorigin/origin.go
@@ -83,6 +83,7 @@
 	known   map[tarragondeal.Software]*tarragondeal.Software // Shared by the records.
 	log     []announcement
 	seq     uint64
+	peers   map[tarragondeal.NodeID]tarragondeal.Instant // When the last message of each was received.
 	history history
 }
 
@@ -91,6 +92,7 @@
 	return &Origins{
 		Deps: d, records: make(map[key]record), open: make(map[key]tarragondeal.Instant),
 		known: make(map[tarragondeal.Software]*tarragondeal.Software), history: newHistory(o.FirstStart),
+		peers: make(map[tarragondeal.NodeID]tarragondeal.Instant),
 	}
 }
 
--- a/internal/entry/tdorigin/origin_test.go
+++ b/internal/entry/tdorigin/origin_test.go
@@ -146,6 +146,42 @@
 	}
 }
 
+// TestLeafThatDies guards against a stream that only some nodes know, since the leaf that
+// began it died before its relay had forwarded the announcement.
+func TestLeafThatDies(t *testing.T) {
+	w := newFleet(4, true) // Nodes 0 and 1 are relays, 2 is a leaf of 0 and 3 one of 1.
+	w.list(v1, v2)
+	leafAlive := true
+	send := func(from, to int, include ...int) {
+		link := [2]int{from, to}
+		if w.links[link] == nil {
+			w.links[link] = w.nodes[from].Writer()
+		}
+		payload := w.links[link](func(of tarragondeal.NodeID) bool {
+			return slices.ContainsFunc(include, func(n int) bool { return name(n) == of && (n != 2 || leafAlive) })
+		})
+		w.nodes[to].Receive(name(from), payload)
+	}
+	round := func() {
+		if leafAlive {
+			send(2, 0)
+		}
+		send(0, 1, 2)
+		send(1, 3, 0, 2)
+		w.advance(100 * time.Millisecond)
+	}
+	w.nodes[2].Began("a", "r0", v2)
+	round()
+	round()
+	w.nodes[2].Began("a", "r1", v1)
+	send(2, 0)
+	leafAlive = false
+	round()
+	w.expect(t, "the leaf's relay", 0, "r1", v1)
+	w.expect(t, "the other relay", 1, "r1", v1)
+	w.expect(t, "the other relay's leaf", 3, "r1", v1)
+}
+
 // TestRecordsExpire guards against records that are kept for ever, and ones that
 // expire while their stream is open.
 func TestRecordsExpire(t *testing.T) {
--- a/internal/entry/tdorigin/peers.go
+++ b/internal/entry/tdorigin/peers.go
@@ -15,6 +15,10 @@
 	// maxLog bounds the log of announcements, and the records that are sent on a new
 	// stream of states, or on one that falls further behind.
 	maxLog = 4096
+	// forwardGrace is how long the announcements of a node are forwarded on a stream
+	// after its states no longer are: what it announced last may be the origins of
+	// the streams that broke with it.
+	forwardGrace = 2 * time.Second
 	// listedInterval is how often the software that was listed is sent without a
 	// change.
 	listedInterval = 5 * time.Second
@@ -40,7 +44,9 @@
 func (o *Origins) SetServers(list []tarragondeal.Server) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.history.set(list, o.Clock.Now())
+	now := o.Clock.Now()
+	o.history.set(list, now)
+	o.forgetPeers(now)
 }
 
 // sentState is what was last sent on one stream of states.
@@ -49,20 +55,37 @@
 	seq      uint64
 	changes  uint64
 	listedAt tarragondeal.Instant
+	// forwards holds when announcements of a peer were last to be forwarded.
+	forwards map[tarragondeal.NodeID]tarragondeal.Instant
+}
+
+// update records which peers' announcements are to be forwarded now.
+func (s *sentState) update(peers map[tarragondeal.NodeID]tarragondeal.Instant, include func(tarragondeal.NodeID) bool, now tarragondeal.Instant) {
+	for name := range peers {
+		if include(name) {
+			s.forwards[name] = now
+		}
+	}
+	for name, at := range s.forwards {
+		if now.Sub(at) > forwardGrace {
+			delete(s.forwards, name)
+		}
+	}
 }
 
 // Writer returns a function that encodes the announcements since its last call, for
-// one peer: those of this node and of the nodes for which include returns true. The
-// first call encodes the latest records, also those of nodes that are gone.
+// one peer: those of this node and of the nodes for which include returns true, or did
+// a short time ago. The first call encodes the latest records, also those of nodes that are gone.
 func (o *Origins) Writer() func(include func(tarragondeal.NodeID) bool) []byte {
-	sent := sentState{first: true}
+	sent := sentState{first: true, forwards: make(map[tarragondeal.NodeID]tarragondeal.Instant)}
 	return func(include func(tarragondeal.NodeID) bool) []byte {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		now := o.Clock.Now()
 		o.refresh(now)
+		sent.update(o.peers, include, now)
 		m := &Message{}
-		o.addStreams(m, &sent, include)
+		o.addStreams(m, &sent)
 		o.addListed(m, &sent, now)
 		sent.first = false
 		if len(m.Streams) == 0 && len(m.Listed) == 0 {
@@ -77,6 +100,15 @@
 	}
 }
 
+// forgetPeers deletes the peers that have sent nothing for long.
+func (o *Origins) forgetPeers(now tarragondeal.Instant) {
+	for name, at := range o.peers {
+		if now.Sub(at) > historyTTL {
+			delete(o.peers, name)
+		}
+	}
+}
+
 // refresh announces open streams again that were announced long ago.
 func (o *Origins) refresh(now tarragondeal.Instant) {
 	for k, at := range o.open {
@@ -92,7 +124,7 @@
 }
 
 // addStreams adds the announcements that were not sent yet to a message.
-func (o *Origins) addStreams(m *Message, sent *sentState, include func(tarragondeal.NodeID) bool) {
+func (o *Origins) addStreams(m *Message, sent *sentState) {
 	groups := make(map[*tarragondeal.Software][]byte)
 	missing := int(o.seq - sent.seq)
 	if sent.first || missing > len(o.log) {
@@ -106,7 +138,7 @@
 		}
 	} else {
 		for _, a := range o.log[len(o.log)-missing:] {
-			if a.from == "" || include(a.from) {
+			if _, forward := sent.forwards[a.from]; a.from == "" || forward {
 				groups[a.software] = appendKey(groups[a.software], a.key)
 			}
 		}
@@ -152,6 +184,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock.Now()
+	o.peers[from] = now
 	for _, g := range m.GetStreams() {
 		s := tarragondeal.Software{Pool: g.GetPool(), Version: g.GetVersion()}
 		if !s.Known() || len(g.GetKeys())%keyBytes != 0 {
--- a/test/vm/version_test.go
+++ b/test/vm/version_test.go
@@ -177,7 +177,7 @@
 		// began it is gone.
 		It(fmt.Sprintf("are resumed at the version that began them after their node was killed, %d nodes", size), func() {
 			f := newVersionFleet(size, "v1", "v1", "v2", "v2", "v2")
-			for _, n := range f.nodes[:2] {
+			for _, n := range []*node{f.nodes[0], f.nodes[size-2]} { // In a large fleet a relay and a leaf.
 				broken, _ := f.beginStreams(n, 16, n.kill)
 				expectResumed(f.nodes[size-1], broken)
 				n.start()
@@ -205,7 +205,7 @@
 		}
 	})
 
-	// Guards against a guess where nobody knows which version began a stream.
+	// Guards against a version that is assumed for a stream without a record.
 	It("are not resumed if it isn't known which version began them", func() {
 		f := newVersionFleet(2, "v1", "v2")
 		broken, _ := f.beginStreams(f.nodes[0], 4, f.nodes[0].kill)
