Log whether a node takes part in the first start of its deployment

tdorigin relies on it: before a first start no stream can have begun. With the line an operator can see why a stream was resumed, or refused as of unknown version, after a restart of all nodes.

--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -232,7 +232,7 @@
 	n.serve(g, "answer readiness", n.listeners.ready, http.HandlerFunc(n.host.ServeReady))
 	n.serve(g, "answer addresses", n.listeners.addresses, &tdhost.Addresses{Nodes: n.mesh.ReadyNodes, TTL: addressTTL})
 	n.serve(g, "answer metrics", n.listeners.metrics, n.metrics.Handler())
-	n.log.Info().Str("dataCentre", n.vm.DataCentre).Str("callers", n.vm.Callers.String()).Msg("started")
+	n.log.Info().Str("dataCentre", n.vm.DataCentre).Str("callers", n.vm.Callers.String()).Bool("firstStart", n.vm.FirstStart).Msg("started")
 	err := n.wait(ctx, g)
 	n.drain()
 	go g.Close()
