--- a/test/vm/limit_test.go
+++ b/test/vm/limit_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -156,21 +157,36 @@
 		Expect(statuses).To(HaveLen(1), "%v", statuses)
 	})
 
-	// Guards against nodes that start again and send as if there were no limit.
-	It("gets no more requests while nodes are killed and start again", func() {
-		f := newFleet(4)
-		f.waitReady()
-		announce(f.engine, "1")
-		start := time.Now()
-		l := f.startLoad("/chat/", 25*time.Millisecond)
-		time.Sleep(limitGrace)
-		for _, n := range f.nodes[:2] {
+	for _, c := range []struct {
+		name  string
+		fault func(*node)
+	}{
+		{"are killed and start again", func(n *node) {
 			n.kill()
 			time.Sleep(500 * time.Millisecond)
 			n.start()
-			time.Sleep(limitWindow)
-		}
-		l.stop()
-		Expect(mostInWindow(f.engine, start.Add(limitGrace), time.Now())).To(BeNumerically("<=", permitted(1)))
-	})
+		}},
+		{"are frozen for a while", func(n *node) {
+			n.signal(syscall.SIGSTOP)
+			time.Sleep(2 * time.Second)
+			n.signal(syscall.SIGCONT)
+		}},
+	} {
+		// Guards against nodes that go on as if there were no limit, or use up what they
+		// missed.
+		It("gets no more requests while nodes "+c.name, func() {
+			f := newFleet(4)
+			f.waitReady()
+			announce(f.engine, "1")
+			start := time.Now()
+			l := f.startLoad("/chat/", 25*time.Millisecond)
+			time.Sleep(limitGrace)
+			for _, n := range f.nodes[:2] {
+				c.fault(n)
+				time.Sleep(limitWindow)
+			}
+			l.stop()
+			Expect(mostInWindow(f.engine, start.Add(limitGrace), time.Now())).To(BeNumerically("<=", permitted(1)))
+		})
+	}
 })
