tdorigin: ask for the state of the copy before taking the lock

What callers would see: a node that answers nothing any more, from the moment at which a caller resumes a stream without a record while the list of servers changes.

Cause: the copy of the store gives out a new list under its own lock, for which tdorigin takes its lock; the lookup of a stream held that lock and asked for the age of the copy, which takes the other one.

Change: the age is asked for first.

Result: tdorigin.TestListChangesDuringLookup failed before and passes.

--- a/internal/entry/tdorigin/origin.go
+++ b/internal/entry/tdorigin/origin.go
@@ -60,7 +60,8 @@
 // Deps are the dependencies of an Origins.
 type Deps struct {
 	Clock tarragondeal.Clock
-	// Current reports whether this node's list of servers is up to date.
+	// Current reports whether this node's list of servers is up to date. It may
+	// take locks under which SetServers is called.
 	Current func() bool
 	Log     zerolog.Logger
 	Scope   tally.Scope
@@ -193,6 +194,7 @@
 // find returns the software at which a stream began, and how that is known; the
 // source is empty if it isn't.
 func (o *Origins) find(q tarragondeal.OriginQuery) (tarragondeal.Software, string) {
+	current := o.Current()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock.Now()
@@ -203,7 +205,7 @@
 		}
 		return *r.software, sourceRecord
 	}
-	if len(q.Pools) != 1 || !o.Current() {
+	if len(q.Pools) != 1 || !current {
 		return tarragondeal.Software{}, ""
 	}
 	if s, ok := o.history.only(q.Pools[0], max(q.MaxAge, recordTTL), now); ok {
--- a/internal/entry/tdorigin/origin_test.go
+++ b/internal/entry/tdorigin/origin_test.go
@@ -285,6 +285,28 @@
 	w.expect(t, "peers know of another one", 2, "r", unknown)
 }
 
+// TestListChangesDuringLookup guards against a node that stops for ever: the list of
+// servers changes under the lock of the store's copy, which Current needs too.
+func TestListChangesDuringLookup(t *testing.T) {
+	w := newFleet(1, true)
+	w.list(v1)
+	o := w.nodes[0]
+	o.Current = func() bool {
+		changed := make(chan struct{})
+		go func() {
+			o.SetServers(servers([]tarragondeal.Software{v1}))
+			close(changed)
+		}()
+		select {
+		case <-changed:
+		case <-time.After(2 * time.Second):
+			t.Error("the list can't change while a stream is looked up")
+		}
+		return true
+	}
+	w.expect(t, "one version", 0, "r", v1)
+}
+
 // TestFindWaits guards against a refusal since a record is still on its way, and
 // against a caller that waits for ever.
 func TestFindWaits(t *testing.T) {
