--- a/internal/dispatch/tdfit/limit_test.go
+++ b/internal/dispatch/tdfit/limit_test.go
@@ -92,14 +92,8 @@
 			}
 			w.advance(20 * time.Millisecond)
 		}
-		for n, first := range sent {
-			end := slices.IndexFunc(sent, func(at tarragondeal.Instant) bool { return at.Sub(first) > 4*time.Second })
-			if end < 0 {
-				end = len(sent)
-			}
-			if end-n > bound {
-				t.Fatalf("%d nodes: %d requests in 4s, %d permitted", size, end-n, bound)
-			}
+		if n := mostWithin(sent, 4*time.Second); n > bound {
+			t.Errorf("%d nodes: %d requests in 4s, %d permitted", size, n, bound)
 		}
 		if len(sent) < 8 {
 			t.Errorf("%d nodes: only %d requests in 16s", size, len(sent))
@@ -107,6 +101,67 @@
 	}
 }
 
+// TestLimitHoldsWhileNodesStartAgain guards against a server that gets more requests
+// than its limit permits since nodes that start again have no permits used, and
+// against a limit that is lost with the node that learned of it.
+func TestLimitHoldsWhileNodesStartAgain(t *testing.T) {
+	const (
+		size      = 11
+		perSecond = 2.0
+		bound     = int(1.5*4*perSecond) + 5
+	)
+	w := newLimitFleet(size, 3)
+	w.nodes[size-1].announce("m0", perSecond, w.clock.now)
+	names := w.nodes[0].Nodes()
+	var sent []tarragondeal.Instant
+	for step := range 1500 {
+		if step%25 == 10 { // Twice a second.
+			n := 1 + step/25%(size-1)
+			w.nodes[n] = newTestFitAt(names[n], names, w.clock, 3)
+			delete(w.links, [2]int{n, 0})
+			delete(w.links, [2]int{0, n})
+		}
+		for _, node := range w.nodes {
+			if !node.limited("m0") {
+				continue // Doesn't know of it yet.
+			}
+			g, err := node.reserve(liveStream())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if g.Server.ID == "m0" {
+				sent = append(sent, w.clock.now)
+			}
+			node.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
+		}
+		if step%5 == 0 {
+			w.exchange()
+		}
+		w.advance(20 * time.Millisecond)
+	}
+	if n := mostWithin(sent, 4*time.Second); n > bound {
+		t.Errorf("%d requests in 4s, %d permitted", n, bound)
+	}
+	for n, node := range w.nodes {
+		if !node.limited("m0") {
+			t.Errorf("node %d has lost the limit", n)
+		}
+	}
+}
+
+// mostWithin returns the largest number of instants within a time.
+func mostWithin(at []tarragondeal.Instant, d time.Duration) int {
+	most := 0
+	for n, first := range at {
+		end := slices.IndexFunc(at, func(i tarragondeal.Instant) bool { return i.Sub(first) > d })
+		if end < 0 {
+			end = len(at)
+		}
+		most = max(most, end-n)
+	}
+	return most
+}
+
 // TestLimitIsKnownToAllNodes guards against nodes that send as before since another
 // one learned of the limit, of its change or of its end.
 func TestLimitIsKnownToAllNodes(t *testing.T) {
