tdorigin: bound the age of a stream without a record by the deadline of its class

Cause: the time for which other versions are ruled out had a lower bound of 30 s, the age of a record, which has nothing to do with how long a stream may run.

Result: tests of tdorigin with an age of their own; the specs of test/vm pass.

--- a/internal/entry/tdorigin/origin.go
+++ b/internal/entry/tdorigin/origin.go
@@ -20,6 +20,9 @@
 	refreshInterval = 10 * time.Second
 	// maxRecords bounds the records: 2,000 streams a second for twice recordTTL.
 	maxRecords = 120_000
+	// minAge is the least age that is allowed for a stream without a record. The
+	// deadline of its class may have been longer when it began.
+	minAge = 10 * time.Second
 	// findTimeout is how long Find waits for a record that another node may have
 	// announced just before: the longest time to all nodes of a fleet with relays.
 	findTimeout = 500 * time.Millisecond
@@ -208,7 +211,7 @@
 	if len(q.Pools) != 1 || !current {
 		return tarragondeal.Software{}, ""
 	}
-	if s, ok := o.history.only(q.Pools[0], max(q.MaxAge, recordTTL), now); ok {
+	if s, ok := o.history.only(q.Pools[0], max(q.MaxAge, minAge), now); ok {
 		return s, sourceOnly
 	}
 	return tarragondeal.Software{}, ""
--- a/internal/entry/tdorigin/origin_test.go
+++ b/internal/entry/tdorigin/origin_test.go
@@ -103,7 +103,7 @@
 
 // found returns what a node knows of a request's stream without waiting.
 func (w *fleet) found(n int, request string) (tarragondeal.Software, bool) {
-	s, source := w.nodes[n].find(tarragondeal.OriginQuery{Workspace: "a", Request: tarragondeal.RequestID(request), Pools: []string{"m"}, MaxAge: 5 * time.Second})
+	s, source := w.nodes[n].find(tarragondeal.OriginQuery{Workspace: "a", Request: tarragondeal.RequestID(request), Pools: []string{"m"}, MaxAge: testAge})
 	return s, source != ""
 }
 
@@ -115,6 +115,9 @@
 	}
 }
 
+// testAge is the longest age of the streams in the tests.
+const testAge = 20 * time.Second
+
 var unknown = tarragondeal.Software{}
 
 // TestStreamIsKnownToAllNodes guards against a stream whose version is lost with the
@@ -252,13 +255,15 @@
 	w.expect(t, "two versions", 0, "r", unknown)
 	w.list(v2)
 	w.expect(t, "the first one just left", 0, "r", unknown)
-	w.advance(recordTTL + time.Second)
+	w.advance(testAge - time.Second)
+	w.expect(t, "the first one may have begun it", 0, "r", unknown)
+	w.advance(2 * time.Second)
 	w.expect(t, "the first one left long ago", 0, "r", v2)
 
 	w.list(v2, tarragondeal.Software{Pool: "m"})
 	w.expect(t, "a server without a version", 0, "r", unknown)
 	w.list(v2, tarragondeal.Software{Pool: "other", Version: "v1"})
-	w.advance(recordTTL + time.Second)
+	w.advance(testAge + time.Second)
 	w.expect(t, "another pool", 0, "r", v2)
 }
 
@@ -268,7 +273,7 @@
 	w := newFleet(3, false)
 	w.list(v1)
 	w.expect(t, "no node knows more", 0, "r", unknown)
-	w.advance(recordTTL + time.Second)
+	w.advance(testAge + time.Second)
 	w.expect(t, "known for long", 0, "r", v1)
 
 	w.restart(2)
--- a/origin.go
+++ b/origin.go
@@ -20,6 +20,6 @@
 	Workspace string
 	Request   RequestID // The one that brought the first event, as named by the caller.
 	Pools     []string  // The pools at which the stream may go on.
-	// MaxAge is the longest time since the stream began.
+	// MaxAge is the longest time since the stream began; a lower bound applies.
 	MaxAge time.Duration
 }
