--- a/internal/entry/tdorigin/history.go
+++ b/internal/entry/tdorigin/history.go
@@ -10,13 +10,13 @@
 // historyTTL is how long software is kept after it was listed last.
 const historyTTL = 10 * time.Minute
 
-// history holds which software was listed, and since when it holds all.
+// history holds which software was listed.
 type history struct {
-	last     map[tarragondeal.Software]tarragondeal.Instant // When it was listed last; now for present.
-	present  map[tarragondeal.Software]bool
-	complete bool                 // Since completeFrom.
-	from     tarragondeal.Instant // Holds all software that was listed since then.
-	changes  uint64
+	last     map[tarragondeal.Software]tarragondeal.Instant // When each was listed last, as of the latest change.
+	present  map[tarragondeal.Software]bool                 // What is listed.
+	complete bool                                           // From is set.
+	from     tarragondeal.Instant                           // All software that was listed since then is in last.
+	changes  uint64                                         // Number of changes that peers must learn of.
 }
 
 // newHistory returns a history without software. If always is set, no software was
--- a/internal/entry/tdorigin/origin.go
+++ b/internal/entry/tdorigin/origin.go
@@ -54,7 +54,7 @@
 	other *tarragondeal.Software
 }
 
-// queued is a record at the time of one of its announcements.
+// queued is an entry of the queue of records to expire.
 type queued struct {
 	key key
 	at  tarragondeal.Instant
