tdorigin: don't repeat old records when a stream of states is opened

Cause: on a new stream of states a node sends its latest 4,096 records. The receiver took those older than 5 s for new announcements, renewed them and forwarded each to all nodes, so that none expired either. Streams of states are opened again just when nodes are overloaded.

Change: such records carry their age. One that is known is renewed only by a later announcement, and only announcements of the last 2 s are forwarded.

--- a/internal/entry/tdorigin/origin.go
+++ b/internal/entry/tdorigin/origin.go
@@ -82,7 +82,7 @@
 
 	mu      sync.Mutex
 	records map[key]record
-	expiry  []queued // In the order of announcement.
+	expiry  []queued // In the order of arrival.
 	open    map[key]tarragondeal.Instant
 	known   map[tarragondeal.Software]*tarragondeal.Software // Shared by the records.
 	log     []announcement
@@ -110,7 +110,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock.Now()
-	if o.add(k, s, now) {
+	if o.add(k, s, now, now) {
 		o.append(announcement{key: k, software: o.intern(s)})
 	}
 	o.open[k] = now
@@ -134,20 +134,25 @@
 	return &s
 }
 
-// add records an announcement. It reports whether it says anything new.
-func (o *Origins) add(k key, s tarragondeal.Software, now tarragondeal.Instant) bool {
+// add records an announcement that was made at the given time. It reports whether it
+// says anything new. A record that is known is renewed only by a later announcement:
+// nodes that repeat it to one another would keep it for ever.
+func (o *Origins) add(k key, s tarragondeal.Software, at, now tarragondeal.Instant) bool {
 	o.evict(now)
+	if now.Sub(at) > recordTTL {
+		return false
+	}
 	r, ok := o.records[k]
 	differs := ok && *r.software != s
-	if ok && (!differs || r.other != nil) && now.Sub(r.at) <= refreshInterval/2 {
+	if ok && (!differs || r.other != nil) && at.Sub(r.at) <= refreshInterval/2 {
 		return false
 	}
 	if differs {
 		r.other = r.software
 	}
-	r.software, r.at = o.intern(s), now
+	r.software, r.at = o.intern(s), max(r.at, at)
 	o.records[k] = r
-	o.expiry = append(o.expiry, queued{key: k, at: now})
+	o.expiry = append(o.expiry, queued{key: k, at: r.at})
 	return true
 }
 
@@ -202,7 +207,7 @@
 	defer o.mu.Unlock()
 	now := o.Clock.Now()
 	o.evict(now)
-	if r, ok := o.records[keyOf(q.Workspace, q.Request)]; ok && q.Request != "" {
+	if r, ok := o.records[keyOf(q.Workspace, q.Request)]; ok && q.Request != "" && now.Sub(r.at) <= recordTTL {
 		if r.other != nil {
 			return tarragondeal.Software{}, ""
 		}
--- a/internal/entry/tdorigin/origin_test.go
+++ b/internal/entry/tdorigin/origin_test.go
@@ -213,6 +213,31 @@
 	}
 }
 
+// TestNewStreamsOfStates guards against nodes that repeat old records to one another
+// whenever a stream of states between them is opened: the links carry each record again
+// for all nodes, and none expires.
+func TestNewStreamsOfStates(t *testing.T) {
+	for _, relays := range []bool{false, true} {
+		w := newFleet(5, true)
+		w.list(v1, v2)
+		w.nodes[1].Began("a", "r", v1)()
+		w.exchange(relays)
+		w.exchange(relays)
+		for range 15 {
+			w.advance(3 * time.Second)
+			clear(w.links)
+			w.exchange(relays)
+			w.exchange(relays)
+		}
+		for n, o := range w.nodes {
+			w.expect(t, "after 45s", n, "r", unknown)
+			if o.seq > 1 {
+				t.Errorf("node %d sent the record %d times", n, o.seq)
+			}
+		}
+	}
+}
+
 // TestRecordsAreBounded guards against memory that grows with the streams of a burst.
 func TestRecordsAreBounded(t *testing.T) {
 	w := newFleet(1, true)
--- a/internal/entry/tdorigin/peers.go
+++ b/internal/entry/tdorigin/peers.go
@@ -19,6 +19,8 @@
 	// after its states no longer are: what it announced last may be the origins of
 	// the streams that broke with it.
 	forwardGrace = 2 * time.Second
+	// ageStep is the precision of the age of records.
+	ageStep = time.Second
 	// listedInterval is how often the software that was listed is sent without a
 	// change.
 	listedInterval = 5 * time.Second
@@ -85,7 +87,7 @@
 		o.refresh(now)
 		sent.update(o.peers, include, now)
 		m := &Message{}
-		o.addStreams(m, &sent)
+		o.addStreams(m, &sent, now)
 		o.addListed(m, &sent, now)
 		sent.first = false
 		if len(m.Streams) == 0 && len(m.Listed) == 0 {
@@ -117,35 +119,54 @@
 			continue
 		}
 		o.open[k] = now
-		if o.add(k, *r.software, now) {
+		if o.add(k, *r.software, now, now) {
 			o.append(announcement{key: k, software: r.software})
 		}
 	}
 }
 
+// streamGroup are streams that began at one software and were announced at about the
+// same time.
+type streamGroup struct {
+	software *tarragondeal.Software
+	age      time.Duration // In whole steps of ageStep; zero for new announcements.
+}
+
 // addStreams adds the announcements that were not sent yet to a message.
-func (o *Origins) addStreams(m *Message, sent *sentState) {
-	groups := make(map[*tarragondeal.Software][]byte)
+func (o *Origins) addStreams(m *Message, sent *sentState, now tarragondeal.Instant) {
+	groups := make(map[streamGroup][]byte)
 	missing := int(o.seq - sent.seq)
 	if sent.first || missing > len(o.log) {
-		for _, q := range o.expiry[max(0, len(o.expiry)-maxLog):] {
-			if r, ok := o.records[q.key]; ok && r.at == q.at {
-				groups[r.software] = appendKey(groups[r.software], q.key)
-				if r.other != nil {
-					groups[r.other] = appendKey(groups[r.other], q.key)
-				}
-			}
-		}
+		o.groupRecords(groups, now)
 	} else {
 		for _, a := range o.log[len(o.log)-missing:] {
 			if _, forward := sent.forwards[a.from]; a.from == "" || forward {
-				groups[a.software] = appendKey(groups[a.software], a.key)
+				g := streamGroup{software: a.software}
+				groups[g] = appendKey(groups[g], a.key)
 			}
 		}
 	}
 	sent.seq = o.seq
-	for s, keys := range groups {
-		m.Streams = append(m.Streams, &Streams{Pool: s.Pool, Version: s.Version, Keys: keys})
+	for g, keys := range groups {
+		m.Streams = append(m.Streams, &Streams{
+			Pool: g.software.Pool, Version: g.software.Version, Keys: keys, AgeMillis: uint64(g.age.Milliseconds()),
+		})
+	}
+}
+
+// groupRecords adds the latest records to groups.
+func (o *Origins) groupRecords(groups map[streamGroup][]byte, now tarragondeal.Instant) {
+	for _, q := range o.expiry[max(0, len(o.expiry)-maxLog):] {
+		r, ok := o.records[q.key]
+		if !ok || r.at != q.at {
+			continue
+		}
+		g := streamGroup{software: r.software, age: max(now.Sub(r.at).Round(ageStep), ageStep)}
+		groups[g] = appendKey(groups[g], q.key)
+		if r.other != nil {
+			g.software = r.other
+			groups[g] = appendKey(groups[g], q.key)
+		}
 	}
 }
 
@@ -191,8 +212,9 @@
 			o.Log.Warn().Str("peer", string(from)).Str("pool", s.Pool).Int("bytes", len(g.GetKeys())).Msg("invalid origins of streams of a peer")
 			continue
 		}
+		age := time.Duration(min(g.GetAgeMillis(), uint64(historyTTL.Milliseconds()))) * time.Millisecond
 		for b := g.GetKeys(); len(b) > 0; b = b[keyBytes:] {
-			if k := decodeKey(b); o.add(k, s, now) {
+			if k := decodeKey(b); o.add(k, s, now.Add(-age), now) && age <= forwardGrace {
 				o.append(announcement{from: from, key: k, software: o.intern(s)})
 			}
 		}
