--- a/test/vm/limit_test.go
+++ b/test/vm/limit_test.go
@@ -103,7 +103,7 @@
 		{3, "6.5", 20 * time.Millisecond},
 		{11, "2", 20 * time.Millisecond},
 	} {
-		// Guards against a server in need that each node sends as many requests as before.
+		// Guards against an overloaded server that each node sends as many requests as before.
 		It(fmt.Sprintf("gets no more requests than %s a second from %d nodes", c.limit, c.nodes), func() {
 			f := newFleet(c.nodes)
 			f.waitReady()
