--- a/internal/entry/tdorigin/peers.go
+++ b/internal/entry/tdorigin/peers.go
@@ -12,9 +12,11 @@
 const Topic = "origin"
 
 const (
-	// maxLog bounds the log of announcements, and the records that are sent on a new
-	// stream of states, or on one that falls further behind.
+	// maxLog bounds the log of announcements.
 	maxLog = 4096
+	// maxSnapshot bounds the records that are sent on a new stream of states, or on
+	// one that falls further behind than the log.
+	maxSnapshot = 1024
 	// forwardGrace is how long the announcements of a node are forwarded on a stream
 	// after its states no longer are: what it announced last may be the origins of
 	// the streams that broke with it.
@@ -156,7 +158,7 @@
 
 // groupRecords adds the latest records to groups.
 func (o *Origins) groupRecords(groups map[streamGroup][]byte, now tarragondeal.Instant) {
-	for _, q := range o.expiry[max(0, len(o.expiry)-maxLog):] {
+	for _, q := range o.expiry[max(0, len(o.expiry)-maxSnapshot):] {
 		r, ok := o.records[q.key]
 		if !ok || r.at != q.at {
 			continue
