tdfit: log the parts of prompts whose attempts broke, and crashes learned from peers

An attempt that broke now logs the fingerprint and the shared parts, 16 at most; a crash that is new here logs the peer that reported it.

--- a/internal/dispatch/tdfit/crash.go
+++ b/internal/dispatch/tdfit/crash.go
@@ -31,10 +31,11 @@
 	return &crashes{clock: c, records: make(map[uint64]*crashRecord)}
 }
 
-// add records a crash. A request without a fingerprint is ignored.
-func (c *crashes) add(fingerprint uint64, id tarragondeal.ServerID) {
+// add records a crash and reports whether it is new. A request without a
+// fingerprint is ignored.
+func (c *crashes) add(fingerprint uint64, id tarragondeal.ServerID) bool {
 	if fingerprint == 0 {
-		return
+		return false
 	}
 	now := c.clock.Now()
 	if len(c.records) >= maxCrashRecords {
@@ -47,10 +48,12 @@
 	}
 	// A crash that is already known doesn't extend the record: peers that
 	// repeat it to one another would keep it forever.
-	if !slices.Contains(r.servers, id) {
-		r.servers = append(r.servers, id)
-		r.last = now
+	if slices.Contains(r.servers, id) {
+		return false
 	}
+	r.servers = append(r.servers, id)
+	r.last = now
+	return true
 }
 
 // evict deletes expired records, or all records if none has expired.
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -121,7 +121,10 @@
 	f.receiveSent(from, m.GetSent(), now)
 	f.receiveLimits(from, m.GetLimits(), now)
 	for _, c := range m.GetCrashes() {
-		f.crashes.add(c.GetFingerprint(), tarragondeal.ServerID(c.GetServer()))
+		if id := tarragondeal.ServerID(c.GetServer()); f.crashes.add(c.GetFingerprint(), id) {
+			f.Log.Info().Str("peer", string(from)).Str("server", string(id)).Str("fingerprint", hexID(c.GetFingerprint())).
+				Int("crashed", f.crashes.servers(c.GetFingerprint())).Msg("request broke the connection to a server at a peer")
+		}
 	}
 }
 
--- a/internal/dispatch/tdfit/trace.go
+++ b/internal/dispatch/tdfit/trace.go
@@ -1,6 +1,10 @@
 package tdfit
 
-import "tarragondeal"
+import (
+	"strconv"
+
+	"tarragondeal"
+)
 
 // tierStarts holds when an engine last began to answer a request of each tier.
 type tierStarts map[int]tarragondeal.Instant
@@ -52,12 +56,30 @@
 		Str("outcome", name).Bool("answered", open.started).Dur("after", now.Sub(open.sent)).
 		Int("running", t.running).Int("slots", s.slots()).Int("tokens", t.tokens).Int("capacity", s.engine.KVTokens).
 		Dur("prefillBacklog", s.backlog(now)).Str("state", string(s.State))
+	if kind == tarragondeal.OutcomeCrashed {
+		line = line.Str("fingerprint", hexID(a.Fingerprint)).Strs("parts", sharedPartNames(a.Parts))
+	}
 	if lower := f.lastStarts[s.Pool].lowerStart(a.Tier); lower > 0 {
 		line = line.Dur("sinceLowerTierStart", now.Sub(lower))
 	}
 	line.Msg("attempt at engine failed")
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// sharedPartNames returns the names of a prompt's parts in log lines, without the
+// last one, which belongs to the request or its session.
+func sharedPartNames(parts []tarragondeal.PromptPart) []string {
+	var out []string
+	for n := range min(len(parts)-1, maxLoggedParts) {
+		out = append(out, hexID(parts[n].ID))
+	}
+	return out
+}
+
+func hexID(id uint64) string { return strconv.FormatUint(id, 16) }
+
 // logNoServer logs that no server could be granted to a request, and why.
 func (f *Fit) logNoServer(a *tarragondeal.Ask) {
 	f.mu.Lock()
