tdpass: a stream without framing that ends before its first event has broken off

Callers got an empty stream as a complete one, with status 200, when a server that sends neither a length nor chunks crashed before its first event; and the crash counted as a served request.

Cause: the end of the connection is the end of such an answer, and only an end inside an event was taken for a break. An unframed stream of a caller that has no event yet now needs at least one event; without one, the attempt has failed as crashed, so that another server is asked.

--- a/internal/entry/tdpass/stream.go
+++ b/internal/entry/tdpass/stream.go
@@ -78,7 +78,7 @@
 	p := part{continues: continues, placed: !continues}
 	for {
 		ev, err := events.Next()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !x.endedBeforeEvents(t, answer, &p) {
 			return x.endStream(t, answer, timer, &p)
 		}
 		if err != nil {
@@ -108,6 +108,12 @@
 	}
 }
 
+// endedBeforeEvents reports whether a stream ended with its connection before its
+// first event. A server that crashes there can't be told from one that has no events.
+func (x *Exchange) endedBeforeEvents(t *tdflow.Attempt, answer *tarragondeal.Answer, p *part) bool {
+	return answer.Unframed && t.Request.Method != http.MethodHead && !p.begun && !x.headSent && x.caller.Resume == ""
+}
+
 // beginStream handles the first event of an attempt. It sends the response header
 // to the caller unless an earlier attempt has done so.
 func (x *Exchange) beginStream(t *tdflow.Attempt, answer *tarragondeal.Answer) {
