Refuse requests that share a part of their prompts under which servers crash

Callers saw back ends end one after the other: after five servers had ended under one part of prompts, 19 and 25 more requests with it were sent.

Cause: a crash was recorded for the whole request, and no two requests were alike. Crashes were also announced for 2 s only, so that a node that started later knew none.

tdpoison records breaks for each trait of a request: its fingerprint, and the parts of its prompt but the last. A trait is refused from three successive breaks on (two for a fingerprint) without a complete answer in between; breaks of requests that were sent before the last break don't count, nor do traits whose breaks a poisonous one explains. That sets the guilty part apart from its neighbours, from the loss of many servers and from a node without links, which a count of crashes would not. Nodes announce breaks and answers as they come, and all that is on record when a stream of states begins. After 30 s, one request in the fleet at a time tries a refused trait again.

It takes the place of the records in tdfit. Their test of expiry, TestRepeatedCrashExpires, is replaced by tdpoison.TestBreaksExpire, TestMessagesEnd and TestTrials: nodes repeat nothing any more, unconnected breaks expire as before, and a refusal ends by a trial.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -14,6 +14,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/dispatch/tdpoison"
 	"tarragondeal/internal/dispatch/tdretry"
 	"tarragondeal/internal/dispatch/tdshare"
 )
@@ -32,9 +33,6 @@
 	// backoffTime is how long a server gets no requests after it was
 	// unreachable or didn't answer.
 	backoffTime = 700 * time.Millisecond
-	// maxCrashedServers is the number of servers at which a request may break
-	// connections before it is refused.
-	maxCrashedServers = 2
 	// budgetShare is the share of the deployment's retry bounds that is used.
 	// The rest allows for nodes that count differently.
 	budgetShare = 0.6
@@ -47,8 +45,10 @@
 	Self  tarragondeal.NodeID
 	Nodes func() []tarragondeal.NodeID // All nodes in the fleet, including Self.
 	Wall  func() time.Time             // A clock on which the nodes agree.
-	Log   zerolog.Logger
-	Scope tally.Scope
+	// Poison records what the requests have in common that crash servers.
+	Poison *tdpoison.Table
+	Log    zerolog.Logger
+	Scope  tally.Scope
 }
 
 // Options configure a Fit.
@@ -72,7 +72,6 @@
 	meanRate       float64 // Mean of the engines' rates, in prompt tokens per millisecond.
 	heavyThreshold int     // Prompts with more uncached tokens than this delay tight streams.
 	grants         map[tarragondeal.GrantID]*openGrant
-	crashes        *crashes
 	prefill        map[string]*prefillMeter // By pool.
 	sentLog        []sentEntry
 	seq            uint64
@@ -98,7 +97,7 @@
 func New(d Deps, o Options) *Fit {
 	return &Fit{
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
-		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant), crashes: newCrashes(d.Clock),
+		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
 		lastStarts: make(map[string]tierStarts), limits: make(map[serverRun]*serverLimit),
 		waiting: make(map[string]map[int]int),
@@ -210,15 +209,16 @@
 func (f *Fit) choose(r *request, start tarragondeal.Instant, first bool) (tarragondeal.Grant, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n := f.crashes.servers(r.ask.Fingerprint); n >= maxCrashedServers {
-		f.Log.Warn().Str("request", string(r.ask.Request)).Int("crashed", n).Msg("request refused: it broke the connection to several servers")
-		return tarragondeal.Grant{}, false, refused(tarragondeal.ReasonQuarantined, "this request broke the connection to several servers", 0)
-	}
 	now := f.Clock.Now()
 	if r.ask.Attempt == 1 && first {
 		f.budget(r.ask).CountRequest()
 	}
+	var poisoned error
 	for _, pool := range poolsByShare(r.ask) {
+		if err := f.checkPoison(r.ask, pool); err != nil {
+			poisoned = err
+			continue
+		}
 		if s := f.best(r, pool, now); s != nil {
 			if f.shouldHold(r, s, now, start) {
 				return tarragondeal.Grant{}, false, nil
@@ -226,7 +226,7 @@
 			return f.assign(r, s, now), true, nil
 		}
 	}
-	return tarragondeal.Grant{}, false, nil
+	return tarragondeal.Grant{}, false, poisoned
 }
 
 // poolsByShare returns the pools of an ask, starting with one chosen at
@@ -283,6 +283,9 @@
 		s.own.tight++
 	}
 	f.takePermit(r.ask, s, now)
+	if !f.Poison.Empty() {
+		f.Poison.Sent(traitsOf(r.ask, s.Pool))
+	}
 	id := tarragondeal.GrantID(strconv.FormatUint(f.lastGrant.Add(1), 10))
 	f.grants[id] = open
 	return tarragondeal.Grant{
@@ -349,13 +352,16 @@
 	case tarragondeal.OutcomeServed:
 		open.server.served.add(now, 1)
 		open.server.lastAnswer = now
+		if !f.Poison.Empty() {
+			f.Poison.Answered(traitsOf(open.request.ask, open.server.Pool))
+		}
 	case tarragondeal.OutcomeUnreachable:
 		open.server.failures.add(now, 1)
 		open.server.backoffUntil = now.Add(backoffTime)
 		f.Log.Info().Str("server", string(open.server.ID)).Dur("for", backoffTime).Msg("server is unreachable; it gets no requests for a while")
 	case tarragondeal.OutcomeCrashed:
 		open.server.failures.add(now, 1)
-		f.crashes.add(open.request.ask.Fingerprint, open.server.ID)
+		f.Poison.Broke(traitsOf(open.request.ask, open.server.Pool), tdpoison.Break{Run: poisonRun(open.server), Sent: open.sent, At: now})
 	case tarragondeal.OutcomeRefused, tarragondeal.OutcomeWrong:
 		open.server.failures.add(now, 1)
 	case tarragondeal.OutcomeLate:
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -60,7 +60,7 @@
 			seq = f.seq // Earlier requests no longer affect the load.
 		}
 		m := &Load{
-			Sent: f.sentSince(seq, include), Crashes: f.crashes.recent(),
+			Sent: f.sentSince(seq, include),
 			Uses: f.changedUses(uses, include, f.Clock.Now()), Whole: first,
 			Limits: f.changedLimits(limits, f.Clock.Now()),
 		}
@@ -120,12 +120,6 @@
 	f.receiveUses(from, &m)
 	f.receiveSent(from, m.GetSent(), now)
 	f.receiveLimits(from, m.GetLimits(), now)
-	for _, c := range m.GetCrashes() {
-		if id := tarragondeal.ServerID(c.GetServer()); f.crashes.add(c.GetFingerprint(), id) {
-			f.Log.Info().Str("peer", string(from)).Str("server", string(id)).Str("fingerprint", hexID(c.GetFingerprint())).
-				Int("crashed", f.crashes.servers(c.GetFingerprint())).Msg("request broke the connection to a server at a peer")
-		}
-	}
 }
 
 // Lost records that the stream of a peer has ended. Its load expires after
--- /dev/null
+++ b/internal/dispatch/tdpoison/table.go
@@ -0,0 +1,234 @@
+package tdpoison
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdshare"
+)
+
+const (
+	// maxRecords bounds the traits that are recorded.
+	maxRecords = 2048
+	// trialRate is how many requests a second the fleet may send to try a trait
+	// again, and trialPause how long a node waits after a trial of its own.
+	trialRate  = 0.5
+	trialPause = 10 * time.Second
+)
+
+// Deps are the dependencies of a Table.
+type Deps struct {
+	Clock tarragondeal.Clock
+	Fleet func() tdshare.Fleet // The nodes that share the trials.
+	Log   zerolog.Logger
+}
+
+// Table holds what a node knows of traits under which connections broke. It is safe
+// for concurrent use.
+type Table struct {
+	Deps
+
+	mu      sync.Mutex
+	records map[Trait]*record
+	log     []announcement
+	seq     uint64 // Number of the last announcement.
+}
+
+// New returns an empty table.
+func New(d Deps) *Table { return &Table{Deps: d, records: make(map[Trait]*record)} }
+
+// Empty reports whether nothing is recorded, so that no request is refused and no
+// answer changes anything.
+func (t *Table) Empty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records) == 0
+}
+
+// Verdict says whether a request may be sent.
+type Verdict struct {
+	Refused bool
+	Trait   Trait         // The trait for which the request is refused.
+	Crashes int           // The successive breaks under that trait.
+	After   time.Duration // After which it may be accepted.
+}
+
+// Check returns the verdict on a request with the given traits.
+func (t *Table) Check(traits []Trait) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	for _, trait := range traits {
+		r := t.live(trait, now)
+		if r == nil || !t.refuses(trait, r) {
+			continue
+		}
+		if after := max(r.holdUntil(trait.Kind), r.triedAt.Add(trialPause)).Sub(now); after > 0 {
+			return Verdict{Refused: true, Trait: trait, Crashes: r.sequence(), After: after}
+		}
+		if !t.hasPermit(trait, r) {
+			return Verdict{Refused: true, Trait: trait, Crashes: r.sequence(), After: trialPause}
+		}
+	}
+	return Verdict{}
+}
+
+// live returns the record of a trait, or nil if there is none or it has expired.
+func (t *Table) live(trait Trait, now tarragondeal.Instant) *record {
+	r := t.records[trait]
+	if r != nil && r.expired(trait.Kind, now) {
+		delete(t.records, trait)
+		return nil
+	}
+	return r
+}
+
+// refuses reports whether requests with a trait are refused, or may only be tried. A
+// trait is accepted if another one explains its breaks: that one is refused, and
+// broke connections to the same servers and to more.
+func (t *Table) refuses(trait Trait, r *record) bool {
+	if !r.poisonous(trait.Kind) {
+		return false
+	}
+	for other, o := range t.records {
+		if other != trait && other.Pool == trait.Pool && o.poisonous(other.Kind) && o.explains(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasPermit reports whether this node may try a refused trait now.
+func (t *Table) hasPermit(trait Trait, r *record) bool {
+	if r.permits == nil {
+		r.permits = tdshare.New(trait.Pool + "/" + hexID(trait.ID))
+	}
+	return r.permits.Available(t.Fleet(), trialRate)
+}
+
+// Sent records that a request with the given traits is sent, after Check has
+// accepted it.
+func (t *Table) Sent(traits []Trait) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	for _, trait := range traits {
+		r := t.live(trait, now)
+		if r == nil || r.permits == nil || !t.refuses(trait, r) {
+			continue
+		}
+		r.permits.Take()
+		r.triedAt = now
+		t.logEvent(trait, r).Msg("a request with a refused trait is sent as a trial")
+	}
+}
+
+// Broke records that the connection to a server broke during a request.
+func (t *Table) Broke(traits []Trait, b Break) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, trait := range traits {
+		t.apply(change{trait: trait, b: b}, "")
+	}
+}
+
+// Answered records that a request got a complete answer.
+func (t *Table) Answered(traits []Trait) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	for _, trait := range traits {
+		t.apply(change{trait: trait, answered: true, b: Break{At: now}}, "")
+	}
+}
+
+// change is a break, or a complete answer at b.At.
+type change struct {
+	trait    Trait
+	answered bool
+	b        Break
+}
+
+// apply applies a change and, if it is new, announces it. From is the peer that
+// announced it, or empty for this node.
+func (t *Table) apply(c change, from tarragondeal.NodeID) {
+	r := t.recordFor(c)
+	if r == nil {
+		return
+	}
+	before := t.refuses(c.trait, r)
+	if c.answered && !r.clear(c.b.At) || !c.answered && !r.add(c.b) {
+		return
+	}
+	t.announce(c, from)
+	after := t.refuses(c.trait, r)
+	line := t.logEvent(c.trait, r).Str("server", string(c.b.Run.Server))
+	if from != "" {
+		line = line.Str("peer", string(from))
+	}
+	switch {
+	case !before && after:
+		line.Msg("servers crashed one after the other under requests with a trait; they are refused")
+	case before && !after:
+		line.Msg("a request with a refused trait was answered; they are accepted again")
+	case !c.answered && r.sequence() > 1:
+		line.Msg("another server crashed under requests with a trait")
+	default:
+		line.Discard()
+	}
+}
+
+// recordFor returns the record to which a change applies, or nil if there is none. A
+// recent break begins a new record if the old one has expired. The breaks of a peer
+// may all be old.
+func (t *Table) recordFor(c change) *record {
+	now := t.Clock.Now()
+	r := t.records[c.trait]
+	if r != nil && (c.answered || now.Sub(c.b.At) > recordTTL || !r.expired(c.trait.Kind, now)) {
+		return r
+	}
+	if c.answered {
+		return nil
+	}
+	delete(t.records, c.trait)
+	t.evict(now)
+	r = &record{answered: never}
+	t.records[c.trait] = r
+	return r
+}
+
+// evict makes room for another record if there is none: first that of expired
+// records, else that of the oldest one that isn't poisonous, else the oldest.
+func (t *Table) evict(now tarragondeal.Instant) {
+	if len(t.records) < maxRecords {
+		return
+	}
+	var oldest Trait
+	var least tarragondeal.Instant
+	leastPoisonous := true
+	found := false
+	for trait, r := range t.records {
+		if r.expired(trait.Kind, now) {
+			delete(t.records, trait)
+			continue
+		}
+		poisonous, last := r.poisonous(trait.Kind), r.lastEvent()
+		if !found || leastPoisonous && !poisonous || leastPoisonous == poisonous && last < least {
+			oldest, least, leastPoisonous, found = trait, last, poisonous, true
+		}
+	}
+	if len(t.records) >= maxRecords {
+		delete(t.records, oldest)
+	}
+}
+
+func hexID(id uint64) string { return strconv.FormatUint(id, 16) }
+
+func (t *Table) logEvent(trait Trait, r *record) *zerolog.Event {
+	return t.Log.Info().Stringer("trait", trait.Kind).Str("id", hexID(trait.ID)).Str("pool", trait.Pool).
+		Int("successive", r.sequence()).Int("breaks", len(r.breaks))
+}
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -19,6 +19,8 @@
 	"tarragondeal/internal/base/tdmetric"
 	"tarragondeal/internal/base/tdtask"
 	"tarragondeal/internal/dispatch/tdfit"
+	"tarragondeal/internal/dispatch/tdpoison"
+	"tarragondeal/internal/dispatch/tdshare"
 	"tarragondeal/internal/entry/tdflow"
 	"tarragondeal/internal/entry/tdhost"
 	"tarragondeal/internal/entry/tdorigin"
@@ -162,8 +164,17 @@
 }
 
 func (n *Node) buildEntry() {
+	poison := tdpoison.New(tdpoison.Deps{
+		Clock: n.clock, Log: tdlog.Part(n.log, "poison"),
+		Fleet: func() tdshare.Fleet {
+			return tdshare.Fleet{Self: n.vm.Node, Nodes: n.mesh.Nodes(), Now: n.mesh.Wall()}
+		},
+	})
+	n.mesh.Publish(tdpoison.Topic, func() tdmesh.Writer { return poison.Writer() })
+	n.mesh.Receive(tdpoison.Topic, poison.Receive, nil)
 	n.fit = tdfit.New(tdfit.Deps{
-		Clock: n.clock, Size: n.mesh.Size, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall, Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
+		Clock: n.clock, Size: n.mesh.Size, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall, Poison: poison,
+		Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
 	}, tdfit.Options{DataCentre: n.vm.DataCentre, Bounds: n.vm.Bounds})
 	n.mesh.Publish(tdfit.Topic, func() tdmesh.Writer { return n.fit.Writer() })
 	n.mesh.Receive(tdfit.Topic, n.fit.Receive, n.fit.Lost)
