tdpoison: breaks that a server survives don't count

Cause: a broken connection was taken for the end of its server. A server that ends answers nobody for seconds; these went on. A break now doesn't count if the server begins to answer a request, of whichever node, that was sent after the break, within a second; and breaks count against parts only after 0.3 s, so that there is time for it. Nodes announce which breaks on record a server has survived.

tdpoison.TestServersThatSurvive: refused at all nodes without the calls of Began.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -316,6 +316,9 @@
 	}
 	open.started = true
 	open.server.lastAnswer = f.Clock.Now()
+	if !f.Poison.Empty() {
+		f.Poison.Began(poisonRun(open.server), open.sent)
+	}
 	if open.server.engine != nil {
 		f.recordStart(open.server.Pool, open.request.ask.Tier, open.server.lastAnswer)
 	}
--- a/internal/dispatch/tdpoison/peers.go
+++ b/internal/dispatch/tdpoison/peers.go
@@ -78,7 +78,7 @@
 		}
 	}
 	slices.SortFunc(entries, func(a, b entry) int {
-		if ra, rb := a.r.poisonous(a.trait.Kind), b.r.poisonous(b.trait.Kind); ra != rb {
+		if ra, rb := a.r.poisonous(a.trait.Kind, forever), b.r.poisonous(b.trait.Kind, forever); ra != rb {
 			if ra {
 				return -1
 			}
@@ -89,7 +89,9 @@
 	var out []change
 	for _, e := range entries {
 		for _, b := range slices.Backward(e.r.breaks) { // The latest first: the others alone may be too old for a record.
-			out = append(out, change{trait: e.trait, b: b})
+			if !b.Survived {
+				out = append(out, change{trait: e.trait, kind: changeBroke, b: b})
+			}
 		}
 	}
 	return out[:min(len(out), maxEvents)]
@@ -115,9 +117,12 @@
 	}
 	m := &Message{}
 	for _, c := range changes {
-		e := &Event{Kind: uint32(c.trait.Kind), Pool: c.trait.Pool, Id: c.trait.ID, Answered: c.answered, AgeMillis: age(c.b.At)}
-		if !c.answered {
-			e.Server, e.StartedMillis, e.SentAgeMillis = string(c.b.Run.Server), c.b.Run.Started, age(c.b.Sent)
+		e := &Event{Kind: uint32(c.trait.Kind), Pool: c.trait.Pool, Id: c.trait.ID, Answered: c.kind == changeAnswered, AgeMillis: age(c.b.At)}
+		if c.kind != changeAnswered {
+			e.Server, e.StartedMillis, e.Survived = string(c.b.Run.Server), c.b.Run.Started, c.kind == changeSurvived
+		}
+		if c.kind == changeBroke {
+			e.SentAgeMillis = age(c.b.Sent)
 		}
 		m.Events = append(m.Events, e)
 	}
@@ -136,8 +141,15 @@
 	now := t.Clock.Now()
 	at := func(millis uint32) tarragondeal.Instant { return now.Add(-time.Duration(millis) * time.Millisecond) }
 	for _, e := range m.GetEvents() {
+		kind := changeBroke
+		switch {
+		case e.GetAnswered():
+			kind = changeAnswered
+		case e.GetSurvived():
+			kind = changeSurvived
+		}
 		t.apply(change{
-			trait: Trait{Kind: Kind(e.GetKind()), Pool: e.GetPool(), ID: e.GetId()}, answered: e.GetAnswered(),
+			trait: Trait{Kind: Kind(e.GetKind()), Pool: e.GetPool(), ID: e.GetId()}, kind: kind,
 			b: Break{
 				Run:  Run{Server: tarragondeal.ServerID(e.GetServer()), Started: e.GetStartedMillis()},
 				Sent: at(e.GetSentAgeMillis()), At: at(e.GetAgeMillis()),
--- a/internal/dispatch/tdpoison/record.go
+++ b/internal/dispatch/tdpoison/record.go
@@ -20,6 +20,11 @@
 	// widespreadBreaks is the number of server runs from which two successive breaks
 	// are enough.
 	widespreadBreaks = 5
+	// confirmTime is how long after a break the server may show that it has survived,
+	// before the break counts against a part. A server that has crashed takes longer to come back than
+	// survivalTime, during which its answers show that it has survived.
+	confirmTime  = 300 * time.Millisecond
+	survivalTime = time.Second
 	// firstHold is how long a trait is refused before it is tried again. It
 	// doubles with each trial that fails, up to maxHold.
 	firstHold = 30 * time.Second
@@ -56,6 +61,14 @@
 	return requestSequence
 }
 
+// countedUntil returns the time until which breaks count.
+func (k Kind) countedUntil(now tarragondeal.Instant) tarragondeal.Instant {
+	if k == KindPart {
+		return now.Add(-confirmTime)
+	}
+	return now
+}
+
 // Trait is something that requests to the servers of one pool may have in common.
 type Trait struct {
 	Kind Kind
@@ -74,12 +87,18 @@
 	Run  Run
 	Sent tarragondeal.Instant // When the request was sent.
 	At   tarragondeal.Instant
+	// Survived is set if the server answered a request that was sent after the break.
+	// The break then doesn't count.
+	Survived bool
 }
 
 // never is the instant of an event that is not known. It is before all others,
 // also those from before this process started.
 const never = tarragondeal.Instant(math.MinInt64)
 
+// forever is an instant after all others.
+const forever = tarragondeal.Instant(math.MaxInt64)
+
 // record holds the breaks of one trait since the last complete answer.
 type record struct {
 	breaks   []Break // At most one for each run, in the order of At.
@@ -93,6 +112,11 @@
 	if b.At <= r.answered || slices.ContainsFunc(r.breaks, func(known Break) bool { return known.Run == b.Run }) {
 		return false
 	}
+	if len(r.breaks) == maxBreaks {
+		if n := slices.IndexFunc(r.breaks, func(known Break) bool { return known.Survived }); n >= 0 {
+			r.breaks = slices.Delete(r.breaks, n, n+1)
+		}
+	}
 	if len(r.breaks) < maxBreaks {
 		n, _ := slices.BinarySearchFunc(r.breaks, b, func(x, y Break) int { return int(x.At - y.At) })
 		r.breaks = slices.Insert(r.breaks, n, b)
@@ -122,34 +146,50 @@
 	return true
 }
 
-// sequence returns the largest number of breaks that follow one another: the
-// request of each was sent after the break before.
-func (r *record) sequence() int {
-	n := 0
+// survive marks the break at a run as survived and reports whether it was not.
+func (r *record) survive(run Run) bool {
+	for n := range r.breaks {
+		if b := &r.breaks[n]; b.Run == run && !b.Survived {
+			b.Survived = true
+			return true
+		}
+	}
+	return false
+}
+
+// sequence returns the largest number of breaks until a given time that follow one
+// another, and the number of all breaks until then. The request of each was sent after
+// the break before.
+func (r *record) sequence(until tarragondeal.Instant) (successive, all int) {
 	var last tarragondeal.Instant
 	for _, b := range r.breaks {
-		if n == 0 || b.Sent >= last {
-			n, last = n+1, b.At
+		if b.Survived || b.At > until {
+			continue
+		}
+		all++
+		if successive == 0 || b.Sent >= last {
+			successive, last = successive+1, b.At
 		}
 	}
-	return n
+	return successive, all
 }
 
-// poisonous reports whether a trait of the given kind has broken connections to one
-// server after the other.
-func (r *record) poisonous(k Kind) bool {
-	n := r.sequence()
-	return n >= k.sequenceLimit() || n >= 2 && len(r.breaks) >= widespreadBreaks
+// poisonous reports whether, by the breaks until a given time, a trait of the given
+// kind has crashed one server after the other.
+func (r *record) poisonous(k Kind, until tarragondeal.Instant) bool {
+	successive, all := r.sequence(until)
+	return successive >= k.sequenceLimit() || successive >= 2 && all >= widespreadBreaks
 }
 
 // explains reports whether all breaks of another trait were at runs at which this one
 // broke connections too, and this one broke those to more.
 func (r *record) explains(other *record) bool {
-	if len(r.breaks) <= len(other.breaks) {
+	_, own := r.sequence(forever)
+	if _, others := other.sequence(forever); own <= others {
 		return false
 	}
 	for _, b := range other.breaks {
-		if !slices.ContainsFunc(r.breaks, func(x Break) bool { return x.Run == b.Run }) {
+		if !b.Survived && !slices.ContainsFunc(r.breaks, func(x Break) bool { return x.Run == b.Run }) {
 			return false
 		}
 	}
@@ -158,7 +198,8 @@
 
 // holdUntil returns when a refused trait may be tried again.
 func (r *record) holdUntil(k Kind) tarragondeal.Instant {
-	doublings := max(0, r.sequence()-k.sequenceLimit())
+	successive, _ := r.sequence(forever)
+	doublings := max(0, successive-k.sequenceLimit())
 	return r.lastEvent().Add(min(maxHold, firstHold<<doublings))
 }
 
@@ -171,7 +212,7 @@
 
 func (r *record) expired(k Kind, now tarragondeal.Instant) bool {
 	ttl := recordTTL
-	if r.poisonous(k) {
+	if r.poisonous(k, forever) {
 		ttl = refusedTTL
 	}
 	return now.Sub(r.lastEvent()) > ttl
--- a/internal/dispatch/tdpoison/table.go
+++ b/internal/dispatch/tdpoison/table.go
@@ -1,6 +1,7 @@
 package tdpoison
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -34,12 +35,15 @@
 
 	mu      sync.Mutex
 	records map[Trait]*record
+	recent  map[Run]tarragondeal.Instant // The latest breaks, of the last survivalTime.
 	log     []announcement
 	seq     uint64 // Number of the last announcement.
 }
 
 // New returns an empty table.
-func New(d Deps) *Table { return &Table{Deps: d, records: make(map[Trait]*record)} }
+func New(d Deps) *Table {
+	return &Table{Deps: d, records: make(map[Trait]*record), recent: make(map[Run]tarragondeal.Instant)}
+}
 
 // Empty reports whether nothing is recorded, so that no request is refused and no
 // answer changes anything.
@@ -64,15 +68,18 @@
 	now := t.Clock.Now()
 	for _, trait := range traits {
 		r := t.live(trait, now)
-		if r == nil || !t.refuses(trait, r) {
+		if r == nil || !t.refuses(trait, r, trait.Kind.countedUntil(now)) {
 			continue
 		}
-		if after := max(r.holdUntil(trait.Kind), r.triedAt.Add(trialPause)).Sub(now); after > 0 {
-			return Verdict{Refused: true, Trait: trait, Crashes: r.sequence(), After: after}
-		}
-		if !t.hasPermit(trait, r) {
-			return Verdict{Refused: true, Trait: trait, Crashes: r.sequence(), After: trialPause}
+		after := max(r.holdUntil(trait.Kind), r.triedAt.Add(trialPause)).Sub(now)
+		if after <= 0 {
+			if t.hasPermit(trait, r) {
+				continue
+			}
+			after = trialPause
 		}
+		crashes, _ := r.sequence(forever)
+		return Verdict{Refused: true, Trait: trait, Crashes: crashes, After: after}
 	}
 	return Verdict{}
 }
@@ -90,12 +97,13 @@
 // refuses reports whether requests with a trait are refused, or may only be tried. A
 // trait is accepted if another one explains its breaks: that one is refused, and
 // broke connections to the same servers and to more.
-func (t *Table) refuses(trait Trait, r *record) bool {
-	if !r.poisonous(trait.Kind) {
+// Breaks after until don't count.
+func (t *Table) refuses(trait Trait, r *record, until tarragondeal.Instant) bool {
+	if !r.poisonous(trait.Kind, until) {
 		return false
 	}
 	for other, o := range t.records {
-		if other != trait && other.Pool == trait.Pool && o.poisonous(other.Kind) && o.explains(r) {
+		if other != trait && other.Pool == trait.Pool && o.poisonous(other.Kind, until) && o.explains(r) {
 			return false
 		}
 	}
@@ -118,7 +126,7 @@
 	now := t.Clock.Now()
 	for _, trait := range traits {
 		r := t.live(trait, now)
-		if r == nil || r.permits == nil || !t.refuses(trait, r) {
+		if r == nil || r.permits == nil || !t.refuses(trait, r, trait.Kind.countedUntil(now)) {
 			continue
 		}
 		r.permits.Take()
@@ -132,7 +140,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, trait := range traits {
-		t.apply(change{trait: trait, b: b}, "")
+		t.apply(change{trait: trait, kind: changeBroke, b: b}, "")
 	}
 }
 
@@ -142,15 +150,67 @@
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
 	for _, trait := range traits {
-		t.apply(change{trait: trait, answered: true, b: Break{At: now}}, "")
+		t.apply(change{trait: trait, kind: changeAnswered, b: Break{At: now}}, "")
+	}
+}
+
+// Began records that a server began to answer a request that was sent at the given
+// time. The server has survived earlier breaks, unless it may have started again since.
+func (t *Table) Began(run Run, sent tarragondeal.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.recent[run]
+	if !ok || sent < at {
+		return
+	}
+	delete(t.recent, run)
+	if t.Clock.Now().Sub(at) > survivalTime {
+		return
+	}
+	for trait, r := range t.records {
+		if slices.ContainsFunc(r.breaks, func(b Break) bool { return b.Run == run && b.At <= sent }) {
+			t.apply(change{trait: trait, kind: changeSurvived, b: Break{Run: run, At: t.Clock.Now()}}, "")
+		}
 	}
 }
 
-// change is a break, or a complete answer at b.At.
+// noteBreak records when connections to a run broke last.
+func (t *Table) noteBreak(b Break) {
+	now := t.Clock.Now()
+	for run, at := range t.recent {
+		if now.Sub(at) > survivalTime {
+			delete(t.recent, run)
+		}
+	}
+	t.recent[b.Run] = max(t.recent[b.Run], b.At)
+}
+
+// changeKind says what has happened.
+type changeKind int
+
+const (
+	changeBroke    changeKind = iota // A connection broke.
+	changeAnswered                   // A request with the trait was answered completely, at b.At.
+	changeSurvived                   // The server survived the break at b.Run.
+)
+
+// change changes the record of a trait.
 type change struct {
-	trait    Trait
-	answered bool
-	b        Break
+	trait Trait
+	kind  changeKind
+	b     Break
+}
+
+// applyTo applies the change to a record and reports whether it is new.
+func (c *change) applyTo(r *record) bool {
+	switch c.kind {
+	case changeAnswered:
+		return r.clear(c.b.At)
+	case changeSurvived:
+		return r.survive(c.b.Run)
+	default:
+		return r.add(c.b)
+	}
 }
 
 // apply applies a change and, if it is new, announces it. From is the peer that
@@ -160,22 +220,26 @@
 	if r == nil {
 		return
 	}
-	before := t.refuses(c.trait, r)
-	if c.answered && !r.clear(c.b.At) || !c.answered && !r.add(c.b) {
+	if c.kind == changeBroke {
+		t.noteBreak(c.b)
+	}
+	before := t.refuses(c.trait, r, forever)
+	if !c.applyTo(r) {
 		return
 	}
 	t.announce(c, from)
-	after := t.refuses(c.trait, r)
+	after := t.refuses(c.trait, r, forever)
 	line := t.logEvent(c.trait, r).Str("server", string(c.b.Run.Server))
 	if from != "" {
 		line = line.Str("peer", string(from))
 	}
+	successive, _ := r.sequence(forever)
 	switch {
 	case !before && after:
 		line.Msg("servers crashed one after the other under requests with a trait; they are refused")
 	case before && !after:
-		line.Msg("a request with a refused trait was answered; they are accepted again")
-	case !c.answered && r.sequence() > 1:
+		line.Bool("answered", c.kind == changeAnswered).Msg("requests with a refused trait are accepted again")
+	case c.kind == changeBroke && successive > 1:
 		line.Msg("another server crashed under requests with a trait")
 	default:
 		line.Discard()
@@ -188,10 +252,10 @@
 func (t *Table) recordFor(c change) *record {
 	now := t.Clock.Now()
 	r := t.records[c.trait]
-	if r != nil && (c.answered || now.Sub(c.b.At) > recordTTL || !r.expired(c.trait.Kind, now)) {
+	if r != nil && (c.kind != changeBroke || now.Sub(c.b.At) > recordTTL || !r.expired(c.trait.Kind, now)) {
 		return r
 	}
-	if c.answered {
+	if c.kind != changeBroke {
 		return nil
 	}
 	delete(t.records, c.trait)
@@ -216,7 +280,7 @@
 			delete(t.records, trait)
 			continue
 		}
-		poisonous, last := r.poisonous(trait.Kind), r.lastEvent()
+		poisonous, last := r.poisonous(trait.Kind, forever), r.lastEvent()
 		if !found || leastPoisonous && !poisonous || leastPoisonous == poisonous && last < least {
 			oldest, least, leastPoisonous, found = trait, last, poisonous, true
 		}
@@ -229,6 +293,7 @@
 func hexID(id uint64) string { return strconv.FormatUint(id, 16) }
 
 func (t *Table) logEvent(trait Trait, r *record) *zerolog.Event {
+	successive, all := r.sequence(forever)
 	return t.Log.Info().Stringer("trait", trait.Kind).Str("id", hexID(trait.ID)).Str("pool", trait.Pool).
-		Int("successive", r.sequence()).Int("breaks", len(r.breaks))
+		Int("successive", successive).Int("breaks", all)
 }
--- a/internal/dispatch/tdpoison/table_test.go
+++ b/internal/dispatch/tdpoison/table_test.go
@@ -337,6 +337,42 @@
 	}
 }
 
+// TestServersThatSurvive guards against a part that is refused since servers broke
+// single connections of its requests, as a faulty server or a network does, or since a
+// node was cut off from servers that go on at the other nodes.
+func TestServersThatSurvive(t *testing.T) {
+	f := newTestFleet(7)
+	for n := range 5 {
+		f.breakAt(n, n, 100*time.Millisecond, part(1))
+		f.now += 50 * time.Millisecond
+		sent := f.nodes[6].Clock.Now()
+		f.advance(150 * time.Millisecond) // The break is known at the other nodes.
+		f.nodes[6].Began(Run{Server: tarragondeal.ServerID(fmt.Sprint(n))}, sent.Add(100*time.Millisecond))
+		if n := f.refusing(part(1)); n > 0 {
+			t.Fatalf("refused at %d nodes", n)
+		}
+	}
+	f.advance(time.Second)
+	if n := f.refusing(part(1)); n > 0 {
+		t.Errorf("refused at %d nodes", n)
+	}
+}
+
+// TestServersThatStartAgain guards against a poisonous part that is accepted since the
+// servers that it crashed answer again after a while, under the same name.
+func TestServersThatStartAgain(t *testing.T) {
+	f := newTestFleet(7)
+	for n := range partSequence {
+		f.breakAt(n, n, 100*time.Millisecond, part(poisonID))
+		f.advance(survivalTime + 200*time.Millisecond)
+		f.nodes[6].Began(Run{Server: tarragondeal.ServerID(fmt.Sprint(n))}, f.nodes[6].Clock.Now().Add(-50*time.Millisecond))
+	}
+	f.advance(time.Second)
+	if n := f.refusing(part(poisonID)); n != 7 {
+		t.Errorf("refused at %d of 7 nodes", n)
+	}
+}
+
 // poisoned returns a fleet that refuses a part.
 func poisoned(size int) *testFleet {
 	f := newTestFleet(size)
