--- a/internal/dispatch/tdfit/fit_test.go
+++ b/internal/dispatch/tdfit/fit_test.go
@@ -234,6 +234,55 @@
 	}
 }
 
+// TestPartThatCrashesServers guards against requests that reach further servers with a
+// part under which servers crashed, by whichever attempt and whatever else they hold,
+// and against requests that are refused for another part, pool or their last part.
+func TestPartThatCrashesServers(t *testing.T) {
+	a, b := newTestFit(9), newTestFit(9)
+	prompt := func(ids ...uint64) tarragondeal.Ask {
+		ask := tarragondeal.Ask{Pools: []string{"m"}, Input: 600, Output: 50}
+		for _, id := range append(ids, uint64(1_000_000+a.asked+b.asked)) {
+			ask.Parts = append(ask.Parts, tarragondeal.PromptPart{ID: id, Tokens: 100})
+		}
+		ask.Fingerprint = ask.Parts[len(ask.Parts)-1].ID
+		return ask
+	}
+	write := a.Poison.Writer()
+	for range 4 {
+		g, err := a.reserve(prompt(1, 2, 666))
+		if err != nil {
+			break
+		}
+		a.clock.now = a.clock.now.Add(100 * time.Millisecond)
+		a.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeCrashed})
+		g, err = a.reserve(prompt(1, 2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.clock.now = a.clock.now.Add(400 * time.Millisecond)
+		a.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
+	}
+	b.clock.now = a.clock.now
+	b.Poison.Receive("a", write(ownOnly))
+	for _, w := range []*testFit{a, b} {
+		for attempt := 1; attempt <= 3; attempt++ {
+			ask := prompt(7, 666)
+			ask.Attempt = attempt
+			var refused *tarragondeal.RefusedError
+			if _, err := w.reserve(ask); !errors.As(err, &refused) || refused.Reason != tarragondeal.ReasonQuarantined || refused.RetryAfter <= 0 {
+				t.Errorf("attempt %d with the part: %v", attempt, err)
+			}
+		}
+		other := prompt(1, 666)
+		other.Pools = []string{"p"}
+		for name, ask := range map[string]tarragondeal.Ask{"other parts": prompt(1, 2), "last part": {Pools: []string{"m"}, Parts: prompt(1, 666).Parts[:2]}, "other pool": other} {
+			if _, err := w.reserve(ask); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+	}
+}
+
 // TestServerThatFailsItsRequests checks that a server whose requests fail gets
 // few of them, though its health check passes.
 func TestServerThatFailsItsRequests(t *testing.T) {
