tdpoison: drop expired records, and many at a time when the table is full

A table that had recorded one break looked up each request for hours, since expired records went only when they were looked up; and each break beyond 2,048 traits searched them all for the oldest one. TestTableEmpties failed before.

--- a/internal/dispatch/tdpoison/record.go
+++ b/internal/dispatch/tdpoison/record.go
@@ -174,6 +174,12 @@
 	return successive, all
 }
 
+// successive returns the largest number of breaks that follow one another.
+func (r *record) successive() int {
+	n, _ := r.sequence(forever)
+	return n
+}
+
 // poisonous reports whether, by the breaks until a given time, a trait of the given
 // kind has crashed one server after the other.
 func (r *record) poisonous(k Kind, until tarragondeal.Instant) bool {
@@ -198,8 +204,7 @@
 
 // holdUntil returns when a refused trait may be tried again.
 func (r *record) holdUntil(k Kind) tarragondeal.Instant {
-	successive, _ := r.sequence(forever)
-	doublings := max(0, successive-k.sequenceLimit())
+	doublings := max(0, r.successive()-k.sequenceLimit())
 	return r.lastEvent().Add(min(maxHold, firstHold<<doublings))
 }
 
--- a/internal/dispatch/tdpoison/table.go
+++ b/internal/dispatch/tdpoison/table.go
@@ -15,6 +15,8 @@
 const (
 	// maxRecords bounds the traits that are recorded.
 	maxRecords = 2048
+	// evictTo is the number of records that are left when the table is full.
+	evictTo = maxRecords * 3 / 4
 	// trialRate is how many requests a second the fleet may send to try a trait
 	// again, and trialPause how long a node waits after a trial of its own.
 	trialRate  = 0.5
@@ -38,6 +40,7 @@
 	recent  map[Run]tarragondeal.Instant // The latest breaks, of the last survivalTime.
 	log     []announcement
 	seq     uint64 // Number of the last announcement.
+	sweptAt tarragondeal.Instant
 }
 
 // New returns an empty table.
@@ -50,6 +53,9 @@
 func (t *Table) Empty() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now := t.Clock.Now(); len(t.records) > 0 && now.Sub(t.sweptAt) > recordTTL {
+		t.sweep(now)
+	}
 	return len(t.records) == 0
 }
 
@@ -78,8 +84,7 @@
 			}
 			after = trialPause
 		}
-		crashes, _ := r.sequence(forever)
-		return Verdict{Refused: true, Trait: trait, Crashes: crashes, After: after}
+		return Verdict{Refused: true, Trait: trait, Crashes: r.successive(), After: after}
 	}
 	return Verdict{}
 }
@@ -95,9 +100,8 @@
 }
 
 // refuses reports whether requests with a trait are refused, or may only be tried. A
-// trait is accepted if another one explains its breaks: that one is refused, and
-// broke connections to the same servers and to more.
-// Breaks after until don't count.
+// trait is accepted if another one explains its breaks: that one is poisonous, and
+// broke connections to the same servers and to more. Breaks after until don't count.
 func (t *Table) refuses(trait Trait, r *record, until tarragondeal.Instant) bool {
 	if !r.poisonous(trait.Kind, until) {
 		return false
@@ -228,22 +232,22 @@
 		return
 	}
 	t.announce(c, from)
-	after := t.refuses(c.trait, r, forever)
-	line := t.logEvent(c.trait, r).Str("server", string(c.b.Run.Server))
-	if from != "" {
-		line = line.Str("peer", string(from))
-	}
-	successive, _ := r.sequence(forever)
-	switch {
+	message := ""
+	switch after := t.refuses(c.trait, r, forever); {
 	case !before && after:
-		line.Msg("servers crashed one after the other under requests with a trait; they are refused")
+		message = "servers crashed one after the other under requests with a trait; they are refused"
 	case before && !after:
-		line.Bool("answered", c.kind == changeAnswered).Msg("requests with a refused trait are accepted again")
-	case c.kind == changeBroke && successive > 1:
-		line.Msg("another server crashed under requests with a trait")
+		message = "requests with a refused trait are accepted again"
+	case c.kind == changeBroke && r.successive() > 1:
+		message = "another server crashed under requests with a trait"
 	default:
-		line.Discard()
+		return
 	}
+	line := t.logEvent(c.trait, r).Str("server", string(c.b.Run.Server)).Bool("answered", c.kind == changeAnswered)
+	if from != "" {
+		line = line.Str("peer", string(from))
+	}
+	line.Msg(message)
 }
 
 // recordFor returns the record to which a change applies, or nil if there is none. A
@@ -265,28 +269,31 @@
 	return r
 }
 
-// evict makes room for another record if there is none: first that of expired
-// records, else that of the oldest one that isn't poisonous, else the oldest.
+// evict makes room if the table is full. Records of poisonous traits go last.
 func (t *Table) evict(now tarragondeal.Instant) {
 	if len(t.records) < maxRecords {
 		return
 	}
-	var oldest Trait
-	var least tarragondeal.Instant
-	leastPoisonous := true
-	found := false
+	t.sweep(now)
+	for _, poisonousToo := range []bool{false, true} {
+		for trait, r := range t.records {
+			if len(t.records) <= evictTo {
+				return
+			}
+			if poisonousToo || !r.poisonous(trait.Kind, forever) {
+				delete(t.records, trait)
+			}
+		}
+	}
+}
+
+// sweep deletes expired records.
+func (t *Table) sweep(now tarragondeal.Instant) {
+	t.sweptAt = now
 	for trait, r := range t.records {
 		if r.expired(trait.Kind, now) {
 			delete(t.records, trait)
-			continue
 		}
-		poisonous, last := r.poisonous(trait.Kind, forever), r.lastEvent()
-		if !found || leastPoisonous && !poisonous || leastPoisonous == poisonous && last < least {
-			oldest, least, leastPoisonous, found = trait, last, poisonous, true
-		}
-	}
-	if len(t.records) >= maxRecords {
-		delete(t.records, oldest)
 	}
 }
 
--- a/internal/dispatch/tdpoison/table_test.go
+++ b/internal/dispatch/tdpoison/table_test.go
@@ -482,6 +482,20 @@
 	}
 }
 
+// TestTableEmpties guards against records that are kept, and looked up for each
+// request, long after the last break.
+func TestTableEmpties(t *testing.T) {
+	f := newTestFleet(2)
+	f.breakAt(0, 0, 100*time.Millisecond, request(7), part(8))
+	f.advance(time.Second)
+	f.now += 2 * recordTTL
+	for n, table := range f.nodes {
+		if !table.Empty() {
+			t.Errorf("node %d still holds %d records", n, len(table.records))
+		}
+	}
+}
+
 // TestMessagesEnd guards against nodes that forward the same breaks to one another for
 // ever, and against messages that grow with what is recorded.
 func TestMessagesEnd(t *testing.T) {
