--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -361,7 +361,9 @@
 	case tarragondeal.OutcomeUnreachable:
 		open.server.failures.add(now, 1)
 		open.server.backoffUntil = now.Add(backoffTime)
-		f.Log.Info().Str("server", string(open.server.ID)).Dur("for", backoffTime).Msg("server is unreachable; it gets no requests for a while")
+		listed, backoff := f.countBackoff(open.server.Pool, now)
+		f.Log.Info().Str("request", string(open.request.ask.Request)).Str("server", string(open.server.ID)).Dur("for", backoffTime).
+			Str("pool", open.server.Pool).Int("listed", listed).Int("backoff", backoff).Msg("server is unreachable; it gets no requests for a while")
 	case tarragondeal.OutcomeCrashed:
 		open.server.failures.add(now, 1)
 		f.Poison.Broke(traitsOf(open.request.ask, open.server.Pool), tdpoison.Break{Run: poisonRun(open.server), Sent: open.sent, At: now})
--- a/internal/dispatch/tdfit/trace.go
+++ b/internal/dispatch/tdfit/trace.go
@@ -80,6 +80,18 @@
 
 func hexID(id uint64) string { return strconv.FormatUint(id, 16) }
 
+// countBackoff returns how many servers a pool has, and how many of them get no
+// requests for a while.
+func (f *Fit) countBackoff(pool string, now tarragondeal.Instant) (listed, backoff int) {
+	for _, s := range f.pools[pool] {
+		listed++
+		if now < s.backoffUntil {
+			backoff++
+		}
+	}
+	return listed, backoff
+}
+
 // logNoServer logs that no server could be granted to a request, and why.
 func (f *Fit) logNoServer(a *tarragondeal.Ask) {
 	f.mu.Lock()
