--- a/test/vm/node_test.go
+++ b/test/vm/node_test.go
@@ -72,10 +72,13 @@
 // a long run does not exhaust the machine's ports.
 var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 
-func newNode(name string, s *store) *node {
+func newNode(name string, s *store) *node { return newNodeAt(name, s.srv.URL) }
+
+// newNodeAt starts a node whose platform has the given URL.
+func newNodeAt(name, platformURL string) *node {
 	p := freePorts(8)
 	at := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", p+n) }
-	platform := strings.TrimPrefix(s.srv.URL, "http://")
+	platform := strings.TrimPrefix(platformURL, "http://")
 	n := &node{name: name, callers: at(0), ready: at(1), addresses: at(2)}
 	n.settings = filepath.Join(GinkgoT().TempDir(), name+".toml")
 	text := fmt.Sprintf(`node = %q
