tdflow: an attempt that reached no server takes none of the route's attempts

Cause: attempts that reached no server are not to be counted, but the one that had just failed still was, since it was added after the decision.

tdhost.TestUnreachableServerTakesNoAttempt failed before with one, two and three unreachable servers; a fourth still ends the request.

--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -200,12 +200,12 @@
 			r.ran = tarragondeal.RanYes
 		}
 		r.ran = CombineRan(r.ran, res.ran)
-		s := r.state(res.failure)
-		s.Final = res.final
-		step := Next(s)
 		if res.failure == FailUnreachable || res.failure == FailPlacement {
 			r.unsent++
 		}
+		s := r.state(res.failure)
+		s.Final = res.final
+		step := Next(s)
 		if step == StepRetry && res.failure.NeedsBudget() && !res.retryTaken && !r.f.Dispatch.MayRetry(r.ask) {
 			step = s.finalStep()
 		}
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -119,7 +119,8 @@
 
 // newEntry starts a host. The n-th attempt of a request gets the answer of the n-th
 // handler. The host's routes are /resume/ (resumable, two attempts), /resume3/ (the
-// same with three), /short/ (the same with a short deadline), /stream/ (not resumable) and /plain/ (no stream, idempotent).
+// same with three), /short/ (the same with a short deadline), /stream/ (not resumable), /plain/ (no stream, idempotent)
+// and /once/ (not resumable, one attempt).
 func newEntry(t *testing.T, handlers ...http.HandlerFunc) *entry {
 	t.Helper()
 	e := &entry{servers: &servers{}, logs: &syncBuffer{}}
@@ -132,14 +133,15 @@
 	plain := tarragondeal.RequestClass{Name: "p", Completion: tarragondeal.Duration(10 * time.Millisecond), Deadline: tarragondeal.Duration(10 * time.Second)}
 	route := tarragondeal.Route{Open: true, Pools: []string{"p"}, Host: "x.example", Class: "c", MaxAttempts: 2}
 	short := tarragondeal.RequestClass{Name: "s", Events: true, Deadline: tarragondeal.Duration(200 * time.Millisecond)}
-	routes := make([]tarragondeal.Route, 5)
-	for n, name := range []string{"resume", "stream", "plain", "resume3", "short"} {
+	routes := make([]tarragondeal.Route, 6)
+	for n, name := range []string{"resume", "stream", "plain", "resume3", "short", "once"} {
 		routes[n] = route
 		routes[n].Name, routes[n].Prefix = name, "/"+name+"/"
 	}
 	routes[0].Resumable, routes[1].NonIdempotent, routes[2].Class = true, true, "p"
 	routes[3].Resumable, routes[3].MaxAttempts = true, 3
 	routes[4].Resumable, routes[4].Class = true, "s"
+	routes[5].MaxAttempts, routes[5].NonIdempotent = 1, true
 	set := &tarragondeal.Set{
 		DataCentres: []tarragondeal.DataCentre{{Name: "duluth"}}, ServerPools: []tarragondeal.ServerPool{{Name: "p"}},
 		RequestClasses: []tarragondeal.RequestClass{class, plain, short}, Routes: routes,
