test/vm: cut nodes and servers off in the soak

Nodes of small fleets have links of their own to the servers. Two new faults cut one or two nodes off from all servers, or all nodes from one server; new connections are refused or hang, and open ones live on or are reset.

--- a/test/vm/link_test.go
+++ b/test/vm/link_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -188,6 +189,18 @@
 	return n
 }
 
+// newLinkedFleet starts a fleet of nodes with links of their own. It must be so small
+// that all of them follow the store.
+func newLinkedFleet(size int) (*fleet, []*linkedNode) {
+	f := newFleet(0)
+	var nodes []*linkedNode
+	for n := range size {
+		nodes = append(nodes, newLinkedNode(fmt.Sprintf("node-%d", n+1), f.store, []*server{f.plain, f.engine, f.engine2}))
+		f.nodes = append(f.nodes, nodes[n].node)
+	}
+	return f, nodes
+}
+
 // replaceAddrs replaces addresses in the entries of servers that an answer of the
 // store holds.
 func replaceAddrs(v map[string]any, addrs map[string]string) {
@@ -314,15 +327,9 @@
 		// Guards against callers of nodes without links to servers, who are served far worse
 		// than the callers of other nodes.
 		It("serve their callers as the others do, "+c.name, func() {
-			f := newFleet(0)
+			f, nodes := newLinkedFleet(size)
 			f.attempts = 1
 			f.putConfig()
-			servers := []*server{f.plain, f.engine, f.engine2}
-			var nodes []*linkedNode
-			for n := range size {
-				nodes = append(nodes, newLinkedNode([]string{"node-1", "node-2", "node-3", "node-4"}[n], f.store, servers))
-				f.nodes = append(f.nodes, nodes[n].node)
-			}
 			f.waitReady()
 			warm := startTries(nodes, 10*time.Millisecond)
 			time.Sleep(time.Second)
--- a/test/vm/soak_test.go
+++ b/test/vm/soak_test.go
@@ -18,6 +18,7 @@
 // soak is a run with random faults that are determined by its seed.
 type soak struct {
 	*fleet
+	linked   []*linkedNode // The nodes, if each has links of its own to the servers.
 	rng      *rand.Rand
 	mu       sync.Mutex
 	log      []string
@@ -77,11 +78,45 @@
 		srv.update(func(x *server) { x.breakAfter = 0 })
 	case 7:
 		s.putConfig()
+	case 12, 13:
+		s.injectLinkFault(kind, pause)
 	default:
 		s.injectStreamFault(kind, pause)
 	}
 }
 
+// injectLinkFault cuts nodes off from servers: one or two nodes from all of them, or all
+// nodes from one, as if that had crashed.
+func (s *soak) injectLinkFault(kind int, pause time.Duration) {
+	if s.linked == nil {
+		return
+	}
+	var cut []*link
+	if kind == 12 {
+		first := s.rng.IntN(len(s.linked))
+		for n := range 1 + s.rng.IntN(2) {
+			cut = append(cut, s.linked[(first+n)%len(s.linked)].links...)
+		}
+	} else {
+		server := s.rng.IntN(len(s.linked[0].links))
+		for _, n := range s.linked {
+			cut = append(cut, n.links[server])
+		}
+	}
+	fault := []func(*link){(*link).refuse, (*link).hang}[s.rng.IntN(2)]
+	reset := s.rng.IntN(2) == 1
+	for _, l := range cut {
+		fault(l)
+		if reset {
+			l.reset()
+		}
+	}
+	time.Sleep(2 * pause)
+	for _, l := range cut {
+		l.heal()
+	}
+}
+
 // injectStreamFault breaks the streams of an engine, while the other one, which may
 // continue them, fails too.
 func (s *soak) injectStreamFault(kind int, pause time.Duration) {
@@ -288,7 +323,7 @@
 	// of faults, which are injected one after another: first each of soakKinds
 	// once, in random order, then random ones.
 	soakCallers = 6
-	soakKinds   = 12
+	soakKinds   = 14
 	soakFaults  = 15
 	// soakEvents is the number of events of a stream, and soakPause the pause after
 	// each. soakResumes bounds the requests for one stream.
@@ -298,6 +333,8 @@
 	// soakLimit is the limit that an engine announces in the seeds for which
 	// soakLimited returns true, in requests per second.
 	soakLimit = 2
+	// soakLinkedSize is the size of the fleets whose nodes have links of their own.
+	soakLinkedSize = 3
 	// soakFirstSeed is the first seed, and soakSeedCount the number of seeds unless
 	// TARRAGONDEAL_SOAK sets it.
 	soakFirstSeed, soakSeedCount = 1, 2
@@ -306,11 +343,11 @@
 // soakFleetSize returns the number of nodes in the fleet of a seed. Fleets of even
 // seeds are so large that some nodes relay.
 func soakFleetSize(seed int) int {
-	const small, large = 3, 11
+	const large = 11
 	if seed%2 == 0 {
 		return large
 	}
-	return small
+	return soakLinkedSize
 }
 
 func soakLimited(seed int) bool { return seed%3 == 2 }
@@ -325,7 +362,12 @@
 	}
 	for seed := soakFirstSeed; seed < soakFirstSeed+count; seed++ {
 		It(fmt.Sprintf("violate no guarantee, seed %d", seed), func() {
-			s := &soak{fleet: newFleet(soakFleetSize(seed)), rng: rand.New(rand.NewPCG(uint64(seed), 0)), statuses: make(map[string][]int)}
+			s := &soak{rng: rand.New(rand.NewPCG(uint64(seed), 0)), statuses: make(map[string][]int)}
+			if size := soakFleetSize(seed); size == soakLinkedSize {
+				s.fleet, s.linked = newLinkedFleet(size)
+			} else {
+				s.fleet = newFleet(size)
+			}
 			s.updateEngines(func(x *server) { x.events, x.named, x.signs, x.delay = soakEvents, true, true, soakPause })
 			if soakVersions(seed) {
 				s.engine2.update(func(x *server) { x.version = "v2" })
