tdpoison: keep refused parts in the store

After all nodes had been killed at once, a part that had been refused crashed servers again: nodes learn what is refused from others, and no other was left.

No call is made for a request; TestKeptWhileAllNodesAreDown.

--- a/internal/dispatch/tdpoison/doc.go
+++ b/internal/dispatch/tdpoison/doc.go
@@ -25,7 +25,8 @@
 //		t.Broke(traits, tdpoison.Break{...})
 //	}
 //
-// Nodes exchange what they record with Writer and Receive.
+// Nodes exchange what they record with Writer and Receive. Refused parts are kept in
+// the store by Keep, for nodes that start after all others have ended, which Load them.
 package tdpoison
 
 //go:generate protoc --go_out=. --go_opt=paths=source_relative poison.proto
--- a/internal/dispatch/tdpoison/table.go
+++ b/internal/dispatch/tdpoison/table.go
@@ -41,11 +41,14 @@
 	log     []announcement
 	seq     uint64 // Number of the last announcement.
 	sweptAt tarragondeal.Instant
+	unkept  chan Trait // Refused parts that are to be written to the store.
 }
 
 // New returns an empty table.
 func New(d Deps) *Table {
-	return &Table{Deps: d, records: make(map[Trait]*record), recent: make(map[Run]tarragondeal.Instant)}
+	return &Table{
+		Deps: d, records: make(map[Trait]*record), recent: make(map[Run]tarragondeal.Instant), unkept: make(chan Trait, maxUnkept),
+	}
 }
 
 // Empty reports whether nothing is recorded, so that no request is refused and no
@@ -84,6 +87,7 @@
 			}
 			after = trialPause
 		}
+		t.keep(trait, r)
 		return Verdict{Refused: true, Trait: trait, Crashes: r.successive(), After: after}
 	}
 	return Verdict{}
--- a/internal/dispatch/tdpoison/table_test.go
+++ b/internal/dispatch/tdpoison/table_test.go
@@ -1,6 +1,7 @@
 package tdpoison
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -537,6 +538,84 @@
 	}
 }
 
+// keepStore records the leases that are acquired.
+type keepStore struct {
+	tarragondeal.Store
+	acquired chan [2]string // Name and value.
+	errs     []error        // Of the first calls.
+}
+
+func (s *keepStore) Acquire(_ context.Context, name, value string, _ time.Duration) (tarragondeal.Lease, error) {
+	var err error
+	if len(s.errs) > 0 {
+		err, s.errs = s.errs[0], s.errs[1:]
+	}
+	s.acquired <- [2]string{name, value}
+	return tarragondeal.Lease{}, err
+}
+
+// TestKeptWhileAllNodesAreDown guards against a refused part that crashes further
+// servers since all nodes have ended and started again.
+func TestKeptWhileAllNodesAreDown(t *testing.T) {
+	f := poisoned(3)
+	s := &keepStore{acquired: make(chan [2]string, 10), errs: []error{&tarragondeal.StoreError{Op: "acquire"}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.nodes[0].Keep(ctx, s) }()
+	next := func() [2]string {
+		t.Helper()
+		select {
+		case got := <-s.acquired:
+			return got
+		case <-time.After(5 * time.Second):
+			t.Fatal("nothing is written")
+			return [2]string{}
+		}
+	}
+	f.breakAt(0, 50, 0, request(7))
+	f.breakAt(0, 51, 0, request(7))
+	f.nodes[0].Check([]Trait{request(7)}) // Requests are not kept.
+	f.nodes[0].Check([]Trait{part(1), part(poisonID)})
+	next() // Fails.
+	for retried := false; !retried; {
+		f.nodes[0].Check([]Trait{part(poisonID)})
+		select {
+		case got := <-s.acquired:
+			s.acquired <- got
+			retried = true
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	kept := next()
+	for range 5 {
+		f.nodes[0].Check([]Trait{part(poisonID)})
+	}
+	cancel()
+	if err := <-ended; err != nil || len(s.acquired) > 0 {
+		t.Errorf("ends with %v, %d further writes", err, len(s.acquired))
+	}
+	f.now += 5 * time.Second
+	for n := range f.nodes {
+		f.restart(n)
+		f.nodes[n].Load([]byte(kept[1]))
+	}
+	if n := f.refusing(part(poisonID)); n != 3 {
+		t.Errorf("refused at %d of 3 nodes that have started again", n)
+	}
+	v := f.nodes[0].Check([]Trait{part(poisonID)})
+	if left := firstHold - 6*time.Second; v.After < left-2*time.Second || v.After > left+2*time.Second {
+		t.Errorf("refused for %s, %s are left", v.After, left)
+	}
+	for _, table := range f.nodes {
+		for _, damaged := range []string{"", "{}", "[]", kept[1][:len(kept[1])/2], `{"pool":"m","id":"zz"}`, `{"pool":"m","id":"5","breaks":[{"at":-9e18}]}`} {
+			table.Load([]byte(damaged))
+		}
+	}
+	if n := f.refusing(part(5)); n > 0 {
+		t.Error("a damaged entry refuses a part")
+	}
+}
+
 // TestDamagedMessages guards against messages of peers that end the process.
 func TestDamagedMessages(t *testing.T) {
 	f := poisoned(2)
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -196,6 +197,14 @@
 	})
 	n.mesh.Publish(tdpoison.Topic, func() tdmesh.Writer { return poison.Writer() })
 	n.mesh.Receive(tdpoison.Topic, poison.Receive, nil)
+	n.mirror.Subscribe(func(c tdmirror.Changes) {
+		for _, e := range c.Entries {
+			if !e.Deleted && strings.HasPrefix(e.Key, tdlease.KeyPrefix+tdpoison.NamePrefix) {
+				poison.Load(e.Value)
+			}
+		}
+	})
+	n.addTask("keep refused parts", func(ctx context.Context) error { return poison.Keep(ctx, n.store) })
 	n.fit = tdfit.New(tdfit.Deps{
 		Clock: n.clock, Size: n.mesh.Size, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall, Poison: poison,
 		Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
--- a/test/vm/part_test.go
+++ b/test/vm/part_test.go
@@ -108,9 +108,10 @@
 	engines  []*partEngine
 	unframed bool // Streams have neither a length nor chunks.
 
-	mu      sync.Mutex
-	crashes []time.Time
-	wg      sync.WaitGroup
+	mu        sync.Mutex
+	crashes   []time.Time
+	allKilled int // Crashes before all nodes were killed; 0 if they weren't.
+	wg        sync.WaitGroup
 }
 
 func newPartFleet(nodes int) *partFleet {
@@ -241,6 +242,19 @@
 				time.Sleep(700 * time.Millisecond)
 			}
 		}},
+		{name: "while all nodes are killed at once and start again", nodes: 4, interval: 150 * time.Millisecond, attempts: 1, during: func(f *partFleet) {
+			time.Sleep(2 * time.Second) // The part has been refused for a while.
+			for _, n := range f.nodes {
+				n.kill()
+			}
+			for _, n := range f.nodes {
+				n.start()
+			}
+			f.mu.Lock()
+			f.allKilled = len(f.crashes)
+			f.mu.Unlock()
+			time.Sleep(4 * time.Second)
+		}},
 	} {
 		// Guards against requests with a crashing part of which no two are alike, so that
 		// each of them reaches another server.
@@ -271,6 +285,9 @@
 			Expect(f.crashes).NotTo(BeEmpty())
 			Expect(f.arrivedAfter(bound)).To(BeNumerically("<=", partSlack))
 			Expect(len(f.crashes)).To(BeNumerically("<=", crashBound+partSlack))
+			if f.allKilled > 0 { // What was refused is known to the nodes that start.
+				Expect(f.crashes[f.allKilled:]).To(BeEmpty())
+			}
 			total, served := sound.sent[false]+sound.sent[true], sound.served[false]+sound.served[true]
 			Expect(served).To(BeNumerically(">", total/2), "sound requests")
 		})
