--- a/internal/entry/tdpass/stream.go
+++ b/internal/entry/tdpass/stream.go
@@ -109,7 +109,7 @@
 }
 
 // endedBeforeEvents reports whether a stream ended with its connection before its
-// first event. A server that crashes there can't be told from one that has no events.
+// first event. A server that crashes there looks like one that has no events.
 func (x *Exchange) endedBeforeEvents(t *tdflow.Attempt, answer *tarragondeal.Answer, p *part) bool {
 	return answer.Unframed && t.Request.Method != http.MethodHead && !p.begun && !x.headSent && x.caller.Resume == ""
 }
--- a/internal/fleet/tdtunnel/tunnel_test.go
+++ b/internal/fleet/tdtunnel/tunnel_test.go
@@ -213,9 +213,9 @@
 	}
 }
 
-// TestOtherServersOfIsolatedNode guards against requests that wait for each server anew
-// at a node that is cut off from all of them, and against other nodes that wait for such
-// a node.
+// TestOtherServersOfIsolatedNode guards against requests that wait for each server once
+// more at a node that is cut off from all of them, and against other nodes that wait for
+// such a node.
 func TestOtherServersOfIsolatedNode(t *testing.T) {
 	f := newTestFleet(t, 3)
 	ln := listen(t)
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -188,7 +188,9 @@
 	return out
 }
 
-func (n *Node) buildEntry() {
+// buildPoison returns the table of what crashes servers, which the nodes exchange and
+// keep in the store.
+func (n *Node) buildPoison() *tdpoison.Table {
 	poison := tdpoison.New(tdpoison.Deps{
 		Clock: n.clock, Log: tdlog.Part(n.log, "poison"),
 		Fleet: func() tdshare.Fleet {
@@ -205,6 +207,11 @@
 		}
 	})
 	n.addTask("keep refused parts", func(ctx context.Context) error { return poison.Keep(ctx, n.store) })
+	return poison
+}
+
+func (n *Node) buildEntry() {
+	poison := n.buildPoison()
 	n.fit = tdfit.New(tdfit.Deps{
 		Clock: n.clock, Size: n.mesh.Size, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall, Poison: poison,
 		Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
--- a/test/vm/link_test.go
+++ b/test/vm/link_test.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// hang makes new connections hang: the queue of connections that nobody accepts is
-// full, so that the system drops further ones.
+// hang makes new connections hang: none is accepted and their queue is full, so that
+// the system drops further ones.
 func (l *link) hang() {
 	GinkgoHelper()
 	l.refuse()
