Reset connections to servers when they are closed

Cause: a connection that is given up was closed in order, so that the system went on to deliver what it held. Connections to servers are now reset when they are closed, which drops it. That holds for the other ways to give a request up as well.

--- a/internal/base/tddial/dial.go
+++ b/internal/base/tddial/dial.go
@@ -8,6 +8,7 @@
 package tddial
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -50,6 +51,26 @@
 	}
 }
 
+// NewResetting returns a function that dials like New, and whose connections are reset
+// when they are closed: bytes of a request that was given up and that are still on their
+// way, or held up by the network, must not reach the server later.
+func NewResetting() func(ctx context.Context, network, address string) (net.Conn, error) {
+	d := New()
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			if err := tcp.SetLinger(0); err != nil {
+				_ = c.Close()
+				return nil, err
+			}
+		}
+		return c, nil
+	}
+}
+
 // Client returns an HTTP client that keeps up to idlePerHost idle connections
 // per address and does not follow redirects.
 func Client(d *net.Dialer, idlePerHost int) *http.Client {
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -171,7 +171,7 @@
 // one.
 func (n *Node) buildTunnels() {
 	n.tunnels = tdtunnel.New(tdtunnel.Deps{
-		Clock: n.clock, Direct: tddial.New().DialContext, Dialer: tddial.New(), Peers: n.tunnelPeers,
+		Clock: n.clock, Direct: tddial.NewResetting(), Dialer: tddial.New(), Peers: n.tunnelPeers,
 		Log: tdlog.Part(n.log, "tunnel"), Scope: n.metrics.Scope.SubScope("tunnel"),
 	})
 	n.mesh.Register(n.tunnels.Register)
