--- a/test/vm/part_test.go
+++ b/test/vm/part_test.go
@@ -45,8 +45,10 @@
 		ln, err = net.Listen("tcp", e.addr)
 		return err
 	}, "5s", "10ms").Should(Succeed())
-	e.addr = ln.Addr().String()
-	e.srv = &httptest.Server{URL: "http://" + e.addr}
+	if e.srv == nil { // The address stays the same in all runs.
+		e.addr = ln.Addr().String()
+		e.srv = &httptest.Server{URL: "http://" + e.addr}
+	}
 	run := &http.Server{Handler: e.server}
 	e.f.mu.Lock()
 	e.http = run
