tdmesh: log what arrived on a stream that is given up as silent

The record shows leaves that give up their relays 60 to 80 times a second, and links that are busy all the while, but only totals a second and a node: whether the configuration was arriving on the stream that was given up, or the relay sent nothing, can't be told.

The lines "relay is silent" and "stream is silent" have the bytes that arrived since the last whole state, and copies of 64 KiB and more are logged by the node that sends them. No logic changed.

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"tarragondeal"
 )
 
@@ -10,13 +12,16 @@
 // revision; after that they are sent again.
 const copyResendAfter = 700 * time.Millisecond
 
+// minLoggedCopy is the number of bytes from which a sent copy is logged.
+const minLoggedCopy = 64 << 10
+
 // copy returns the changes of the store that the peer lacks, or nil if there are
 // none or this node is not the peer's source.
 func (w *stateWriter) copy(revision tarragondeal.Revision) *Copy {
 	m := w.m
 	now := m.Clock.Now()
 	m.mu.Lock()
-	p := m.peers[w.peer]
+	name, p := w.peer, m.peers[w.peer]
 	wants := p != nil && p.source == m.self.Name
 	if wants {
 		w.recordReported(p.revision, now)
@@ -35,6 +40,10 @@
 	for _, e := range entries {
 		out.Items = append(out.Items, &Item{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: e.Deleted})
 	}
+	if n := proto.Size(out); n >= minLoggedCopy {
+		m.Log.Info().Str("peer", string(name)).Uint64("revision", out.GetRevision()).Int("changes", len(out.GetItems())).Int("bytes", n).
+			Msg("sending store changes")
+	}
 	return out
 }
 
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -129,9 +129,11 @@
 	source       tarragondeal.NodeID
 	copyAt       tarragondeal.Instant // When the store confirmed its copy; zero if not known.
 
-	cancel   context.CancelFunc // Ends the stream that this node opened; nil without one.
-	openedAt tarragondeal.Instant
-	retryAt  tarragondeal.Instant // The earliest time to open a stream.
+	cancel       context.CancelFunc // Ends the stream that this node opened; nil without one.
+	openedAt     tarragondeal.Instant
+	received     *meter               // Of the stream that this node opened; nil before the first.
+	bytesAtState uint64               // Received on it when its last state was complete.
+	retryAt      tarragondeal.Instant // The earliest time to open a stream.
 }
 
 // New returns a mesh that knows only its own node.
--- a/internal/fleet/tdmesh/relay.go
+++ b/internal/fleet/tdmesh/relay.go
@@ -88,7 +88,7 @@
 		case want[name] && p.cancel == nil && now >= p.retryAt:
 			m.openStream(p)
 		case want[name] && p.cancel != nil && now.Sub(max(p.lastState, p.openedAt)) > aliveTimeout:
-			m.Log.Info().Str("peer", string(name)).Msg("stream is silent, reopening")
+			m.Log.Info().Str("peer", string(name)).Uint64("receivedBytes", p.receivedSinceState()).Msg("stream is silent, reopening")
 			m.closeAndBackOff(p, reopenDelay)
 		}
 	}
@@ -119,7 +119,7 @@
 	now := m.Clock.Now()
 	p := m.peers[m.parent]
 	if p != nil && now >= p.retryAt && now.Sub(max(p.lastState, m.parentSince)) > parentTimeout {
-		m.Log.Info().Str("peer", string(m.parent)).Msg("relay is silent, disconnecting")
+		m.Log.Info().Str("peer", string(m.parent)).Uint64("receivedBytes", p.receivedSinceState()).Msg("relay is silent, disconnecting")
 		m.closeAndBackOff(p, parentBackoff)
 	}
 	best := m.bestParent(now)
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -39,10 +39,12 @@
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancel(context.Background())
 	p.openedAt = m.Clock.Now()
+	received := new(meter)
+	p.received, p.bytesAtState = received, 0
 	m.group.Go("tell "+string(p.node.Name), func(group context.Context) error {
 		stop := context.AfterFunc(group, p.cancel)
 		defer stop()
-		err := m.connect(ctx, p.node)
+		err := m.connect(ctx, p.node, received)
 		if ctx.Err() == nil {
 			m.Log.Info().Err(err).Str("peer", string(p.node.Name)).Msg("stream to node ended")
 		}
@@ -66,12 +68,17 @@
 	m.closeAndBackOff(p, delay)
 }
 
-// connect dials a node and exchanges states with it until the stream ends.
-func (m *Mesh) connect(ctx context.Context, n Node) error {
+// connect dials a node and exchanges states with it until the stream ends. What is
+// received is measured.
+func (m *Mesh) connect(ctx context.Context, n Node, received *meter) error {
 	conn, err := grpc.NewClient("passthrough:///"+n.Peer.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
-			return m.Dialer.DialContext(ctx, "tcp", addr)
+			conn, err := m.Dialer.DialContext(ctx, "tcp", addr)
+			if err != nil {
+				return nil, err
+			}
+			return &meteredConn{Conn: conn, clock: m.Clock, meter: received}, nil
 		}),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{
@@ -202,6 +209,9 @@
 		incarnation: s.GetIncarnation(), ready: s.GetReady(), wallOffset: time.Duration(s.GetWallNanos()) - time.Duration(now),
 	}
 	p.lastState, p.leaf = now, w.peerIsLeaf
+	if p.received != nil {
+		p.bytesAtState = p.received.bytes.Load()
+	}
 	p.revision, p.source = tarragondeal.Revision(s.GetRevision()), tarragondeal.NodeID(s.GetSource())
 	p.followsStore, p.hasCopies = s.GetFollows(), s.GetFed()
 	p.copyAt = 0
