tdmesh: a failing test for large values that never reach leaves

TestLargeValueReachesLeaves: 30 nodes, links of 10 Mbit/s to the leaves. Values of 100 and 600 KiB arrive within 2.5 s; at 840 KiB and 1 MiB all 20 leaves lack them.

--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,8 +16,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/fleet/tdmirror"
 )
 
@@ -25,6 +28,8 @@
 	linkDelay = 5 * time.Millisecond
 	// storeDelay is the time that the store takes to answer.
 	storeDelay = 5 * time.Millisecond
+	// leafRate is what the link of a leaf carries, in bytes a second.
+	leafRate = 10e6 / 8
 	// versionBound is how late a version may be on a node that reaches the store:
 	// half a second less than what the users' rules permit in a large fleet.
 	versionBound = 2500 * time.Millisecond
@@ -55,11 +60,14 @@
 }
 
 // write changes the version and returns its revision.
-func (s *liveStore) write() tarragondeal.Revision {
+func (s *liveStore) write() tarragondeal.Revision { return s.put(versionKey, nil) }
+
+// put writes a key and returns its revision.
+func (s *liveStore) put(key string, value []byte) tarragondeal.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.events = append(s.events, tarragondeal.Entry{Key: versionKey, Revision: s.revision})
+	s.events = append(s.events, tarragondeal.Entry{Key: key, Value: value, Revision: s.revision})
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.revision
@@ -183,11 +191,12 @@
 // liveFleet is a fleet whose nodes exchange states and call the store in real time.
 // It runs in the bubble of a test.
 type liveFleet struct {
-	ctx     context.Context
-	start   time.Time
-	store   *liveStore
-	nodes   map[tarragondeal.NodeID]*liveNode
-	running sync.WaitGroup
+	ctx      context.Context
+	start    time.Time
+	store    *liveStore
+	nodes    map[tarragondeal.NodeID]*liveNode
+	leafRate float64 // What the links of leaves carry, in bytes a second; zero for no limit.
+	running  sync.WaitGroup
 }
 
 type liveNode struct {
@@ -201,11 +210,18 @@
 type liveStream struct {
 	ctx          context.Context
 	in, out      chan *State
+	rate         float64 // In bytes a second; zero for no limit.
 	cancelStream context.CancelFunc
 }
 
 func (s *liveStream) Send(state *State) error {
-	time.Sleep(linkDelay)
+	delay := linkDelay
+	if s.rate > 0 {
+		delay += time.Duration(float64(proto.Size(state)) / s.rate * float64(time.Second))
+	}
+	if !tdclock.Sleep(s.ctx, delay) {
+		return s.ctx.Err()
+	}
 	select {
 	case s.out <- state:
 		return nil
@@ -231,10 +247,19 @@
 // runLiveFleet runs test with a fleet in centres data centres, once all nodes see
 // one another.
 func runLiveFleet(t *testing.T, size, centres int, test func(t *testing.T, f *liveFleet)) {
+	t.Helper()
+	runLimitedFleet(t, size, centres, 0, test)
+}
+
+// runLimitedFleet is like runLiveFleet with links of leaves that carry leafRate bytes
+// a second.
+func runLimitedFleet(t *testing.T, size, centres int, leafRate float64, test func(t *testing.T, f *liveFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		f := &liveFleet{ctx: ctx, start: time.Now(), store: newLiveStore(), nodes: make(map[tarragondeal.NodeID]*liveNode)}
+		f := &liveFleet{
+			ctx: ctx, start: time.Now(), store: newLiveStore(), nodes: make(map[tarragondeal.NodeID]*liveNode), leafRate: leafRate,
+		}
 		for n := range size {
 			f.add(tarragondeal.NodeID(fmt.Sprintf("n%03d", n)), fmt.Sprintf("dc%d", n%centres))
 		}
@@ -296,15 +321,26 @@
 	}
 }
 
+// relaysItself reports whether the node is a relay.
+func (m *liveNode) relaysItself() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isRelay(m.self.Name)
+}
+
 func (f *liveFleet) open(m *liveNode, to tarragondeal.NodeID) *liveStream {
 	ctx, cancel := context.WithCancel(f.ctx)
 	there, back := make(chan *State, 1), make(chan *State, 1)
-	near := &liveStream{ctx: ctx, in: back, out: there}
-	far := &liveStream{ctx: ctx, in: there, out: back}
+	peer := f.nodes[to]
+	rate := 0.0
+	if !m.relaysItself() || !peer.relaysItself() {
+		rate = f.leafRate
+	}
+	near := &liveStream{ctx: ctx, in: back, out: there, rate: rate}
+	far := &liveStream{ctx: ctx, in: there, out: back, rate: rate}
 	w := m.newStateWriter(to)
 	w.cancel = cancel
 	f.running.Go(func() { _ = m.exchange(ctx, near, w) })
-	peer := f.nodes[to]
 	f.running.Go(func() { _ = peer.exchange(ctx, far, peer.newStateWriter("")) })
 	near.cancelStream = cancel
 	return near
@@ -635,3 +671,25 @@
 		}
 	}
 }
+
+// TestLargeValueReachesLeaves guards against a value that leaves never receive: they
+// gave up their relay while the value was arriving, and began again at another one.
+func TestLargeValueReachesLeaves(t *testing.T) {
+	for _, size := range []int{100 << 10, 600 << 10, 840 << 10, 1 << 20} {
+		t.Run(fmt.Sprintf("%d bytes", size), func(t *testing.T) {
+			t.Parallel()
+			runLimitedFleet(t, 30, 5, leafRate, func(t *testing.T, f *liveFleet) {
+				value := make([]byte, size)
+				rand.NewChaCha8([32]byte{1}).Read(value) // Does not get smaller by compression.
+				revision := f.store.put(versionKey, value)
+				time.Sleep(versionBound)
+				if n, example := f.lacking(revision); n > 0 {
+					t.Errorf("%d nodes lack revision %d, %s among them", n, revision, example)
+				}
+				if n := len(f.followers()); n != maxFollowers {
+					t.Errorf("%d nodes follow the store", n)
+				}
+			})
+		})
+	}
+}
