tdmesh: send large copies of the store in parts

Cause: a copy of the store travels in one state, and a leaf disconnects from its relay after 0.6 s without a whole state. A configuration of 0.8 MB takes longer than that on a link of 10 Mbit/s, so that each leaf began again at another relay, for ever, and got nothing else either.

A copy of more than 16 KiB is compressed and sent in parts of 16 KiB, one a state, so that states go on arriving while it does. Nodes say that they read parts in a new field. Side by side with nodes of earlier builds: - a leaf whose relay sends a large copy in one state holds on to it while bytes arrive, for up to 3 s (TestLargeStateFromOldRelay: revision 1 after 4.5 s without this); - a relay tells a leaf that doesn't read parts that it has no copies, as long as the leaf lacks one of more than 512 KiB; the leaf then follows the store itself (TestLargeValueReachesOldLeaves: all 10 old leaves lacked the value without this).

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"tarragondeal"
 )
 
@@ -21,7 +19,7 @@
 	m := w.m
 	now := m.Clock.Now()
 	m.mu.Lock()
-	name, p := w.peer, m.peers[w.peer]
+	p := m.peers[w.peer]
 	wants := p != nil && p.source == m.self.Name
 	if wants {
 		w.recordReported(p.revision, now)
@@ -40,10 +38,6 @@
 	for _, e := range entries {
 		out.Items = append(out.Items, &Item{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: e.Deleted})
 	}
-	if n := proto.Size(out); n >= minLoggedCopy {
-		m.Log.Info().Str("peer", string(name)).Uint64("revision", out.GetRevision()).Int("changes", len(out.GetItems())).Int("bytes", n).
-			Msg("sending store changes")
-	}
 	return out
 }
 
@@ -60,9 +54,16 @@
 	w.reportedRevision = revision
 }
 
-// applyCopy applies changes of the store that another node has sent.
-func (m *Mesh) applyCopy(s *State) {
+// applyCopy applies the changes of the store in a state of another node.
+func (m *Mesh) applyCopy(s *State, w *stateWriter) {
 	c := s.GetCopy()
+	if part := s.GetPart(); part != nil {
+		var err error
+		if c, err = w.collect(part); err != nil {
+			m.Log.Warn().Err(err).Str("peer", s.GetNode()).Msg("invalid part of a copy, waiting for it to be sent again")
+			return
+		}
+	}
 	if c == nil {
 		return
 	}
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -82,6 +82,9 @@
 	followReason      followReason                      // At the last check.
 	copyAt            tarragondeal.Instant              // When the store confirmed this node's copy at the latest; zero if not known.
 	group             *tdtask.Group
+
+	packMu sync.Mutex
+	packed []packedCopy // The copies that were packed last, oldest first.
 }
 
 // Writer returns the payload of a component's section in the next state of one
@@ -200,7 +203,7 @@
 
 // isDirect reports whether a peer is alive on a direct stream.
 func (m *Mesh) isDirect(p *peer) bool {
-	return p != nil && p.lastState != 0 && m.Clock.Now().Sub(p.lastState) < aliveTimeout
+	return p != nil && p.lastState != 0 && m.Clock.Now().Sub(p.lastHeard()) < aliveTimeout
 }
 
 // alive returns the presence of a peer that is alive, either on a direct stream or
--- a/internal/fleet/tdmesh/meter.go
+++ b/internal/fleet/tdmesh/meter.go
@@ -3,10 +3,14 @@
 import (
 	"net"
 	"sync/atomic"
+	"time"
 
 	"tarragondeal"
 )
 
+// maxStateTime is how long one state may take to arrive.
+const maxStateTime = 3 * time.Second
+
 // meter measures what has been received on one stream. It is safe for concurrent use.
 type meter struct {
 	bytes atomic.Uint64 // Received so far.
@@ -38,3 +42,14 @@
 	}
 	return p.received.bytes.Load() - p.bytesAtState
 }
+
+// lastHeard returns when the peer was last heard on a direct stream: when its last state
+// was complete, or when bytes of the next one were received, which may take
+// maxStateTime. A node of an earlier version sends a large copy in one state.
+func (p *peer) lastHeard() tarragondeal.Instant {
+	isMetered := p.received != nil && p.writer != nil && p.writer.openedTo == p.node.Name
+	if !isMetered || p.lastState == 0 || p.receivedSinceState() == 0 {
+		return p.lastState
+	}
+	return max(p.lastState, min(tarragondeal.Instant(p.received.at.Load()), p.lastState.Add(maxStateTime)))
+}
--- /dev/null
+++ b/internal/fleet/tdmesh/parts.go
@@ -0,0 +1,206 @@
+package tdmesh
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"tarragondeal"
+)
+
+const (
+	// maxWholeCopy is the size in bytes of the largest copy that is sent in one state.
+	// A larger one is compressed and sent in parts of maxPart bytes, one a state, so
+	// that states go on arriving on a slow link.
+	maxWholeCopy = 16 << 10
+	maxPart      = 16 << 10
+	// partInterval is the interval between two states of which the second continues a
+	// copy.
+	partInterval = 5 * time.Millisecond
+	// maxUnpackedCopy is the size in bytes of the largest copy that is accepted in
+	// parts.
+	maxUnpackedCopy = 64 << 20
+	// maxCopyToOldLeaf is the size in bytes of the largest copy that is sent to a leaf of
+	// a version that does not read parts: it disconnects after 0.6 s without a state.
+	maxCopyToOldLeaf = 512 << 10
+	// maxPackedCopies is the number of packed copies that are kept for other peers.
+	maxPackedCopies = 2
+)
+
+// packedCopy is a copy of the store in the form in which it is sent in parts.
+type packedCopy struct {
+	after, revision uint64
+	whole           bool
+	data            []byte
+}
+
+// outgoingCopy is a copy that is being sent in parts.
+type outgoingCopy struct {
+	data []byte
+	sent int
+}
+
+// addCopy adds to a state what the peer lacks of the store: a copy, or the next part of
+// one that is too large for a state.
+func (w *stateWriter) addCopy(s *State, revision tarragondeal.Revision) {
+	if w.outgoing != nil {
+		w.continueCopy(s)
+		return
+	}
+	if w.withholdsCopies() {
+		s.Follows, s.Fed = false, false
+		return
+	}
+	c := w.copy(revision)
+	if c == nil {
+		return
+	}
+	size := proto.Size(c)
+	w.m.mu.Lock()
+	name, readsParts, isLeaf := w.peer, w.peerReadsParts, w.peerIsLeaf
+	w.m.mu.Unlock()
+	if size >= minLoggedCopy {
+		w.m.Log.Info().Str("peer", string(name)).Uint64("revision", c.GetRevision()).Int("changes", len(c.GetItems())).
+			Int("bytes", size).Bool("parts", readsParts).Msg("sending store changes")
+	}
+	var packed []byte
+	if size > maxWholeCopy && readsParts {
+		var err error
+		if packed, err = w.m.pack(c); err != nil {
+			w.m.Log.Warn().Err(err).Str("peer", string(name)).Uint64("revision", c.GetRevision()).Msg("failed to compress a copy, sending it whole")
+		}
+	}
+	switch {
+	case packed != nil:
+		w.outgoing = &outgoingCopy{data: packed}
+		w.continueCopy(s)
+	case size > maxCopyToOldLeaf && isLeaf:
+		w.withheld = tarragondeal.Revision(c.GetRevision())
+		s.Follows, s.Fed = false, false
+	default:
+		s.Copy = c
+	}
+}
+
+// withholdsCopies reports whether the peer is a leaf of an earlier version that still
+// lacks a copy that is too large for it. It is told that this node has no copies, and
+// then follows the store itself.
+func (w *stateWriter) withholdsCopies() bool {
+	if w.withheld == 0 {
+		return false
+	}
+	w.m.mu.Lock()
+	defer w.m.mu.Unlock()
+	if p := w.m.peers[w.peer]; p == nil || p.revision >= w.withheld {
+		w.withheld = 0
+	}
+	return w.withheld != 0
+}
+
+// continueCopy adds the next part of a copy to a state, unless the peer now receives
+// copies from another node.
+func (w *stateWriter) continueCopy(s *State) {
+	now := w.m.Clock.Now()
+	w.m.mu.Lock()
+	p := w.m.peers[w.peer]
+	wants := p != nil && p.source == w.m.self.Name
+	w.m.mu.Unlock()
+	if !wants {
+		w.outgoing, w.sentRevision = nil, 0
+		return
+	}
+	o := w.outgoing
+	n := min(maxPart, len(o.data)-o.sent)
+	s.Part = &Part{Offset: uint64(o.sent), Size: uint64(len(o.data)), Data: o.data[o.sent : o.sent+n]}
+	o.sent += n
+	w.reportedAt = now
+	if o.sent == len(o.data) {
+		w.outgoing = nil
+	}
+}
+
+// pack returns the compressed form of a copy. It is kept for other peers.
+func (m *Mesh) pack(c *Copy) ([]byte, error) {
+	m.packMu.Lock()
+	defer m.packMu.Unlock()
+	for _, p := range m.packed {
+		if p.after == c.GetAfter() && p.revision == c.GetRevision() && p.whole == c.GetWhole() {
+			return p.data, nil
+		}
+	}
+	data, err := compress(c)
+	if err != nil {
+		return nil, err
+	}
+	m.packed = append(m.packed, packedCopy{after: c.GetAfter(), revision: c.GetRevision(), whole: c.GetWhole(), data: data})
+	if len(m.packed) > maxPackedCopies {
+		m.packed = slices.Delete(m.packed, 0, 1)
+	}
+	return data, nil
+}
+
+func compress(c *Copy) ([]byte, error) {
+	raw, err := proto.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	z, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := z.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := z.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// collect adds a part to the copy that is being received on the stream. It returns the
+// copy once it is complete, and nil before. A copy that was begun is dropped when
+// another one begins.
+func (w *stateWriter) collect(p *Part) (*Copy, error) {
+	if p.GetOffset() == 0 {
+		w.incoming = nil
+	}
+	if held := uint64(len(w.incoming)); held != p.GetOffset() {
+		w.incoming = nil
+		return nil, &partError{held: held, offset: p.GetOffset()}
+	}
+	w.incoming = append(w.incoming, p.GetData()...)
+	if uint64(len(w.incoming)) < p.GetSize() {
+		return nil, nil
+	}
+	packed := w.incoming
+	w.incoming = nil
+	return unpack(packed)
+}
+
+// partError is the error for a part that does not continue the ones before it.
+type partError struct {
+	held, offset uint64 // In bytes.
+}
+
+// Error implements error.
+func (e *partError) Error() string {
+	return fmt.Sprintf("part of a copy begins at byte %d, after %d bytes", e.offset, e.held)
+}
+
+func unpack(packed []byte) (*Copy, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedCopy))
+	if err != nil {
+		return nil, err
+	}
+	c := new(Copy)
+	if err := proto.Unmarshal(raw, c); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
--- a/internal/fleet/tdmesh/relay.go
+++ b/internal/fleet/tdmesh/relay.go
@@ -87,7 +87,7 @@
 			p.cancel = nil
 		case want[name] && p.cancel == nil && now >= p.retryAt:
 			m.openStream(p)
-		case want[name] && p.cancel != nil && now.Sub(max(p.lastState, p.openedAt)) > aliveTimeout:
+		case want[name] && p.cancel != nil && now.Sub(max(p.lastHeard(), p.openedAt)) > aliveTimeout:
 			m.Log.Info().Str("peer", string(name)).Uint64("receivedBytes", p.receivedSinceState()).Msg("stream is silent, reopening")
 			m.closeAndBackOff(p, reopenDelay)
 		}
@@ -118,7 +118,7 @@
 func (m *Mesh) chooseParent() {
 	now := m.Clock.Now()
 	p := m.peers[m.parent]
-	if p != nil && now >= p.retryAt && now.Sub(max(p.lastState, m.parentSince)) > parentTimeout {
+	if p != nil && now >= p.retryAt && now.Sub(max(p.lastHeard(), m.parentSince)) > parentTimeout {
 		m.Log.Info().Str("peer", string(m.parent)).Uint64("receivedBytes", p.receivedSinceState()).Msg("relay is silent, disconnecting")
 		m.closeAndBackOff(p, parentBackoff)
 	}
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -129,7 +129,11 @@
 		if err := s.Send(w.nextState()); err != nil {
 			return err
 		}
-		if !tdclock.Sleep(ctx, m.stateInterval()) {
+		interval := m.stateInterval()
+		if w.outgoing != nil {
+			interval = partInterval
+		}
+		if !tdclock.Sleep(ctx, interval) {
 			return nil
 		}
 	}
@@ -167,7 +171,7 @@
 	if !m.recordState(state, w) {
 		return
 	}
-	m.applyCopy(state)
+	m.applyCopy(state, w)
 	for _, section := range state.GetSections() {
 		if r := m.receivers[section.GetTopic()]; r.onSection != nil {
 			r.onSection(tarragondeal.NodeID(state.GetNode()), section.GetPayload())
@@ -198,6 +202,7 @@
 		w.missed = true
 		return false
 	}
+	w.peerReadsParts = s.GetReadsParts()
 	if w.peer, w.peerIsLeaf = name, s.GetLeaf(); !m.selectStream(p, w) {
 		return false
 	}
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -21,15 +21,19 @@
 	reportedRevision tarragondeal.Revision // The revision that the peer reported last.
 	reportedAt       tarragondeal.Instant  // When the peer had all that was sent, or advanced.
 	sent             map[tarragondeal.NodeID]presence
-	sentWhole        bool // A complete list of presences has been sent.
+	sentWhole        bool                  // A complete list of presences has been sent.
+	outgoing         *outgoingCopy         // The copy that is being sent in parts; nil for none.
+	withheld         tarragondeal.Revision // Of a copy that is too large for the peer; zero for none.
+	incoming         []byte                // The parts received so far of a copy; used by the receiver of states only.
 
 	// Guarded by the mutex of the mesh.
-	peer       tarragondeal.NodeID // Empty until the peer's first state.
-	peerIsLeaf bool                // The peer is a leaf of this node.
-	closed     bool                // States received on the stream are ignored.
-	missed     bool                // States were ignored since the last one that was sent.
-	peerMissed bool                // The peer has ignored states; everything is sent again.
-	cancel     context.CancelFunc  // Ends a stream that this node opened; nil for others.
+	peer           tarragondeal.NodeID // Empty until the peer's first state.
+	peerIsLeaf     bool                // The peer is a leaf of this node.
+	peerReadsParts bool                // The peer reads copies in parts.
+	closed         bool                // States received on the stream are ignored.
+	missed         bool                // States were ignored since the last one that was sent.
+	peerMissed     bool                // The peer has ignored states; everything is sent again.
+	cancel         context.CancelFunc  // Ends a stream that this node opened; nil for others.
 }
 
 // close stops using the stream in favour of another one to the same peer. Only the
@@ -54,6 +58,9 @@
 		w.writers = append(w.writers, p.open())
 	}
 	w.sent, w.sentWhole = make(map[tarragondeal.NodeID]presence), false
+	if w.outgoing != nil {
+		w.outgoing.sent = 0
+	}
 }
 
 // takeMissed returns whether states of the peer were ignored since the last call. If the
@@ -79,7 +86,7 @@
 	s := &State{
 		Node: string(m.self.Name), Incarnation: m.self.Incarnation, Ready: m.Ready(), Revision: uint64(revision),
 		WallNanos: wall, Follows: follows, Fed: m.canProvideCopies(follows, source), Source: string(source),
-		Missed: w.takeMissed(),
+		Missed: w.takeMissed(), ReadsParts: true,
 	}
 	if age, ok := m.copyAge(follows); ok {
 		millis := uint32(min(max(age, 0)/time.Millisecond, math.MaxUint32))
@@ -94,7 +101,7 @@
 			s.Sections = append(s.Sections, &Section{Topic: m.publishers[n].topic, Payload: payload})
 		}
 	}
-	s.Copy = w.copy(revision)
+	w.addCopy(s, revision)
 	return s
 }
 
