tdmirror: keep the last change of each key for other nodes

A node that lacked five configurations got all five from its source, with up to 1 MiB each, though the last one is enough; nor did anything bound the bytes of the changes that are kept.

Earlier changes of a key are dropped from the history when a later one is recorded. Nodes of earlier builds apply such copies as they do a full one.

--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -94,8 +94,12 @@
 }
 
 // record adds a change to the history, whether or not it was new to this copy: a
-// listing may have included it before, but other nodes may lack it.
+// listing may have included it before, but other nodes may lack it. Earlier changes of
+// the key are dropped, since a node that lacks them needs the last one only.
 func (m *Mirror) record(e tarragondeal.Entry) {
+	m.history = slices.DeleteFunc(m.history, func(earlier tarragondeal.Entry) bool {
+		return earlier.Key == e.Key && earlier.Revision <= e.Revision
+	})
 	m.history = append(m.history, e)
 	if over := len(m.history) - maxHistory; over > 0 {
 		for _, trimmed := range m.history[:over] {
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -52,8 +52,8 @@
 	// changeBatchDelay is the delay between a watch that returned changes and
 	// the next one, so that changes are received in batches.
 	changeBatchDelay = 150 * time.Millisecond
-	// maxHistory is the number of changes that are kept for other nodes. A node
-	// that lacks more gets the full copy.
+	// maxHistory is the number of keys whose last changes are kept for other nodes. A
+	// node that lacks more gets the full copy.
 	maxHistory = 256
 )
 
