tdmirror: let an answer that has begun arrive

A watch had 0.4 to 1.6 s, and a page 1.5 s, whatever the size of the answer and however much of it had arrived. A node on a link of 10 Mbit/s that reads a configuration of 1 MiB itself, as nodes without a source of copies do, began again from the start.

--- a/internal/fleet/tdmirror/listing.go
+++ b/internal/fleet/tdmirror/listing.go
@@ -52,7 +52,7 @@
 }
 
 func (m *Mirror) page(ctx context.Context, prefix, after string) (tarragondeal.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	ctx, cancel := withAnswerTimeout(ctx, pageTimeout)
 	defer cancel()
 	return m.source.Page(ctx, prefix, after)
 }
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -39,7 +39,7 @@
 	confirmWait       = 50 * time.Millisecond
 	minConfirmTimeout = 400 * time.Millisecond
 	maxConfirmTimeout = 1600 * time.Millisecond
-	// pageTimeout bounds reading one page.
+	// pageTimeout is how long the answer with one page may take to begin.
 	pageTimeout = 1500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call. The
 	// minimum is short because interrupted watches are common. The maximum limits
@@ -187,7 +187,7 @@
 		return false, nil
 	}
 	wait, timeout := m.watchTimes()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := withAnswerTimeout(ctx, timeout)
 	defer cancel()
 	start := m.clock.Now()
 	entries, next, err := m.source.Watch(ctx, "", rev, wait)
