tdmesh: accept states of more than 4 MiB

gRPC's default limit of 4 MiB ended a stream whose next state was larger: a full copy, or several configurations from a node of an earlier build. The stream was opened again, and the same state was sent again. TestLargeStateFromOldRelay/over_4_MiB failed before: revision 1 after 4.5 s.

--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -352,7 +352,7 @@
 	m.mu.Lock()
 	m.group = g
 	m.mu.Unlock()
-	srv := grpc.NewServer(grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes))
+	srv := grpc.NewServer(grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes), grpc.MaxRecvMsgSize(maxStateBytes))
 	RegisterMeshServer(srv, m)
 	for _, register := range m.services {
 		register(srv)
--- a/internal/fleet/tdmesh/parts_test.go
+++ b/internal/fleet/tdmesh/parts_test.go
@@ -141,15 +141,33 @@
 }
 
 // TestLargeStateFromOldRelay guards against a leaf that gives up a relay of a version
-// that does not send parts, while a large state is arriving from it.
+// that does not send parts, while a large state is arriving from it, and against
+// states that are too large for a stream.
 func TestLargeStateFromOldRelay(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		size int
+		rate float64 // In bytes a second.
+	}{
+		{"slow link", 1 << 20, leafRate},
+		{"over 4 MiB", 5 << 20, 20 * leafRate},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			checkStateFromOldRelay(t, c.size, c.rate)
+		})
+	}
+}
+
+func checkStateFromOldRelay(t *testing.T, size int, rate float64) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	relay := &oldRelay{name: "a", value: randomValue(1 << 20)}
+	relay := &oldRelay{name: "a", value: randomValue(size)}
 	relayLn := listen(t)
 	srv := grpc.NewServer()
 	RegisterMeshServer(srv, relay)
-	go func() { _ = srv.Serve(slowListener{Listener: relayLn, rate: leafRate}) }()
+	go func() { _ = srv.Serve(slowListener{Listener: relayLn, rate: rate}) }()
 	defer srv.Stop()
 
 	clock := tdclock.New()
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -18,6 +18,9 @@
 const (
 	// bufferBytes is the buffer size of one stream in each direction.
 	bufferBytes = 4 << 10
+	// maxStateBytes limits the size of a state. Nodes of earlier versions send copies of
+	// any size in one state.
+	maxStateBytes = maxUnpackedCopy
 	// reopenDelay is the delay before a stream is opened again.
 	reopenDelay = 150 * time.Millisecond
 	// connectTimeout bounds one attempt to connect.
@@ -81,6 +84,7 @@
 			return &meteredConn{Conn: conn, clock: m.Clock, meter: received}, nil
 		}),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxStateBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{
 			BaseDelay: reopenDelay, Multiplier: 1.5, Jitter: 0.2, MaxDelay: connectTimeout,
 		}, MinConnectTimeout: connectTimeout}),
