--- a/test/vm/link_test.go
+++ b/test/vm/link_test.go
@@ -185,7 +185,7 @@
 		n.each((*link).refuse)
 		n.each((*link).reset)
 	})
-	n.node = newNodeAt(name, view.URL)
+	n.node = newNodeAt(name, view.URL, "")
 	return n
 }
 
--- a/test/vm/node_test.go
+++ b/test/vm/node_test.go
@@ -47,6 +47,7 @@
 	name                      string
 	callers, ready, addresses string
 	settings                  string
+	program                   string // Path of the program; empty for the one under test.
 	cmd                       *exec.Cmd
 	out                       *strings.Builder
 }
@@ -72,14 +73,15 @@
 // a long run does not exhaust the machine's ports.
 var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 
-func newNode(name string, s *store) *node { return newNodeAt(name, s.srv.URL) }
+func newNode(name string, s *store) *node { return newNodeAt(name, s.srv.URL, "") }
 
-// newNodeAt starts a node whose platform has the given URL.
-func newNodeAt(name, platformURL string) *node {
+// newNodeAt starts a node whose platform has the given URL. It runs the given program, or
+// the one under test if that is empty.
+func newNodeAt(name, platformURL, program string) *node {
 	p := freePorts(8)
 	at := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", p+n) }
 	platform := strings.TrimPrefix(platformURL, "http://")
-	n := &node{name: name, callers: at(0), ready: at(1), addresses: at(2)}
+	n := &node{name: name, callers: at(0), ready: at(1), addresses: at(2), program: program}
 	n.settings = filepath.Join(GinkgoT().TempDir(), name+".toml")
 	text := fmt.Sprintf(`node = %q
 zone = "duluth"
@@ -120,7 +122,11 @@
 
 func (n *node) start() {
 	n.out = &strings.Builder{}
-	n.cmd = exec.Command(binary, "-settings", n.settings)
+	program := binary
+	if n.program != "" {
+		program = n.program
+	}
+	n.cmd = exec.Command(program, "-settings", n.settings)
 	n.cmd.Stdout, n.cmd.Stderr = n.out, n.out
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // Own process group, for the reason given in tdtest.
 	Expect(n.cmd.Start()).To(Succeed())
@@ -172,11 +178,16 @@
 	engine2 *server
 	version int
 	keys    []string
+	more    []any // Further routes of the configuration.
 	// attempts is the maximum number of attempts of each route.
 	attempts int
 }
 
-func newFleet(nodes int) *fleet {
+func newFleet(nodes int) *fleet { return newFleetOf(nodes, "") }
+
+// newFleetOf returns a fleet whose nodes run the given program, or the one under test if
+// that is empty.
+func newFleetOf(nodes int, program string) *fleet {
 	f := &fleet{
 		store: newStore(), plain: newServer("i-plain"), engine: newServer("i-one"), engine2: newServer("i-two"),
 		version: 1, keys: []string{"key-a", "key-b"}, attempts: 2,
@@ -195,7 +206,7 @@
 	f.store.put("servers/i-two", f.engine2.entry("model", "ready"))
 	f.store.put("servers/i-invalid", "no server")
 	for n := range nodes {
-		f.nodes = append(f.nodes, newNode(fmt.Sprintf("node-%d", n+1), f.store))
+		f.nodes = append(f.nodes, newNodeAt(fmt.Sprintf("node-%d", n+1), f.store.srv.URL, program))
 	}
 	return f
 }
@@ -211,10 +222,10 @@
 	}
 	f.store.put("op/config", map[string]any{
 		"version": f.version,
-		"routes": []any{
+		"routes": append([]any{
 			route("chat", "/chat/", "stream", "model", true), route("look", "/look/", "idempotent", "records", false),
 			route("book", "/book/", "non_idempotent", "records", false),
-		},
+		}, f.more...),
 		"services": []any{
 			map[string]any{"name": "model", "engine": map[string]any{"slots": 8, "kvCapacity": 90000, "stride": 4}},
 			map[string]any{"name": "records"},
