--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -33,6 +33,10 @@
 	// half a second less than what the users' rules permit in a large fleet.
 	versionBound = 2500 * time.Millisecond
 	versionKey   = "version"
+	// serverKey is the key of a server. A change of it must reach all nodes within
+	// serverBound: half a second less than what the users' rules permit.
+	serverKey   = "server"
+	serverBound = 1500 * time.Millisecond
 )
 
 var errReset = errors.New("connection reset")
@@ -72,6 +76,13 @@
 	return s.revision
 }
 
+// latest returns the revision of the last change.
+func (s *liveStore) latest() tarragondeal.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // cutOff makes the store unavailable to the given nodes only.
 func (s *liveStore) cutOff(names ...tarragondeal.NodeID) {
 	s.mu.Lock()
@@ -203,7 +214,8 @@
 	streams        map[tarragondeal.NodeID]*liveStream
 	followSwitches int // How often the node has begun or stopped to follow the store.
 	followed       bool
-	old            atomic.Bool // Of a version that does not read parts.
+	old            atomic.Bool   // Of a version that does not read parts.
+	server         atomic.Uint64 // The revision of serverKey that it holds.
 }
 
 // liveStream is one end of a stream.
@@ -289,7 +301,14 @@
 func (f *liveFleet) add(name tarragondeal.NodeID, centre string) {
 	m := &liveNode{streams: make(map[tarragondeal.NodeID]*liveStream)}
 	mirror := tdmirror.New(access{liveStore: f.store, node: name}, f, tdmirror.Options{
-		Prefixes: []string{versionKey}, Follows: func() bool { return m.Follows() }, Log: zerolog.Nop(),
+		Prefixes: []string{versionKey, serverKey}, Follows: func() bool { return m.Follows() }, Log: zerolog.Nop(),
+	})
+	mirror.Subscribe(func(c tdmirror.Changes) {
+		for _, e := range c.Entries {
+			if e.Key == serverKey {
+				m.server.Store(uint64(e.Revision))
+			}
+		}
 	})
 	m.Mesh = New(Deps{Mirror: mirror, Clock: f, Ready: func() bool { return true }, Log: zerolog.Nop()},
 		Node{Name: name, Incarnation: 1, DataCentre: centre, Processor: 0.2})
--- a/internal/fleet/tdmesh/parts_test.go
+++ b/internal/fleet/tdmesh/parts_test.go
@@ -72,6 +72,60 @@
 	})
 }
 
+// TestServerLeavesDuringLargeValues guards against requests to servers that are leaving:
+// the change was queued behind large values on its way to the leaves.
+func TestServerLeavesDuringLargeValues(t *testing.T) {
+	const changes = 10
+	for _, c := range []struct {
+		name   string
+		values int // Written one after the other.
+		gap    time.Duration
+	}{
+		{"one value", 1, 0},
+		{"two values", 2, 50 * time.Millisecond},
+		{"a series of values", 12, 330 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			runLimitedFleet(t, 30, 5, leafRate, func(t *testing.T, f *liveFleet) {
+				value := randomValue(1 << 20)
+				f.running.Go(func() {
+					for range c.values {
+						f.store.put(versionKey, value)
+						time.Sleep(c.gap)
+					}
+				})
+				time.Sleep(20 * time.Millisecond)
+				for range changes {
+					revision := f.store.put(serverKey, nil)
+					f.running.Go(func() {
+						time.Sleep(serverBound)
+						if n, example := f.lackingServer(revision); n > 0 {
+							t.Errorf("%d nodes lack the change of a server at revision %d, %s among them", n, revision, example)
+						}
+					})
+					time.Sleep(300 * time.Millisecond)
+				}
+				time.Sleep(2 * versionBound)
+				if n, example := f.lacking(f.store.latest()); n > 0 {
+					t.Errorf("%d nodes lack the last revision, %s among them", n, example)
+				}
+			})
+		})
+	}
+}
+
+// lackingServer returns how many nodes lack a change of serverKey, and one of them.
+func (f *liveFleet) lackingServer(revision tarragondeal.Revision) (n int, example tarragondeal.NodeID) {
+	for name, m := range f.nodes {
+		if m.server.Load() < uint64(revision) {
+			n++
+			example = name
+		}
+	}
+	return n, example
+}
+
 // oldRelay serves streams like a node of a version that does not send parts.
 type oldRelay struct {
 	UnimplementedMeshServer
