tdmesh: send small changes ahead of a copy in parts

Cause: copies of the store are sent and applied in order, so that the change of a server waits for the configuration before it.

While a copy is sent in parts, changes of up to 1 KiB go ahead of the remaining parts. A mirror applies them at once, and passes over earlier changes of the same keys that arrive later (TestChangeSentAheadIsNotUndone: a removed server was held again without this). Nodes of earlier builds say that they read no parts, and get none of them.

TestCopiesAgree sends changes ahead too, and writes as many different keys as the history holds where it wrote 7 keys again and again: the history keeps one change of each now.

--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -36,7 +36,21 @@
 		out.After = uint64(after)
 	}
 	for _, e := range entries {
-		out.Items = append(out.Items, &Item{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: e.Deleted})
+		out.Items = append(out.Items, newItem(e))
+	}
+	return out
+}
+
+func newItem(e tarragondeal.Entry) *Item {
+	return &Item{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: e.Deleted}
+}
+
+func entriesOf(items []*Item) []tarragondeal.Entry {
+	out := make([]tarragondeal.Entry, 0, len(items))
+	for _, i := range items {
+		out = append(out, tarragondeal.Entry{
+			Key: i.GetKey(), Value: i.GetValue(), Revision: tarragondeal.Revision(i.GetRevision()), Deleted: i.GetDeleted(),
+		})
 	}
 	return out
 }
@@ -56,6 +70,11 @@
 
 // applyCopy applies the changes of the store in a state of another node.
 func (m *Mesh) applyCopy(s *State, w *stateWriter) {
+	if ahead := entriesOf(s.GetAhead()); len(ahead) > 0 {
+		m.Log.Info().Str("peer", s.GetNode()).Uint64("held", uint64(m.Mirror.Revision())).Int("changes", len(ahead)).
+			Uint64("newest", uint64(ahead[len(ahead)-1].Revision)).Msg("applying store changes ahead of a copy in parts")
+		m.Mirror.ApplyAhead(ahead)
+	}
 	c := s.GetCopy()
 	if part := s.GetPart(); part != nil {
 		var err error
@@ -72,12 +91,7 @@
 			Msg("changes before a copy are missing, waiting for them")
 		return
 	}
-	entries := make([]tarragondeal.Entry, 0, len(c.GetItems()))
-	for _, i := range c.GetItems() {
-		entries = append(entries, tarragondeal.Entry{
-			Key: i.GetKey(), Value: i.GetValue(), Revision: tarragondeal.Revision(i.GetRevision()), Deleted: i.GetDeleted(),
-		})
-	}
+	entries := entriesOf(c.GetItems())
 	if len(entries) > 0 {
 		line := m.Log.Info().Str("peer", s.GetNode()).Uint64("revision", c.GetRevision()).Int("changes", len(entries)).
 			Bool("whole", c.GetWhole())
--- a/internal/fleet/tdmesh/parts.go
+++ b/internal/fleet/tdmesh/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/flate"
 	"fmt"
 	"io"
@@ -28,6 +29,10 @@
 	// maxCopyToOldLeaf is the size in bytes of the largest copy that is sent to a leaf of
 	// a version that does not read parts: it disconnects after 0.6 s without a state.
 	maxCopyToOldLeaf = 512 << 10
+	// maxValueAhead is the size in bytes of the largest value that is sent ahead of a
+	// copy in parts, and maxItemsAhead the number of them in one state.
+	maxValueAhead = 1 << 10
+	maxItemsAhead = 64
 	// maxPackedCopies is the number of packed copies that are kept for other peers.
 	maxPackedCopies = 2
 )
@@ -41,8 +46,10 @@
 
 // outgoingCopy is a copy that is being sent in parts.
 type outgoingCopy struct {
-	data []byte
-	sent int
+	data  []byte
+	sent  int
+	after tarragondeal.Revision // Of the copy.
+	ahead tarragondeal.Revision // Up to which small changes have been sent ahead.
 }
 
 // addCopy adds to a state what the peer lacks of the store: a copy, or the next part of
@@ -77,7 +84,11 @@
 	}
 	switch {
 	case packed != nil:
-		w.outgoing = &outgoingCopy{data: packed}
+		after := tarragondeal.Revision(c.GetAfter())
+		if c.GetWhole() {
+			after = tarragondeal.Revision(c.GetRevision())
+		}
+		w.outgoing = &outgoingCopy{data: packed, after: after, ahead: after}
 		w.continueCopy(s)
 	case size > maxCopyToOldLeaf && isLeaf:
 		w.withheld = tarragondeal.Revision(c.GetRevision())
@@ -115,6 +126,7 @@
 		return
 	}
 	o := w.outgoing
+	s.Ahead = w.m.itemsAhead(o)
 	n := min(maxPart, len(o.data)-o.sent)
 	s.Part = &Part{Offset: uint64(o.sent), Size: uint64(len(o.data)), Data: o.data[o.sent : o.sent+n]}
 	o.sent += n
@@ -124,6 +136,28 @@
 	}
 }
 
+// itemsAhead returns the small changes since those that were sent ahead last.
+func (m *Mesh) itemsAhead(o *outgoingCopy) []*Item {
+	entries, rev, whole := m.Mirror.Since(o.ahead)
+	if whole {
+		return nil // Too many; they are sent in the next copy.
+	}
+	slices.SortFunc(entries, func(a, b tarragondeal.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
+	var out []*Item
+	for _, e := range entries {
+		if len(e.Value) > maxValueAhead {
+			continue
+		}
+		if len(out) == maxItemsAhead {
+			return out
+		}
+		out = append(out, newItem(e))
+		o.ahead = e.Revision
+	}
+	o.ahead = rev
+	return out
+}
+
 // pack returns the compressed form of a copy. It is kept for other peers.
 func (m *Mesh) pack(c *Copy) ([]byte, error) {
 	m.packMu.Lock()
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -59,7 +59,7 @@
 	}
 	w.sent, w.sentWhole = make(map[tarragondeal.NodeID]presence), false
 	if w.outgoing != nil {
-		w.outgoing.sent = 0
+		w.outgoing.sent, w.outgoing.ahead = 0, w.outgoing.after
 	}
 }
 
--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -23,6 +24,24 @@
 	}
 }
 
+// ApplyAhead applies changes that another node has sent ahead of earlier ones. The copy
+// stays complete up to its revision only. An earlier change of the same key that is
+// applied later has no effect.
+func (m *Mirror) ApplyAhead(entries []tarragondeal.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.listed {
+		return
+	}
+	entries = byRevision(entries)
+	for _, e := range entries {
+		if m.isMirrored(e.Key) && e.Revision > m.rev {
+			m.ahead[e.Key] = max(m.ahead[e.Key], e.Revision)
+		}
+	}
+	m.merge(entries, m.rev, m.rev)
+}
+
 func (m *Mirror) apply(entries []tarragondeal.Entry, rev tarragondeal.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -32,9 +51,7 @@
 // add applies all changes from the copy's revision to rev. The service does not
 // promise an order of events.
 func (m *Mirror) add(entries []tarragondeal.Entry, rev tarragondeal.Revision) {
-	entries = slices.SortedStableFunc(slices.Values(entries), func(a, b tarragondeal.Entry) int {
-		return cmp.Compare(a.Revision, b.Revision)
-	})
+	entries = byRevision(entries)
 	known := m.rev
 	m.merge(entries, rev, known)
 	for _, e := range entries {
@@ -44,6 +61,12 @@
 	}
 }
 
+func byRevision(entries []tarragondeal.Entry) []tarragondeal.Entry {
+	return slices.SortedStableFunc(slices.Values(entries), func(a, b tarragondeal.Entry) int {
+		return cmp.Compare(a.Revision, b.Revision)
+	})
+}
+
 // merge applies entries and passes those that are newer than the copy to the
 // subscribers. Keys that are not held did not exist at revision known, nor when they
 // were listed, so an entry of one that is not later comes from an answer or a copy
@@ -57,6 +80,7 @@
 		}
 	}
 	m.rev = max(m.rev, rev)
+	maps.DeleteFunc(m.ahead, func(_ string, applied tarragondeal.Revision) bool { return applied <= m.rev })
 	if len(accepted) == 0 {
 		return
 	}
@@ -77,6 +101,8 @@
 func (m *Mirror) isNewer(e tarragondeal.Entry, known tarragondeal.Revision) bool {
 	held, ok := m.items[e.Key]
 	switch {
+	case e.Revision < m.ahead[e.Key]:
+		return false
 	case e.Deleted:
 		return ok && e.Revision >= held.Revision
 	case ok:
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -94,6 +94,7 @@
 	mu             sync.Mutex
 	items          map[string]tarragondeal.Entry
 	rev            tarragondeal.Revision
+	ahead          map[string]tarragondeal.Revision // Of the changes after rev that were applied, by key.
 	history        []tarragondeal.Entry
 	historyStart   tarragondeal.Revision // The history holds all changes after this revision.
 	listed         bool
@@ -111,7 +112,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	return &Mirror{source: s, clock: c, opt: o, items: make(map[string]tarragondeal.Entry)}
+	return &Mirror{source: s, clock: c, opt: o, items: make(map[string]tarragondeal.Entry), ahead: make(map[string]tarragondeal.Revision)}
 }
 
 // Subscribe calls receive for each later change, one call at a time and in order.
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -188,7 +188,7 @@
 	s := f.service
 	key := fmt.Sprintf("%s/%d", rapid.SampledFrom([]string{"a", "b", "c"}).Draw(f.T, "prefix"), rapid.IntRange(0, 4).Draw(f.T, "key"))
 	m := rapid.SampledFrom(f.mirrors).Draw(f.T, "mirror")
-	switch rapid.IntRange(0, 8).Draw(f.T, "what") {
+	switch rapid.IntRange(0, 9).Draw(f.T, "what") {
 	case 0, 1:
 		s.put(key, fmt.Sprint(s.rev))
 	case 2:
@@ -216,13 +216,25 @@
 	case 8:
 		if rapid.IntRange(0, 4).Draw(f.T, "many") == 0 {
 			for n := range maxHistory + 10 {
-				s.put(fmt.Sprintf("a/%d", n%7), fmt.Sprint(s.rev))
+				s.put(fmt.Sprintf("a/%d", n), fmt.Sprint(s.rev))
 			}
 		}
+	case 9:
+		f.sendAhead(m)
 	}
 	f.check()
 }
 
+// sendAhead sends some changes to a mirror that lacks earlier ones.
+func (f *fleet) sendAhead(m *testMirror) {
+	from := rapid.SampledFrom(f.mirrors).Draw(f.T, "ahead from")
+	entries, _, whole := from.Since(m.Revision())
+	if whole {
+		return
+	}
+	m.ApplyAhead(entries[min(rapid.IntRange(0, 5).Draw(f.T, "passed over"), len(entries)):])
+}
+
 // check compares each mirror with what the service held at the mirror's revision or
 // later.
 func (f *fleet) check() {
@@ -708,3 +720,36 @@
 		t.Errorf("the other copy holds %v, want %v", other.values(), want)
 	}
 }
+
+// TestChangeSentAheadIsNotUndone guards against a leaving server that is listed as live
+// again: a copy with an earlier change of its entry arrives after the later change that
+// was sent ahead of it.
+func TestChangeSentAheadIsNotUndone(t *testing.T) {
+	s, clock := newFakeSource(), &fakeClock{now: 1}
+	m, other := newMirror(s, clock), newMirror(s, clock)
+	steps(t, m, 1)
+	steps(t, other, 1)
+	before := m.Revision()
+	s.put("a/changed", "live")
+	s.put("a/removed", "live")
+	steps(t, other, 1)
+	entries, rev, whole := other.Since(before)
+	s.put("a/changed", "leaving")
+	s.remove("a/removed")
+	steps(t, other, 1)
+	ahead, _, _ := other.Since(rev)
+
+	want := map[string]string{"a/changed": "leaving"}
+	m.ApplyAhead(ahead)
+	if got := m.values(); !maps.Equal(got, want) || m.Revision() != before {
+		t.Errorf("at revision %d the mirror holds %v", m.Revision(), got)
+	}
+	m.Apply(entries, rev, whole)
+	if got := m.values(); !maps.Equal(got, want) || m.Revision() != rev {
+		t.Errorf("at revision %d the mirror holds %v", m.Revision(), got)
+	}
+	m.Apply(other.Since(rev))
+	if got := m.values(); !maps.Equal(got, want) || len(m.ahead) != 0 {
+		t.Errorf("the mirror holds %v in the end, and %d changes ahead", got, len(m.ahead))
+	}
+}
