tdmesh: test that sections arrive while a large value does

Callers of one class got nothing while less urgent requests ran (TIER; docs/incidents/requests-for-gone-servers.md).

While a large configuration could not get through, leaves received no state at all: neither the lists without the servers that had gone, nor the other nodes' reports on them. Each connection to such a server takes 1.5 s, and the class with the shortest deadline has none left after two.

--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -216,6 +216,38 @@
 	followed       bool
 	old            atomic.Bool   // Of a version that does not read parts.
 	server         atomic.Uint64 // The revision of serverKey that it holds.
+	sections       sectionGaps
+}
+
+// sectionTopic is the topic of the sections that all nodes of a live fleet send.
+const sectionTopic = "section"
+
+// sectionGaps measures the gaps between the sections that a node receives.
+type sectionGaps struct {
+	mu      sync.Mutex
+	last    time.Time
+	longest time.Duration
+}
+
+func (g *sectionGaps) add(tarragondeal.NodeID, []byte) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.longest = max(g.longest, time.Since(g.last))
+	g.last = time.Now()
+}
+
+// reset begins a measurement.
+func (g *sectionGaps) reset() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.last, g.longest = time.Now(), 0
+}
+
+// end returns the longest gap since reset.
+func (g *sectionGaps) end() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.longest, time.Since(g.last))
 }
 
 // liveStream is one end of a stream.
@@ -312,6 +344,8 @@
 	})
 	m.Mesh = New(Deps{Mirror: mirror, Clock: f, Ready: func() bool { return true }, Log: zerolog.Nop()},
 		Node{Name: name, Incarnation: 1, DataCentre: centre, Processor: 0.2})
+	m.Publish(sectionTopic, func() Writer { return func(func(tarragondeal.NodeID) bool) []byte { return []byte(name) } })
+	m.Receive(sectionTopic, m.sections.add, nil)
 	f.nodes[name] = m
 }
 
--- a/internal/fleet/tdmesh/parts_test.go
+++ b/internal/fleet/tdmesh/parts_test.go
@@ -126,6 +126,24 @@
 	return n, example
 }
 
+// TestSectionsDuringLargeValue guards against nodes that refuse urgent requests since
+// they choose servers blindly: while a large value was on its way to the leaves, no
+// section with the others' reports on the servers arrived there.
+func TestSectionsDuringLargeValue(t *testing.T) {
+	runLimitedFleet(t, 30, 5, leafRate, func(t *testing.T, f *liveFleet) {
+		for _, m := range f.nodes {
+			m.sections.reset()
+		}
+		f.store.put(versionKey, randomValue(1<<20))
+		time.Sleep(2 * versionBound)
+		for name, m := range f.nodes {
+			if gap := m.sections.end(); gap > parentTimeout {
+				t.Errorf("%s received no section for %s", name, gap)
+			}
+		}
+	})
+}
+
 // oldRelay serves streams like a node of a version that does not send parts.
 type oldRelay struct {
 	UnimplementedMeshServer
