--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -10,9 +10,6 @@
 // revision; after that they are sent again.
 const copyResendAfter = 700 * time.Millisecond
 
-// minLoggedCopy is the number of bytes from which a sent copy is logged.
-const minLoggedCopy = 64 << 10
-
 // copy returns the changes of the store that the peer lacks, or nil if there are
 // none or this node is not the peer's source.
 func (w *stateWriter) copy(revision tarragondeal.Revision) *Copy {
--- a/internal/fleet/tdmesh/parts.go
+++ b/internal/fleet/tdmesh/parts.go
@@ -48,47 +48,52 @@
 type outgoingCopy struct {
 	data  []byte
 	sent  int
-	after tarragondeal.Revision // Of the copy.
-	ahead tarragondeal.Revision // Up to which small changes have been sent ahead.
+	after tarragondeal.Revision // Changes up to it need not be sent ahead.
+	ahead tarragondeal.Revision // Small changes up to it have been sent ahead.
+}
+
+func newOutgoingCopy(c *Copy, packed []byte) *outgoingCopy {
+	after := tarragondeal.Revision(c.GetAfter())
+	if c.GetWhole() {
+		after = tarragondeal.Revision(c.GetRevision())
+	}
+	return &outgoingCopy{data: packed, after: after, ahead: after}
 }
 
 // addCopy adds to a state what the peer lacks of the store: a copy, or the next part of
 // one that is too large for a state.
 func (w *stateWriter) addCopy(s *State, revision tarragondeal.Revision) {
-	if w.outgoing != nil {
+	switch {
+	case w.outgoing != nil:
 		w.continueCopy(s)
-		return
-	}
-	if w.withholdsCopies() {
+	case w.withholdsCopies():
 		s.Follows, s.Fed = false, false
-		return
+	default:
+		if c := w.copy(revision); c != nil {
+			w.beginCopy(s, c)
+		}
 	}
-	c := w.copy(revision)
-	if c == nil {
+}
+
+// beginCopy adds a copy to a state, or its first part if it is large.
+func (w *stateWriter) beginCopy(s *State, c *Copy) {
+	size := proto.Size(c)
+	if size <= maxWholeCopy {
+		s.Copy = c
 		return
 	}
-	size := proto.Size(c)
 	w.m.mu.Lock()
 	name, readsParts, isLeaf := w.peer, w.peerReadsParts, w.peerIsLeaf
 	w.m.mu.Unlock()
-	if size >= minLoggedCopy {
-		w.m.Log.Info().Str("peer", string(name)).Uint64("revision", c.GetRevision()).Int("changes", len(c.GetItems())).
-			Int("bytes", size).Bool("parts", readsParts).Msg("sending store changes")
-	}
 	var packed []byte
-	if size > maxWholeCopy && readsParts {
-		var err error
-		if packed, err = w.m.pack(c); err != nil {
-			w.m.Log.Warn().Err(err).Str("peer", string(name)).Uint64("revision", c.GetRevision()).Msg("failed to compress a copy, sending it whole")
-		}
+	if readsParts {
+		packed = w.m.pack(c)
 	}
+	w.m.Log.Info().Str("peer", string(name)).Uint64("revision", c.GetRevision()).Int("changes", len(c.GetItems())).
+		Int("bytes", size).Int("packedBytes", len(packed)).Msg("sending store changes")
 	switch {
 	case packed != nil:
-		after := tarragondeal.Revision(c.GetAfter())
-		if c.GetWhole() {
-			after = tarragondeal.Revision(c.GetRevision())
-		}
-		w.outgoing = &outgoingCopy{data: packed, after: after, ahead: after}
+		w.outgoing = newOutgoingCopy(c, packed)
 		w.continueCopy(s)
 	case size > maxCopyToOldLeaf && isLeaf:
 		w.withheld = tarragondeal.Revision(c.GetRevision())
@@ -158,24 +163,26 @@
 	return out
 }
 
-// pack returns the compressed form of a copy. It is kept for other peers.
-func (m *Mesh) pack(c *Copy) ([]byte, error) {
+// pack returns the compressed form of a copy, and keeps it for other peers. It returns
+// nil if the copy can't be compressed.
+func (m *Mesh) pack(c *Copy) []byte {
 	m.packMu.Lock()
 	defer m.packMu.Unlock()
 	for _, p := range m.packed {
 		if p.after == c.GetAfter() && p.revision == c.GetRevision() && p.whole == c.GetWhole() {
-			return p.data, nil
+			return p.data
 		}
 	}
 	data, err := compress(c)
 	if err != nil {
-		return nil, err
+		m.Log.Warn().Err(err).Uint64("revision", c.GetRevision()).Msg("failed to compress a copy, sending it whole")
+		return nil
 	}
 	m.packed = append(m.packed, packedCopy{after: c.GetAfter(), revision: c.GetRevision(), whole: c.GetWhole(), data: data})
 	if len(m.packed) > maxPackedCopies {
 		m.packed = slices.Delete(m.packed, 0, 1)
 	}
-	return data, nil
+	return data
 }
 
 func compress(c *Copy) ([]byte, error) {
