--- a/internal/fleet/tdmesh/doc.go
+++ b/internal/fleet/tdmesh/doc.go
@@ -18,7 +18,9 @@
 //
 // A node that has sent no state for a while is not alive until it sends one again.
 // A node that the store rejects, or that does not follow the store because only a
-// few relays of a large fleet do, receives the changes from another node.
+// few relays of a large fleet do, receives the changes from another node. Large changes
+// are sent in parts, with small ones ahead of them, so that states go on arriving on
+// slow links.
 package tdmesh
 
 //go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative mesh.proto
