test/vm: upgrade with configurations that earlier leaves can't receive

The specs of two builds had configurations of 1,200 routes, which a relay still sends to a leaf of an earlier build in one state. With 4,000 it doesn't, and the leaf must read the configuration from the store.

--- a/test/vm/upgrade_test.go
+++ b/test/vm/upgrade_test.go
@@ -19,9 +19,9 @@
 
 const (
 	upgradeNodes = 11 // Some nodes of a fleet of this size relay.
-	// upgradeRoutes is the number of routes that a configuration adds, so that it is sent
-	// from node to node in parts.
-	upgradeRoutes = 1200
+	// upgradeRoutes is the number of unused routes of a configuration: it is too large to
+	// be sent to a leaf in one state.
+	upgradeRoutes = 4000
 	// upgradeBound is how long a change of the store may take to be in force everywhere,
 	// as in the nodes' settings.
 	upgradeBound = 2 * time.Second
