--- a/internal/fleet/tdmesh/meter.go
+++ b/internal/fleet/tdmesh/meter.go
@@ -11,13 +11,13 @@
 // maxStateTime is how long one state may take to arrive.
 const maxStateTime = 3 * time.Second
 
-// meter measures what has been received on one stream. It is safe for concurrent use.
+// meter counts the bytes received on one stream. It is safe for concurrent use.
 type meter struct {
 	bytes atomic.Uint64 // Received so far.
 	at    atomic.Int64  // When the last of them were received, as an Instant; zero before the first.
 }
 
-// meteredConn is a connection whose received bytes are measured.
+// meteredConn is a connection that counts the bytes received.
 type meteredConn struct {
 	net.Conn
 	clock tarragondeal.Clock
@@ -43,9 +43,9 @@
 	return p.received.bytes.Load() - p.bytesAtState
 }
 
-// lastHeard returns when the peer was last heard on a direct stream: when its last state
-// was complete, or when bytes of the next one were received, which may take
-// maxStateTime. A node of an earlier version sends a large copy in one state.
+// lastHeard returns when the peer last showed activity on a direct stream: the time of
+// its last complete state, or of the last bytes of one that is being received for less
+// than maxStateTime. Earlier versions send a large copy in one state.
 func (p *peer) lastHeard() tarragondeal.Instant {
 	isMetered := p.received != nil && p.writer != nil && p.writer.openedTo == p.node.Name
 	if !isMetered || p.lastState == 0 || p.receivedSinceState() == 0 {
--- a/internal/fleet/tdmesh/parts.go
+++ b/internal/fleet/tdmesh/parts.go
@@ -104,8 +104,8 @@
 }
 
 // withholdsCopies reports whether the peer is a leaf of an earlier version that still
-// lacks a copy that is too large for it. It is told that this node has no copies, and
-// then follows the store itself.
+// lacks a copy that is too large for it. States to it say that this node has no copies,
+// so that it follows the store itself.
 func (w *stateWriter) withholdsCopies() bool {
 	if w.withheld == 0 {
 		return false
--- a/internal/fleet/tdmesh/parts_test.go
+++ b/internal/fleet/tdmesh/parts_test.go
@@ -254,7 +254,7 @@
 		Ready: func() bool { return true }, Log: zerolog.Nop(),
 	}, Node{Name: "z", Incarnation: 1, DataCentre: "dc0", Processor: 0.1})
 	m.addListed(Node{Name: "a", Incarnation: 1, DataCentre: "dc0", Processor: 1, Peer: netip.MustParseAddrPort(relayLn.Addr().String())})
-	for n := range fullMeshSize { // Makes the fleet large; nobody serves at their addresses.
+	for n := range fullMeshSize { // Makes the fleet large. No server listens at their addresses.
 		m.addListed(Node{Name: tarragondeal.NodeID(fmt.Sprintf("b%d", n)), Incarnation: 1, DataCentre: "dc0", Processor: 0.5})
 	}
 	go func() { _ = mirror.Run(ctx) }()
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -71,8 +71,8 @@
 	m.closeAndBackOff(p, delay)
 }
 
-// connect dials a node and exchanges states with it until the stream ends. What is
-// received is measured.
+// connect dials a node and exchanges states with it until the stream ends. It
+// counts the bytes received.
 func (m *Mesh) connect(ctx context.Context, n Node, received *meter) error {
 	conn, err := grpc.NewClient("passthrough:///"+n.Peer.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
