tdpass: log when an answer says that its server is leaving

A server that leaves says so in its answers (Server-Leaving). Nothing read that, and no line told whether a node had received such an answer, so that a server of which only answers said so (DRAIN) looked like any other.

The choice of servers does not change with this commit.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -78,6 +78,7 @@
 	lastHeard      map[tarragondeal.NodeID]tarragondeal.Instant // When a node's load was last received.
 	lastStarts     map[string]tierStarts                        // By pool.
 	limits         map[serverRun]*serverLimit
+	leaving        map[serverRun]*leavingNotice
 	fleet          tdshare.Fleet // As of fleetAt.
 	fleetAt        tarragondeal.Instant
 	waiting        map[string]map[int]int // Requests without a server, by pool and tier.
@@ -100,7 +101,7 @@
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
 		lastStarts: make(map[string]tierStarts), limits: make(map[serverRun]*serverLimit),
-		waiting: make(map[string]map[int]int),
+		leaving: make(map[serverRun]*leavingNotice), waiting: make(map[string]map[int]int),
 	}
 }
 
--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -34,7 +34,7 @@
 	Flow    Flow
 	Backend tarragondeal.Backend
 	Starts  tdpass.Starts
-	Limits  tarragondeal.ServerLimits
+	Notices tarragondeal.ServerNotices
 	Origins tarragondeal.StreamOrigins
 	Clock   tarragondeal.Clock
 	Log     zerolog.Logger
@@ -119,7 +119,7 @@
 		}
 	}
 	x := tdpass.New(tdpass.Deps{
-		Backend: h.Backend, Starts: h.Starts, Limits: h.Limits, Origins: h.Origins, Clock: h.Clock, Log: h.Log,
+		Backend: h.Backend, Starts: h.Starts, Notices: h.Notices, Origins: h.Origins, Clock: h.Clock, Log: h.Log,
 	}, c, host)
 	defer x.End()
 	q.Exchange = x
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -77,6 +77,7 @@
 func (s *servers) Began(string)                                  {}
 func (s *servers) ObserveLimit(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.ServerLimit, tarragondeal.Instant) {
 }
+func (s *servers) ObserveLeaving(tarragondeal.Server, tarragondeal.RequestID) {}
 
 // origins knows one software only.
 type origins struct{}
@@ -151,7 +152,7 @@
 	flow := tdflow.New(tdflow.Deps{
 		Dispatch: e.servers, Backend: backend, Meter: e.servers, Burn: e.servers, Clock: clock, Metrics: tally.NoopScope, Log: log,
 	}, tdflow.Options{Attempts: 3, WriteTimeout: time.Minute})
-	e.host = New(Deps{Flow: flow, Backend: backend, Starts: e.servers, Limits: e.servers, Origins: origins{}, Clock: clock, Log: log, Scope: tally.NoopScope})
+	e.host = New(Deps{Flow: flow, Backend: backend, Starts: e.servers, Notices: e.servers, Origins: origins{}, Clock: clock, Log: log, Scope: tally.NoopScope})
 	e.host.SetView(tarragondeal.NewView(1, set), platform.CallerLimits{})
 	srv := httptest.NewUnstartedServer(e.host)
 	srv.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -46,7 +46,7 @@
 type Deps struct {
 	Backend tarragondeal.Backend
 	Starts  Starts
-	Limits  tarragondeal.ServerLimits
+	Notices tarragondeal.ServerNotices
 	Origins tarragondeal.StreamOrigins
 	Clock   tarragondeal.Clock
 	Log     zerolog.Logger
@@ -111,7 +111,7 @@
 		answer.Drop()
 		return invalid(errOtherRequest)
 	}
-	x.observeLimit(t, answer.Status, &reply, sent)
+	x.observeNotices(t, answer.Status, &reply, sent)
 	if reply.NotRun {
 		return x.rejected(answer)
 	}
@@ -133,9 +133,30 @@
 	return x.relayPlain(ctx, t, answer)
 }
 
-// observeLimit passes on what an answer says about the server's limit. A 421 may come
-// from another server at the same address, and without a signature or a limit an
-// answer may not come from the server's software at all.
+// observeNotices passes on what a server says of itself in an answer. A 421 may come
+// from another server at the same address.
+func (x *Exchange) observeNotices(t *tdflow.Attempt, status int, r *platform.Reply, sent tarragondeal.Instant) {
+	if status != http.StatusMisdirectedRequest {
+		x.observeLeaving(t, status, r)
+	}
+	x.observeLimit(t, status, r, sent)
+}
+
+// observeLeaving passes on that a server is leaving. A success without a signature is
+// not the server's.
+func (x *Exchange) observeLeaving(t *tdflow.Attempt, status int, r *platform.Reply) {
+	unsigned := status < http.StatusMultipleChoices && !r.Signed
+	switch {
+	case r.LeavingErr != nil || r.Leaving && unsigned:
+		x.Log.Warn().Err(r.LeavingErr).Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Bool("signed", r.Signed).
+			Msg("notice of a leaving server ignored")
+	case r.Leaving:
+		x.Notices.ObserveLeaving(t.Server, t.Request.ID)
+	}
+}
+
+// observeLimit passes on what an answer says about the server's limit. Without a
+// signature or a limit an answer may not come from the server's software at all.
 func (x *Exchange) observeLimit(t *tdflow.Attempt, status int, r *platform.Reply, sent tarragondeal.Instant) {
 	if r.LimitErr != nil {
 		x.Log.Warn().Err(r.LimitErr).Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Msg("invalid server limit")
@@ -144,7 +165,7 @@
 	if status == http.StatusMisdirectedRequest || !r.Limit.Announced && !r.Signed {
 		return
 	}
-	x.Limits.ObserveLimit(t.Server, t.Request.ID, r.Limit, sent)
+	x.Notices.ObserveLimit(t.Server, t.Request.ID, r.Limit, sent)
 }
 
 // countStart counts a request, once, when its server begins to answer. A stream is
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -233,7 +233,7 @@
 	n.addTask("tunnel to servers", func(ctx context.Context) error { return n.tunnels.Run(ctx, backend.CloseIdle) })
 	n.host = tdhost.New(tdhost.Deps{
 		Flow: flow, Backend: backend,
-		Starts: n.begun, Limits: n.fit, Origins: n.origins, Clock: n.clock, Log: log, Scope: scope,
+		Starts: n.begun, Notices: n.fit, Origins: n.origins, Clock: n.clock, Log: log, Scope: scope,
 	})
 }
 
--- a/limit.go
+++ b/limit.go
@@ -17,10 +17,12 @@
 	PerSecond float64 // Requests per second, not negative.
 }
 
-// ServerLimits records the limits that backend servers announce.
-type ServerLimits interface {
+// ServerNotices records what backend servers say of themselves in their answers.
+type ServerNotices interface {
 	// ObserveLimit records the limit in an answer of s to a request that was sent
 	// at sent. An answer without a limit ends the one that was announced before
 	// the request was sent.
 	ObserveLimit(s Server, request RequestID, l ServerLimit, sent Instant)
+	// ObserveLeaving records an answer of s that says that s is leaving.
+	ObserveLeaving(s Server, request RequestID)
 }
