tdfit: send nothing to a server that has said in an answer that it leaves

Callers' requests reached servers more than three seconds after these had said that they leave (DRAIN), also in fleets of 6 and 7 nodes that all follow the store.

Cause: a node learned that a server leaves from its copy of the store alone. A node that the store rejects, or whose copy is old, and every node during an outage of the store, went on sending, however often the server's answers said so. The class of fault is a fact that reaches a node by one way only.

Change: a notice holds for the rest of the server's run (its name and start), whatever its entry says. The node that was told is bound at once, since the one place that chooses servers for all attempts looks at it; the others get it with the next states (optional field of the load; earlier builds ignore it), and a node that starts from any of them. A new run is clean, unless the answer came after it had started. Orders of servers count such servers as leaving.

The soak has the fault: a server says so in its answers only, with and without the store."

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -119,12 +119,20 @@
 	}
 	for _, s := range f.servers {
 		if p := v.ServerPools[s.Pool]; p != nil && s.engine == nil && p.Engine != nil {
-			f.servers[s.ID] = newServer(s.Server, p.Engine, f.meanRate)
+			f.servers[s.ID] = f.newServer(s.Server, p.Engine)
 		}
 	}
 	f.indexPools()
 }
 
+// newServer returns the state of a server of which nothing is known but what this run of
+// it said of itself.
+func (f *Fit) newServer(s tarragondeal.Server, e *tarragondeal.Engine) *server {
+	out := newServer(s, e, f.meanRate)
+	out.leaving = f.leaving[runOf(&s)] != nil
+	return out
+}
+
 // indexPools rebuilds the index of servers by pool.
 func (f *Fit) indexPools() {
 	f.pools = make(map[string][]*server)
@@ -152,6 +160,8 @@
 func (f *Fit) SetServers(list []tarragondeal.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	f.evictLeaving(now) // The servers that are no longer listed have been until now.
 	present := make(map[tarragondeal.ServerID]bool, len(list))
 	for _, s := range list {
 		present[s.ID] = true
@@ -160,11 +170,14 @@
 			known.Server = s
 			continue
 		}
+		if known != nil {
+			f.inheritLeaving(&known.Server, &s, now)
+		}
 		var e *tarragondeal.Engine
 		if f.view != nil && f.view.ServerPools[s.Pool] != nil {
 			e = f.view.ServerPools[s.Pool].Engine
 		}
-		f.servers[s.ID] = newServer(s, e, f.meanRate)
+		f.servers[s.ID] = f.newServer(s, e)
 	}
 	for id := range f.servers {
 		if !present[id] {
@@ -173,6 +186,7 @@
 	}
 	f.indexPools()
 	f.evictLimits()
+	f.evictLeaving(now)
 }
 
 // Reserve chooses a server for a request. If there is none, it waits for a share
--- /dev/null
+++ b/internal/dispatch/tdfit/leaving_test.go
@@ -0,0 +1,155 @@
+package tdfit
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"tarragondeal"
+)
+
+// says gives a node an answer in which a server says that it is leaving.
+func (w *testFit) says(id tarragondeal.ServerID) { w.ObserveLeaving(w.servers[id].Server, "r") }
+
+// chosen returns how often each server is chosen in n attempts.
+func (w *testFit) chosen(t *testing.T, n int, a tarragondeal.Ask) map[tarragondeal.ServerID]int {
+	t.Helper()
+	out := make(map[tarragondeal.ServerID]int)
+	for range n {
+		g, err := w.reserve(a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out[g.Server.ID]++
+		w.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
+	}
+	return out
+}
+
+// started returns a list of the servers of pool m that started at the given times.
+func started(at ...time.Time) []tarragondeal.Server {
+	var out []tarragondeal.Server
+	for n, s := range at {
+		out = append(out, tarragondeal.Server{
+			ID: tarragondeal.ServerID([]string{"m0", "m1", "m2"}[n]), Pool: "m", DataCentre: "a", State: tarragondeal.VMLive, StartedAt: s,
+		})
+	}
+	return out
+}
+
+// TestLeavingServerGetsNoRequests guards against nodes that go on sending to a server that
+// has told another node that it is leaving, and against attempts other than first ones.
+func TestLeavingServerGetsNoRequests(t *testing.T) {
+	for _, size := range []int{1, 7, 30, 60} {
+		w := newLimitFleet(size, 3)
+		w.exchange() // All streams of states are open.
+		w.nodes[size-1].says("m0")
+		if got := w.nodes[size-1].chosen(t, 100, liveStream())["m0"]; got > 0 {
+			t.Errorf("%d nodes: %d requests of the node that was told", size, got)
+		}
+		w.exchange()
+		w.exchange()
+		for n, node := range w.nodes {
+			for _, a := range []tarragondeal.Ask{
+				{}, {Attempt: 2}, {Attempt: 3, Avoid: []tarragondeal.ServerID{"m1"}}, {Software: &tarragondeal.Software{Pool: "m", Version: "v1"}},
+			} {
+				for _, s := range node.servers {
+					s.SoftwareVersion = "v1"
+				}
+				a.Pools, a.Input, a.Gap = []string{"m"}, 600, 250*time.Millisecond
+				if got := node.chosen(t, 20, a)["m0"]; got > 0 {
+					t.Errorf("%d nodes, node %d: %d requests with %+v", size, n, got, a)
+				}
+			}
+		}
+	}
+}
+
+// TestLeavingOutlivesListing guards against a run that is taken for a live one after its
+// entry was gone, changed, or read by a node that has just started.
+func TestLeavingOutlivesListing(t *testing.T) {
+	w := newLimitFleet(3, 0)
+	wall := w.clock.Wall()
+	list := started(wall.Add(-time.Hour), wall.Add(-time.Hour))
+	setAll := func(list []tarragondeal.Server) {
+		for _, n := range w.nodes {
+			n.SetServers(list)
+		}
+	}
+	setAll(list)
+	w.nodes[1].says("m0")
+	w.exchange()
+	w.exchange()
+	check := func(what string) {
+		t.Helper()
+		for n, node := range w.nodes {
+			if got := node.chosen(t, 20, liveStream())["m0"]; got > 0 {
+				t.Errorf("%s, node %d: %d requests", what, n, got)
+			}
+		}
+	}
+	list[0].Slots = 7
+	setAll(list)
+	check("entry written again")
+	w.advance(5 * time.Minute) // During an outage of the store, say.
+	setAll(list[1:])
+	w.advance(leavingTTL)
+	setAll(list)
+	check("entry gone and back")
+	names := w.nodes[0].Nodes()
+	w.nodes[2] = newTestFitAt(names[2], names, w.clock, 0)
+	w.links = make(map[[2]int]func(func(tarragondeal.NodeID) bool) []byte)
+	w.nodes[2].SetServers(list)
+	w.exchange()
+	check("node started")
+	w.advance(5 * time.Minute)
+	setAll(list[1:])
+	w.advance(2 * leavingTTL)
+	setAll(list[1:])
+	for n, node := range w.nodes {
+		if got := len(node.leaving); got > 0 {
+			t.Errorf("node %d keeps %d notices of servers that are gone", n, got)
+		}
+	}
+}
+
+// TestLeavingBindsOneRun guards against a server that is never used again after one of
+// its runs has left, and against a notice that is taken for that of the run before.
+func TestLeavingBindsOneRun(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		start   time.Duration // Of the new run, after the notice.
+		leaving bool
+	}{
+		{"run that started after the notice", 3 * time.Second, false},
+		{"run that gave the notice before it was listed", -5 * time.Second, true},
+	} {
+		w := newTestFit(0)
+		wall := w.clock.Wall()
+		w.SetServers(started(wall.Add(-time.Hour), wall.Add(-time.Hour)))
+		w.says("m0")
+		w.clock.now = w.clock.now.Add(10 * time.Second)
+		w.SetServers(started(wall.Add(c.start), wall.Add(-time.Hour)))
+		if got := w.chosen(t, 100, liveStream())["m0"]; (got == 0) != c.leaving {
+			t.Errorf("%s: %d requests", c.name, got)
+		}
+	}
+}
+
+// TestAllServersLeaving guards against a request that is sent to a leaving server since
+// there is no other one, and against one that waits to its deadline.
+func TestAllServersLeaving(t *testing.T) {
+	w := newTestFit(2)
+	w.says("m0")
+	w.says("m1")
+	_, err := w.reserve(liveStream()) // With no target, it waits for no time.
+	var refused *tarragondeal.RefusedError
+	if !errors.As(err, &refused) || refused.Reason != tarragondeal.ReasonNoServer || refused.Ran != tarragondeal.RanNot || refused.RetryAfter <= 0 {
+		t.Errorf("%v", err)
+	}
+	for _, s := range w.Servers() {
+		if s.Pool == "m" && s.State != tarragondeal.VMLeaving {
+			t.Errorf("%s counts as live", s.ID)
+		}
+	}
+}
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -52,6 +52,7 @@
 	var seq uint64
 	uses := make(map[tarragondeal.ServerID]use)
 	limits := make(map[serverRun]sentLimit)
+	leaving := make(map[serverRun]bool)
 	first := true
 	return func(include func(tarragondeal.NodeID) bool) []byte {
 		f.mu.Lock()
@@ -62,7 +63,8 @@
 		m := &Load{
 			Sent: f.sentSince(seq, include),
 			Uses: f.changedUses(uses, include, f.Clock.Now()), Whole: first,
-			Limits: f.changedLimits(limits, f.Clock.Now()),
+			Limits:  f.changedLimits(limits, f.Clock.Now()),
+			Leaving: f.newLeaving(leaving, f.Clock.Now()),
 		}
 		seq, first = f.seq, false
 		out, err := proto.Marshal(m)
@@ -120,6 +122,7 @@
 	f.receiveUses(from, &m)
 	f.receiveSent(from, m.GetSent(), now)
 	f.receiveLimits(from, m.GetLimits(), now)
+	f.receiveLeaving(from, m.GetLeaving(), now)
 }
 
 // Lost records that the stream of a peer has ended. Its load expires after
--- a/internal/dispatch/tdfit/prefill.go
+++ b/internal/dispatch/tdfit/prefill.go
@@ -70,13 +70,18 @@
 	return out
 }
 
-// Servers returns the servers of the last call of SetServers, in no order.
+// Servers returns the servers of the last call of SetServers, in no order. Those that
+// said that they are leaving are leaving.
 func (f *Fit) Servers() []tarragondeal.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]tarragondeal.Server, 0, len(f.servers))
 	for _, s := range f.servers {
-		out = append(out, s.Server)
+		listed := s.Server
+		if s.leaving {
+			listed.State = tarragondeal.VMLeaving
+		}
+		out = append(out, listed)
 	}
 	return out
 }
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -69,6 +69,7 @@
 	backoffUntil tarragondeal.Instant // No requests are sent before.
 	lastAnswer   tarragondeal.Instant // When it last answered a request of this node.
 	suspectUntil tarragondeal.Instant // Until when it is reported to peers as failing.
+	leaving      bool                 // It said so, whatever State is.
 }
 
 func newServer(s tarragondeal.Server, e *tarragondeal.Engine, rate float64) *server {
@@ -82,6 +83,10 @@
 	return out
 }
 
+// isLive reports whether the server may get requests: it is listed as live and has not
+// said that it is leaving.
+func (s *server) isLive() bool { return s.State == tarragondeal.VMLive && !s.leaving }
+
 // peerUseTTL is how long the use that a peer reported counts.
 const peerUseTTL = 3 * time.Second
 
--- a/internal/dispatch/tdfit/trace.go
+++ b/internal/dispatch/tdfit/trace.go
@@ -102,7 +102,7 @@
 		for _, s := range f.pools[pool] {
 			listed++
 			switch {
-			case s.State != tarragondeal.VMLive:
+			case !s.isLive():
 				leaving++
 			case now < s.backoffUntil:
 				backoff++
--- a/internal/dispatch/tdfit/version.go
+++ b/internal/dispatch/tdfit/version.go
@@ -9,7 +9,7 @@
 // eligible reports whether a request may be sent to a server, apart from the
 // server's present condition.
 func eligible(a *tarragondeal.Ask, s *server) bool {
-	if s.State != tarragondeal.VMLive || slices.Contains(a.Avoid, s.ID) {
+	if !s.isLive() || slices.Contains(a.Avoid, s.ID) {
 		return false
 	}
 	return a.Software == nil || s.Software().Continues(*a.Software)
--- a/test/vm/server_test.go
+++ b/test/vm/server_test.go
@@ -36,6 +36,9 @@
 	status     int                                          // Status of all answers, if not 0; requests have run.
 	signs      bool                                         // Events name the version of the software.
 	limit      string                                       // Requests per second that answers announce; empty means no limit.
+	leaving    string                                       // What answers say of the server's leaving; empty means nothing.
+	leavingAt  time.Time                                    // When the first answer said so.
+	unsigned   bool                                         // Answers have no signature.
 	chat       func(w http.ResponseWriter, r *http.Request) // Answers streams, if set.
 }
 
@@ -76,6 +79,13 @@
 	if s.limit != "" {
 		w.Header().Set("Server-Limit", s.limit)
 	}
+	if s.leaving != "" {
+		w.Header().Set("Server-Leaving", s.leaving)
+		if s.leavingAt.IsZero() {
+			s.leavingAt = time.Now()
+		}
+	}
+	unsigned := s.unsigned
 	suffix := ""
 	if s.named {
 		suffix = " of " + r.URL.Path
@@ -94,7 +104,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("X-Server-Stamp", "stamp-"+s.id)
+	if !unsigned {
+		w.Header().Set("X-Server-Stamp", "stamp-"+s.id)
+	}
 	if status != 0 {
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, "failed by "+s.id)
--- a/test/vm/soak_test.go
+++ b/test/vm/soak_test.go
@@ -80,11 +80,41 @@
 		s.putConfig()
 	case 12, 13:
 		s.injectLinkFault(kind, pause)
+	case 14:
+		s.injectLeaving(srv)
 	default:
 		s.injectStreamFault(kind, pause)
 	}
 }
 
+// injectLeaving lets a server say in its answers, but not in its entry, that it leaves, and
+// start again some time later.
+func (s *soak) injectLeaving(srv *server) {
+	unavailable := s.rng.IntN(2) == 1
+	s.store.setUnavailable(unavailable)
+	leave(srv)
+	time.Sleep(leavingBound)
+	var at time.Time
+	srv.update(func(x *server) { at = x.leavingAt })
+	if at.IsZero() { // No request reached it.
+		at = time.Now()
+	}
+	time.Sleep(leavingBound)
+	if n := receivedAfter(srv, at.Add(leavingBound)); n > 0 {
+		s.logf("VIOLATION: %d requests reached %s later than %s after it had said that it leaves, store unavailable %t", n, srv.id, leavingBound, unavailable)
+	}
+	srv.update(func(x *server) { x.leaving = "" })
+	s.store.setUnavailable(false)
+	pool := "model"
+	if srv == s.plain {
+		pool = "records"
+	}
+	s.store.put("servers/"+srv.id, srv.entry(pool, "ready"))
+	if srv == s.engine2 && len(s.limitFrom) > 0 {
+		s.limitFrom = append(s.limitFrom, time.Now())
+	}
+}
+
 // injectLinkFault cuts nodes off from servers: one or two nodes from all of them, or all
 // nodes from one, as if that had crashed.
 func (s *soak) injectLinkFault(kind int, pause time.Duration) {
@@ -323,8 +353,8 @@
 	// of faults, which are injected one after another: first each of soakKinds
 	// once, in random order, then random ones.
 	soakCallers = 6
-	soakKinds   = 14
-	soakFaults  = 15
+	soakKinds   = 15
+	soakFaults  = 16
 	// soakEvents is the number of events of a stream, and soakPause the pause after
 	// each. soakResumes bounds the requests for one stream.
 	soakEvents  = 12
