tdorigin: log for how long the listed versions are known

Whether a stream that a caller resumes goes on without a record depends on since when the node knows all versions that were listed. The line of the lookup had neither that nor the age that it is compared with, so that a version forgotten too early and a node that claims to know too much looked alike (ORDER after all nodes were killed).

--- a/internal/entry/tdorigin/history.go
+++ b/internal/entry/tdorigin/history.go
@@ -96,6 +96,15 @@
 	return out, n == 1 && out.Known()
 }
 
+// completeFor returns for how long all software that was listed is known, up to
+// historyTTL.
+func (h *history) completeFor(now tarragondeal.Instant) time.Duration {
+	if !h.complete {
+		return 0
+	}
+	return min(historyTTL, now.Sub(max(h.from, now.Add(-historyTTL))))
+}
+
 // listed returns the versions of pools that were listed within recordTTL, sorted.
 func (h *history) listed(pools []string, now tarragondeal.Instant) []string {
 	var out []string
--- a/internal/entry/tdorigin/origin.go
+++ b/internal/entry/tdorigin/origin.go
@@ -225,10 +225,12 @@
 func (o *Origins) logFind(q tarragondeal.OriginQuery, s tarragondeal.Software, source string, waited time.Duration) {
 	o.mu.Lock()
 	records := len(o.records)
-	listed := o.history.listed(q.Pools, o.Clock.Now())
+	now := o.Clock.Now()
+	listed := o.history.listed(q.Pools, now)
+	known := o.history.completeFor(now)
 	o.mu.Unlock()
 	o.Scope.Tagged(map[string]string{"source": source}).Counter("found").Inc(1)
 	o.Log.Info().Str("resumes", string(q.Request)).Str("workspace", q.Workspace).Strs("pools", q.Pools).
 		Str("source", source).Str("pool", s.Pool).Str("version", s.Version).Dur("waited", waited).Int("records", records).
-		Strs("listed", listed).Msg("version looked up for a stream that is resumed")
+		Strs("listed", listed).Dur("listedFor", known).Dur("maxAge", q.MaxAge).Msg("version looked up for a stream that is resumed")
 }
