tdorigin: keep in the store which software versions were listed

After all nodes were killed at once, callers that resumed their streams got the rest from another software version than the one that began them, in an answer that looked like any other (ORDER).

Cause: without a record of the stream, a node goes on at the only version that was listed for long enough, and what was listed was kept nowhere that outlasts the nodes. Twice the deadline after their start, nodes took the version that they had seen alone for the only one that there was; a caller that returns later than that was joined with it. A node whose settings say that the deployment starts for the first time (killed during that start, or an old copy) claimed at once that nothing else was ever listed, and handed that on to all others; and one whose list is old (cut off from the store) vouched for the time since. The class of fault is knowledge about the past that is inferred from a local start.

Evidence, with the line added before: 'source' onlyVersion, 'listed' v2, 'listedFor' 600000, 0.08 s after the start, for a stream of v1. In test/vm "if theirs left while all nodes were down" failed for callers that return at once with such settings and for callers that return 11 s later. Streams of a pool that had one version all along were refused after such a start (failed too).

Change: a record in the store has the versions that were listed within ten minutes and since when that is complete. A node that starts reads it with the list of servers; it refutes the settings' first start. A version that is listed in it and no longer in the list counts as having left when the node started. Nodes vouch for the past to peers only while their list is up to date (optional field; earlier builds ignore it, and what they claim is no longer trusted). A stream without a record goes on only if its pool has had one version for five minutes, instead of twice the deadline: with the record that costs streams of other pools nothing.

--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -126,16 +126,19 @@
 	return h.run(ctx, w, q)
 }
 
-// resumeDeadlines bounds the time from the beginning of a stream to its last resumption,
-// in deadlines of its class: the stream ends at the first one, and its caller returns
-// within as much time.
-const resumeDeadlines = 2
+// resumeDeadlines and resumeTime bound the time from the beginning of a stream to its last
+// resumption, in deadlines of its class and from below. Callers may return several times,
+// each after a delay.
+const (
+	resumeDeadlines = 2
+	resumeTime      = 5 * time.Minute
+)
 
 // findSoftware binds a request that resumes a stream to the software that began it.
 func (h *Host) findSoftware(ctx context.Context, q *tdflow.Request, c platform.Caller) error {
 	s, err := h.Origins.Find(ctx, tarragondeal.OriginQuery{
 		Workspace: q.Workspace.Name, Request: tarragondeal.RequestID(c.Resumes), Pools: q.Route.Pools,
-		MaxAge: resumeDeadlines * time.Duration(q.Class.Deadline),
+		MaxAge: max(resumeTime, resumeDeadlines*time.Duration(q.Class.Deadline)),
 	})
 	if err != nil {
 		return err
--- a/internal/entry/tdorigin/doc.go
+++ b/internal/entry/tdorigin/doc.go
@@ -8,12 +8,15 @@
 //
 // A stream without a record began at the only software of its pool, if there has been
 // no other one as long as the stream may have run. For that, nodes keep which software
-// was listed, and exchange since when each of them knows all of it.
+// was listed, and exchange since when each of them knows all of it. A record in the store
+// has it too, for nodes that start after all others have ended.
 //
 // # Usage
 //
 //	o := tdorigin.New(tdorigin.Deps{...}, tdorigin.Options{})
+//	o.Load(entry) // The record in the store.
 //	o.SetServers(servers)
+//	go o.Keep(ctx, store, key)
 //	ended := o.Began(workspace, request, server.Software())
 //	software, err := o.Find(ctx, query)
 package tdorigin
--- a/internal/entry/tdorigin/history.go
+++ b/internal/entry/tdorigin/history.go
@@ -16,21 +16,25 @@
 	present  map[tarragondeal.Software]bool                 // What is listed.
 	complete bool                                           // From is set.
 	from     tarragondeal.Instant                           // All software that was listed since then is in last.
+	before   tarragondeal.Instant                           // What from will be at the latest once it is set.
 	changes  uint64                                         // Number of changes that peers must learn of.
 }
 
 // newHistory returns a history without software. If always is set, no software was
 // ever listed before.
 func newHistory(always bool) history {
-	h := history{last: make(map[tarragondeal.Software]tarragondeal.Instant), present: make(map[tarragondeal.Software]bool)}
+	h := history{before: farFuture, last: make(map[tarragondeal.Software]tarragondeal.Instant), present: make(map[tarragondeal.Software]bool)}
 	if always {
 		h.complete, h.from = true, farPast
 	}
 	return h
 }
 
-// farPast is earlier than any time that matters.
-const farPast = -tarragondeal.Instant(1 << 60)
+// farPast is earlier than any time that matters, and farFuture later.
+const (
+	farPast   = -tarragondeal.Instant(1 << 60)
+	farFuture = tarragondeal.Instant(1 << 60)
+)
 
 // set replaces the software that is listed.
 func (h *history) set(list []tarragondeal.Server, now tarragondeal.Instant) {
@@ -52,7 +56,7 @@
 	}
 	h.present = present
 	if !h.complete {
-		h.complete, h.from = true, now
+		h.complete, h.from = true, min(now, h.before)
 		h.changes++
 	}
 	for s, at := range h.last {
@@ -62,8 +66,8 @@
 	}
 }
 
-// merge adds what a peer knows.
-func (h *history) merge(listed map[tarragondeal.Software]tarragondeal.Instant, from tarragondeal.Instant) {
+// add adds software that was listed, and when each was listed last.
+func (h *history) add(listed map[tarragondeal.Software]tarragondeal.Instant) {
 	for s, at := range listed {
 		if known, ok := h.last[s]; !ok || at > known {
 			h.last[s] = at
@@ -72,6 +76,11 @@
 			}
 		}
 	}
+}
+
+// merge adds what a peer knows. From is since when that is complete.
+func (h *history) merge(listed map[tarragondeal.Software]tarragondeal.Instant, from tarragondeal.Instant) {
+	h.add(listed)
 	// Only the list of this node says what has been listed since the message.
 	if h.complete && from < h.from {
 		h.from = from
@@ -79,6 +88,23 @@
 	}
 }
 
+// extend records that all software that was listed since from is known.
+func (h *history) extend(from tarragondeal.Instant) {
+	h.before = min(h.before, from)
+	if h.complete && from < h.from {
+		h.from = from
+		h.changes++
+	}
+}
+
+// withdraw takes back, if wrong is set, that no software was ever listed before.
+func (h *history) withdraw(wrong bool, now tarragondeal.Instant) {
+	if wrong {
+		h.from = now
+		h.changes++
+	}
+}
+
 // only returns the software of a pool if no other was listed in the given time.
 func (h *history) only(pool string, age time.Duration, now tarragondeal.Instant) (tarragondeal.Software, bool) {
 	since := now.Add(-age)
--- a/internal/entry/tdorigin/origin.go
+++ b/internal/entry/tdorigin/origin.go
@@ -66,13 +66,17 @@
 	// Current reports whether this node's list of servers is up to date. It may
 	// take locks under which SetServers is called.
 	Current func() bool
+	Self    tarragondeal.NodeID
+	Nodes   func() []tarragondeal.NodeID // All nodes in the fleet, including Self.
+	Wall    func() time.Time             // A clock on which the nodes agree.
 	Log     zerolog.Logger
 	Scope   tally.Scope
 }
 
 // Options configure an Origins.
 type Options struct {
-	// FirstStart is set if no node of the deployment has run before.
+	// FirstStart is set if no node of the deployment has run before. A record in the
+	// store refutes it.
 	FirstStart bool
 }
 
@@ -89,6 +93,11 @@
 	seq     uint64
 	peers   map[tarragondeal.NodeID]tarragondeal.Instant // When the last message of each was received.
 	history history
+	kept    kept
+	keeping keeping
+	// firstStart is set while what this node knows of earlier software rests on
+	// FirstStart.
+	firstStart bool
 }
 
 // New returns an Origins without records.
@@ -96,7 +105,7 @@
 	return &Origins{
 		Deps: d, records: make(map[key]record), open: make(map[key]tarragondeal.Instant),
 		known: make(map[tarragondeal.Software]*tarragondeal.Software), history: newHistory(o.FirstStart),
-		peers: make(map[tarragondeal.NodeID]tarragondeal.Instant),
+		peers: make(map[tarragondeal.NodeID]tarragondeal.Instant), firstStart: o.FirstStart,
 	}
 }
 
@@ -216,7 +225,7 @@
 	if len(q.Pools) != 1 || !current {
 		return tarragondeal.Software{}, ""
 	}
-	if s, ok := o.history.only(q.Pools[0], max(q.MaxAge, minAge), now); ok {
+	if s, ok := o.history.only(q.Pools[0], min(max(q.MaxAge, minAge), historyTTL), now); ok {
 		return s, sourceOnly
 	}
 	return tarragondeal.Software{}, ""
--- a/internal/entry/tdorigin/peers.go
+++ b/internal/entry/tdorigin/peers.go
@@ -83,12 +83,13 @@
 func (o *Origins) Writer() func(include func(tarragondeal.NodeID) bool) []byte {
 	sent := sentState{first: true, forwards: make(map[tarragondeal.NodeID]tarragondeal.Instant)}
 	return func(include func(tarragondeal.NodeID) bool) []byte {
+		current := o.Current()
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		now := o.Clock.Now()
 		o.refresh(now)
 		sent.update(o.peers, include, now)
-		m := &Message{}
+		m := &Message{Current: current}
 		o.addStreams(m, &sent, now)
 		o.addListed(m, &sent, now)
 		sent.first = false
@@ -194,6 +195,9 @@
 		}
 		m.Listed = append(m.Listed, &Listed{Pool: s.Pool, Version: s.Version, AgeMillis: uint64(age.Milliseconds())})
 	}
+	if !m.GetCurrent() {
+		return // There may have been other software since.
+	}
 	m.CompleteMillis = uint64(min(now.Sub(max(h.from, farPast)), historyTTL).Milliseconds())
 }
 
@@ -243,5 +247,9 @@
 	for _, l := range m.GetListed() {
 		listed[tarragondeal.Software{Pool: l.GetPool(), Version: l.GetVersion()}] = ago(l.GetAgeMillis())
 	}
+	if !m.GetCurrent() {
+		o.history.add(listed)
+		return
+	}
 	o.history.merge(listed, ago(m.GetCompleteMillis()))
 }
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -57,6 +57,9 @@
 	// maxListAge is the age up to which the list of servers is up to date. It is
 	// above the time between two answers of the store, over relays too.
 	maxListAge = 2 * time.Second
+	// keptSoftwareKey is the key of the record of the software that was listed. Nodes of
+	// all builds copy the keys with its prefix.
+	keptSoftwareKey = tdlease.KeyPrefix + tdorigin.KeptName
 	// maxHeaderBytes limits the size of a request's header.
 	maxHeaderBytes = 64 << 10
 )
@@ -219,8 +222,17 @@
 	n.mesh.Publish(tdfit.Topic, func() tdmesh.Writer { return n.fit.Writer() })
 	n.mesh.Receive(tdfit.Topic, n.fit.Receive, n.fit.Lost)
 	n.origins = tdorigin.New(tdorigin.Deps{
-		Clock: n.clock, Current: n.listIsCurrent, Log: tdlog.Part(n.log, "origin"), Scope: n.metrics.Scope.SubScope("origin"),
+		Clock: n.clock, Current: n.listIsCurrent, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall,
+		Log: tdlog.Part(n.log, "origin"), Scope: n.metrics.Scope.SubScope("origin"),
 	}, tdorigin.Options{FirstStart: n.vm.FirstStart})
+	n.mirror.Subscribe(func(c tdmirror.Changes) {
+		for _, e := range c.Entries {
+			if e.Key == keptSoftwareKey {
+				n.origins.Load(e)
+			}
+		}
+	})
+	n.addTask("keep listed software", func(ctx context.Context) error { return n.origins.Keep(ctx, n.store, keptSoftwareKey) })
 	n.mesh.Publish(tdorigin.Topic, func() tdmesh.Writer { return n.origins.Writer() })
 	n.mesh.Receive(tdorigin.Topic, n.origins.Receive, nil)
 	scope := n.metrics.Scope.SubScope("entry")
--- a/test/vm/node_test.go
+++ b/test/vm/node_test.go
@@ -140,6 +140,15 @@
 	})
 }
 
+// setFirstStart sets whether the settings say that the deployment starts for the first time.
+func (n *node) setFirstStart(first bool) {
+	GinkgoHelper()
+	text, err := os.ReadFile(n.settings)
+	Expect(err).NotTo(HaveOccurred())
+	other := strings.Replace(string(text), fmt.Sprintf("bootstrap = %t", !first), fmt.Sprintf("bootstrap = %t", first), 1)
+	Expect(os.WriteFile(n.settings, []byte(other), 0o600)).To(Succeed())
+}
+
 // kill sends SIGKILL to the process and waits for its exit.
 func (n *node) kill() {
 	_ = n.cmd.Process.Kill()
--- a/test/vm/version_test.go
+++ b/test/vm/version_test.go
@@ -92,6 +92,19 @@
 	return n
 }
 
+// startAll starts all nodes again and waits until they are ready.
+func (f *versionFleet) startAll(firstStart bool) {
+	GinkgoHelper()
+	for _, n := range f.nodes {
+		n.setFirstStart(firstStart)
+		n.start()
+	}
+	for _, n := range f.nodes {
+		Eventually(n.isReady, "10s", "20ms").Should(BeTrue())
+		Eventually(n.resolve, "10s", "20ms").Should(HaveLen(len(f.nodes)))
+	}
+}
+
 // beginStreams requests streams from a node, calls midway while they run, and returns
 // those that broke after some events, and the number of those that began.
 func (f *versionFleet) beginStreams(n *node, count int, midway func()) (broken []begun, began int) {
@@ -270,6 +283,53 @@
 		}
 	})
 
+	for _, c := range []struct {
+		name       string
+		firstStart bool          // As the settings of the nodes that start again have it.
+		wait       time.Duration // From the start to the caller's return.
+	}{
+		{"at once", false, 0},
+		{"at once, and the settings still say that the deployment is new", true, 0},
+		{"twice the deadline later", false, 11 * time.Second},
+	} {
+		// Guards against a stream that is joined with another version's since the one that began it left
+		// while no node was there to see it.
+		It("are not resumed at another version if theirs left while all nodes were down; callers return "+c.name, func() {
+			f := newVersionFleet(3, "v1", "v1", "v2", "v2")
+			broken, _ := f.beginStreams(f.nodes[0], 24, func() {
+				for _, n := range f.nodes {
+					n.kill()
+				}
+			})
+			broken = slices.DeleteFunc(broken, func(s begun) bool { return versionsOf(s.body)[0] != "v1" })
+			Expect(broken).NotTo(BeEmpty())
+			f.unlist(f.engines[0])
+			f.unlist(f.engines[1])
+			f.startAll(c.firstStart)
+			time.Sleep(c.wait)
+			for k, s := range broken {
+				r := resume(f.nodes[k%len(f.nodes)], s)
+				Expect(versionsOf(s.body+r.body)).To(HaveLen(1), "%s\n%s", s.body, r.body)
+				Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+			}
+		})
+	}
+
+	// Guards against refusals after all nodes were killed although nothing could be joined: there was
+	// one version all the time.
+	It("are resumed after all nodes were killed if there was one version only", func() {
+		f := newVersionFleet(3, "v1", "v1")
+		broken, _ := f.beginStreams(f.nodes[0], 12, func() {
+			for _, n := range f.nodes {
+				n.kill()
+			}
+		})
+		f.startAll(false)
+		for _, n := range f.nodes {
+			expectResumed(n, broken)
+		}
+	})
+
 	// Guards against refusals where all servers have one version: then it began all
 	// streams.
 	It("are resumed without a known id while there is one version only", func() {
