tdfit: keep the pause that a server at capacity asks for

A server that rejects a request for want of room may say with Retry-After for how long it accepts nothing from that node.

A pause binds the node that was told, for one run of the server, at the one place that chooses servers for all attempts. If all servers of a request's pools have asked for pauses beyond the time for which it would wait, it is refused at once (not run), with a delay that follows from the shortest pause and differs from caller to caller.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -79,7 +79,8 @@
 	lastStarts     map[string]tierStarts                        // By pool.
 	limits         map[serverRun]*serverLimit
 	leaving        map[serverRun]*leavingNotice
-	fleet          tdshare.Fleet // As of fleetAt.
+	pauses         map[serverRun]tarragondeal.Instant // Until when each accepts no requests of this node.
+	fleet          tdshare.Fleet                      // As of fleetAt.
 	fleetAt        tarragondeal.Instant
 	waiting        map[string]map[int]int // Requests without a server, by pool and tier.
 }
@@ -101,7 +102,7 @@
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
 		lastStarts: make(map[string]tierStarts), limits: make(map[serverRun]*serverLimit),
-		leaving: make(map[serverRun]*leavingNotice), waiting: make(map[string]map[int]int),
+		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
 	}
 }
 
@@ -129,7 +130,7 @@
 // it said of itself.
 func (f *Fit) newServer(s tarragondeal.Server, e *tarragondeal.Engine) *server {
 	out := newServer(s, e, f.meanRate)
-	out.leaving = f.leaving[runOf(&s)] != nil
+	out.leaving, out.pausedUntil = f.leaving[runOf(&s)] != nil, f.pauses[runOf(&s)]
 	return out
 }
 
@@ -210,6 +211,9 @@
 		if err := f.refuseLimited(&a, until); err != nil {
 			return tarragondeal.Grant{}, err
 		}
+		if err := f.refusePaused(&a, until); err != nil {
+			return tarragondeal.Grant{}, err
+		}
 		if f.Clock.Now() >= until || !tdclock.Sleep(ctx, pollInterval) {
 			f.logNoServer(&a)
 			return tarragondeal.Grant{}, refused(tarragondeal.ReasonNoServer, "no backend server is at hand", noServerRetryAfter)
@@ -269,7 +273,7 @@
 	var best *server
 	var least time.Duration
 	for _, s := range f.candidates(r, pool) {
-		if !eligible(r.ask, s) || now < s.backoffUntil || !f.withinLimit(r.ask, s, now) {
+		if !eligible(r.ask, s) || now < s.backoffUntil || now < s.pausedUntil || !f.withinLimit(r.ask, s, now) {
 			continue
 		}
 		if s.engine != nil {
--- /dev/null
+++ b/internal/dispatch/tdfit/pause_test.go
@@ -0,0 +1,79 @@
+package tdfit
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"tarragondeal"
+)
+
+// TestPausedServerGetsNoRequests guards against requests to a server that has asked this
+// node for a pause, by any kind of attempt, and against a pause that binds other nodes,
+// outlasts its time or is passed on to a new run.
+func TestPausedServerGetsNoRequests(t *testing.T) {
+	w := newLimitFleet(2, 0)
+	wall := w.clock.Wall()
+	list := started(wall.Add(-time.Hour), wall.Add(-time.Hour))
+	for _, n := range w.nodes {
+		n.SetServers(list)
+	}
+	told := w.nodes[0]
+	count := func(node *testFit, a tarragondeal.Ask) int {
+		a.Pools, a.Input, a.Gap = []string{"m"}, 600, 250*time.Millisecond
+		return node.chosen(t, 40, a)["m0"]
+	}
+	told.ObservePause(told.servers["m0"].Server, "r", 3*time.Second)
+	told.ObservePause(told.servers["m0"].Server, "r", time.Second) // The longer one holds.
+	w.exchange()
+	for _, a := range []tarragondeal.Ask{{}, {Attempt: 2}, {Tier: 1}} {
+		if n := count(told, a); n > 0 {
+			t.Errorf("%d requests with %+v", n, a)
+		}
+	}
+	if n := count(w.nodes[1], tarragondeal.Ask{}); n == 0 {
+		t.Error("the pause binds a node that was not told")
+	}
+	told.SetServers(list[1:])
+	told.SetServers(list)
+	w.advance(2900 * time.Millisecond)
+	if n := count(told, tarragondeal.Ask{}); n > 0 {
+		t.Errorf("%d requests after the entry was gone and back", n)
+	}
+	w.advance(200 * time.Millisecond)
+	if n := count(told, tarragondeal.Ask{}); n == 0 {
+		t.Error("no requests after the pause")
+	}
+	told.ObservePause(told.servers["m0"].Server, "r", time.Hour)
+	list[0].StartedAt = wall
+	told.SetServers(list)
+	if n := count(told, tarragondeal.Ask{}); n == 0 {
+		t.Error("the pause binds a new run of the server")
+	}
+}
+
+// TestAllServersPaused guards against requests that wait, or are sent all the same, while
+// all servers have asked for pauses, and against callers that return too early or together.
+func TestAllServersPaused(t *testing.T) {
+	w := newTestFit(2)
+	for id, d := range map[tarragondeal.ServerID]time.Duration{"m0": 2 * time.Second, "m1": 5 * time.Second} {
+		w.ObservePause(w.servers[id].Server, "r", d)
+	}
+	delays := make(map[time.Duration]bool)
+	for range 20 {
+		a := liveStream()
+		a.Target = time.Second // It could wait for half of it.
+		_, err := w.reserve(a)
+		var refused *tarragondeal.RefusedError
+		if !errors.As(err, &refused) || refused.Reason != tarragondeal.ReasonOverload || refused.Ran != tarragondeal.RanNot {
+			t.Fatalf("%v", err)
+		}
+		if refused.RetryAfter < 2*time.Second || refused.RetryAfter > 3*time.Second {
+			t.Errorf("retry after %s", refused.RetryAfter)
+		}
+		delays[refused.RetryAfter] = true
+	}
+	if len(delays) < 10 {
+		t.Errorf("%d delays of 20", len(delays))
+	}
+}
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -70,6 +70,7 @@
 	lastAnswer   tarragondeal.Instant // When it last answered a request of this node.
 	suspectUntil tarragondeal.Instant // Until when it is reported to peers as failing.
 	leaving      bool                 // It said so, whatever State is.
+	pausedUntil  tarragondeal.Instant // It accepts no requests of this node before.
 }
 
 func newServer(s tarragondeal.Server, e *tarragondeal.Engine, rate float64) *server {
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -77,7 +77,8 @@
 func (s *servers) Began(string)                                  {}
 func (s *servers) ObserveLimit(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.ServerLimit, tarragondeal.Instant) {
 }
-func (s *servers) ObserveLeaving(tarragondeal.Server, tarragondeal.RequestID) {}
+func (s *servers) ObserveLeaving(tarragondeal.Server, tarragondeal.RequestID)              {}
+func (s *servers) ObservePause(tarragondeal.Server, tarragondeal.RequestID, time.Duration) {}
 
 // origins knows one software only.
 type origins struct{}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -140,6 +140,17 @@
 		x.observeLeaving(t, status, r)
 	}
 	x.observeLimit(t, status, r, sent)
+	x.observePause(t, r)
+}
+
+// observePause passes on for how long a server at capacity accepts no request of this node.
+func (x *Exchange) observePause(t *tdflow.Attempt, r *platform.Reply) {
+	switch {
+	case r.PauseErr != nil:
+		x.Log.Warn().Err(r.PauseErr).Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Msg("invalid server pause")
+	case r.Pause > 0:
+		x.Notices.ObservePause(t.Server, t.Request.ID, r.Pause)
+	}
 }
 
 // observeLeaving passes on that a server is leaving. A success without a signature is
--- a/limit.go
+++ b/limit.go
@@ -1,5 +1,7 @@
 package tarragondeal
 
+import "time"
+
 // Limiter admits requests within the limits of workspaces, keys and routes,
 // which apply to the whole fleet.
 type Limiter interface {
@@ -25,4 +27,6 @@
 	ObserveLimit(s Server, request RequestID, l ServerLimit, sent Instant)
 	// ObserveLeaving records an answer of s that says that s is leaving.
 	ObserveLeaving(s Server, request RequestID)
+	// ObservePause records a rejection by s, which accepts no request of this node for d.
+	ObservePause(s Server, request RequestID, d time.Duration)
 }
--- a/test/vm/server_test.go
+++ b/test/vm/server_test.go
@@ -38,6 +38,7 @@
 	limit      string                                       // Requests per second that answers announce; empty means no limit.
 	leaving    string                                       // What answers say of the server's leaving; empty means nothing.
 	leavingAt  time.Time                                    // When the first answer said so.
+	pause      string                                       // Retry-After of rejections; empty means none.
 	unsigned   bool                                         // Answers have no signature.
 	chat       func(w http.ResponseWriter, r *http.Request) // Answers streams, if set.
 }
@@ -85,7 +86,7 @@
 			s.leavingAt = time.Now()
 		}
 	}
-	unsigned := s.unsigned
+	unsigned, pause := s.unsigned, s.pause
 	suffix := ""
 	if s.named {
 		suffix = " of " + r.URL.Path
@@ -101,6 +102,9 @@
 		return
 	case reject:
 		w.Header().Set("X-Not-Run", "1")
+		if pause != "" {
+			w.Header().Set("Retry-After", pause)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
