--- a/test/vm/upgrade_test.go
+++ b/test/vm/upgrade_test.go
@@ -86,12 +86,14 @@
 	}
 }
 
-// drain lets a server say that it leaves for some time.
+// drain lets a server say that it leaves for some time, in its entry and in its answers.
 func (u *upgrade) drain() {
+	leave(u.engine2)
 	u.store.put("servers/"+u.engine2.id, u.engine2.entry("model", "draining"))
 	from := time.Now()
 	time.Sleep(upgradeBound + 500*time.Millisecond)
 	u.drained = append(u.drained, drain{server: u.engine2, from: from, to: time.Now()})
+	u.engine2.update(func(s *server) { s.leaving = "" })
 	u.store.put("servers/"+u.engine2.id, u.engine2.entry("model", "ready"))
 }
 
