--- a/internal/entry/tdorigin/keep.go
+++ b/internal/entry/tdorigin/keep.go
@@ -31,8 +31,10 @@
 	// goneDelay is how long software must not have been listed before the record says
 	// so: a copy of the store may have the record before the entries of servers.
 	goneDelay = 5 * time.Second
-	// maxKept bounds the software in the record.
-	maxKept = 4096
+	// maxKept bounds the software in the record, and maxLogged the bytes of it in a log
+	// line.
+	maxKept   = 4096
+	maxLogged = 1 << 10
 )
 
 // keptHistory is the record in the store. Times are in milliseconds since 1970.
@@ -222,8 +224,8 @@
 	var conflict *tarragondeal.ConflictError
 	switch {
 	case err == nil:
-		o.Log.Info().Uint64("revision", uint64(entry.Revision)).Uint64("previous", uint64(prev)).RawJSON("record", value).
-			Msg("listed software kept in the store")
+		o.Log.Info().Uint64("revision", uint64(entry.Revision)).Uint64("previous", uint64(prev)).
+			Int("bytes", len(value)).Str("record", string(value[:min(len(value), maxLogged)])).Msg("listed software kept in the store")
 		o.Load(entry)
 		return
 	case errors.As(err, &conflict):
