--- a/internal/entry/tdorigin/keep.go
+++ b/internal/entry/tdorigin/keep.go
@@ -211,8 +211,11 @@
 			cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Version, b.Version))
 	})
 	if len(k.Software) > maxKept {
-		k.Complete = max(k.Complete, k.Software[maxKept].Listed+1)
-		k.Software = k.Software[:maxKept]
+		dropped := k.Software[maxKept]
+		if dropped.Listed == 0 {
+			dropped.Listed = millis(now)
+		}
+		k.Complete, k.Software = max(k.Complete, dropped.Listed+1), k.Software[:maxKept]
 	}
 	return k
 }
--- a/internal/entry/tdorigin/keep_test.go
+++ b/internal/entry/tdorigin/keep_test.go
@@ -221,3 +221,18 @@
 		}
 	}
 }
+
+// TestTooManyVersions guards against a record that claims to be complete though some of
+// the software that was listed is not in it.
+func TestTooManyVersions(t *testing.T) {
+	var many []tarragondeal.Software
+	for n := range maxKept {
+		many = append(many, tarragondeal.Software{Pool: "other", Version: fmt.Sprint(n)})
+	}
+	w := newKeptFleet(1, true, append(many, v1)...)
+	w.run(time.Second)
+	w.listed = []tarragondeal.Software{v2}
+	w.startAll(1, false)
+	w.run(testAge - 2*time.Second)
+	w.expect(t, "a version may be missing", 0, "r", unknown)
+}
