--- a/internal/entry/tdorigin/history.go
+++ b/internal/entry/tdorigin/history.go
@@ -97,12 +97,10 @@
 	}
 }
 
-// withdraw takes back, if wrong is set, that no software was ever listed before.
-func (h *history) withdraw(wrong bool, now tarragondeal.Instant) {
-	if wrong {
-		h.from = now
-		h.changes++
-	}
+// forgetBefore records that it isn't known what was listed before now.
+func (h *history) forgetBefore(now tarragondeal.Instant) {
+	h.from = now
+	h.changes++
 }
 
 // only returns the software of a pool if no other was listed in the given time.
--- a/internal/entry/tdorigin/keep.go
+++ b/internal/entry/tdorigin/keep.go
@@ -74,16 +74,17 @@
 		o.kept = kept{}
 		return
 	}
-	first := o.kept.rev == 0 && o.firstStart
-	o.firstStart = false
+	now, wall := o.Clock.Now(), o.Wall()
+	if o.firstStart { // Another node has run before.
+		o.firstStart = false
+		o.history.forgetBefore(now)
+	}
 	o.kept = kept{rev: e.Revision, from: farFuture}
 	var k keptHistory
 	if err := json.Unmarshal(e.Value, &k); err != nil {
 		o.Log.Warn().Err(err).Uint64("revision", uint64(e.Revision)).Msg("can't decode the kept software")
-		o.history.withdraw(first, o.Clock.Now())
 		return
 	}
-	now, wall := o.Clock.Now(), o.Wall()
 	instant := func(millis int64) tarragondeal.Instant { return now.Add(-max(0, wall.Sub(time.UnixMilli(millis)))) }
 	o.kept.from = farPast
 	if k.Complete != 0 {
@@ -100,7 +101,6 @@
 			listed[software] = at
 		}
 	}
-	o.history.withdraw(first, now)
 	o.history.add(listed)
 	o.history.extend(o.kept.from)
 }
