--- a/internal/dispatch/tdfit/leaving_test.go
+++ b/internal/dispatch/tdfit/leaving_test.go
@@ -38,7 +38,7 @@
 }
 
 // TestLeavingServerGetsNoRequests guards against nodes that go on sending to a server that
-// has told another node that it is leaving, and against attempts other than first ones.
+// has announced to another node that it leaves, and against attempts other than first ones.
 func TestLeavingServerGetsNoRequests(t *testing.T) {
 	for _, size := range []int{1, 7, 30, 60} {
 		w := newLimitFleet(size, 3)
--- a/internal/dispatch/tdfit/pause_test.go
+++ b/internal/dispatch/tdfit/pause_test.go
@@ -32,7 +32,7 @@
 		}
 	}
 	if n := count(w.nodes[1], tarragondeal.Ask{}); n == 0 {
-		t.Error("the pause binds a node that was not told")
+		t.Error("the pause binds a node that was not rejected")
 	}
 	told.SetServers(list[1:])
 	told.SetServers(list)
--- a/test/vm/leaving_test.go
+++ b/test/vm/leaving_test.go
@@ -14,7 +14,7 @@
 // in the nodes' settings.
 const leavingBound = 2 * time.Second
 
-// noticeTime is the time in which a node learns from the others what a server has told them.
+// noticeTime is the time within which all nodes have the notice of a server.
 const noticeTime = 500 * time.Millisecond
 
 // leave lets the answers of a server say that it leaves.
--- a/test/vm/pause_test.go
+++ b/test/vm/pause_test.go
@@ -49,11 +49,11 @@
 			l := f.startLoad("/chat/", 10*time.Millisecond)
 			at := pausedFrom(f.engine, from)
 			time.Sleep(time.Until(at.Add(pause)))
-			during := receivedAfter(f.engine, at.Add(pauseGrace)) // Each node was told at another time.
+			during := receivedAfter(f.engine, at.Add(pauseGrace)) // Each node was rejected at another time.
 			statuses := l.stop()
 			f.engine.update(func(s *server) { s.reject = false })
 			f.store.remove("servers/i-two")
-			for _, n := range f.nodes { // The last of them was told a moment later than the first.
+			for _, n := range f.nodes { // The last of them was rejected a moment later than the first.
 				Eventually(func() int { return n.get("/chat/after", "key-a").status }, "2s", "50ms").Should(Equal(http.StatusOK))
 			}
 			Expect(during).To(BeNumerically("<=", pauseSlack*size))
