tdfit: notices of leaving servers don't outlast their runs for ever

Nodes kept a notice for a minute after its run was last listed, but repeated it on each new stream of states, so that others kept it for a minute more, and so on (found by reading; tdfit.TestNoticesOfLeavingExpire kept one after two hours). A peer's notice of a run that isn't listed is ignored when it is older than an hour.

--- a/internal/dispatch/tdfit/leaving.go
+++ b/internal/dispatch/tdfit/leaving.go
@@ -10,6 +10,9 @@
 	// leavingTTL is how long it is known that a server is leaving that is not listed.
 	// The entry of the same run may come back.
 	leavingTTL = time.Minute
+	// maxLeavingAge is the age from which a peer's notice of a run that is not listed is
+	// ignored: nodes that repeat it to one another would keep it for ever.
+	maxLeavingAge = time.Hour
 	// startMargin bounds the difference between the nodes' clock and that of a server.
 	startMargin = time.Second
 )
@@ -111,8 +114,9 @@
 func (f *Fit) receiveLeaving(from tarragondeal.NodeID, leaving []*Leaving, now tarragondeal.Instant) {
 	for _, m := range leaving {
 		run := serverRun{id: tarragondeal.ServerID(m.GetServer()), started: m.GetStartedMillis()}
-		if f.leaving[run] == nil {
-			f.setLeaving(run, now.Add(-time.Duration(m.GetAgeMillis())*time.Millisecond), "peer", string(from))
+		age := time.Duration(m.GetAgeMillis()) * time.Millisecond
+		if f.leaving[run] == nil && (age <= maxLeavingAge || f.listedRun(run) != nil) {
+			f.setLeaving(run, now.Add(-age), "peer", string(from))
 		}
 	}
 }
--- a/internal/dispatch/tdfit/leaving_test.go
+++ b/internal/dispatch/tdfit/leaving_test.go
@@ -169,6 +169,29 @@
 	}
 }
 
+// TestNoticesOfLeavingExpire guards against notices of runs that are gone and that nodes
+// repeat to one another whenever a stream of states between them is opened.
+func TestNoticesOfLeavingExpire(t *testing.T) {
+	w := newLimitFleet(2, 0)
+	wall := w.clock.Wall()
+	list := started(wall.Add(-time.Minute), wall.Add(-time.Minute))
+	w.nodes[0].SetServers(list)
+	w.nodes[0].says("m0")
+	for k := range 2 * int(maxLeavingAge/leavingTTL) {
+		from := k % 2
+		w.nodes[1-from].Receive(nodeName(from), w.nodes[from].Writer()(ownOnly))
+		w.advance(leavingTTL - time.Second)
+		for _, n := range w.nodes {
+			n.SetServers(list[1:])
+		}
+	}
+	for n, node := range w.nodes {
+		if got := len(node.leaving); got > 0 {
+			t.Errorf("node %d keeps %d notices", n, got)
+		}
+	}
+}
+
 // TestAllServersLeaving guards against a request that is sent to a leaving server since
 // there is no other one, and against one that waits to its deadline.
 func TestAllServersLeaving(t *testing.T) {
