--- a/test/vm/server_test.go
+++ b/test/vm/server_test.go
@@ -72,9 +72,10 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
+	id := s.id
 	s.requests = append(s.requests, receivedRequest{
 		at: time.Now(), target: r.RequestURI, body: string(body), header: r.Header.Clone(),
-		rejected: s.reject || r.Header.Get("X-Expect-Instance") != s.id,
+		rejected: s.reject || r.Header.Get("X-Expect-Instance") != id,
 	})
 	delay, events, breakAfter, reject, status, chat := s.delay, s.events, s.breakAfter, s.reject, s.status, s.chat
 	if s.limit != "" {
@@ -97,7 +98,7 @@
 	s.mu.Unlock()
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	switch {
-	case r.Header.Get("X-Expect-Instance") != s.id:
+	case r.Header.Get("X-Expect-Instance") != id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case reject:
@@ -109,16 +110,16 @@
 		return
 	}
 	if !unsigned {
-		w.Header().Set("X-Server-Stamp", "stamp-"+s.id)
+		w.Header().Set("X-Server-Stamp", "stamp-"+id)
 	}
 	if status != 0 {
 		w.WriteHeader(status)
-		_, _ = io.WriteString(w, "failed by "+s.id)
+		_, _ = io.WriteString(w, "failed by "+id)
 		return
 	}
 	if !strings.HasPrefix(r.URL.Path, "/chat/") {
 		time.Sleep(delay)
-		_, _ = io.WriteString(w, "done by "+s.id)
+		_, _ = io.WriteString(w, "done by "+id)
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
