--- a/internal/dispatch/tdfit/leaving_test.go
+++ b/internal/dispatch/tdfit/leaving_test.go
@@ -11,7 +11,7 @@
 // says gives a node an answer in which a server says that it is leaving.
 func (w *testFit) says(id tarragondeal.ServerID) { w.ObserveLeaving(w.servers[id].Server, "r") }
 
-// chosen returns how often each server is chosen in n attempts.
+// chosen counts the grants of each server in n attempts.
 func (w *testFit) chosen(t *testing.T, n int, a tarragondeal.Ask) map[tarragondeal.ServerID]int {
 	t.Helper()
 	out := make(map[tarragondeal.ServerID]int)
