tdvm: a draining node stops accepting callers' connections

Cause: a draining node asked callers to close their connections, but accepted new ones until it exited, whatever arrived. A request that came in the last moments could not end.

Who still comes is refused and takes another address; requests in flight have the rest of the grace period.

--- a/internal/node/tdvm/drain.go
+++ b/internal/node/tdvm/drain.go
@@ -1,7 +1,11 @@
 package tdvm
 
 import (
+	"context"
+	"net/http"
 	"time"
+
+	"tarragondeal/internal/base/tdtask"
 )
 
 const (
@@ -18,21 +22,37 @@
 
 // drain marks the node as not ready and keeps serving until callers have moved
 // to other nodes, since they cache addresses, and other nodes need no connections
-// through it. It returns killMargin before the
-// platform kills the process at the latest.
-func (n *Node) drain() {
+// through it. From then on it accepts no connection from callers, so that the requests
+// in flight end in the time that is left. It returns killMargin before the platform
+// kills the process at the latest.
+func (n *Node) drain(g *tdtask.Group, callers *http.Server) {
 	start := n.clock.Now()
 	n.host.Leave()
 	n.tunnels.Leave()
 	n.log.Info().Int("open", n.host.Open()).Int("tunnels", n.tunnels.Serving()).Msg("leaving")
 	minDrain := addressTTLFactor * addressTTL
 	maxDrain := n.vm.Bounds.Grace - killMargin
+	accepting := true
 	for {
 		time.Sleep(drainPollInterval)
 		after := n.clock.Now().Sub(start)
+		if accepting && after >= minDrain {
+			accepting = false
+			n.log.Info().Dur("after", after).Int("open", n.host.Open()).Msg("accepting no more connections from callers")
+			g.Go("stop accepting callers", func(ctx context.Context) error { return stopAccepting(ctx, callers) })
+		}
 		if after >= maxDrain || after >= minDrain && n.host.IdleTime() >= minIdleBeforeExit && n.tunnels.Serving() == 0 {
 			n.log.Info().Dur("after", after).Int("open", n.host.Open()).Int("tunnels", n.tunnels.Serving()).Msg("drained")
 			return
 		}
 	}
 }
+
+// stopAccepting closes the listener of srv, and its connections as they become idle,
+// until ctx ends.
+func stopAccepting(ctx context.Context, srv *http.Server) error {
+	if err := srv.Shutdown(ctx); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -294,13 +294,13 @@
 	for _, t := range n.tasks {
 		g.Go(t.name, t.run)
 	}
-	n.serve(g, "serve callers", n.listeners.callers, n.host)
+	callers := n.serve(g, "serve callers", n.listeners.callers, n.host)
 	n.serve(g, "answer readiness", n.listeners.ready, http.HandlerFunc(n.host.ServeReady))
 	n.serve(g, "answer addresses", n.listeners.addresses, &tdhost.Addresses{Nodes: n.mesh.ReadyNodes, TTL: addressTTL})
 	n.serve(g, "answer metrics", n.listeners.metrics, n.metrics.Handler())
 	n.log.Info().Str("dataCentre", n.vm.DataCentre).Str("callers", n.vm.Callers.String()).Bool("firstStart", n.vm.FirstStart).Msg("started")
 	err := n.wait(ctx, g)
-	n.drain()
+	n.drain(g, callers)
 	go g.Close()
 	for end := range g.Ends() {
 		n.logEnd(end)
@@ -326,7 +326,9 @@
 	}
 }
 
-func (n *Node) serve(g *tdtask.Group, name string, ln net.Listener, h http.Handler) {
+// serve starts a task that serves h at ln until g is closed, also if the server that
+// it returns is shut down before that.
+func (n *Node) serve(g *tdtask.Group, name string, ln net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	g.Go(name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
@@ -334,6 +336,8 @@
 		if err := srv.Serve(ln); err != http.ErrServerClosed {
 			return err
 		}
+		<-ctx.Done() // Requests in flight end before their server is closed.
 		return nil
 	})
+	return srv
 }
--- a/test/vm/path_test.go
+++ b/test/vm/path_test.go
@@ -201,6 +201,45 @@
 		Expect(stopping.cmd.Wait()).To(Succeed())
 	})
 
+	// Guards against requests accepted so late that the grace period ends before they do.
+	It("fails no request of callers that send until it has stopped", func() {
+		f := newFleet(2)
+		f.waitReady()
+		for _, s := range []*server{f.plain, f.engine, f.engine2} {
+			s.update(func(s *server) { s.delay = 250 * time.Millisecond })
+		}
+		stopping := f.nodes[0]
+		until := time.Now().Add(20 * time.Second)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		var served int
+		var failed []reply
+		for c := range 8 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for time.Now().Before(until) {
+					r := stopping.get([]string{"/look/1", "/chat/1"}[c%2], "key-a")
+					if r.err != nil && strings.Contains(r.err.Error(), "refused") {
+						return
+					}
+					mu.Lock()
+					if r.status == http.StatusOK && r.err == nil {
+						served++
+					} else {
+						failed = append(failed, r)
+					}
+					mu.Unlock()
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		stopping.signal(syscall.SIGTERM)
+		wg.Wait()
+		Expect(failed).To(BeEmpty())
+		Expect(served).To(BeNumerically(">", 16))
+		Expect(stopping.cmd.Wait()).To(Succeed())
+	})
+
 	It("keeps running when its settings are reloaded", func() {
 		f := newFleet(1)
 		f.waitReady()
