tdfit: one form for the rates that servers announce

Limits were kept, aged, sent and received by code of their own. A second kind of rate comes with the notice of brittle servers. rate.go has what kinds of rates share: announced and ended by answers, kept for one run of a server, sent to peers when they change or are confirmed.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -77,7 +77,7 @@
 	seq            uint64
 	lastHeard      map[tarragondeal.NodeID]tarragondeal.Instant // When a node's load was last received.
 	lastStarts     map[string]tierStarts                        // By pool.
-	limits         map[serverRun]*serverLimit
+	limits         rateNotices                                  // Rates that servers accept.
 	leaving        map[serverRun]*leavingNotice
 	pauses         map[serverRun]tarragondeal.Instant // Until when each accepts no requests of this node.
 	fleet          tdshare.Fleet                      // As of fleetAt.
@@ -101,7 +101,7 @@
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
-		lastStarts: make(map[string]tierStarts), limits: make(map[serverRun]*serverLimit),
+		lastStarts: make(map[string]tierStarts), limits: newRateNotices("limit of server changed", ""),
 		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
 	}
 }
@@ -187,7 +187,7 @@
 	}
 	f.recordListedLeaving(list, now)
 	f.indexPools()
-	f.evictLimits()
+	f.evictRates(f.limits)
 	f.evictLeaving(now)
 }
 
--- a/internal/dispatch/tdfit/limit.go
+++ b/internal/dispatch/tdfit/limit.go
@@ -11,10 +11,6 @@
 	// minLimit is the rate at which a server gets requests that accepts none, in
 	// requests per second. Its answers show when it accepts some again.
 	minLimit = 1.0 / 30
-	// limitTTL is how long the limit of a server that is not listed is kept: its
-	// entry may come back. An ended limit is kept as long, for peers that have not
-	// learned of its end.
-	limitTTL = time.Minute
 	// fleetTTL is how long the list of nodes and the offset of the common clock
 	// are kept.
 	fleetTTL = 100 * time.Millisecond
@@ -23,76 +19,19 @@
 	anyTierSlots = 10
 )
 
-// serverRun identifies one run of a backend server. A server that starts again
-// under the same name has announced nothing yet.
-type serverRun struct {
-	id      tarragondeal.ServerID
-	started int64 // Unix milliseconds; zero if unknown.
-}
+// limitRate returns the rate of requests to a server with a limit, in requests per second.
+func limitRate(l *rateNotice) float64 { return max(l.PerSecond, minLimit) }
 
-func runOf(s *tarragondeal.Server) serverRun {
-	if s.StartedAt.IsZero() {
-		return serverRun{id: s.ID}
-	}
-	return serverRun{id: s.ID, started: s.StartedAt.UnixMilli()}
-}
-
-// serverLimit is the limit that a backend server announced last, to this node or to
-// another one.
-type serverLimit struct {
-	tarragondeal.ServerLimit
-	at    tarragondeal.Instant // When a node received the answer that says so.
-	share *tdshare.Share
-}
-
-// rate returns the rate of requests to the server, in requests per second.
-func (l *serverLimit) rate() float64 { return max(l.PerSecond, minLimit) }
-
-// ObserveLimit implements tarragondeal.ServerLimits. The answers to requests that were
-// sent before a limit was announced may have overtaken the announcement, so they
-// don't end it.
-func (f *Fit) ObserveLimit(s tarragondeal.Server, request tarragondeal.RequestID, l tarragondeal.ServerLimit, sent tarragondeal.Instant) {
+// ObserveLimit implements tarragondeal.ServerNotices.
+func (f *Fit) ObserveLimit(s tarragondeal.Server, request tarragondeal.RequestID, l tarragondeal.ServerRate, sent tarragondeal.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	run := runOf(&s)
-	if known := f.limits[run]; !l.Announced && (known == nil || sent < known.at) {
-		return
-	}
-	f.setLimit(run, l, f.Clock.Now(), "request", string(request))
-}
-
-// setLimit records a limit, and logs it with its source if it has changed.
-func (f *Fit) setLimit(run serverRun, l tarragondeal.ServerLimit, at tarragondeal.Instant, sourceKind, source string) {
-	known := f.limits[run]
-	if known == nil {
-		f.evictLimits()
-		known = &serverLimit{share: tdshare.New(string(run.id))}
-		f.limits[run] = known
-	}
-	before := known.ServerLimit
-	known.ServerLimit, known.at = l, at
-	if before != l {
-		f.Log.Info().Str(sourceKind, source).Str("server", string(run.id)).Bool("limited", l.Announced).
-			Float64("perSecond", l.PerSecond).Bool("before", before.Announced).Float64("perSecondBefore", before.PerSecond).
-			Dur("age", f.Clock.Now().Sub(at)).Msg("limit of server changed")
-	}
-}
-
-// evictLimits deletes limits that are no longer needed.
-func (f *Fit) evictLimits() {
-	now := f.Clock.Now()
-	for run, l := range f.limits {
-		s := f.servers[run.id]
-		listed := s != nil && runOf(&s.Server) == run
-		if now.Sub(l.at) > limitTTL && (!listed || !l.Announced) {
-			delete(f.limits, run)
-		}
-	}
+	f.observeRate(f.limits, runOf(&s), request, l, sent)
 }
 
 // limitOf returns the limit of a server, or nil if it has none.
-func (f *Fit) limitOf(s *server) *serverLimit {
-	if l := f.limits[runOf(&s.Server)]; l != nil && l.Announced {
+func (f *Fit) limitOf(s *server) *rateNotice {
+	if l := f.limits.byRun[runOf(&s.Server)]; l != nil && l.Announced {
 		return l
 	}
 	return nil
@@ -116,7 +55,7 @@
 	if l == nil {
 		return true
 	}
-	if !l.share.Available(f.currentFleet(now), l.rate()) {
+	if !l.share.Available(f.currentFleet(now), limitRate(l)) {
 		return false
 	}
 	return l.share.Slot()%anyTierSlots == 0 || !f.moreUrgentWaits(s.Pool, a.Tier)
@@ -180,11 +119,11 @@
 				return nil
 			}
 			fleet := f.currentFleet(now)
-			if l.share.Available(fleet, l.rate()) || l.share.AvailableBefore(fleet, l.rate(), fleet.Now.Add(until.Sub(now))) {
+			if l.share.Available(fleet, limitRate(l)) || l.share.AvailableBefore(fleet, limitRate(l), fleet.Now.Add(until.Sub(now))) {
 				return nil
 			}
 			limited++
-			rate += l.rate()
+			rate += limitRate(l)
 		}
 		for _, n := range f.waiting[pool] {
 			waiting += n
--- a/internal/dispatch/tdfit/limit_test.go
+++ b/internal/dispatch/tdfit/limit_test.go
@@ -57,7 +57,7 @@
 
 // announce gives a node an answer of a server to a request that was sent at sent.
 func (w *testFit) announce(id tarragondeal.ServerID, perSecond float64, sent tarragondeal.Instant) {
-	w.ObserveLimit(w.servers[id].Server, "r", tarragondeal.ServerLimit{Announced: perSecond > 0, PerSecond: perSecond}, sent)
+	w.ObserveLimit(w.servers[id].Server, "r", tarragondeal.ServerRate{Announced: perSecond > 0, PerSecond: perSecond}, sent)
 }
 
 // TestLimitHoldsForAllAttempts guards against a server that gets more requests than
@@ -226,10 +226,10 @@
 		t.Error("the limit of the run before holds for the new one")
 	}
 	w.SetServers(nil)
-	w.clock.now = w.clock.now.Add(2 * limitTTL)
+	w.clock.now = w.clock.now.Add(2 * rateTTL)
 	w.SetServers(nil)
-	if len(w.limits) > 0 {
-		t.Errorf("%d limits are kept", len(w.limits))
+	if len(w.limits.byRun) > 0 {
+		t.Errorf("%d limits are kept", len(w.limits.byRun))
 	}
 }
 
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -51,7 +51,7 @@
 func (f *Fit) Writer() func(include func(tarragondeal.NodeID) bool) []byte {
 	var seq uint64
 	uses := make(map[tarragondeal.ServerID]use)
-	limits := make(map[serverRun]sentLimit)
+	limits := make(map[serverRun]sentRate)
 	leaving := make(map[serverRun]bool)
 	first := true
 	return func(include func(tarragondeal.NodeID) bool) []byte {
@@ -63,7 +63,7 @@
 		m := &Load{
 			Sent: f.sentSince(seq, include),
 			Uses: f.changedUses(uses, include, f.Clock.Now()), Whole: first,
-			Limits:  f.changedLimits(limits, f.Clock.Now()),
+			Limits:  f.changedRates(f.limits, limits, f.Clock.Now()),
 			Leaving: f.newLeaving(leaving, f.Clock.Now()),
 		}
 		seq, first = f.seq, false
@@ -121,7 +121,7 @@
 	f.lastHeard[from] = now
 	f.receiveUses(from, &m)
 	f.receiveSent(from, m.GetSent(), now)
-	f.receiveLimits(from, m.GetLimits(), now)
+	f.receiveRates(f.limits, from, m.GetLimits(), now)
 	f.receiveLeaving(from, m.GetLeaving(), now)
 }
 
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -75,7 +75,7 @@
 func (s *servers) Waste(tarragondeal.Waste)                      {}
 func (s *servers) Observe(tarragondeal.Sample)                   {}
 func (s *servers) Began(string)                                  {}
-func (s *servers) ObserveLimit(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.ServerLimit, tarragondeal.Instant) {
+func (s *servers) ObserveLimit(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.ServerRate, tarragondeal.Instant) {
 }
 func (s *servers) ObserveLeaving(tarragondeal.Server, tarragondeal.RequestID)              {}
 func (s *servers) ObservePause(tarragondeal.Server, tarragondeal.RequestID, time.Duration) {}
--- a/limit.go
+++ b/limit.go
@@ -12,19 +12,19 @@
 	Admit(ws *Workspace, key *Key, route *Route, tokens int) (release func(tokens int), err error)
 }
 
-// ServerLimit is the rate of requests that a backend server accepts from all nodes
-// together, as announced in an answer.
-type ServerLimit struct {
-	Announced bool    // The answer announces a limit.
+// ServerRate is a rate of requests of all nodes together that a backend server
+// announces in an answer.
+type ServerRate struct {
+	Announced bool    // The answer announces a rate.
 	PerSecond float64 // Requests per second, not negative.
 }
 
 // ServerNotices records what backend servers say of themselves in their answers.
 type ServerNotices interface {
-	// ObserveLimit records the limit in an answer of s to a request that was sent
+	// ObserveLimit records the rate that s accepts, from an answer of s to a request that was sent
 	// at sent. An answer without a limit ends the one that was announced before
 	// the request was sent.
-	ObserveLimit(s Server, request RequestID, l ServerLimit, sent Instant)
+	ObserveLimit(s Server, request RequestID, l ServerRate, sent Instant)
 	// ObserveLeaving records an answer of s that says that s is leaving.
 	ObserveLeaving(s Server, request RequestID)
 	// ObservePause records a rejection by s, which accepts no request of this node for d.
