tdfit: divide the room of brittle servers over the nodes

What callers saw: nothing read Server-Brittle. A server that has said that it fails if it rejects more than N requests a second was filled by all nodes at once, failed, and its requests filled the next one (LIMIT).

Cause: each node knows the load that others put on a server 0.1 to 0.33 s late, and learnt by rejections that a server was full. In that time the fleet sends it more than N.

Change: while a server is brittle, nine tenths of its slots are divided over the nodes by rank (tdshare.Part), and no node has more requests there than its part; more only with permits for a quarter of N a second. The notice is kept and sent as limits are, in field 7 of the load message, which earlier builds skip. Runs that have said nothing are as brittle as their pool.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -78,6 +78,7 @@
 	lastHeard      map[tarragondeal.NodeID]tarragondeal.Instant // When a node's load was last received.
 	lastStarts     map[string]tierStarts                        // By pool.
 	limits         rateNotices                                  // Rates that servers accept.
+	brittle        rateNotices                                  // Rejections a second after which servers fail.
 	leaving        map[serverRun]*leavingNotice
 	pauses         map[serverRun]tarragondeal.Instant // Until when each accepts no requests of this node.
 	fleet          tdshare.Fleet                      // As of fleetAt.
@@ -101,7 +102,7 @@
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
-		lastStarts: make(map[string]tierStarts), limits: newRateNotices("limit of server changed", ""),
+		lastStarts: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(),
 		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
 	}
 }
@@ -188,6 +189,7 @@
 	f.recordListedLeaving(list, now)
 	f.indexPools()
 	f.evictRates(f.limits)
+	f.evictRates(f.brittle)
 	f.evictLeaving(now)
 }
 
@@ -217,6 +219,10 @@
 		}
 		if f.Clock.Now() >= until || !tdclock.Sleep(ctx, pollInterval) {
 			f.logNoServer(&a)
+			if f.isBrittle(&a) {
+				after := noServerRetryAfter + rand.N(noServerRetryAfter)
+				return tarragondeal.Grant{}, refused(tarragondeal.ReasonOverload, "the backend servers have no room now", after)
+			}
 			return tarragondeal.Grant{}, refused(tarragondeal.ReasonNoServer, "no backend server is at hand", noServerRetryAfter)
 		}
 	}
@@ -274,7 +280,7 @@
 	var best *server
 	var least time.Duration
 	for _, s := range f.candidates(r, pool) {
-		if !eligible(r.ask, s) || now < s.backoffUntil || now < s.pausedUntil || !f.withinLimit(r.ask, s, now) {
+		if !eligible(r.ask, s) || now < s.backoffUntil || now < s.pausedUntil || !f.withinLimit(r.ask, s, now) || !f.hasRoom(r.ask, s, now) {
 			continue
 		}
 		if s.engine != nil {
@@ -303,6 +309,7 @@
 		s.own.tight++
 	}
 	f.takePermit(r.ask, s, now)
+	f.takeRoom(r.ask, s, now)
 	if !f.Poison.Empty() {
 		f.Poison.Sent(traitsOf(r.ask, s.Pool))
 	}
@@ -387,6 +394,7 @@
 		f.Poison.Broke(traitsOf(open.request.ask, open.server.Pool), tdpoison.Break{Run: poisonRun(open.server), Sent: open.sent, At: now})
 	case tarragondeal.OutcomeRefused, tarragondeal.OutcomeWrong:
 		open.server.failures.add(now, 1)
+		f.recordRejection(open, now)
 	case tarragondeal.OutcomeLate:
 		open.server.failures.add(now, 1)
 		// An engine may only have a long prefill backlog.
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -52,6 +52,7 @@
 	var seq uint64
 	uses := make(map[tarragondeal.ServerID]use)
 	limits := make(map[serverRun]sentRate)
+	brittle := make(map[serverRun]sentRate)
 	leaving := make(map[serverRun]bool)
 	first := true
 	return func(include func(tarragondeal.NodeID) bool) []byte {
@@ -64,6 +65,7 @@
 			Sent: f.sentSince(seq, include),
 			Uses: f.changedUses(uses, include, f.Clock.Now()), Whole: first,
 			Limits:  f.changedRates(f.limits, limits, f.Clock.Now()),
+			Brittle: f.changedRates(f.brittle, brittle, f.Clock.Now()),
 			Leaving: f.newLeaving(leaving, f.Clock.Now()),
 		}
 		seq, first = f.seq, false
@@ -122,6 +124,7 @@
 	f.receiveUses(from, &m)
 	f.receiveSent(from, m.GetSent(), now)
 	f.receiveRates(f.limits, from, m.GetLimits(), now)
+	f.receiveRates(f.brittle, from, m.GetBrittle(), now)
 	f.receiveLeaving(from, m.GetLeaving(), now)
 }
 
--- a/internal/dispatch/tdfit/rate.go
+++ b/internal/dispatch/tdfit/rate.go
@@ -12,9 +12,11 @@
 	// may come back. A rate that has ended is kept as long, for peers that have not
 	// learned of its end.
 	rateTTL = time.Minute
-	// rateRefresh is how much later than the last one sent to a peer an unchanged rate
-	// must have been announced to be sent again.
-	rateRefresh = 500 * time.Millisecond
+	// limitRefresh and brittleRefresh are how much later than the last one sent to a peer
+	// an unchanged rate must have been announced to be sent again. Limits are rare, while
+	// all servers of a pool are brittle together.
+	limitRefresh   = 500 * time.Millisecond
+	brittleRefresh = 5 * time.Second
 )
 
 // serverRun identifies one run of a backend server. A server that starts again
@@ -41,13 +43,21 @@
 
 // rateNotices are the rates of one kind that backend servers announced.
 type rateNotices struct {
-	message string // Log message of a change.
-	shares  string // Prefix of the names of the shares.
+	message string        // Log message of a change.
+	shares  string        // Prefix of the names of the shares.
+	refresh time.Duration // How often a rate that is confirmed is sent again.
 	byRun   map[serverRun]*rateNotice
 }
 
-func newRateNotices(message, shares string) rateNotices {
-	return rateNotices{message: message, shares: shares, byRun: make(map[serverRun]*rateNotice)}
+func newLimits() rateNotices {
+	return rateNotices{message: "limit of server changed", refresh: limitRefresh, byRun: make(map[serverRun]*rateNotice)}
+}
+
+func newBrittle() rateNotices {
+	return rateNotices{
+		message: "rejections that the server can take changed", shares: "rejections of ", refresh: brittleRefresh,
+		byRun: make(map[serverRun]*rateNotice),
+	}
 }
 
 // observeRate records what an answer to this node says. The answers to requests that were
@@ -99,7 +109,7 @@
 	var out []*Rate
 	for run, r := range k.byRun {
 		before, known := last[run]
-		if known && before.ServerRate == r.ServerRate && r.at.Sub(before.at) < rateRefresh {
+		if known && before.ServerRate == r.ServerRate && r.at.Sub(before.at) < k.refresh {
 			continue
 		}
 		last[run] = sentRate{ServerRate: r.ServerRate, at: r.at}
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -71,6 +71,7 @@
 	suspectUntil tarragondeal.Instant // Until when it is reported to peers as failing.
 	leaving      bool                 // It said so, whatever State is.
 	pausedUntil  tarragondeal.Instant // It accepts no requests of this node before.
+	room         nodeRoom             // This node's part of its room, used while it is brittle.
 }
 
 func newServer(s tarragondeal.Server, e *tarragondeal.Engine, rate float64) *server {
--- a/internal/dispatch/tdshare/share.go
+++ b/internal/dispatch/tdshare/share.go
@@ -75,7 +75,7 @@
 // Available reports whether this node has a permit now. The rate is in requests per
 // second of the whole fleet.
 func (s *Share) Available(f Fleet, perSecond float64) bool {
-	now := slotAt(f.Now)
+	now := SlotAt(f.Now)
 	if s.slot < now-ttlSlots || s.slot > now+maxBackwardStep {
 		s.slot, s.used = now-ttlSlots, 0
 	}
@@ -96,7 +96,7 @@
 // AvailableBefore reports whether this node has a permit in a slot that begins
 // after f.Now and no later than until.
 func (s *Share) AvailableBefore(f Fleet, perSecond float64, until time.Time) bool {
-	for n := slotAt(f.Now) + 1; n <= slotAt(until); n++ {
+	for n := SlotAt(f.Now) + 1; n <= SlotAt(until); n++ {
 		if s.owned(f, perSecond, n) > 0 {
 			return true
 		}
@@ -104,7 +104,8 @@
 	return false
 }
 
-func slotAt(t time.Time) int64 { return t.UnixNano() / int64(SlotTime) }
+// SlotAt returns the number of the slot at a time.
+func SlotAt(t time.Time) int64 { return t.UnixNano() / int64(SlotTime) }
 
 // permits returns the number of permits in a slot. The slots with the rounded-up
 // number are spread evenly. A higher rate adds permits and moves none, so that
@@ -131,6 +132,36 @@
 	return n
 }
 
+// Part returns how many of a server's slots belong to this node. Nodes that know the same
+// members divide the slots without overlap, and a node that knows one member more or less
+// gets at most one part's difference. Which nodes get the larger parts differs between
+// servers.
+func Part(f Fleet, server string, slots int) int {
+	if len(f.Nodes) == 0 {
+		return 0
+	}
+	d := xxhash.New()
+	weight := func(node tarragondeal.NodeID) uint64 {
+		d.Reset()
+		_, _ = d.WriteString(server) // Doesn't fail.
+		_, _ = d.WriteString("\x00")
+		_, _ = d.WriteString(string(node))
+		return d.Sum64()
+	}
+	own := weight(f.Self)
+	rank := 0
+	for _, node := range f.Nodes {
+		if w := weight(node); w > own || w == own && node < f.Self {
+			rank++
+		}
+	}
+	part := slots / len(f.Nodes)
+	if rank < slots%len(f.Nodes) {
+		part++
+	}
+	return part
+}
+
 // owner returns the node to which the permits with one number in a slot belong.
 func (s *Share) owner(nodes []tarragondeal.NodeID, slot int64, number int) tarragondeal.NodeID {
 	key := binary.LittleEndian.AppendUint64(nil, uint64(slot))
--- a/internal/dispatch/tdshare/share_test.go
+++ b/internal/dispatch/tdshare/share_test.go
@@ -215,3 +215,34 @@
 		})
 	}
 }
+
+// TestPartsOfSlots guards against slots that belong to two nodes or to none, and against a
+// node that uses many more slots since it knows one member less.
+func TestPartsOfSlots(t *testing.T) {
+	for _, size := range []int{1, 7, 60, 350} {
+		members := newMembers(size)
+		for _, slots := range []int{0, 1, 5, 57, 64, 400} {
+			sum := 0
+			for _, m := range members {
+				part := Part(m.fleet, "server", slots)
+				sum += part
+				if size == 1 {
+					continue
+				}
+				fewer := m.fleet
+				fewer.Nodes = make([]tarragondeal.NodeID, 0, size-1)
+				for _, node := range m.fleet.Nodes {
+					if node != members[0].fleet.Self || node == m.fleet.Self {
+						fewer.Nodes = append(fewer.Nodes, node)
+					}
+				}
+				if other := Part(fewer, "server", slots); other > part+slots/size/size+2 && size > 2*slots/size {
+					t.Errorf("%d nodes, %d slots: %d, and %d with a member less", size, slots, part, other)
+				}
+			}
+			if sum != slots {
+				t.Errorf("%d nodes, %d slots: the parts are %d", size, slots, sum)
+			}
+		}
+	}
+}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -139,7 +139,7 @@
 	if status != http.StatusMisdirectedRequest {
 		x.observeLeaving(t, status, r)
 	}
-	x.observeLimit(t, status, r, sent)
+	x.observeRates(t, status, r, sent)
 	x.observePause(t, r)
 }
 
@@ -166,17 +166,25 @@
 	}
 }
 
-// observeLimit passes on what an answer says about the server's limit. Without a
-// signature or a limit an answer may not come from the server's software at all.
-func (x *Exchange) observeLimit(t *tdflow.Attempt, status int, r *platform.Reply, sent tarragondeal.Instant) {
-	if r.LimitErr != nil {
-		x.Log.Warn().Err(r.LimitErr).Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Msg("invalid server limit")
-		return
+// observeRates passes on the rates that an answer announces, or that it announces none any
+// more.
+func (x *Exchange) observeRates(t *tdflow.Attempt, status int, r *platform.Reply, sent tarragondeal.Instant) {
+	if x.isRateOfServer(t, status, r, r.Limit, r.LimitErr) {
+		x.Notices.ObserveLimit(t.Server, t.Request.ID, r.Limit, sent)
 	}
-	if status == http.StatusMisdirectedRequest || !r.Limit.Announced && !r.Signed {
-		return
+	if x.isRateOfServer(t, status, r, r.Brittle, r.BrittleErr) {
+		x.Notices.ObserveBrittle(t.Server, t.Request.ID, r.Brittle, sent)
+	}
+}
+
+// isRateOfServer reports whether a rate, or that there is none, counts. Without a
+// signature or a rate an answer may not come from the server's software at all.
+func (x *Exchange) isRateOfServer(t *tdflow.Attempt, status int, r *platform.Reply, rate tarragondeal.ServerRate, err error) bool {
+	if err != nil {
+		x.Log.Warn().Err(err).Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Msg("invalid server rate")
+		return false
 	}
-	x.Notices.ObserveLimit(t.Server, t.Request.ID, r.Limit, sent)
+	return status != http.StatusMisdirectedRequest && (rate.Announced || r.Signed)
 }
 
 // countStart counts a request, once, when its server begins to answer. A stream is
--- a/limit.go
+++ b/limit.go
@@ -25,6 +25,9 @@
 	// at sent. An answer without a limit ends the one that was announced before
 	// the request was sent.
 	ObserveLimit(s Server, request RequestID, l ServerRate, sent Instant)
+	// ObserveBrittle records how many requests a second s can reject before it fails, as
+	// ObserveLimit does with limits.
+	ObserveBrittle(s Server, request RequestID, rejects ServerRate, sent Instant)
 	// ObserveLeaving records an answer of s that says that s is leaving.
 	ObserveLeaving(s Server, request RequestID)
 	// ObservePause records a rejection by s, which accepts no request of this node for d.
--- a/test/vm/server_test.go
+++ b/test/vm/server_test.go
@@ -39,6 +39,7 @@
 	leaving    string                                       // What answers say of the server's leaving; empty means nothing.
 	leavingAt  time.Time                                    // When the first answer said so.
 	pause      string                                       // Retry-After of rejections; empty means none.
+	brittle    *brittleServer                               // Its room, if it is brittle.
 	unsigned   bool                                         // Answers have no signature.
 	chat       func(w http.ResponseWriter, r *http.Request) // Answers streams, if set.
 }
@@ -87,7 +88,7 @@
 			s.leavingAt = time.Now()
 		}
 	}
-	unsigned, pause := s.unsigned, s.pause
+	unsigned, pause, brittle := s.unsigned, s.pause, s.brittle
 	suffix := ""
 	if s.named {
 		suffix = " of " + r.URL.Path
@@ -109,6 +110,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if brittle != nil {
+		end, ok := brittle.begin(w)
+		if !ok {
+			return
+		}
+		defer end()
+	}
 	if !unsigned {
 		w.Header().Set("X-Server-Stamp", "stamp-"+id)
 	}
