test/vm: the soak makes engines brittle

Both engines become brittle while they get more requests than they have room for, and a node is killed, stopped or frozen, or the store is away.

--- a/test/vm/soak_test.go
+++ b/test/vm/soak_test.go
@@ -82,6 +82,8 @@
 		s.injectLinkFault(kind, pause)
 	case 14:
 		s.injectLeaving(srv)
+	case 15:
+		s.injectBrittle()
 	default:
 		s.injectStreamFault(kind, pause)
 	}
@@ -115,6 +117,31 @@
 	}
 }
 
+// injectBrittle makes the engines brittle while they get more requests than they have room
+// for, and injects another fault meanwhile.
+func (s *soak) injectBrittle() {
+	var brittle []*brittleServer
+	s.updateEngines(func(x *server) {
+		x.brittle = &brittleServer{rejects: 1 + s.rng.IntN(3)}
+		brittle = append(brittle, x.brittle)
+	})
+	l := s.startLoad("/chat/more", soakBrittleInterval)
+	time.Sleep(brittleGrace + time.Second)
+	s.injectFault(s.rng.IntN(soakNodeFaults))
+	time.Sleep(2 * time.Second)
+	l.stop()
+	failures := 0
+	for _, b := range brittle {
+		b.mu.Lock()
+		failures += b.failures
+		b.mu.Unlock()
+	}
+	if failures > 2+len(brittle)/10 {
+		s.logf("VIOLATION: brittle engines failed %d times", failures)
+	}
+	s.updateEngines(func(x *server) { x.brittle = nil })
+}
+
 // injectLinkFault cuts nodes off from servers: one or two nodes from all of them, or all
 // nodes from one, as if that had crashed.
 func (s *soak) injectLinkFault(kind int, pause time.Duration) {
@@ -353,8 +380,12 @@
 	// of faults, which are injected one after another: first each of soakKinds
 	// once, in random order, then random ones.
 	soakCallers = 6
-	soakKinds   = 15
-	soakFaults  = 16
+	soakKinds   = 16
+	soakFaults  = 17
+	// soakNodeFaults is the number of kinds of faults that hit nodes or the store.
+	soakNodeFaults = 4
+	// soakBrittleInterval is the time between two more requests while engines are brittle.
+	soakBrittleInterval = 8 * time.Millisecond
 	// soakEvents is the number of events of a stream, and soakPause the pause after
 	// each. soakResumes bounds the requests for one stream.
 	soakEvents  = 12
