tdfit: an invalid notice of a server is logged once a run

What operators saw: a server that sends a malformed limit, pause or notice that it leaves with each answer wrote one line for each answer.

Cause: tdpass, which has no state beyond a request, logged them.

They bind nothing, as before.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -80,8 +80,9 @@
 	limits         rateNotices                                  // Rates that servers accept.
 	brittle        rateNotices                                  // Rejections a second after which servers fail.
 	leaving        map[serverRun]*leavingNotice
-	pauses         map[serverRun]tarragondeal.Instant // Until when each accepts no requests of this node.
-	fleet          tdshare.Fleet                      // As of fleetAt.
+	pauses         map[serverRun]tarragondeal.Instant      // Until when each accepts no requests of this node.
+	invalid        map[serverRun][]tarragondeal.NoticeKind // Notices that were logged as invalid.
+	fleet          tdshare.Fleet                           // As of fleetAt.
 	fleetAt        tarragondeal.Instant
 	waiting        map[string]map[int]int // Requests without a server, by pool and tier.
 }
@@ -102,7 +103,7 @@
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
-		lastStarts: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(),
+		lastStarts: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
 		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
 	}
 }
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -75,6 +75,9 @@
 func (s *servers) Waste(tarragondeal.Waste)                      {}
 func (s *servers) Observe(tarragondeal.Sample)                   {}
 func (s *servers) Began(string)                                  {}
+func (s *servers) ObserveInvalid(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.NoticeKind, error) {
+}
+
 func (s *servers) ObserveBrittle(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.ServerRate, tarragondeal.Instant) {
 }
 
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -147,7 +147,7 @@
 func (x *Exchange) observePause(t *tdflow.Attempt, r *platform.Reply) {
 	switch {
 	case r.PauseErr != nil:
-		x.Log.Warn().Err(r.PauseErr).Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Msg("invalid server pause")
+		x.Notices.ObserveInvalid(t.Server, t.Request.ID, tarragondeal.NoticePause, r.PauseErr)
 	case r.Pause > 0:
 		x.Notices.ObservePause(t.Server, t.Request.ID, r.Pause)
 	}
@@ -156,11 +156,11 @@
 // observeLeaving passes on that a server is leaving. A success without a signature is
 // not the server's.
 func (x *Exchange) observeLeaving(t *tdflow.Attempt, status int, r *platform.Reply) {
-	unsigned := status < http.StatusMultipleChoices && !r.Signed
 	switch {
-	case r.LeavingErr != nil || r.Leaving && unsigned:
-		x.Log.Warn().Err(r.LeavingErr).Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Bool("signed", r.Signed).
-			Msg("notice of a leaving server ignored")
+	case r.LeavingErr != nil:
+		x.Notices.ObserveInvalid(t.Server, t.Request.ID, tarragondeal.NoticeLeaving, r.LeavingErr)
+	case r.Leaving && status < http.StatusMultipleChoices && !r.Signed:
+		x.Notices.ObserveInvalid(t.Server, t.Request.ID, tarragondeal.NoticeLeaving, errUnsigned)
 	case r.Leaving:
 		x.Notices.ObserveLeaving(t.Server, t.Request.ID)
 	}
@@ -169,19 +169,19 @@
 // observeRates passes on the rates that an answer announces, or that it announces none any
 // more.
 func (x *Exchange) observeRates(t *tdflow.Attempt, status int, r *platform.Reply, sent tarragondeal.Instant) {
-	if x.isRateOfServer(t, status, r, r.Limit, r.LimitErr) {
+	if x.isRateOfServer(t, status, r, tarragondeal.NoticeLimit, r.Limit, r.LimitErr) {
 		x.Notices.ObserveLimit(t.Server, t.Request.ID, r.Limit, sent)
 	}
-	if x.isRateOfServer(t, status, r, r.Brittle, r.BrittleErr) {
+	if x.isRateOfServer(t, status, r, tarragondeal.NoticeBrittle, r.Brittle, r.BrittleErr) {
 		x.Notices.ObserveBrittle(t.Server, t.Request.ID, r.Brittle, sent)
 	}
 }
 
 // isRateOfServer reports whether a rate, or that there is none, counts. Without a
 // signature or a rate an answer may not come from the server's software at all.
-func (x *Exchange) isRateOfServer(t *tdflow.Attempt, status int, r *platform.Reply, rate tarragondeal.ServerRate, err error) bool {
+func (x *Exchange) isRateOfServer(t *tdflow.Attempt, status int, r *platform.Reply, k tarragondeal.NoticeKind, rate tarragondeal.ServerRate, err error) bool {
 	if err != nil {
-		x.Log.Warn().Err(err).Str("request", x.caller.ID).Str("server", string(t.Server.ID)).Msg("invalid server rate")
+		x.Notices.ObserveInvalid(t.Server, t.Request.ID, k, err)
 		return false
 	}
 	return status != http.StatusMisdirectedRequest && (rate.Announced || r.Signed)
--- a/limit.go
+++ b/limit.go
@@ -19,6 +19,17 @@
 	PerSecond float64 // Requests per second, not negative.
 }
 
+// NoticeKind is a kind of what backend servers say of themselves.
+type NoticeKind string
+
+// The kinds of notices.
+const (
+	NoticeLimit   NoticeKind = "limit"
+	NoticeBrittle NoticeKind = "brittle"
+	NoticeLeaving NoticeKind = "leaving"
+	NoticePause   NoticeKind = "pause"
+)
+
 // ServerNotices records what backend servers say of themselves in their answers.
 type ServerNotices interface {
 	// ObserveLimit records the rate that s accepts, from an answer of s to a request that was sent
@@ -32,4 +43,7 @@
 	ObserveLeaving(s Server, request RequestID)
 	// ObservePause records a rejection by s, which accepts no request of this node for d.
 	ObservePause(s Server, request RequestID, d time.Duration)
+	// ObserveInvalid records that a notice in an answer of s can't be read or may not be
+	// its own. It binds nothing.
+	ObserveInvalid(s Server, request RequestID, k NoticeKind, err error)
 }
