--- a/internal/dispatch/tdfit/pause_test.go
+++ b/internal/dispatch/tdfit/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,7 +13,13 @@
 // node for a pause, by any kind of attempt, and against a pause that binds other nodes,
 // outlasts its time or is passed on to a new run.
 func TestPausedServerGetsNoRequests(t *testing.T) {
-	w := newLimitFleet(2, 0)
+	for _, size := range []int{2, 7, 30, 60} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) { testPausedServer(t, size) })
+	}
+}
+
+func testPausedServer(t *testing.T, size int) {
+	w := newLimitFleet(size, 0)
 	wall := w.clock.Wall()
 	list := started(wall.Add(-time.Minute), wall.Add(-time.Minute))
 	for _, n := range w.nodes {
@@ -31,8 +38,10 @@
 			t.Errorf("%d requests with %+v", n, a)
 		}
 	}
-	if n := count(w.nodes[1], tarragondeal.Ask{}); n == 0 {
-		t.Error("the pause binds a node that was not rejected")
+	for _, node := range w.nodes[1:] {
+		if n := count(node, tarragondeal.Ask{}); n == 0 {
+			t.Errorf("the pause binds %s, which was not rejected", node.Self)
+		}
 	}
 	told.SetServers(list[1:])
 	told.SetServers(list)
