--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -65,6 +65,7 @@
 	Deps
 	UnimplementedMeshServer
 	self              Node
+	counter           *stateCounter
 	publishers        []publisher
 	receivers         map[string]receiver
 	services          []func(grpc.ServiceRegistrar)
@@ -142,7 +143,7 @@
 // New returns a mesh that knows only its own node.
 func New(d Deps, self Node) *Mesh {
 	m := &Mesh{
-		Deps: d, self: self, receivers: make(map[string]receiver),
+		Deps: d, self: self, counter: newStateCounter(d.Scope), receivers: make(map[string]receiver),
 		peers: make(map[tarragondeal.NodeID]*peer), forwarded: make(map[tarragondeal.NodeID]presences), noSourceSince: d.Clock.Now(),
 		noSourceTimeout: minNoSourceTimeout + rand.N(noSourceTimeout-minNoSourceTimeout),
 	}
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -130,7 +130,9 @@
 // sendStates sends states until ctx ends.
 func (m *Mesh) sendStates(ctx context.Context, s stream, w *stateWriter) error {
 	for {
-		if err := s.Send(w.nextState()); err != nil {
+		state := w.nextState()
+		m.counter.add("sent", w.linkOf(true), state)
+		if err := s.Send(state); err != nil {
 			return err
 		}
 		interval := m.stateInterval()
@@ -172,7 +174,9 @@
 
 // handleState records one state and passes its contents to the receivers.
 func (m *Mesh) handleState(state *State, w *stateWriter) {
-	if !m.recordState(state, w) {
+	recorded := m.recordState(state, w)
+	m.counter.add("received", w.linkOf(false), state)
+	if !recorded {
 		return
 	}
 	m.applyCopy(state, w)
