tdfit: a brittle server that answers an error isn't taken for full

What callers saw: after a request that ran at a brittle server and got an error, the node sent it nothing for half a second.

Cause: a rejection and an error are one outcome, OutcomeRefused. Only a rejection shows that the server has no room.

Change: Outcome.Rejected says which it was. TestErrorsOfBrittleServer failed before ("rejected false: the next request is sent: false").

--- a/dispatch.go
+++ b/dispatch.go
@@ -88,6 +88,7 @@
 // Outcome reports to the owner of a server how an attempt ended.
 type Outcome struct {
 	Kind       OutcomeKind
+	Rejected   bool // The server states that it has not run the request and never will.
 	Tokens     int // Output tokens delivered.
 	Input      int // Input tokens, where known.
 	FirstToken time.Duration
--- a/internal/dispatch/tdfit/brittle_test.go
+++ b/internal/dispatch/tdfit/brittle_test.go
@@ -102,7 +102,7 @@
 			if kind != tarragondeal.OutcomeCrashed && kind != tarragondeal.OutcomeUnreachable {
 				node.sayBrittle(r.grant.Server, b.rejects, now >= brittleFrom, w.clock.now.Add(-brittleStep))
 			}
-			node.Done(r.grant, tarragondeal.Outcome{Kind: kind})
+			node.Done(r.grant, tarragondeal.Outcome{Kind: kind, Rejected: kind == tarragondeal.OutcomeRefused})
 		}
 		for n := poisson(rng, rate*brittleStep.Seconds()); n > 0; n-- {
 			r := &brittleRequest{node: rng.IntN(b.nodes), since: now}
@@ -311,3 +311,22 @@
 		}
 	}
 }
+
+// TestErrorsOfBrittleServer guards against a brittle server that gets no requests for a
+// while after it has run one and answered an error, and against one that still gets some
+// after it has rejected one.
+func TestErrorsOfBrittleServer(t *testing.T) {
+	for _, rejected := range []bool{false, true} {
+		w := newTestFit(1)
+		w.sayBrittle(w.servers["m0"].Server, 1, true, w.clock.now)
+		g, err := w.reserve(liveStream())
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeRefused, Rejected: rejected})
+		r := newRequest(&tarragondeal.Ask{Pools: []string{"m"}, Attempt: 1})
+		if _, ok, _ := w.choose(&r, w.clock.now, true); ok == rejected {
+			t.Errorf("rejected %t: the next request is sent: %t", rejected, ok)
+		}
+	}
+}
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -395,7 +395,9 @@
 		f.Poison.Broke(traitsOf(open.request.ask, open.server.Pool), tdpoison.Break{Run: poisonRun(open.server), Sent: open.sent, At: now})
 	case tarragondeal.OutcomeRefused, tarragondeal.OutcomeWrong:
 		open.server.failures.add(now, 1)
-		f.recordRejection(open, now)
+		if o.Rejected {
+			f.recordRejection(open, now)
+		}
 	case tarragondeal.OutcomeLate:
 		open.server.failures.add(now, 1)
 		// An engine may only have a long prefill backlog.
--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -271,7 +271,7 @@
 
 func (a *attempt) outcome(f Failure) tarragondeal.Outcome {
 	o := tarragondeal.Outcome{
-		Kind: outcomes[f], Tokens: a.r.stream.tokens() - a.tokensBefore,
+		Kind: outcomes[f], Rejected: f == FailRejected, Tokens: a.r.stream.tokens() - a.tokensBefore,
 		FirstToken: a.firstTokenAfter, Total: a.r.f.Clock.Now().Sub(a.started),
 	}
 	if a.usage != nil {
