tdfit: a brittle server with one slot gets requests

Nine tenths of one slot are none: no node had a part, and with a notice of zero rejections no permit either. The server would have got nothing for ever, as only an answer ends the notice. At least one slot is divided now. TestBrittleServerWithOneSlot failed before.

--- a/internal/dispatch/tdfit/brittle.go
+++ b/internal/dispatch/tdfit/brittle.go
@@ -66,7 +66,7 @@
 func (f *Fit) roomOf(s *server, now tarragondeal.Instant) int {
 	fleet := f.currentFleet(now)
 	if slots := s.slots(); s.room.at != f.fleetAt || s.room.slots != slots {
-		s.room = nodeRoom{requests: tdshare.Part(fleet, string(s.ID), int(roomShare*float64(slots))), slots: slots, at: f.fleetAt}
+		s.room = nodeRoom{requests: tdshare.Part(fleet, string(s.ID), max(1, int(roomShare*float64(slots)))), slots: slots, at: f.fleetAt}
 	}
 	return s.room.requests
 }
--- a/internal/dispatch/tdfit/brittle_test.go
+++ b/internal/dispatch/tdfit/brittle_test.go
@@ -330,3 +330,15 @@
 		}
 	}
 }
+
+// TestBrittleServerWithOneSlot guards against a server without a slot to divide, which
+// would get nothing, so that no answer ends the notice.
+func TestBrittleServerWithOneSlot(t *testing.T) {
+	w := newTestFit(0)
+	w.SetServers([]tarragondeal.Server{{ID: "p0", Pool: "p", State: tarragondeal.VMLive, Slots: 1}})
+	w.sayBrittle(w.servers["p0"].Server, 0, true, w.clock.now)
+	r := newRequest(&tarragondeal.Ask{Pools: []string{"p"}, Attempt: 1})
+	if _, ok, _ := w.choose(&r, w.clock.now, true); !ok {
+		t.Error("the server gets no requests")
+	}
+}
