--- a/internal/dispatch/tdfit/doc.go
+++ b/internal/dispatch/tdfit/doc.go
@@ -8,6 +8,10 @@
 // memory, and how a long prompt delays the tokens of concurrent streams. Plain
 // servers are compared by their running requests.
 //
+// What servers say of themselves, that they are leaving, accept a limited rate, want a pause
+// or are brittle, is kept for one run of a server. It binds this node or all nodes, which
+// hear of it with the load.
+//
 // # Usage
 //
 //	f := tdfit.New(tdfit.Deps{...}, tdfit.Options{...})
--- a/internal/dispatch/tdshare/share.go
+++ b/internal/dispatch/tdshare/share.go
@@ -10,6 +10,8 @@
 // node that knows other members, or has another time, uses about as many permits
 // as before, some of them twice. The permits of a node that is down are not used.
 //
+// Part divides the requests that a server runs at once instead, without time.
+//
 // # Usage
 //
 //	s := tdshare.New("server-1")
@@ -19,6 +21,8 @@
 //		// Send one request.
 //	}
 //
+//	part := tdshare.Part(f, "server-1", 64) // Of 64 requests at once.
+//
 // Available must be called before each Take, with the current time.
 package tdshare
 
@@ -132,11 +136,10 @@
 	return n
 }
 
-// Part returns how many of a server's slots belong to this node. Nodes that know the same
-// members divide the slots without overlap, and a node that knows one member more or less
-// gets at most one part's difference. Which nodes get the larger parts differs between
-// servers.
-func Part(f Fleet, server string, slots int) int {
+// Part returns how many of the requests that a server runs at once belong to this node.
+// Nodes that know the same members divide them without overlap. Which nodes get the larger
+// parts differs between servers.
+func Part(f Fleet, server string, requests int) int {
 	if len(f.Nodes) == 0 {
 		return 0
 	}
@@ -155,8 +158,8 @@
 			rank++
 		}
 	}
-	part := slots / len(f.Nodes)
-	if rank < slots%len(f.Nodes) {
+	part := requests / len(f.Nodes)
+	if rank < requests%len(f.Nodes) {
 		part++
 	}
 	return part
