tdfit: a pause binds the node that connects others to the server

Cause: for the server all requests through a node are that node's. The answer goes to the node that chose the server, which paused for itself; the one in between, and others that connect through it, each had to be rejected first.

Change: an answer says through which node it came (Answer.Through). Nodes of which only others hear don't apply it.

--- a/backend.go
+++ b/backend.go
@@ -36,6 +36,7 @@
 	Body    io.ReadCloser
 	Length  int64  // Bytes in the body, or -1 if unknown.
 	Request string // The request id that the backend server echoed, if any.
+	Through NodeID // The node that connected this one to the server; empty if it did itself.
 	// Unframed is set if the body ends only with its connection, so that it may
 	// be truncated.
 	Unframed bool
--- a/dispatch.go
+++ b/dispatch.go
@@ -89,8 +89,8 @@
 type Outcome struct {
 	Kind       OutcomeKind
 	Rejected   bool // The server states that it has not run the request and never will.
-	Tokens     int // Output tokens delivered.
-	Input      int // Input tokens, where known.
+	Tokens     int  // Output tokens delivered.
+	Input      int  // Input tokens, where known.
 	FirstToken time.Duration
 	Total      time.Duration
 	CachedHint int // Input tokens that the engine reported as cached.
--- a/internal/dispatch/tdfit/pause.go
+++ b/internal/dispatch/tdfit/pause.go
@@ -7,32 +7,110 @@
 	"tarragondeal"
 )
 
-// pauseSpread is the random part of the retry delay of requests that are refused during
-// a pause, as a share of what is left of it.
-const pauseSpread = 0.5
+const (
+	// pauseSpread is the random part of the retry delay of requests that are refused during
+	// a pause, as a share of what is left of it.
+	pauseSpread = 0.5
+	// pauseMargin is how much later a pause must end than one that is known, to be another
+	// one: what is left of a pause arrives later than it was sent.
+	pauseMargin = 250 * time.Millisecond
+	// maxPeerPause bounds a pause that a peer reports.
+	maxPeerPause = 10 * time.Minute
+)
+
+// nodePause identifies the pause of one node at one run of a server.
+type nodePause struct {
+	run  serverRun
+	node tarragondeal.NodeID
+}
 
-// ObservePause implements tarragondeal.ServerNotices. It binds this node alone, for one
-// run of the server.
-func (f *Fit) ObservePause(s tarragondeal.Server, request tarragondeal.RequestID, d time.Duration) {
+// ObservePause implements tarragondeal.ServerNotices. It binds this node, for one run of the
+// server, and the node through which the request went.
+func (f *Fit) ObservePause(s tarragondeal.Server, request tarragondeal.RequestID, d time.Duration, through tarragondeal.NodeID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	for run, until := range f.pauses {
+	run, until := runOf(&s), now.Add(d)
+	f.setPause(run, until, "request", string(request))
+	if through != "" {
+		f.setOtherPause(nodePause{run: run, node: through}, until, now)
+	}
+}
+
+// setPause records that a server accepts no requests of this node until then.
+func (f *Fit) setPause(run serverRun, until tarragondeal.Instant, sourceKind, source string) {
+	now := f.Clock.Now()
+	for known, until := range f.pauses {
 		if until <= now {
-			delete(f.pauses, run)
+			delete(f.pauses, known)
 		}
 	}
-	run := runOf(&s)
-	until := max(f.pauses[run], now.Add(d))
+	if until <= f.pauses[run] {
+		return
+	}
 	f.pauses[run] = until
+	pool := ""
 	if listed := f.listedRun(run); listed != nil {
-		listed.pausedUntil = until
+		listed.pausedUntil, pool = until, listed.Pool
 	}
 	f.Scope.Counter("pauses").Inc(1)
-	f.Log.Info().Str("request", string(request)).Str("server", string(s.ID)).Str("pool", s.Pool).Dur("for", d).
+	f.Log.Info().Str(sourceKind, source).Str("server", string(run.id)).Str("pool", pool).Dur("for", until.Sub(now)).
 		Msg("server accepts no requests of this node for a while")
 }
 
+// setOtherPause records the pause of another node, which may not know of it. It reports
+// whether it was not known.
+func (f *Fit) setOtherPause(p nodePause, until, now tarragondeal.Instant) bool {
+	for known, until := range f.otherPauses {
+		if until <= now {
+			delete(f.otherPauses, known)
+		}
+	}
+	if until <= f.otherPauses[p].Add(pauseMargin) {
+		return false
+	}
+	f.otherPauses[p] = until
+	return true
+}
+
+// newPauses returns the pauses of other nodes that differ from the ones in sent, and updates
+// those.
+func (f *Fit) newPauses(sent map[nodePause]tarragondeal.Instant, now tarragondeal.Instant) []*Pause {
+	var out []*Pause
+	for p, until := range f.otherPauses {
+		if until <= now || until <= sent[p] {
+			continue
+		}
+		sent[p] = until
+		out = append(out, &Pause{
+			Server: string(p.run.id), StartedMillis: p.run.started, Node: string(p.node), LeftMillis: uint32(until.Sub(now).Milliseconds()),
+		})
+	}
+	for p := range sent {
+		if f.otherPauses[p] == 0 {
+			delete(sent, p)
+		}
+	}
+	return out
+}
+
+// receivePauses records the pauses that a peer knows, of this node or another one.
+func (f *Fit) receivePauses(from tarragondeal.NodeID, pauses []*Pause, now tarragondeal.Instant) {
+	for _, m := range pauses {
+		p := nodePause{
+			run:  serverRun{id: tarragondeal.ServerID(m.GetServer()), started: m.GetStartedMillis()},
+			node: tarragondeal.NodeID(m.GetNode()),
+		}
+		until := now.Add(min(time.Duration(m.GetLeftMillis())*time.Millisecond, maxPeerPause))
+		switch {
+		case p.node != f.Self:
+			f.setOtherPause(p, until, now)
+		case until > f.pauses[p.run].Add(pauseMargin):
+			f.setPause(p.run, until, "peer", string(from))
+		}
+	}
+}
+
 // refusePaused returns a refusal if all servers to which a request may be sent accept
 // none of this node until then. Callers that are refused at the same time return at
 // different times.
--- a/internal/dispatch/tdfit/pause_test.go
+++ b/internal/dispatch/tdfit/pause_test.go
@@ -30,8 +30,8 @@
 		a.Pools, a.Input, a.Gap = []string{"m"}, 600, 250*time.Millisecond
 		return node.chosen(t, 40, a)["m0"]
 	}
-	told.ObservePause(told.servers["m0"].Server, "r", 3*time.Second)
-	told.ObservePause(told.servers["m0"].Server, "r", time.Second) // The longer one holds.
+	told.ObservePause(told.servers["m0"].Server, "r", 3*time.Second, "")
+	told.ObservePause(told.servers["m0"].Server, "r", time.Second, "") // The longer one holds.
 	w.exchange()
 	for _, a := range []tarragondeal.Ask{{}, {Attempt: 2}, {Tier: 1}} {
 		if n := count(told, a); n > 0 {
@@ -53,7 +53,7 @@
 	if n := count(told, tarragondeal.Ask{}); n == 0 {
 		t.Error("no requests after the pause")
 	}
-	told.ObservePause(told.servers["m0"].Server, "r", time.Hour)
+	told.ObservePause(told.servers["m0"].Server, "r", time.Hour, "")
 	list[0].StartedAt = wall
 	told.SetServers(list)
 	if n := count(told, tarragondeal.Ask{}); n == 0 {
@@ -66,7 +66,7 @@
 func TestAllServersPaused(t *testing.T) {
 	w := newTestFit(2)
 	for id, d := range map[tarragondeal.ServerID]time.Duration{"m0": 2 * time.Second, "m1": 5 * time.Second} {
-		w.ObservePause(w.servers[id].Server, "r", d)
+		w.ObservePause(w.servers[id].Server, "r", d, "")
 	}
 	delays := make(map[time.Duration]bool)
 	for range 20 {
@@ -86,3 +86,21 @@
 		t.Errorf("%d delays of 20", len(delays))
 	}
 }
+
+// TestPauseThroughAnotherNode guards against a pause that the node through which the request
+// went doesn't hear of over a relay, that binds the relay, or that grows on its way.
+func TestPauseThroughAnotherNode(t *testing.T) {
+	w := newLimitFleet(3, 2) // Node 0 relays.
+	w.exchangeAll()
+	w.nodes[1].ObservePause(w.nodes[1].servers["m0"].Server, "r", 2*time.Second, nodeName(2))
+	for range 3 {
+		w.advance(100 * time.Millisecond)
+		w.exchangeAll()
+	}
+	for n, want := range []time.Duration{0, 1700 * time.Millisecond, 1900 * time.Millisecond} {
+		node := w.nodes[n]
+		if left := max(0, node.servers["m0"].pausedUntil.Sub(w.clock.now)); left > want || left < want-300*time.Millisecond {
+			t.Errorf("node %d: %s are left, want %s or a little less", n, left, want)
+		}
+	}
+}
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -54,6 +54,7 @@
 	limits := make(map[serverRun]sentRate)
 	brittle := make(map[serverRun]sentRate)
 	leaving := make(map[serverRun]bool)
+	pauses := make(map[nodePause]tarragondeal.Instant)
 	first := true
 	return func(include func(tarragondeal.NodeID) bool) []byte {
 		f.mu.Lock()
@@ -66,6 +67,7 @@
 			Uses: f.changedUses(uses, include, f.Clock.Now()), Whole: first,
 			Limits:  f.changedRates(f.limits, limits, f.Clock.Now()),
 			Brittle: f.changedRates(f.brittle, brittle, f.Clock.Now()),
+			Pauses:  f.newPauses(pauses, f.Clock.Now()),
 			Leaving: f.newLeaving(leaving, f.Clock.Now()),
 		}
 		seq, first = f.seq, false
@@ -125,6 +127,7 @@
 	f.receiveSent(from, m.GetSent(), now)
 	f.receiveRates(f.limits, from, m.GetLimits(), now)
 	f.receiveRates(f.brittle, from, m.GetBrittle(), now)
+	f.receivePauses(from, m.GetPauses(), now)
 	f.receiveLeaving(from, m.GetLeaving(), now)
 }
 
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -83,8 +83,9 @@
 
 func (s *servers) ObserveLimit(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.ServerRate, tarragondeal.Instant) {
 }
-func (s *servers) ObserveLeaving(tarragondeal.Server, tarragondeal.RequestID)              {}
-func (s *servers) ObservePause(tarragondeal.Server, tarragondeal.RequestID, time.Duration) {}
+func (s *servers) ObserveLeaving(tarragondeal.Server, tarragondeal.RequestID) {}
+func (s *servers) ObservePause(tarragondeal.Server, tarragondeal.RequestID, time.Duration, tarragondeal.NodeID) {
+}
 
 // origins knows one software only.
 type origins struct{}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -111,7 +111,7 @@
 		answer.Drop()
 		return invalid(errOtherRequest)
 	}
-	x.observeNotices(t, answer.Status, &reply, sent)
+	x.observeNotices(t, answer, &reply, sent)
 	if reply.NotRun {
 		return x.rejected(answer)
 	}
@@ -135,21 +135,22 @@
 
 // observeNotices passes on what a server says of itself in an answer. A 421 may come
 // from another server at the same address.
-func (x *Exchange) observeNotices(t *tdflow.Attempt, status int, r *platform.Reply, sent tarragondeal.Instant) {
+func (x *Exchange) observeNotices(t *tdflow.Attempt, answer *tarragondeal.Answer, r *platform.Reply, sent tarragondeal.Instant) {
+	status := answer.Status
 	if status != http.StatusMisdirectedRequest {
 		x.observeLeaving(t, status, r)
 	}
 	x.observeRates(t, status, r, sent)
-	x.observePause(t, r)
+	x.observePause(t, answer, r)
 }
 
-// observePause passes on for how long a server at capacity accepts no request of this node.
-func (x *Exchange) observePause(t *tdflow.Attempt, r *platform.Reply) {
+// observePause passes on for how long a server at capacity accepts no request of a node.
+func (x *Exchange) observePause(t *tdflow.Attempt, answer *tarragondeal.Answer, r *platform.Reply) {
 	switch {
 	case r.PauseErr != nil:
 		x.Notices.ObserveInvalid(t.Server, t.Request.ID, tarragondeal.NoticePause, r.PauseErr)
 	case r.Pause > 0:
-		x.Notices.ObservePause(t.Server, t.Request.ID, r.Pause)
+		x.Notices.ObservePause(t.Server, t.Request.ID, r.Pause, answer.Through)
 	}
 }
 
--- a/internal/fleet/tdtunnel/conn.go
+++ b/internal/fleet/tdtunnel/conn.go
@@ -84,6 +84,9 @@
 	return nil
 }
 
+// Through returns the node through which the connection goes.
+func (c *conn) Through() tarragondeal.NodeID { return c.peer.Node }
+
 func (c *conn) LocalAddr() net.Addr  { return net.TCPAddrFromAddrPort(c.peer.Addr) }
 func (c *conn) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.server.Addr) }
 
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"tarragondeal"
 )
 
 // countedConn counts the writes started on a connection.
@@ -114,6 +116,20 @@
 	}
 }
 
+// through returns the node that connected this one to the server of the answer, or an
+// empty name if none did.
+func (t *sendTrace) through() tarragondeal.NodeID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.used) == 0 {
+		return ""
+	}
+	if c, ok := t.used[len(t.used)-1].conn.Conn.(interface{ Through() tarragondeal.NodeID }); ok {
+		return c.Through()
+	}
+	return ""
+}
+
 // wrote reports whether any byte of the request may have been sent.
 func (t *sendTrace) wrote() bool {
 	t.mu.Lock()
--- a/limit.go
+++ b/limit.go
@@ -41,8 +41,10 @@
 	ObserveBrittle(s Server, request RequestID, rejects ServerRate, sent Instant)
 	// ObserveLeaving records an answer of s that says that s is leaving.
 	ObserveLeaving(s Server, request RequestID)
-	// ObservePause records a rejection by s, which accepts no request of this node for d.
-	ObservePause(s Server, request RequestID, d time.Duration)
+	// ObservePause records a rejection by s, which accepts no request of this node for d. If
+	// another node connected this one to s, it is that node's requests that s doesn't
+	// accept; through is empty otherwise.
+	ObservePause(s Server, request RequestID, d time.Duration, through NodeID)
 	// ObserveInvalid records that a notice in an answer of s can't be read or may not be
 	// its own. It binds nothing.
 	ObserveInvalid(s Server, request RequestID, k NoticeKind, err error)
--- a/test/vm/pause_test.go
+++ b/test/vm/pause_test.go
@@ -20,6 +20,35 @@
 )
 
 var _ = Describe("a server that rejects requests and asks for a pause", func() {
+	// Guards against requests of several nodes through one that was told to pause by the answer to
+	// another node's request: for the server they all are that node's.
+	It("gets no more requests through a node that connects others to it", func() {
+		f, nodes := newLinkedFleet(4)
+		f.waitReady()
+		between := nodes[3]
+		for _, n := range nodes[:3] {
+			n.each((*link).refuse)
+			n.each((*link).reset)
+		}
+		for _, n := range nodes[:3] {
+			Eventually(func() int { return n.get("/chat/cut", "key-a").status }, "5s", "50ms").Should(Equal(http.StatusOK), n.name)
+		}
+		f.engine.update(func(s *server) { s.reject, s.pause = true, strconv.FormatFloat(pause.Seconds(), 'f', -1, 64) })
+		from := time.Now()
+		rejected := func() bool { return receivedAfter(f.engine, from) > 0 }
+		for k := 0; !rejected(); k++ {
+			Expect(nodes[0].get("/chat/"+strconv.Itoa(k), "key-a").status).To(Equal(http.StatusOK))
+		}
+		at := time.Now()
+		time.Sleep(pauseGrace)
+		for k := 0; time.Since(at) < pause-pauseGrace; k++ {
+			for _, n := range []*linkedNode{nodes[1], nodes[2], between} {
+				Expect(n.get("/chat/"+strconv.Itoa(k), "key-a").status).To(Equal(http.StatusOK))
+			}
+		}
+		Expect(receivedAfter(f.engine, at.Add(pauseGrace))).To(BeNumerically("<=", pauseSlack))
+	})
+
 	reject := func(s *server) {
 		s.update(func(s *server) { s.reject, s.pause = true, strconv.FormatFloat(pause.Seconds(), 'f', -1, 64) })
 	}
