tdfit: pauses of other nodes end when the server said

What would have been seen: over links that take longer than 0.25 s, nodes repeat the pause of a node in between to one another for ever, each time longer by what the link takes; that node would send nothing to the server.

What a link takes was added at each step.

Change: the message has the end on the clock on which the nodes agree, and nodes pass it on as it is. TestPauseOverSlowLinks failed before: after 12 s of a pause of 2 s, 2 s were left.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -81,7 +81,7 @@
 	brittle        rateNotices                                  // Rejections a second after which servers fail.
 	leaving        map[serverRun]*leavingNotice
 	pauses         map[serverRun]tarragondeal.Instant      // Until when each accepts no requests of this node.
-	otherPauses    map[nodePause]tarragondeal.Instant      // Until when servers accept no requests of other nodes.
+	otherPauses    map[nodePause]int64                     // Until when servers accept no requests of other nodes, in Unix milliseconds.
 	invalid        map[serverRun][]tarragondeal.NoticeKind // Notices that were logged as invalid.
 	fleet          tdshare.Fleet                           // As of fleetAt.
 	fleetAt        tarragondeal.Instant
@@ -104,7 +104,7 @@
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
-		lastStarts: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), otherPauses: make(map[nodePause]tarragondeal.Instant), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
+		lastStarts: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), otherPauses: make(map[nodePause]int64), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
 		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
 	}
 }
--- a/internal/dispatch/tdfit/pause.go
+++ b/internal/dispatch/tdfit/pause.go
@@ -12,7 +12,7 @@
 	// a pause, as a share of what is left of it.
 	pauseSpread = 0.5
 	// pauseMargin is how much later a pause must end than one that is known, to be another
-	// one: what is left of a pause arrives later than it was sent.
+	// one: the nodes' clocks differ.
 	pauseMargin = 250 * time.Millisecond
 	// maxPeerPause bounds a pause that a peer reports.
 	maxPeerPause = 10 * time.Minute
@@ -33,7 +33,7 @@
 	run, until := runOf(&s), now.Add(d)
 	f.setPause(run, until, "request", string(request))
 	if through != "" {
-		f.setOtherPause(nodePause{run: run, node: through}, until, now)
+		f.setOtherPause(nodePause{run: run, node: through}, f.Wall().Add(d).UnixMilli())
 	}
 }
 
@@ -58,33 +58,30 @@
 		Msg("server accepts no requests of this node for a while")
 }
 
-// setOtherPause records the pause of another node, which may not know of it. It reports
-// whether it was not known.
-func (f *Fit) setOtherPause(p nodePause, until, now tarragondeal.Instant) bool {
-	for known, until := range f.otherPauses {
-		if until <= now {
+// setOtherPause records the pause of another node, which may not know of it. It ends at
+// untilMillis on the clock on which the nodes agree.
+func (f *Fit) setOtherPause(p nodePause, untilMillis int64) {
+	now := f.Wall().UnixMilli()
+	for known, end := range f.otherPauses {
+		if end <= now {
 			delete(f.otherPauses, known)
 		}
 	}
-	if until <= f.otherPauses[p].Add(pauseMargin) {
-		return false
+	if untilMillis > now && untilMillis > f.otherPauses[p]+pauseMargin.Milliseconds() {
+		f.otherPauses[p] = untilMillis
 	}
-	f.otherPauses[p] = until
-	return true
 }
 
 // newPauses returns the pauses of other nodes that differ from the ones in sent, and updates
 // those.
-func (f *Fit) newPauses(sent map[nodePause]tarragondeal.Instant, now tarragondeal.Instant) []*Pause {
+func (f *Fit) newPauses(sent map[nodePause]int64) []*Pause {
 	var out []*Pause
 	for p, until := range f.otherPauses {
-		if until <= now || until <= sent[p] {
+		if until <= sent[p] {
 			continue
 		}
 		sent[p] = until
-		out = append(out, &Pause{
-			Server: string(p.run.id), StartedMillis: p.run.started, Node: string(p.node), LeftMillis: uint32(until.Sub(now).Milliseconds()),
-		})
+		out = append(out, &Pause{Server: string(p.run.id), StartedMillis: p.run.started, Node: string(p.node), UntilMillis: until})
 	}
 	for p := range sent {
 		if f.otherPauses[p] == 0 {
@@ -96,16 +93,18 @@
 
 // receivePauses records the pauses that a peer knows, of this node or another one.
 func (f *Fit) receivePauses(from tarragondeal.NodeID, pauses []*Pause, now tarragondeal.Instant) {
+	wall := f.Wall().UnixMilli()
 	for _, m := range pauses {
 		p := nodePause{
 			run:  serverRun{id: tarragondeal.ServerID(m.GetServer()), started: m.GetStartedMillis()},
 			node: tarragondeal.NodeID(m.GetNode()),
 		}
-		until := now.Add(min(time.Duration(m.GetLeftMillis())*time.Millisecond, maxPeerPause))
-		switch {
+		end := min(m.GetUntilMillis(), wall+maxPeerPause.Milliseconds())
+		left := time.Duration(max(0, end-wall)) * time.Millisecond
+		switch until := now.Add(left); {
 		case p.node != f.Self:
-			f.setOtherPause(p, until, now)
-		case until > f.pauses[p.run].Add(pauseMargin):
+			f.setOtherPause(p, end)
+		case left > 0 && until > f.pauses[p.run].Add(pauseMargin):
 			f.setPause(p.run, until, "peer", string(from))
 		}
 	}
--- a/internal/dispatch/tdfit/pause_test.go
+++ b/internal/dispatch/tdfit/pause_test.go
@@ -104,3 +104,34 @@
 		}
 	}
 }
+
+// TestPauseOverSlowLinks guards against a pause that two nodes repeat to one another for ever,
+// each time longer by what the link takes.
+func TestPauseOverSlowLinks(t *testing.T) {
+	w := newLimitFleet(4, 2)
+	w.exchangeAll()
+	w.nodes[1].ObservePause(w.nodes[1].servers["m0"].Server, "r", 2*time.Second, nodeName(3))
+	var late [][2]any
+	deliver := func() {
+		for _, m := range late {
+			to := m[0].(int)
+			w.nodes[to].Receive(nodeName(3-to), m[1].([]byte))
+		}
+		late = nil
+	}
+	writers := []func(func(tarragondeal.NodeID) bool) []byte{nil, w.nodes[1].Writer(), w.nodes[2].Writer()}
+	for range 20 { // Nodes 1 and 2; what they send takes 600 ms.
+		for from := 1; from <= 2; from++ {
+			late = append(late, [2]any{3 - from, writers[from](ownOnly)})
+		}
+		w.advance(600 * time.Millisecond)
+		deliver()
+	}
+	for _, n := range w.nodes[1:3] {
+		for p, until := range n.otherPauses {
+			if left := until - n.Wall().UnixMilli(); left > 0 {
+				t.Errorf("%+v: %d ms are left after 12 s", p, left)
+			}
+		}
+	}
+}
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -54,7 +54,7 @@
 	limits := make(map[serverRun]sentRate)
 	brittle := make(map[serverRun]sentRate)
 	leaving := make(map[serverRun]bool)
-	pauses := make(map[nodePause]tarragondeal.Instant)
+	pauses := make(map[nodePause]int64)
 	first := true
 	return func(include func(tarragondeal.NodeID) bool) []byte {
 		f.mu.Lock()
@@ -67,7 +67,7 @@
 			Uses: f.changedUses(uses, include, f.Clock.Now()), Whole: first,
 			Limits:  f.changedRates(f.limits, limits, f.Clock.Now()),
 			Brittle: f.changedRates(f.brittle, brittle, f.Clock.Now()),
-			Pauses:  f.newPauses(pauses, f.Clock.Now()),
+			Pauses:  f.newPauses(pauses),
 			Leaving: f.newLeaving(leaving, f.Clock.Now()),
 		}
 		seq, first = f.seq, false
