tdfit: what servers announce doesn't get younger on slow links

What callers saw: over links that take longer than 0.25 s, a limit that a server no longer announces could stay in force: requests were refused, or sent elsewhere, that the server would have taken. Nodes sent one another the limit twice a second for ever.

Cause: the message had the age of the announcement when it was sent. What the link takes made it younger at the receiver, which passed it back as a later announcement.

Change: the message also has the time of the answer, on the clock on which the nodes agree (field 5 of Rate, which earlier builds skip); nodes pass it on as it is and compare it. What a node learns itself is later than what it knew. Messages without the time are read as before.

Brittle servers are announced in the same form.

--- a/internal/dispatch/tdfit/brittle.go
+++ b/internal/dispatch/tdfit/brittle.go
@@ -58,7 +58,7 @@
 	if least == nil {
 		return nil
 	}
-	f.setRate(f.brittle, runOf(&s.Server), least.ServerRate, f.Clock.Now(), "pool", s.Pool)
+	f.setRateNow(f.brittle, runOf(&s.Server), least.ServerRate, "pool", s.Pool)
 	return f.brittle.byRun[runOf(&s.Server)]
 }
 
--- a/internal/dispatch/tdfit/limit_test.go
+++ b/internal/dispatch/tdfit/limit_test.go
@@ -291,3 +291,34 @@
 		t.Errorf("requests still wait: %v", w.waiting)
 	}
 }
+
+// TestLimitOverSlowLinks guards against a limit that two nodes repeat to one another for ever
+// as if it had just been announced, so that it neither expires nor ends.
+func TestLimitOverSlowLinks(t *testing.T) {
+	w := newLimitFleet(3, 2)
+	w.exchangeAll()
+	w.nodes[1].announce("m0", 3, w.clock.now)
+	writers := []func(func(tarragondeal.NodeID) bool) []byte{nil, w.nodes[1].Writer(), w.nodes[2].Writer()}
+	for range 20 { // Between nodes 1 and 2; what they send takes 600 ms.
+		toSecond, toFirst := writers[1](ownOnly), writers[2](ownOnly)
+		w.advance(600 * time.Millisecond)
+		w.nodes[1].Receive(nodeName(2), toFirst)
+		w.nodes[2].Receive(nodeName(1), toSecond)
+	}
+	for _, n := range w.nodes[1:] {
+		for run, l := range n.limits.byRun {
+			if age := w.clock.now.Sub(l.at); age < 11*time.Second {
+				t.Errorf("%s: the limit of %s was announced 12 s ago, its age is %s", n.Self, run.id, age)
+			}
+		}
+	}
+	w.nodes[2].announce("m0", 0, w.clock.now)
+	for range 3 {
+		toFirst := writers[2](ownOnly)
+		w.advance(600 * time.Millisecond)
+		w.nodes[1].Receive(nodeName(2), toFirst)
+	}
+	if w.nodes[1].limited("m0") || w.nodes[2].limited("m0") {
+		t.Error("the limit has not ended")
+	}
+}
--- a/internal/dispatch/tdfit/rate.go
+++ b/internal/dispatch/tdfit/rate.go
@@ -12,6 +12,8 @@
 	// may come back. A rate that has ended is kept as long, for peers that have not
 	// learned of its end.
 	rateTTL = time.Minute
+	// maxRateAge bounds the age of a peer's rate.
+	maxRateAge = 24 * time.Hour
 	// limitRefresh and brittleRefresh are how much later than the last one sent to a peer
 	// an unchanged rate must have been announced to be sent again. Limits are rare, while
 	// all servers of a pool are brittle together.
@@ -37,8 +39,11 @@
 // this node or to another one.
 type rateNotice struct {
 	tarragondeal.ServerRate
-	at    tarragondeal.Instant // When a node received the answer that says so.
-	share *tdshare.Share
+	at tarragondeal.Instant // When a node received the answer that says so.
+	// millis is the same on the clock on which the nodes agree. It is passed on as it is:
+	// the age of a message grows on each link without the receiver knowing.
+	millis int64
+	share  *tdshare.Share
 }
 
 // rateNotices are the rates of one kind that backend servers announced.
@@ -67,11 +72,20 @@
 	if known := k.byRun[run]; !r.Announced && (known == nil || sent < known.at) {
 		return
 	}
-	f.setRate(k, run, r, f.Clock.Now(), "request", string(request))
+	f.setRateNow(k, run, r, "request", string(request))
+}
+
+// setRateNow records a rate that this node has just learned, which replaces any other.
+func (f *Fit) setRateNow(k rateNotices, run serverRun, r tarragondeal.ServerRate, sourceKind, source string) {
+	millis := f.Wall().UnixMilli()
+	if known := k.byRun[run]; known != nil {
+		millis = max(millis, known.millis+1) // Clocks may differ.
+	}
+	f.setRate(k, run, rateNotice{ServerRate: r, at: f.Clock.Now(), millis: millis}, sourceKind, source)
 }
 
 // setRate records a rate, and logs it with its source if it has changed.
-func (f *Fit) setRate(k rateNotices, run serverRun, r tarragondeal.ServerRate, at tarragondeal.Instant, sourceKind, source string) {
+func (f *Fit) setRate(k rateNotices, run serverRun, r rateNotice, sourceKind, source string) {
 	known := k.byRun[run]
 	if known == nil {
 		f.evictRates(k)
@@ -79,11 +93,11 @@
 		k.byRun[run] = known
 	}
 	before := known.ServerRate
-	known.ServerRate, known.at = r, at
-	if before != r {
+	known.ServerRate, known.at, known.millis = r.ServerRate, r.at, r.millis
+	if before != r.ServerRate {
 		f.Log.Info().Str(sourceKind, source).Str("server", string(run.id)).Bool("announced", r.Announced).
 			Float64("perSecond", r.PerSecond).Bool("before", before.Announced).Float64("perSecondBefore", before.PerSecond).
-			Dur("age", f.Clock.Now().Sub(at)).Msg(k.message)
+			Dur("age", f.Clock.Now().Sub(r.at)).Msg(k.message)
 	}
 }
 
@@ -113,7 +127,9 @@
 			continue
 		}
 		last[run] = sentRate{ServerRate: r.ServerRate, at: r.at}
-		m := &Rate{Server: string(run.id), StartedMillis: run.started, AgeMillis: uint32(max(0, now.Sub(r.at).Milliseconds()))}
+		m := &Rate{
+			Server: string(run.id), StartedMillis: run.started, AgeMillis: uint32(max(0, now.Sub(r.at).Milliseconds())), AnnouncedMillis: r.millis,
+		}
 		if r.Announced {
 			m.PerSecond = &r.PerSecond
 		}
@@ -130,14 +146,23 @@
 // receiveRates adopts the rates of a peer that were announced later than the ones known
 // here.
 func (f *Fit) receiveRates(k rateNotices, from tarragondeal.NodeID, rates []*Rate, now tarragondeal.Instant) {
+	wall := f.Wall().UnixMilli()
 	for _, m := range rates {
 		run := serverRun{id: tarragondeal.ServerID(m.GetServer()), started: m.GetStartedMillis()}
-		at := now.Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond)
-		r := tarragondeal.ServerRate{Announced: m.PerSecond != nil, PerSecond: m.GetPerSecond()}
+		r := rateNotice{
+			ServerRate: tarragondeal.ServerRate{Announced: m.PerSecond != nil, PerSecond: m.GetPerSecond()}, millis: m.GetAnnouncedMillis(),
+		}
+		age := time.Duration(m.GetAgeMillis()) * time.Millisecond
+		if r.millis == 0 {
+			r.millis = wall - age.Milliseconds()
+		} else {
+			age = max(age, time.Duration(min(wall-r.millis, maxRateAge.Milliseconds()))*time.Millisecond)
+		}
+		r.at = now.Add(-age)
 		known := k.byRun[run]
-		if known == nil && !r.Announced || known != nil && at <= known.at || now.Sub(at) > rateTTL && !r.Announced {
+		if known == nil && !r.Announced || known != nil && r.millis <= known.millis || age > rateTTL && !r.Announced {
 			continue
 		}
-		f.setRate(k, run, r, at, "peer", string(from))
+		f.setRate(k, run, r, "peer", string(from))
 	}
 }
