tdorigin: software that has gone grows old on slow links too

What callers would see: after a release, on links as slow as the interval in which nodes tell one another what was listed, the old version stays listed "just now" for ever. A resumed stream without a record is then refused for ever, instead of for five minutes.

Cause: as with limits, the message has an age, and what links take makes the software younger at each step.

Change: the message also has the time, on the clock on which the nodes agree (field 4 of Listed, which earlier builds skip).

Result: TestListedSoftwareOverSlowLinks, 2.5 s a link: before, software that had gone five minutes ago was 0 s and 2.5 s old. It passes now.

--- a/internal/entry/tdorigin/origin_test.go
+++ b/internal/entry/tdorigin/origin_test.go
@@ -45,7 +45,7 @@
 // start adds a node.
 func (w *fleet) start(first bool) {
 	w.nodes = append(w.nodes, New(Deps{
-		Clock: w.clock, Current: func() bool { return w.current }, Log: zerolog.Nop(), Scope: tally.NoopScope,
+		Clock: w.clock, Current: func() bool { return w.current }, Wall: w.clock.Wall, Log: zerolog.Nop(), Scope: tally.NoopScope,
 	}, Options{FirstStart: first}))
 }
 
@@ -403,3 +403,32 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(records), "B/record")
 	b.ReportMetric(float64(size), "B/s")
 }
+
+// TestListedSoftwareOverSlowLinks guards against software that two nodes tell one another of for
+// ever, each time as if it had just been listed, so that it is never the only other one that
+// was listed long ago.
+func TestListedSoftwareOverSlowLinks(t *testing.T) {
+	w := newFleet(2, true)
+	gone := tarragondeal.Software{Pool: "model", Version: "v1"}
+	w.list(gone, tarragondeal.Software{Pool: "model", Version: "v2"})
+	w.list(tarragondeal.Software{Pool: "model", Version: "v2"})
+	left := w.clock.now
+	all := func(tarragondeal.NodeID) bool { return true }
+	writers := []func(func(tarragondeal.NodeID) bool) []byte{w.nodes[0].Writer(), w.nodes[1].Writer()}
+	for range 60 { // Messages take 2.5 s.
+		for from, write := range writers {
+			payload := write(all)
+			w.clock.now = w.clock.now.Add(2500 * time.Millisecond)
+			if payload != nil {
+				w.nodes[1-from].Receive(name(from), payload)
+			}
+		}
+	}
+	for k, n := range w.nodes {
+		n.mu.Lock()
+		if age, want := w.clock.now.Sub(n.history.last[gone]), w.clock.now.Sub(left); age < want-time.Second {
+			t.Errorf("node %d: listed last %s ago, it takes it for %s", k, want, age)
+		}
+		n.mu.Unlock()
+	}
+}
--- a/internal/entry/tdorigin/peers.go
+++ b/internal/entry/tdorigin/peers.go
@@ -189,11 +189,11 @@
 	}
 	sent.changes, sent.listedAt = h.changes, now
 	for s, at := range h.last {
-		age := now.Sub(at)
-		if h.present[s] {
-			age = 0
+		l := &Listed{Pool: s.Pool, Version: s.Version}
+		if age := now.Sub(at); !h.present[s] {
+			l.AgeMillis, l.ListedMillis = uint64(age.Milliseconds()), o.Wall().Add(-age).UnixMilli()
 		}
-		m.Listed = append(m.Listed, &Listed{Pool: s.Pool, Version: s.Version, AgeMillis: uint64(age.Milliseconds())})
+		m.Listed = append(m.Listed, l)
 	}
 	if !m.GetCurrent() {
 		return // There may have been other software since.
@@ -245,7 +245,11 @@
 	}
 	listed := make(map[tarragondeal.Software]tarragondeal.Instant)
 	for _, l := range m.GetListed() {
-		listed[tarragondeal.Software{Pool: l.GetPool(), Version: l.GetVersion()}] = ago(l.GetAgeMillis())
+		age := l.GetAgeMillis()
+		if at := l.GetListedMillis(); at != 0 {
+			age = max(age, uint64(max(0, o.Wall().UnixMilli()-at)))
+		}
+		listed[tarragondeal.Software{Pool: l.GetPool(), Version: l.GetVersion()}] = ago(age)
 	}
 	if !m.GetCurrent() {
 		o.history.add(listed)
