--- a/internal/dispatch/tdfit/doc.go
+++ b/internal/dispatch/tdfit/doc.go
@@ -10,7 +10,7 @@
 //
 // What servers say of themselves, that they are leaving, accept a limited rate, want a pause
 // or are brittle, is kept for one run of a server. It binds this node or all nodes, which
-// hear of it with the load.
+// receive it with the load.
 //
 // # Usage
 //
--- a/internal/dispatch/tdfit/pause_test.go
+++ b/internal/dispatch/tdfit/pause_test.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// TestPauseThroughAnotherNode guards against a pause that the node through which the request
-// went doesn't hear of over a relay, that binds the relay, or that grows on its way.
+// TestPauseThroughAnotherNode guards against a pause that doesn't reach the node through which
+// the request went over a relay, that binds the relay, or that grows on its way.
 func TestPauseThroughAnotherNode(t *testing.T) {
 	w := newLimitFleet(3, 2) // Node 0 relays.
 	w.exchangeAll()
--- a/internal/entry/tdorigin/origin_test.go
+++ b/internal/entry/tdorigin/origin_test.go
@@ -404,9 +404,8 @@
 	b.ReportMetric(float64(size), "B/s")
 }
 
-// TestListedSoftwareOverSlowLinks guards against software that two nodes tell one another of for
-// ever, each time as if it had just been listed, so that it is never the only other one that
-// was listed long ago.
+// TestListedSoftwareOverSlowLinks guards against software that two nodes send one another for
+// ever, each time as if it had just been listed, so that it is never known to have gone.
 func TestListedSoftwareOverSlowLinks(t *testing.T) {
 	w := newFleet(2, true)
 	gone := tarragondeal.Software{Pool: "model", Version: "v1"}
--- a/internal/fleet/tdmesh/count_test.go
+++ b/internal/fleet/tdmesh/count_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestStateBytesByKind guards against bytes of states that are counted for no kind or for
-// two, without which it can't be told what fills a stream.
+// two.
 func TestStateBytesByKind(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
 	c := newStateCounter(scope)
--- a/test/vm/pause_test.go
+++ b/test/vm/pause_test.go
@@ -20,8 +20,8 @@
 )
 
 var _ = Describe("a server that rejects requests and asks for a pause", func() {
-	// Guards against requests of several nodes through one that was told to pause by the answer to
-	// another node's request: for the server they all are that node's.
+	// Guards against requests of several nodes through one of which the server accepts none: for the
+	// server they all are that node's.
 	It("gets no more requests through a node that connects others to it", func() {
 		f, nodes := newLinkedFleet(4)
 		f.waitReady()
