Log how long a configuration takes at each step

Callers saw configurations in force too late, and the lines of a node said only when a version came into force. They could not tell a slow link from slow decoding, nor a server's entry that is kept after an outage from one that is kept because the store rejects this node only.

Logged now: the size and the time of decoding of each configuration, the transfer of large answers of the store and of copies in parts, and for how long an expired entry is kept. No logic changes.

--- a/internal/fleet/tdlisting/config.go
+++ b/internal/fleet/tdlisting/config.go
@@ -18,6 +18,7 @@
 type Config struct {
 	key   string
 	apply Apply
+	clock tarragondeal.Clock
 	log   zerolog.Logger
 
 	mu      sync.Mutex
@@ -26,8 +27,8 @@
 }
 
 // NewConfig returns a Config for the configuration that is stored under key.
-func NewConfig(key string, log zerolog.Logger, apply Apply) *Config {
-	return &Config{key: key, apply: apply, log: log}
+func NewConfig(key string, c tarragondeal.Clock, log zerolog.Logger, apply Apply) *Config {
+	return &Config{key: key, apply: apply, clock: c, log: log}
 }
 
 // Version returns the active version, or zero before the first.
@@ -52,6 +53,7 @@
 	if e.Revision <= c.rev {
 		return
 	}
+	start := c.clock.Now()
 	version, err := c.apply(e.Value, c.version)
 	if err != nil {
 		c.log.Error().Err(err).Uint64("revision", uint64(e.Revision)).Uint64("inForce", uint64(c.version)).
@@ -59,6 +61,6 @@
 		return
 	}
 	c.log.Info().Uint64("version", uint64(version)).Uint64("before", uint64(c.version)).Uint64("revision", uint64(e.Revision)).
-		Msg("configuration in force")
+		Int("bytes", len(e.Value)).Dur("took", c.clock.Now().Sub(start)).Msg("configuration in force")
 	c.version, c.rev = version, e.Revision
 }
--- a/internal/fleet/tdlisting/listing_test.go
+++ b/internal/fleet/tdlisting/listing_test.go
@@ -100,7 +100,7 @@
 // version or an invalid value, and deleted entries.
 func TestConfigVersionNeverDecreases(t *testing.T) {
 	var applied []tarragondeal.Version
-	c := NewConfig("config", zerolog.Nop(), func(value []byte, active tarragondeal.Version) (tarragondeal.Version, error) {
+	c := NewConfig("config", &fakeClock{}, zerolog.Nop(), func(value []byte, active tarragondeal.Version) (tarragondeal.Version, error) {
 		n, err := strconv.ParseUint(string(value), 10, 64)
 		if err != nil || tarragondeal.Version(n) <= active {
 			return 0, errors.New("invalid or old version")
--- a/internal/fleet/tdlisting/order_test.go
+++ b/internal/fleet/tdlisting/order_test.go
@@ -52,7 +52,7 @@
 		clock := &fakeClock{now: 1}
 		mirror := tdmirror.New(nil, clock, tdmirror.Options{Prefixes: []string{"config", "s/"}, Log: zerolog.Nop()})
 		latest := tarragondeal.Version(0)
-		config := NewConfig("config", zerolog.Nop(), func(value []byte, active tarragondeal.Version) (tarragondeal.Version, error) {
+		config := NewConfig("config", &fakeClock{}, zerolog.Nop(), func(value []byte, active tarragondeal.Version) (tarragondeal.Version, error) {
 			n, err := strconv.ParseUint(string(value), 10, 64)
 			if err != nil || tarragondeal.Version(n) <= active {
 				return 0, errors.New("invalid or old version")
--- a/internal/fleet/tdlisting/servers.go
+++ b/internal/fleet/tdlisting/servers.go
@@ -74,7 +74,8 @@
 				until = min(until, c.OutageEnd.Add(relistTime))
 			}
 			s.expired[e.Key] = until
-			s.log.Info().Str("key", e.Key).Uint64("revision", uint64(e.Revision)).Msg("server entry expired after an outage, keeping it for now")
+			s.log.Info().Str("key", e.Key).Uint64("revision", uint64(e.Revision)).Dur("for", until.Sub(s.clock.Now())).
+				Bool("unavailable", c.OutageEnd == 0).Msg("server entry expired after an outage, keeping it for now")
 			return false
 		}
 		return s.removeServer(e.Key, uint64(e.Revision))
--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -95,6 +95,9 @@
 		if s.CopyAgeMillis != nil {
 			line.Uint32("copyAgeMillis", s.GetCopyAgeMillis())
 		}
+		if part := s.GetPart(); part != nil {
+			line.Uint64("packedBytes", part.GetSize()).Dur("transfer", m.Clock.Now().Sub(w.incomingSince))
+		}
 		line.Msg("applying store changes from another node")
 	}
 	m.Mirror.Apply(entries, tarragondeal.Revision(c.GetRevision()), c.GetWhole())
--- a/internal/fleet/tdmesh/parts.go
+++ b/internal/fleet/tdmesh/parts.go
@@ -209,7 +209,7 @@
 // another one begins.
 func (w *stateWriter) collect(p *Part) (*Copy, error) {
 	if p.GetOffset() == 0 {
-		w.incoming = nil
+		w.incoming, w.incomingSince = nil, w.m.Clock.Now()
 	}
 	if held := uint64(len(w.incoming)); held != p.GetOffset() {
 		w.incoming = nil
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -25,6 +25,7 @@
 	outgoing         *outgoingCopy         // The copy that is being sent in parts; nil for none.
 	withheld         tarragondeal.Revision // Of a copy that is too large for the peer; zero for none.
 	incoming         []byte                // The parts received so far of a copy; used by the receiver of states only.
+	incomingSince    tarragondeal.Instant  // When the first of them was received.
 
 	// Guarded by the mutex of the mesh.
 	peer           tarragondeal.NodeID // Empty until the peer's first state.
--- a/internal/fleet/tdmirror/listing.go
+++ b/internal/fleet/tdmirror/listing.go
@@ -52,9 +52,11 @@
 }
 
 func (m *Mirror) page(ctx context.Context, prefix, after string) (tarragondeal.Page, error) {
-	ctx, cancel := withAnswerTimeout(ctx, pageTimeout)
-	defer cancel()
-	return m.source.Page(ctx, prefix, after)
+	ctx, timer := newAnswerTimer(ctx, m.clock, pageTimeout)
+	defer timer.stop()
+	page, err := m.source.Page(ctx, prefix, after)
+	m.logLarge(page.Entries, page.Revision, timer)
+	return page, err
 }
 
 // applyListings applies listings of all keys.
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -55,6 +55,8 @@
 	// maxHistory is the number of keys whose last changes are kept for other nodes. A
 	// node that lacks more gets the full copy.
 	maxHistory = 256
+	// largeAnswer is the size in bytes of the values from which an answer is logged.
+	largeAnswer = 16 << 10
 )
 
 // MaxAnswerAge is how long ago the last answer may be while the service is available
@@ -188,10 +190,11 @@
 		return false, nil
 	}
 	wait, timeout := m.watchTimes()
-	ctx, cancel := withAnswerTimeout(ctx, timeout)
-	defer cancel()
+	ctx, timer := newAnswerTimer(ctx, m.clock, timeout)
+	defer timer.stop()
 	start := m.clock.Now()
 	entries, next, err := m.source.Watch(ctx, "", rev, wait)
+	m.logLarge(entries, next, timer)
 	var historyErr *tarragondeal.HistoryError
 	if errors.As(err, &historyErr) {
 		m.recordSuccess()
@@ -213,6 +216,20 @@
 	return len(entries) > 0, nil
 }
 
+// logLarge logs an answer of the service with many bytes, and how long they took to arrive
+// and to be decoded.
+func (m *Mirror) logLarge(entries []tarragondeal.Entry, rev tarragondeal.Revision, t *answerTimer) {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Value)
+	}
+	if size < largeAnswer {
+		return
+	}
+	m.opt.Log.Info().Uint64("revision", uint64(rev)).Int("changes", len(entries)).Int("bytes", size).Dur("transfer", t.transfer()).
+		Msg("large answer of the store received")
+}
+
 // watchTimes returns how long the service may hold the next watch open, and the
 // timeout of the call. A watch is short unless the service has answered recently, so
 // that other nodes soon know whether it is available to this one.
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -252,7 +252,7 @@
 // subscribe connects the configuration and the server list to the mirror of the
 // store.
 func (n *Node) subscribe() {
-	n.config = tdlisting.NewConfig(platform.ConfigKey, tdlog.Part(n.log, "config"), n.applyConfig)
+	n.config = tdlisting.NewConfig(platform.ConfigKey, n.clock, tdlog.Part(n.log, "config"), n.applyConfig)
 	n.servers = tdlisting.NewServers(platform.ServersPrefix, platform.DecodeServer, n.clock, tdlog.Part(n.log, "servers"), n.setServers)
 	n.mirror.Subscribe(n.config.Follow)
 	n.mirror.Subscribe(n.servers.Follow)
