--- a/test/vm/leaving_test.go
+++ b/test/vm/leaving_test.go
@@ -68,6 +68,33 @@
 	})
 })
 
+var _ = Describe("a server whose entry is removed", func() {
+	for _, size := range []int{3, 11} {
+		// Guards against requests that nodes which the store rejects send to a server that is gone: they took
+		// its removal for one by an outage of the store, and kept it.
+		It(fmt.Sprintf("gets no more requests from %d nodes of which the store rejects two", size), func() {
+			f := newFleet(size - 2)
+			g := newGate(f.store)
+			DeferCleanup(g.srv.Close)
+			for n := range 2 {
+				f.nodes = append(f.nodes, newNodeAt(fmt.Sprintf("rejected-%d", n+1), g.srv.URL, ""))
+			}
+			f.waitReady()
+			g.closed.Store(true)
+			time.Sleep(2 * leavingBound)
+			l := f.startLoad("/chat/", 10*time.Millisecond)
+			time.Sleep(noticeTime)
+			f.store.remove("servers/" + f.engine.id)
+			at := time.Now()
+			time.Sleep(2 * leavingBound)
+			statuses := l.stop()
+			Expect(receivedAfter(f.engine, at.Add(leavingBound-noticeTime))).To(BeZero())
+			Expect(statuses).To(HaveLen(1), "%v", statuses)
+			Expect(statuses).To(HaveKey(http.StatusOK), "%v", statuses)
+		})
+	}
+})
+
 var _ = Describe("a server that says in its answers that it leaves", func() {
 	for _, size := range []int{3, 11} {
 		for _, c := range []struct {
--- a/test/vm/store_test.go
+++ b/test/vm/store_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -290,3 +291,22 @@
 	}
 	return sum
 }
+
+// gate forwards calls to a store, and rejects them while it is closed: to its nodes the
+// store is unavailable, to others it isn't.
+type gate struct {
+	srv    *httptest.Server
+	closed atomic.Bool
+}
+
+func newGate(s *store) *gate {
+	g := &gate{}
+	g.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.closed.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.srv.Config.Handler.ServeHTTP(w, r)
+	}))
+	return g
+}
