tdmirror: a removal is final while the store answers other nodes

Requests reached servers up to two seconds and more after their entry was removed, from nodes that the store rejected (DRAIN).

Cause: a node keeps a server whose entry goes around an outage of the store, and took its own failing calls for such an outage, also when the store answered all others and the removal came from one of them.

The nodes' states say how long ago the store answered them. While it has answered others since before the calls failed here, without a pause, there is no outage.

--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -179,6 +179,10 @@
 	if !recorded {
 		return
 	}
+	if state.GetFollows() && state.CopyAgeMillis != nil {
+		age := time.Duration(state.GetCopyAgeMillis()) * time.Millisecond
+		m.Mirror.RecordOtherAnswer(m.Clock.Now().Add(-age))
+	}
 	m.applyCopy(state, w)
 	for _, section := range state.GetSections() {
 		if r := m.receivers[section.GetTopic()]; r.onSection != nil {
--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -89,6 +89,9 @@
 	if !m.unavailable && m.availableSince != 0 && m.clock.Now().Sub(m.availableSince) < outageGrace {
 		c.AfterOutage, c.OutageEnd = true, m.availableSince
 	}
+	if m.answersOthers() {
+		c.AfterOutage, c.OutageEnd = false, 0
+	}
 	for _, receive := range m.subscribers {
 		receive(c)
 	}
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -77,7 +77,8 @@
 type Changes struct {
 	Entries []tarragondeal.Entry
 	// AfterOutage is set if the service is unavailable or was so within the last
-	// outageGrace: entries that expired meanwhile may be created again.
+	// outageGrace: entries that expired meanwhile may be created again. It is not set
+	// if the service rejected this node but answered others.
 	AfterOutage bool
 	// OutageEnd is when that outage ended. It is zero while the service is
 	// unavailable.
@@ -106,6 +107,9 @@
 	delay          time.Duration        // How late the service answered the last watch without changes.
 	availableSince tarragondeal.Instant // When the last outage ended; zero before the first.
 	confirmedAt    tarragondeal.Instant // When the service last answered; zero before the first answer.
+	failingSince   tarragondeal.Instant // When the last outage began; zero before the first.
+	othersAt       tarragondeal.Instant // When the service last answered another node; zero if that is not known.
+	othersSince    tarragondeal.Instant // Since when it has answered others without a pause over MaxAnswerAge.
 	subscribers    []func(Changes)
 }
 
@@ -152,6 +156,29 @@
 	m.confirmedAt = max(m.confirmedAt, at)
 }
 
+// maxOtherAnswerAge is how long ago the last answer to other nodes may be while the
+// service is available to them. Their states take some time.
+const maxOtherAnswerAge = MaxAnswerAge + 400*time.Millisecond
+
+// RecordOtherAnswer records when the service answered another node that follows it.
+func (m *Mirror) RecordOtherAnswer(at tarragondeal.Instant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at <= m.othersAt {
+		return
+	}
+	if m.othersAt == 0 || at.Sub(m.othersAt) > MaxAnswerAge {
+		m.othersSince = at
+	}
+	m.othersAt = at
+}
+
+// answersOthers reports whether the service has answered other nodes since before the last
+// outage began here, so that it rejects this node only.
+func (m *Mirror) answersOthers() bool {
+	return m.othersAt > m.failingSince && m.othersSince <= m.failingSince && m.clock.Now().Sub(m.othersAt) < maxOtherAnswerAge
+}
+
 // Run follows the service until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	delay := minRetryDelay
@@ -279,6 +306,6 @@
 	if m.unavailable {
 		return
 	}
-	m.unavailable = true
+	m.unavailable, m.failingSince = true, m.clock.Now()
 	m.opt.Log.Warn().Err(err).Uint64("revision", uint64(m.rev)).Msg("store is unavailable")
 }
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -373,6 +373,54 @@
 	}
 }
 
+// TestRemovalsWhileOthersAreAnswered guards against servers that are kept although they are
+// gone, at nodes that the service rejects, and against servers that are removed since an
+// outage of the service is taken for that.
+func TestRemovalsWhileOthersAreAnswered(t *testing.T) {
+	second := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	for _, c := range []struct {
+		name    string
+		answers []time.Duration // To others, counted from the first failure here.
+		at      time.Duration   // Of the removal.
+		want    bool
+	}{
+		{"none is known", nil, second(3), true},
+		{"all the time", []time.Duration{second(-1), 0, second(1), second(2), second(3)}, second(3), false},
+		{"until the last one", []time.Duration{second(-1), 0, second(1)}, second(4), true},
+		{"before and after an outage", []time.Duration{second(-1), second(-0.1), second(4)}, second(4), true},
+		{"only before", []time.Duration{second(-1), second(-0.1)}, second(1), true},
+		{"only after the beginning", []time.Duration{second(1), second(2)}, second(2), true},
+	} {
+		s, clock := newFakeSource(), &fakeClock{now: tarragondeal.Instant(time.Hour)}
+		s.put("a/1", "x")
+		m := newMirror(s, clock)
+		afterOutage, called := false, false
+		m.Subscribe(func(changes Changes) {
+			if changes.Entries[0].Deleted {
+				afterOutage, called = changes.AfterOutage, true
+			}
+		})
+		_, _ = m.step(context.Background())
+		failed := clock.now
+		for _, at := range c.answers {
+			if at <= 0 {
+				m.RecordOtherAnswer(failed.Add(at))
+			}
+		}
+		clock.now = failed.Add(1)
+		m.recordFailure(errUnavailable)
+		for _, at := range c.answers {
+			clock.now = failed.Add(max(1, at))
+			m.RecordOtherAnswer(failed.Add(at))
+		}
+		clock.now = failed.Add(c.at)
+		m.Apply([]tarragondeal.Entry{{Key: "a/1", Revision: 9, Deleted: true}}, 9, false)
+		if !called || afterOutage != c.want {
+			t.Errorf("%s: called %t, after outage %t", c.name, called, afterOutage)
+		}
+	}
+}
+
 // TestNotFollowingIsNoAnswer guards against a mirror that counts the service as
 // available because it no longer calls it.
 func TestNotFollowingIsNoAnswer(t *testing.T) {
