tdbackend, tdfit: look at a grant again before its request is written

Requests reached servers long after their entry said that they leave, or was removed (DRAIN).

Cause: connecting to a server may take 1.5 s, and the request was written then, whatever the node had learned of the server since it chose it.

The connection asks for the grant when a request gets it. If the server has left, writes fail before the first byte, so that the request has certainly not run, and goes to another server without a retry of the budget.

--- a/backend.go
+++ b/backend.go
@@ -23,6 +23,9 @@
 	Host string
 	// DedicatedConn requests a connection that is used for this call only.
 	DedicatedConn bool
+	// MaySend is called when the connection is there, before any byte is written. If it
+	// returns false, nothing is. Nil means that the call may always be sent.
+	MaySend func() bool
 	// Tier and Salt are passed to engines that support priorities and a
 	// salted prefix cache.
 	Tier int
--- a/dispatch.go
+++ b/dispatch.go
@@ -100,6 +100,8 @@
 type Dispatcher interface {
 	// Reserve waits for a grant. The error is a *RefusedError.
 	Reserve(ctx context.Context, a Ask) (Grant, error)
+	// Valid reports whether the request of a grant may still be sent to its server.
+	Valid(g Grant) bool
 	// Progress reports the total number of tokens that a running attempt has
 	// delivered, which extends the grant.
 	Progress(g Grant, tokens int)
--- a/internal/dispatch/tdbaseline/baseline.go
+++ b/internal/dispatch/tdbaseline/baseline.go
@@ -148,6 +148,9 @@
 	return best
 }
 
+// Valid always reports true.
+func (d *Dispatcher) Valid(tarragondeal.Grant) bool { return true }
+
 // Progress does nothing: the baselines do not use progress.
 func (d *Dispatcher) Progress(tarragondeal.Grant, int) {}
 
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -334,6 +334,24 @@
 	r.add(now, took)
 }
 
+// Valid reports whether the server of a grant is still listed and has not said since that
+// it is leaving. Connecting to it may have taken long.
+func (f *Fit) Valid(g tarragondeal.Grant) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	open := f.grants[g.ID]
+	if open == nil {
+		return false
+	}
+	s := f.listedRun(runOf(&open.server.Server))
+	if s != nil && s.isLive() {
+		return true
+	}
+	f.Log.Info().Str("request", string(g.Request)).Int("attempt", g.Attempt).Str("server", string(g.Server.ID)).Bool("listed", s != nil).
+		Dur("chosen", f.Clock.Now().Sub(open.sent)).Msg("server left while it was connected to; the request is not sent")
+	return false
+}
+
 // Progress records that events of a request arrived. The first one gives a sample
 // of the engine's prefill rate if the request was sent without a backlog before it.
 func (f *Fit) Progress(g tarragondeal.Grant, _ int) {
--- a/internal/dispatch/tdfit/leaving_test.go
+++ b/internal/dispatch/tdfit/leaving_test.go
@@ -65,6 +65,46 @@
 	}
 }
 
+// TestGrantOfLeavingServerIsRevoked guards against a request that is sent to a server that has
+// left since it was chosen, and against one that is held back from a server that hasn't.
+func TestGrantOfLeavingServerIsRevoked(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		event func(w *testFit, list []tarragondeal.Server)
+		valid bool
+	}{
+		{"nothing", func(*testFit, []tarragondeal.Server) {}, true},
+		{"its entry was written again", func(w *testFit, list []tarragondeal.Server) { list[0].Slots = 7; w.SetServers(list) }, true},
+		{"an answer says that it leaves", func(w *testFit, _ []tarragondeal.Server) { w.says("m0") }, false},
+		{"its entry says that it leaves", func(w *testFit, list []tarragondeal.Server) {
+			list[0].State = tarragondeal.VMLeaving
+			w.SetServers(list)
+		}, false},
+		{"its entry is gone", func(w *testFit, list []tarragondeal.Server) { w.SetServers(list[1:]) }, false},
+		{"another run is listed", func(w *testFit, list []tarragondeal.Server) {
+			list[0].StartedAt = list[0].StartedAt.Add(time.Minute)
+			w.SetServers(list)
+		}, false},
+	} {
+		w := newTestFit(0)
+		wall := w.clock.Wall()
+		list := started(wall.Add(-time.Minute), wall.Add(-time.Minute))
+		w.SetServers(list)
+		g, err := w.reserve(tarragondeal.Ask{Pools: []string{"m"}, Avoid: []tarragondeal.ServerID{"m1"}})
+		if err != nil || !w.Valid(g) {
+			t.Fatalf("%s: %v, valid %t", c.name, err, w.Valid(g))
+		}
+		c.event(w, list)
+		if got := w.Valid(g); got != c.valid {
+			t.Errorf("%s: valid %t", c.name, got)
+		}
+		w.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeUnused})
+		if w.Valid(g) {
+			t.Errorf("%s: valid after its end", c.name)
+		}
+	}
+}
+
 // TestLeavingOutlivesListing guards against a run that is taken for a live one after its
 // entry was gone, changed, or read by a node that has just started.
 func TestLeavingOutlivesListing(t *testing.T) {
--- a/internal/dispatch/tdreserve/dispatcher.go
+++ b/internal/dispatch/tdreserve/dispatcher.go
@@ -286,6 +286,13 @@
 	}
 }
 
+// Valid reports whether this node still has a grant.
+func (d *Dispatcher) Valid(g tarragondeal.Grant) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.grants[g.ID] != nil
+}
+
 // MayRetry takes one retry from the fleet's budget. It returns false if none is
 // left or the request is quarantined.
 func (d *Dispatcher) MayRetry(a tarragondeal.Ask) bool {
--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -145,12 +145,15 @@
 	return a.Status == http.StatusOK && media == "text/event-stream"
 }
 
+// maySend reports whether the grant still permits sending the request.
+func (a *attempt) maySend() bool { return a.r.f.Dispatch.Valid(a.grant) }
+
 // call returns the request to send to the granted server.
 func (a *attempt) call() tarragondeal.Call {
 	q := a.r.q
 	c := tarragondeal.Call{
 		Request: q.ID, Attempt: a.r.attempts, Method: q.Method, Path: q.Path,
-		Header: q.Header, Body: q.Body, Tier: q.Class.Tier,
+		Header: q.Header, Body: q.Body, Tier: q.Class.Tier, MaySend: a.maySend,
 	}
 	if q.Model == nil {
 		return c
--- a/internal/entry/tdflow/course_test.go
+++ b/internal/entry/tdflow/course_test.go
@@ -71,6 +71,7 @@
 func (o *fakeDeps) Done(_ tarragondeal.Grant, out tarragondeal.Outcome) {
 	o.outcomes = append(o.outcomes, out.Kind)
 }
+func (o *fakeDeps) Valid(tarragondeal.Grant) bool  { return true }
 func (o *fakeDeps) MayRetry(tarragondeal.Ask) bool { return !o.noRetry }
 
 func (o *fakeDeps) Send(ctx context.Context, s tarragondeal.Server, c tarragondeal.Call) (*tarragondeal.Answer, error) {
@@ -199,6 +200,7 @@
 	rerunNote = rerunNoteOf("s2")
 	crashed   = response{err: &tarragondeal.BackendError{Ran: tarragondeal.RanUnknown, Crashed: true, Err: io.EOF}}
 	unsent    = response{err: &tarragondeal.BackendError{Ran: tarragondeal.RanNot, Err: io.EOF}}
+	revoked   = response{err: &tarragondeal.BackendError{Ran: tarragondeal.RanNot, Revoked: true, Err: io.EOF}}
 	notFound  = plainResponse(http.StatusNotFound, "{}")
 )
 
@@ -235,6 +237,7 @@
 		{name: "streams", stream: true, steps: []response{completeStream("a", "b")}, want: expect{body: sse("a", "b", ".", "[DONE]"), calls: 1, outcomes: kinds{served}}},
 		{name: "retries after a crash before the first byte", stream: true, steps: []response{crashed, completeStream("a")}, want: expect{body: sse("a", ".", "[DONE]"), calls: 2, outcomes: kinds{crash, served}, waste: []string{"crashed"}}},
 		{name: "retries without a budget if nothing was sent", setup: func(o *fakeDeps, _ context.CancelFunc) { o.noRetry = true }, steps: []response{unsent, plainResponse(200, `{}`)}, want: expect{body: `{}`, calls: 2, outcomes: kinds{unreachable, served}}},
+		{name: "retries without a budget if the server left before it was sent", setup: func(o *fakeDeps, _ context.CancelFunc) { o.noRetry = true }, steps: []response{revoked, plainResponse(200, `{}`)}, want: expect{body: `{}`, calls: 2, outcomes: kinds{tarragondeal.OutcomeUnused, served}}},
 		{name: "reports that the request may have run when the retry budget is empty", setup: func(o *fakeDeps, _ context.CancelFunc) { o.noRetry = true }, steps: []response{crashed}, want: expect{code: "backendFailed", ran: tarragondeal.RanUnknown, calls: 1, outcomes: kinds{crash}, waste: []string{"crashed"}}},
 		{name: "reports that the request may have run when unsent attempts follow a crash", steps: []response{crashed, unsent, unsent}, want: expect{code: "backendFailed", ran: tarragondeal.RanUnknown, calls: 3, outcomes: kinds{crash, unreachable, unreachable}, waste: []string{"crashed"}}},
 		{name: "reports notRun when nothing was sent", steps: []response{unsent, unsent, unsent}, want: expect{code: "backendFailed", ran: tarragondeal.RanNot, calls: 3, outcomes: kinds{unreachable, unreachable, unreachable}}},
--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -27,6 +27,7 @@
 	FailDeadline                // The deadline passed.
 	FailRejected                // The server states that it has not run the request and never will.
 	FailResponseTimeout         // The server sent no response in time.
+	FailRevoked                 // The server may not be used any more: no byte was sent.
 )
 
 // Step is the action that follows an attempt.
@@ -74,7 +75,7 @@
 	if s.resumable() {
 		return StepResume
 	}
-	notRun := s.Failure == FailUnreachable || s.Failure == FailPlacement || s.Failure == FailRejected
+	notRun := s.Failure.unsent() || s.Failure == FailRejected
 	safe := s.Idempotent || notRun && !s.Delivered
 	if !safe || s.Attempts-min(s.Unsent, maxUnsentAttempts) >= s.MaxAttempts {
 		return s.finalStep()
@@ -109,7 +110,12 @@
 // response timeout it has been taken from the budget when the attempt was
 // cancelled.
 func (f Failure) NeedsBudget() bool {
-	return f != FailUnreachable && f != FailPlacement && f != FailResponseTimeout
+	return !f.unsent() && f != FailResponseTimeout
+}
+
+// unsent reports whether an attempt that failed with f sent nothing to a server.
+func (f Failure) unsent() bool {
+	return f == FailUnreachable || f == FailPlacement || f == FailRevoked
 }
 
 // CombineRan combines what is known of two attempts of a request. It returns
@@ -141,6 +147,7 @@
 	FailDeadline:     tarragondeal.OutcomeLate,
 
 	FailRejected:        tarragondeal.OutcomeRefused,
+	FailRevoked:         tarragondeal.OutcomeUnused,
 	FailResponseTimeout: tarragondeal.OutcomeLate,
 }
 
@@ -168,6 +175,8 @@
 		return "outsidePlace"
 	case FailNoServer:
 		return "noServer"
+	case FailRevoked:
+		return "revoked"
 	case FailRejected:
 		return "turnedAway"
 	}
@@ -190,6 +199,7 @@
 	FailDiverged:    {tarragondeal.ReasonBackend, "the answer broke, and another run of it was not the same"},
 	FailDeadline:    {tarragondeal.ReasonDeadline, "the deadline of the request's class passed"},
 
+	FailRevoked:         {tarragondeal.ReasonNoServer, "the backend server left before the request was sent"},
 	FailRejected:        {tarragondeal.ReasonOverload, "the backend servers would not take the request"},
 	FailResponseTimeout: {tarragondeal.ReasonBackend, "the backend server did not begin to answer"},
 }
--- a/internal/entry/tdflow/exchange.go
+++ b/internal/entry/tdflow/exchange.go
@@ -28,7 +28,10 @@
 	// whether there was one. An attempt that ends with FailResponseTimeout has
 	// called it.
 	MayRetry func() bool
-	W        http.ResponseWriter
+	// MaySend reports whether the request may still be sent to the server. It is for the
+	// call of the attempt.
+	MaySend func() bool
+	W       http.ResponseWriter
 	// OnBegin must be called when the server begins to answer, and OnDelivered
 	// before the first byte is sent to the caller.
 	OnBegin     func()
@@ -58,6 +61,7 @@
 		Request: r.q, Server: a.grant.Server, Number: r.attempts, Tier: r.ask.Tier,
 		Target: r.ask.Target, Left: r.remaining(), Last: Next(s) != StepRetry, W: r.w,
 		MayRetry: func() bool { return r.f.Dispatch.MayRetry(r.ask) },
+		MaySend:  a.maySend,
 		OnBegin: func() {
 			a.firstToken()
 			r.f.Dispatch.Progress(a.grant, 1)
--- a/internal/entry/tdflow/failure.go
+++ b/internal/entry/tdflow/failure.go
@@ -34,6 +34,8 @@
 	switch {
 	case ctx.Err() != nil:
 		out.failure, out.err = contextFailure(ctx), context.Cause(ctx)
+	case b != nil && b.Revoked:
+		out.failure = FailRevoked
 	case out.ran == tarragondeal.RanNot:
 		out.failure = FailUnreachable
 	case b != nil && !b.Crashed:
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -200,7 +200,7 @@
 			r.ran = tarragondeal.RanYes
 		}
 		r.ran = CombineRan(r.ran, res.ran)
-		if res.failure == FailUnreachable || res.failure == FailPlacement {
+		if res.failure.unsent() {
 			r.unsent++
 		}
 		s := r.state(res.failure)
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -70,6 +70,7 @@
 	return slices.Clone(s.outcomes)
 }
 
+func (s *servers) Valid(tarragondeal.Grant) bool                 { return true }
 func (s *servers) MayRetry(tarragondeal.Ask) bool                { return s.budget == nil || s.budget() }
 func (s *servers) Add(context.Context, tarragondeal.Usage) error { return nil }
 func (s *servers) Waste(tarragondeal.Waste)                      {}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -211,7 +211,7 @@
 	return tarragondeal.Call{
 		Request: q.ID, Attempt: t.Number, Method: q.Method, Path: q.Path, Body: q.Body, Tier: t.Tier,
 		ID: x.caller.ID, Host: x.host, Header: platform.EncodeCall(q.Header, sending),
-		DedicatedConn: q.Route.NonIdempotent,
+		DedicatedConn: q.Route.NonIdempotent, MaySend: t.MaySend,
 	}
 }
 
--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -115,7 +115,7 @@
 // Send sends one attempt and returns the response as soon as its header is read.
 // The error is a *tarragondeal.BackendError.
 func (b *Backend) Send(ctx context.Context, s tarragondeal.Server, c tarragondeal.Call) (*tarragondeal.Answer, error) {
-	var t sendTrace
+	t := sendTrace{maySend: c.MaySend}
 	req, err := b.newRequest(httptrace.WithClientTrace(ctx, t.hooks()), s, c)
 	if err != nil {
 		return nil, &tarragondeal.BackendError{Server: s.ID, Ran: tarragondeal.RanNot, Err: err}
@@ -126,7 +126,7 @@
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		return nil, sendError(ctx, s.ID, t.wrote(), err)
+		return nil, t.sendError(ctx, s.ID, err)
 	}
 	if res.StatusCode == http.StatusSwitchingProtocols {
 		_ = res.Body.Close()
@@ -181,9 +181,9 @@
 	}
 }
 
-func sendError(ctx context.Context, id tarragondeal.ServerID, wrote bool, err error) error {
-	if !wrote {
-		return &tarragondeal.BackendError{Server: id, Ran: tarragondeal.RanNot, Err: err}
+func (t *sendTrace) sendError(ctx context.Context, id tarragondeal.ServerID, err error) error {
+	if !t.wrote() {
+		return &tarragondeal.BackendError{Server: id, Ran: tarragondeal.RanNot, Revoked: t.isRevoked(), Err: err}
 	}
 	var timeout net.Error
 	timedOut := errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -20,12 +20,19 @@
 	writes  atomic.Int64
 	writing atomic.Pointer[pendingWrite] // The latest write, or nil.
 	failed  atomic.Bool                  // A write has failed.
+	revoked atomic.Bool                  // The request that has the connection must not be written.
 }
 
 // pendingWrite is closed when its write has returned.
 type pendingWrite chan struct{}
 
+// errRevoked reports a request that must not be sent any more.
+var errRevoked = errors.New("request may no longer be sent to the server")
+
 func (c *countedConn) Write(b []byte) (int, error) {
+	if c.revoked.Load() {
+		return 0, errRevoked
+	}
 	c.writes.Add(1)
 	pending := make(pendingWrite)
 	c.writing.Store(&pending)
@@ -78,8 +85,10 @@
 
 // sendTrace records the connections that the transport used for one request.
 type sendTrace struct {
-	mu   sync.Mutex
-	used []usedConn
+	maySend func() bool // Nil means always.
+	mu      sync.Mutex
+	used    []usedConn
+	revoked bool // maySend returned false.
 }
 
 type usedConn struct {
@@ -90,8 +99,13 @@
 func (t *sendTrace) hooks() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c, ok := i.Conn.(*countedConn)
+		revoked := t.maySend != nil && !t.maySend()
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		if revoked && ok {
+			t.revoked = true
+			c.revoked.Store(true)
+		}
 		if !ok {
 			c = &countedConn{}
 			c.writes.Store(1) // Not counted, so it may have written.
@@ -130,6 +144,13 @@
 	return ""
 }
 
+// isRevoked reports whether the request was not permitted to be sent.
+func (t *sendTrace) isRevoked() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.revoked
+}
+
 // wrote reports whether any byte of the request may have been sent.
 func (t *sendTrace) wrote() bool {
 	t.mu.Lock()
--- a/test/vm/leaving_test.go
+++ b/test/vm/leaving_test.go
@@ -68,6 +68,41 @@
 	})
 })
 
+var _ = Describe("a server that leaves while nodes connect to it", func() {
+	for _, c := range []struct {
+		name   string
+		target string
+		leave  func(f *fleet)
+	}{
+		{"its entry says so, streams", "/chat/", func(f *fleet) { f.store.put("servers/"+f.engine.id, f.engine.entry("model", "draining")) }},
+		{"its entry is removed, streams", "/chat/", func(f *fleet) { f.store.remove("servers/" + f.engine.id) }},
+	} {
+		// Guards against requests that reach a leaving server long after all nodes know that it leaves: it
+		// was chosen before, and connecting to it took long.
+		It("gets none of the requests that waited for a connection: "+c.name, func() {
+			f, nodes := newLinkedFleet(3)
+			f.waitReady()
+			for _, n := range nodes {
+				n.links[1].hang()
+				n.links[1].reset()
+			}
+			l := f.startLoad(c.target, 10*time.Millisecond)
+			time.Sleep(noticeTime / 2)
+			c.leave(f)
+			at := time.Now()
+			time.Sleep(noticeTime / 2)
+			for _, n := range nodes {
+				n.links[1].heal()
+			}
+			time.Sleep(leavingBound)
+			statuses := l.stop()
+			Expect(receivedAfter(f.engine, at.Add(noticeTime))).To(BeZero())
+			Expect(statuses).To(HaveLen(1), "%v", statuses)
+			Expect(statuses).To(HaveKey(http.StatusOK), "%v", statuses)
+		})
+	}
+})
+
 var _ = Describe("a server whose entry is removed", func() {
 	for _, size := range []int{3, 11} {
 		// Guards against requests that nodes which the store rejects send to a server that is gone: they took
