--- a/internal/base/tdlog/log.go
+++ b/internal/base/tdlog/log.go
@@ -21,6 +21,27 @@
 	return zerolog.New(w).Level(level).With().Timestamp().Str("node", node).Logger()
 }
 
+// maxErrorBytes limits the text of a bounded error.
+const maxErrorBytes = 500
+
+// Bounded returns err with a text of limited length. Errors of decoders quote what they
+// decode, however long it is.
+func Bounded(err error) error {
+	if err == nil || len(err.Error()) <= maxErrorBytes {
+		return err
+	}
+	return &boundedError{err}
+}
+
+// boundedError is an error whose text is cut off.
+type boundedError struct{ err error }
+
+// Error implements error.
+func (e *boundedError) Error() string { return e.err.Error()[:maxErrorBytes] + "..." }
+
+// Unwrap returns the whole error.
+func (e *boundedError) Unwrap() error { return e.err }
+
 // Part returns the logger of one component, whose lines have the component's
 // name in the field "part".
 func Part(base zerolog.Logger, part string) zerolog.Logger {
--- a/internal/dispatch/tdpoison/keep.go
+++ b/internal/dispatch/tdpoison/keep.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdlog"
 )
 
 const (
@@ -136,7 +137,7 @@
 	err := json.Unmarshal(value, &k)
 	id, perr := strconv.ParseUint(k.ID, 16, 64)
 	if err = errors.Join(err, perr); err != nil {
-		t.Log.Warn().Err(err).Msg("can't decode a refused trait from the store")
+		t.Log.Warn().Err(tdlog.Bounded(err)).Msg("can't decode a refused trait from the store")
 		return
 	}
 	t.mu.Lock()
--- a/internal/entry/tdorigin/keep.go
+++ b/internal/entry/tdorigin/keep.go
@@ -13,6 +13,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/base/tdlog"
 )
 
 const (
@@ -82,7 +83,7 @@
 	o.kept = kept{rev: e.Revision, from: farFuture}
 	var k keptHistory
 	if err := json.Unmarshal(e.Value, &k); err != nil {
-		o.Log.Warn().Err(err).Uint64("revision", uint64(e.Revision)).Msg("can't decode the kept software")
+		o.Log.Warn().Err(tdlog.Bounded(err)).Uint64("revision", uint64(e.Revision)).Msg("can't decode the kept software")
 		return
 	}
 	instant := func(millis int64) tarragondeal.Instant { return now.Add(-max(0, wall.Sub(time.UnixMilli(millis)))) }
--- a/internal/fleet/tdlisting/config.go
+++ b/internal/fleet/tdlisting/config.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/fleet/tdmirror"
 )
 
@@ -56,7 +57,7 @@
 	start := c.clock.Now()
 	version, err := c.apply(e.Value, c.version)
 	if err != nil {
-		c.log.Error().Err(err).Uint64("revision", uint64(e.Revision)).Uint64("inForce", uint64(c.version)).
+		c.log.Error().Err(tdlog.Bounded(err)).Uint64("revision", uint64(e.Revision)).Uint64("inForce", uint64(c.version)).
 			Msg("configuration rejected, keeping the previous one")
 		return
 	}
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/base/tdtask"
 	"tarragondeal/internal/fleet/tdlease"
 	"tarragondeal/internal/fleet/tdmirror"
@@ -48,6 +49,12 @@
 	Processor float64 `json:"processor"`
 }
 
+// isReachable reports whether other nodes can connect to the entry's address. Another writer
+// may have left any value.
+func (n *Node) isReachable() bool {
+	return n.Peer.IsValid() && n.Peer.Port() != 0 && !n.Peer.Addr().IsUnspecified()
+}
+
 // Deps are the dependencies of a mesh.
 type Deps struct {
 	Store  tarragondeal.Store
@@ -294,8 +301,8 @@
 			continue
 		}
 		var n Node
-		if err := json.Unmarshal(e.Value, &n); err != nil || string(n.Name) != name || !n.Peer.IsValid() {
-			m.Log.Warn().Err(err).Str("key", e.Key).Msg("invalid node entry")
+		if err := json.Unmarshal(e.Value, &n); err != nil || string(n.Name) != name || !n.isReachable() {
+			m.Log.Warn().Err(tdlog.Bounded(err)).Str("key", e.Key).Msg("invalid node entry")
 			continue
 		}
 		m.addListed(n)
