tdpass: a refusal that came on its connection before says nothing

Callers got 503, 'not run', for requests that a server ran (REFUSED): it wrote an earlier refusal once more on the connection.

Cause: answers were matched by their id alone, and all matched if the caller had named none.

Evidence: TestRefusalRepeatedOnKeptConnection failed in 16 of 48 cases, those with the same id twice or without one; it passes now, also with -race.

Connections remember the ids that were refused on them, and requests without an id get a connection of their own, so that no refusal of an earlier request can be taken for theirs. Refusals cost no new connections otherwise (TestRefusalKeepsItsConnection).

--- a/backend.go
+++ b/backend.go
@@ -43,6 +43,10 @@
 	// Unframed is set if the body ends only with its connection, so that it may
 	// be truncated.
 	Unframed bool
+	// RepeatsRefusal records that the answer refuses the request with an id, and reports
+	// whether such a refusal came on the connection before: a server that writes one once
+	// more may be running the request. It is nil if the backend does not support this.
+	RepeatsRefusal func(id string) bool
 	// Drop closes the connection when the answer belongs to another request.
 	// It is nil if the backend does not support this.
 	Drop func()
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -35,6 +35,7 @@
 	errResponseTimeout = errors.New("server did not begin to answer in time")
 	errEventOrder      = errors.New("missing or duplicate event")
 	errNoContinuation  = errors.New("answer doesn't continue the stream")
+	errRepeatedRefusal = errors.New("refusal came on the connection before")
 )
 
 // Starts counts requests that begin to run.
@@ -211,7 +212,8 @@
 	return tarragondeal.Call{
 		Request: q.ID, Attempt: t.Number, Method: q.Method, Path: q.Path, Body: q.Body, Tier: t.Tier,
 		ID: x.caller.ID, Host: x.host, Header: platform.EncodeCall(q.Header, sending),
-		DedicatedConn: q.Route.NonIdempotent, MaySend: t.MaySend,
+		// Without an id, an answer on a kept connection may be that to an earlier request.
+		DedicatedConn: q.Route.NonIdempotent || x.caller.ID == "", MaySend: t.MaySend,
 	}
 }
 
@@ -231,7 +233,13 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxDiscarded))
 }
 
+// rejected handles a refusal, which states that the server has not run the request. One that
+// came on the connection before doesn't: the server may be running the request.
 func (x *Exchange) rejected(answer *tarragondeal.Answer) tdflow.Result {
+	if answer.RepeatsRefusal != nil && answer.RepeatsRefusal(x.caller.ID) {
+		answer.Drop()
+		return invalid(errRepeatedRefusal)
+	}
 	discard(answer)
 	return tdflow.Result{Failure: tdflow.FailRejected, Ran: tarragondeal.RanNot}
 }
--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -139,6 +139,7 @@
 	return &tarragondeal.Answer{
 		Status: res.StatusCode, Header: res.Header, Body: body, Drop: t.closeConns,
 		Length: res.ContentLength, Request: res.Header.Get(tdwire.HeaderRequest), Unframed: unframed(res), Through: t.through(),
+		RepeatsRefusal: t.repeatsRefusal,
 	}, nil
 }
 
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,31 @@
 	writing atomic.Pointer[pendingWrite] // The latest write, or nil.
 	failed  atomic.Bool                  // A write has failed.
 	revoked atomic.Bool                  // The request that has the connection must not be written.
+	refused refusals
+}
+
+// maxRefusals is the number of refusals of a connection that are remembered.
+const maxRefusals = 64
+
+// refusals are the ids of the requests that were refused on a connection last. It is safe
+// for concurrent use.
+type refusals struct {
+	mu  sync.Mutex
+	ids []string // The oldest first.
+}
+
+// add adds an id and reports whether it was there.
+func (r *refusals) add(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slices.Contains(r.ids, id) {
+		return true
+	}
+	if len(r.ids) == maxRefusals {
+		r.ids = slices.Delete(r.ids, 0, 1)
+	}
+	r.ids = append(r.ids, id)
+	return false
 }
 
 // pendingWrite is closed when its write has returned.
@@ -130,6 +156,14 @@
 	}
 }
 
+// repeatsRefusal records that a request was refused on the connection, and reports whether
+// it had been before.
+func (t *sendTrace) repeatsRefusal(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.used) > 0 && t.used[len(t.used)-1].conn.refused.add(id)
+}
+
 // through returns the node that connected this one to the server of the answer, or an
 // empty name if none did.
 func (t *sendTrace) through() tarragondeal.NodeID {
