tdbackend: dropping an answer spares the request that has its connection now

A request failed as crashed, though its server was sound, when an earlier answer on its connection was dropped: one with another request's id, without a signature, or a refusal that was written once more (LOST).

Cause: the transport frees a connection as soon as an answer without a body is read, so that Drop closed it under the next request.

A connection knows the request that got it last, and is closed only by that one. A request that gets it in the moment of closing writes nothing, so that it has certainly not run.

--- a/error.go
+++ b/error.go
@@ -106,7 +106,7 @@
 	Server  ServerID
 	Ran     Ran
 	Crashed bool // The server's connection broke after bytes were sent.
-	Revoked bool // MaySend of the call did not permit sending it.
+	Revoked bool // MaySend of the call did not permit sending it, or its connection was closed before.
 	Err     error
 }
 
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -23,6 +23,7 @@
 	failed  atomic.Bool                  // A write has failed.
 	revoked atomic.Bool                  // The request that has the connection must not be written.
 	refused refusals
+	user    atomic.Pointer[sendTrace] // The request that got the connection last; &dropped if that closed it.
 }
 
 // maxRefusals is the number of refusals of a connection that are remembered.
@@ -49,6 +50,9 @@
 	return false
 }
 
+// dropped is the user of connections that were closed by the one before.
+var dropped sendTrace
+
 // pendingWrite is closed when its write has returned.
 type pendingWrite chan struct{}
 
@@ -114,7 +118,7 @@
 	maySend func() bool // Nil means always.
 	mu      sync.Mutex
 	used    []usedConn
-	revoked bool // maySend returned false.
+	revoked bool // maySend returned false, or the connection had been closed.
 }
 
 type usedConn struct {
@@ -126,6 +130,9 @@
 	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c, ok := i.Conn.(*countedConn)
 		revoked := t.maySend != nil && !t.maySend()
+		if ok && c.user.Swap(t) == &dropped {
+			revoked = true
+		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if revoked && ok {
@@ -145,12 +152,12 @@
 }
 
 // closeConns closes the connections, so that nothing that still arrives on them
-// is read.
+// is read. Those that another request has got since stay open.
 func (t *sendTrace) closeConns() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, u := range t.used {
-		if u.conn.Conn != nil {
+		if u.conn.Conn != nil && u.conn.user.CompareAndSwap(t, &dropped) {
 			_ = u.conn.Close()
 		}
 	}
