tdpass: errors inside a stream break it, and its rest has an event

Cause: what ended with its connection was passed on whatever it held, and an empty answer to the request for the rest was taken for the end.

'broken after the last event' of TestStreamThatCannotBeContinued expected the empty answer as the complete end. Nothing tells it from a server that has no events to send, so the stream breaks off now; that the caller gets the complete end when it resumes is checked by TestEmptyAnswerEndsResumedStream.

--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -35,6 +35,7 @@
 	errResponseTimeout = errors.New("server did not begin to answer in time")
 	errEventOrder      = errors.New("missing or duplicate event")
 	errNoContinuation  = errors.New("answer doesn't continue the stream")
+	errForeign         = errors.New("stream holds something else than its events")
 	errRepeatedRefusal = errors.New("refusal came on the connection before")
 )
 
--- a/internal/entry/tdpass/order.go
+++ b/internal/entry/tdpass/order.go
@@ -37,6 +37,12 @@
 	return err == nil && now == before+1
 }
 
+// isForeign reports whether ev is no part of a stream that ends with its connection. A server
+// that fails in the middle may write an error there, with or without its head.
+func (o *order) isForeign(ev *tdrelay.Event) bool {
+	return ev.Head || o.sent && ev.Unknown && ev.Data == nil
+}
+
 // add records that ev has been sent.
 func (o *order) add(ev *tdrelay.Event) {
 	switch {
--- a/internal/entry/tdpass/stream.go
+++ b/internal/entry/tdpass/stream.go
@@ -43,6 +43,7 @@
 
 // part is the part of a stream that one attempt supplies.
 type part struct {
+	rest      bool   // It is the rest of a stream whose header has been sent.
 	continues bool   // The caller may have the events of another run.
 	placed    bool   // The place of the part's first event is checked, or need not be.
 	begun     bool   // A part of it has been sent.
@@ -75,18 +76,18 @@
 	events := tdrelay.NewEvents(answer.Body)
 	rc := http.NewResponseController(t.W)
 	continues := x.order.sent || x.order.numbered()
-	p := part{continues: continues, placed: !continues}
+	p := part{rest: x.headSent, continues: continues, placed: !continues}
 	for {
 		ev, err := events.Next()
-		if errors.Is(err, io.EOF) && !x.endedBeforeEvents(t, answer, &p) {
-			return x.endStream(t, answer, timer, &p)
-		}
 		if err != nil {
-			return broken(ctx, err)
+			return x.endPart(ctx, t, answer, timer, &p, err)
 		}
-		if !p.follows(&x.order, &ev) {
+		if err := x.checkEvent(answer, &p, &ev); err != nil {
 			answer.Drop()
-			return invalid(errEventOrder)
+			if x.headSent {
+				_ = rc.Flush() // Fails only if the caller is gone.
+			}
+			return invalid(err)
 		}
 		if p.keeps(&ev) {
 			continue
@@ -108,6 +109,29 @@
 	}
 }
 
+// checkEvent returns an error if ev must not be sent next.
+func (x *Exchange) checkEvent(answer *tarragondeal.Answer, p *part, ev *tdrelay.Event) error {
+	if answer.Unframed && x.order.isForeign(ev) {
+		return errForeign
+	}
+	if !p.follows(&x.order, ev) {
+		return errEventOrder
+	}
+	return nil
+}
+
+// endPart handles the end of an answer, which reading its events reported as err. The rest
+// of a broken stream has an event at least: an answer without one says nothing of its end.
+func (x *Exchange) endPart(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer, p *part, err error) tdflow.Result {
+	switch {
+	case !errors.Is(err, io.EOF) || x.endedBeforeEvents(t, answer, p):
+		return broken(ctx, err)
+	case p.rest && !p.placed:
+		return invalid(errNoContinuation)
+	}
+	return x.endStream(t, answer, timer, p)
+}
+
 // endedBeforeEvents reports whether a stream ended with its connection before its
 // first event. A server that crashes there looks like one that has no events.
 func (x *Exchange) endedBeforeEvents(t *tdflow.Attempt, answer *tarragondeal.Answer, p *part) bool {
--- a/internal/entry/tdrelay/events.go
+++ b/internal/entry/tdrelay/events.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"regexp"
 )
 
 const (
@@ -35,6 +36,10 @@
 	Data []byte // Nil if the event has none.
 	// Unknown is set if a line is neither a comment nor a field of the standard.
 	Unknown bool
+	// Head is set if a line begins with the status line of an HTTP response, or holds one that
+	// is followed by lines as those of its header: a server that fails may write one into a
+	// stream that ends with its connection.
+	Head bool
 }
 
 // IsEmpty reports whether e is an empty line between events.
@@ -94,12 +99,27 @@
 	return bytes.TrimSuffix(line, []byte("\r"))
 }
 
+// statusLine matches the status line of an HTTP response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
+// statusLineAt returns where the status line of an HTTP response begins in a line, or -1.
+func statusLineAt(line []byte) int {
+	if !bytes.Contains(line, []byte("HTTP/1.")) {
+		return -1
+	}
+	if at := statusLine.FindIndex(line); at != nil {
+		return at[0]
+	}
+	return -1
+}
+
 func (e *Events) parse() Event {
 	out := Event{Raw: e.raw}
-	lines := 0
+	lines, status := 0, false
 	for rest := e.raw; len(rest) > 0; {
 		var line []byte
 		line, rest, _ = bytes.Cut(rest, []byte("\n"))
+		at := statusLineAt(line)
 		name, value, _ := bytes.Cut(trimLineEnd(line), []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
@@ -113,7 +133,10 @@
 		case "", "retry":
 		default:
 			out.Unknown = true
+			out.Head = out.Head || status
 		}
+		out.Head = out.Head || at == 0
+		status = status || at >= 0
 	}
 	return out
 }
