tdrelay: a stream ends before what is no event

Cause: blocks without data were passed on as comments are.

Evidence: two new cases of 'a streamed answer' failed and pass now.

--- a/internal/entry/tdrelay/stream.go
+++ b/internal/entry/tdrelay/stream.go
@@ -146,6 +146,7 @@
 
 var (
 	errNotChunk    = errors.New("event is not a chunk of an answer")
+	errForeign     = errors.New("stream holds something else than events")
 	errEngine      = errors.New("engine reported an error")
 	errOtherAnswer = errors.New("event belongs to another answer")
 	errDiverged    = errors.New("answer of the rerun differs from what was delivered")
@@ -153,7 +154,10 @@
 )
 
 func (f *feed) handleEvent(ev Event) (end End, more bool, err error) {
-	if ev.Data == nil {
+	switch {
+	case ev.Data == nil && ev.Unknown, ev.Head:
+		return EndTruncated, false, errForeign
+	case ev.Data == nil:
 		return f.s.deliver(ev, false)
 	}
 	c := scanChunk(ev.Data)
--- a/internal/entry/tdrelay/tdrelay_test.go
+++ b/internal/entry/tdrelay/tdrelay_test.go
@@ -57,6 +57,8 @@
 	}{
 		{"is relayed if it is complete", []part{{text: a1 + a2 + a3 + doneEvent, want: EndComplete}}, a1 + a2 + a3 + doneEvent},
 		{"keeps comments and carriage returns", []part{{text: ": ping\r\n\r\n" + a1 + a3 + doneEvent, want: EndComplete}}, ": ping\r\n\r\n" + a1 + a3 + doneEvent},
+		{"is truncated before the head of an error", []part{{text: a1 + "HTTP/1.1 500 Failed\r\nContent-Length: 6\r\n\r\nfailed\n\n", want: EndTruncated}}, a1},
+		{"is truncated before the text of an error", []part{{text: a1 + "failed\n\n" + a2 + a3 + doneEvent, want: EndTruncated}}, a1},
 		{"is truncated without its end marker", []part{{text: a1 + a3, want: EndTruncated}}, a1 + a3},
 		{"is truncated if the end marker comes too early", []part{{text: a1 + doneEvent, want: EndTruncated}}, a1},
 		{"never delivers part of an event", []part{{text: a1 + a2[:20], want: EndTruncated}}, a1},
