tdpass: comments alone are no rest of a stream either

A stream of which only comments had been sent ended as complete when the next server answered without events (ORDER): the check for an event of the rest held only for streams with numbered events. The new case of TestErrorInsideStream failed before.

--- a/internal/entry/tdhost/inside_test.go
+++ b/internal/entry/tdhost/inside_test.go
@@ -53,6 +53,7 @@
 		{"empty continuation with a length", "/resume3/1", []string{closed(events(1, 3)), rawStream + "Content-Length: 0\r\n\r\n", rest}, true, events(1, 5), true},
 		{"empty continuation that ends with its connection", "/resume3/1", []string{closed(events(1, 3)), closed(""), rest}, true, events(1, 5), true},
 		{"empty continuation, no other server", "/resume/1", []string{closed(events(1, 3)), chunked("")}, true, events(1, 3), false},
+		{"empty continuation of comments", "/resume3/1", []string{closed(": wait\n\n"), chunked(""), chunked(events(1, 3))}, true, ": wait\n\n" + events(1, 3), true},
 		{"comments as a continuation", "/resume3/1", []string{closed(events(1, 3)), chunked(": none\n\n"), rest}, true, events(1, 3) + ": none\n\n" + events(4, 5), true},
 		{"error in a stream that can't be resumed", "/stream/1", []string{closed(events(1, 3) + rawError + "\n\n")}, false, events(1, 3), false},
 		{"refusal in a stream that can't be resumed", "/stream/1", []string{closed(events(1, 3) + rawRefusal)}, false, events(1, 3), false},
--- a/internal/entry/tdpass/stream.go
+++ b/internal/entry/tdpass/stream.go
@@ -47,6 +47,7 @@
 	continues bool   // The caller may have the events of another run.
 	placed    bool   // The place of the part's first event is checked, or need not be.
 	begun     bool   // A part of it has been sent.
+	hasEvent  bool   // One that is no comment has been sent.
 	leading   []byte // Empty lines before the first event, which are sent with it.
 }
 
@@ -100,7 +101,7 @@
 			p.begin(&ev)
 		}
 		if !isComment(&ev) {
-			p.placed = true
+			p.placed, p.hasEvent = true, true
 			x.timing.event(x.Clock.Now())
 		}
 		if err := x.writeEvent(t.W, rc, &ev, events.More()); err != nil {
@@ -126,7 +127,7 @@
 	switch {
 	case !errors.Is(err, io.EOF) || x.endedBeforeEvents(t, answer, p):
 		return broken(ctx, err)
-	case p.rest && !p.placed:
+	case p.rest && !p.hasEvent:
 		return invalid(errNoContinuation)
 	}
 	return x.endStream(t, answer, timer, p)
