--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -116,9 +116,17 @@
 	availableSince tarragondeal.Instant // When the last outage ended; zero before the first.
 	confirmedAt    tarragondeal.Instant // When the service last answered; zero before the first answer.
 	failingSince   tarragondeal.Instant // When the last outage began; zero before the first.
-	othersAt       tarragondeal.Instant // When the service last answered another node; zero if that is not known.
-	othersSince    tarragondeal.Instant // Since when it has answered others without a pause over MaxAnswerAge.
 	subscribers    []func(Changes)
+
+	others otherAnswers
+}
+
+// otherAnswers are the answers of the service to other nodes. It has a lock of its own,
+// since changes may take long to apply.
+type otherAnswers struct {
+	mu    sync.Mutex
+	at    tarragondeal.Instant // Of the last one; zero if none is known.
+	since tarragondeal.Instant // Since when there was no pause over MaxAnswerAge.
 }
 
 // New returns an empty mirror.
@@ -170,21 +178,25 @@
 
 // RecordOtherAnswer records when the service answered another node that follows it.
 func (m *Mirror) RecordOtherAnswer(at tarragondeal.Instant) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if at <= m.othersAt {
+	o := &m.others
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if at <= o.at {
 		return
 	}
-	if m.othersAt == 0 || at.Sub(m.othersAt) > MaxAnswerAge {
-		m.othersSince = at
+	if o.at == 0 || at.Sub(o.at) > MaxAnswerAge {
+		o.since = at
 	}
-	m.othersAt = at
+	o.at = at
 }
 
 // answersOthers reports whether the service has answered other nodes since before the last
 // outage began here, so that it rejects this node only.
 func (m *Mirror) answersOthers() bool {
-	return m.othersAt > m.failingSince && m.othersSince <= m.failingSince && m.clock.Now().Sub(m.othersAt) < maxOtherAnswerAge
+	o := &m.others
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.at > m.failingSince && o.since <= m.failingSince && m.clock.Now().Sub(o.at) < maxOtherAnswerAge
 }
 
 // Run follows the service until ctx ends.
