--- a/internal/dispatch/tdfit/leaving_test.go
+++ b/internal/dispatch/tdfit/leaving_test.go
@@ -66,7 +66,7 @@
 }
 
 // TestGrantOfLeavingServerIsRevoked guards against a request that is sent to a server that has
-// left since it was chosen, and against one that is held back from a server that hasn't.
+// left since the grant, and against a grant that is revoked although its server is live.
 func TestGrantOfLeavingServerIsRevoked(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/test/vm/leaving_test.go
+++ b/test/vm/leaving_test.go
@@ -77,8 +77,8 @@
 		{"its entry says so, streams", "/chat/", func(f *fleet) { f.store.put("servers/"+f.engine.id, f.engine.entry("model", "draining")) }},
 		{"its entry is removed, streams", "/chat/", func(f *fleet) { f.store.remove("servers/" + f.engine.id) }},
 	} {
-		// Guards against requests that reach a leaving server long after all nodes know that it leaves: it
-		// was chosen before, and connecting to it took long.
+		// Guards against requests that reach a leaving server long after all nodes know that it leaves, since
+		// they waited for a connection to it.
 		It("gets none of the requests that waited for a connection: "+c.name, func() {
 			f, nodes := newLinkedFleet(3)
 			f.waitReady()
--- a/test/vm/odd_test.go
+++ b/test/vm/odd_test.go
@@ -101,7 +101,7 @@
 		})
 	}
 
-	// Guards against odd entries that are chosen before those of real servers, as one that is never cold.
+	// Guards against odd entries that get requests, as one whose warm-up makes it the cheapest server.
 	It("get no requests", func() {
 		f := newFleet(3)
 		f.waitReady()
