--- a/internal/entry/tdorigin/keep_test.go
+++ b/internal/entry/tdorigin/keep_test.go
@@ -59,7 +59,7 @@
 func (w *keptFleet) startNode(firstStart bool) {
 	n := len(w.nodes)
 	o := New(Deps{
-		Clock: w.clock, Current: func() bool { return w.current }, Log: zerolog.Nop(), Scope: tally.NoopScope,
+		Clock: w.clock, Current: func() bool { return w.current }, Confirm: w.confirm, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		Self: name(n), Wall: w.clock.Wall, Nodes: func() []tarragondeal.NodeID {
 			var out []tarragondeal.NodeID
 			for k := range w.nodes {
--- a/internal/entry/tdorigin/origin.go
+++ b/internal/entry/tdorigin/origin.go
@@ -66,6 +66,9 @@
 	// Current reports whether this node's list of servers is up to date. It may
 	// take locks under which SetServers is called.
 	Current func() bool
+	// Confirm makes this node's list of servers as new as the store's at the time of the
+	// call, and returns an error if it can't. It may call SetServers.
+	Confirm func(context.Context) error
 	Self    tarragondeal.NodeID
 	Nodes   func() []tarragondeal.NodeID // All nodes in the fleet, including Self.
 	Wall    func() time.Time             // A clock on which the nodes agree.
@@ -181,11 +184,19 @@
 }
 
 // Find implements tarragondeal.StreamOrigins. It waits for an announcement that may be
-// on its way.
+// on its way. Without one, the software of the only version is returned only if the store has
+// confirmed the list of servers since the call: this process may have stood still.
 func (o *Origins) Find(ctx context.Context, q tarragondeal.OriginQuery) (tarragondeal.Software, error) {
 	start := o.Clock.Now()
+	confirmed := false
 	for {
 		s, source := o.find(q)
+		if source == sourceOnly && !confirmed {
+			if confirmed = o.confirm(ctx, q, start); confirmed {
+				continue
+			}
+			source = ""
+		}
 		now := o.Clock.Now()
 		waited := now.Sub(start)
 		if source == "" && q.Request != "" && waited < findTimeout && tdclock.Sleep(ctx, findInterval) {
@@ -193,7 +204,7 @@
 		}
 		o.logFind(q, s, source, waited)
 		if source == "" {
-			return s, &tarragondeal.RefusedError{
+			return tarragondeal.Software{}, &tarragondeal.RefusedError{
 				Reason: tarragondeal.ReasonUnknownVersion, Ran: tarragondeal.RanNot, RetryAfter: retryAfter,
 				Detail: "it is not known which version of the backend servers began the stream; request it from its start",
 			}
@@ -202,6 +213,18 @@
 	}
 }
 
+// confirm confirms the list of servers for a lookup that began at start, and reports whether
+// it did.
+func (o *Origins) confirm(ctx context.Context, q tarragondeal.OriginQuery, start tarragondeal.Instant) bool {
+	ctx, cancel := context.WithTimeout(ctx, max(0, findTimeout-o.Clock.Now().Sub(start)))
+	defer cancel()
+	err := o.Confirm(ctx)
+	if err != nil {
+		o.Log.Info().Err(err).Str("resumes", string(q.Request)).Msg("list of servers not confirmed for a stream that is resumed")
+	}
+	return err == nil
+}
+
 // Sources of an answer of find.
 const (
 	sourceRecord = "record"
@@ -209,9 +232,9 @@
 )
 
 // find returns the software at which a stream began, and how that is known; the
-// source is empty if it isn't.
+// source is empty if it isn't. sourceOnly holds as far as this node's list of servers
+// goes.
 func (o *Origins) find(q tarragondeal.OriginQuery) (tarragondeal.Software, string) {
-	current := o.Current()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock.Now()
@@ -222,7 +245,7 @@
 		}
 		return *r.software, sourceRecord
 	}
-	if len(q.Pools) != 1 || !current {
+	if len(q.Pools) != 1 {
 		return tarragondeal.Software{}, ""
 	}
 	if s, ok := o.history.only(q.Pools[0], min(max(q.MaxAge, minAge), historyTTL), now); ok {
--- a/internal/entry/tdorigin/origin_test.go
+++ b/internal/entry/tdorigin/origin_test.go
@@ -45,10 +45,18 @@
 // start adds a node.
 func (w *fleet) start(first bool) {
 	w.nodes = append(w.nodes, New(Deps{
-		Clock: w.clock, Current: func() bool { return w.current }, Wall: w.clock.Wall, Log: zerolog.Nop(), Scope: tally.NoopScope,
+		Clock: w.clock, Current: func() bool { return w.current }, Confirm: w.confirm, Wall: w.clock.Wall, Log: zerolog.Nop(), Scope: tally.NoopScope,
 	}, Options{FirstStart: first}))
 }
 
+// confirm fails if the nodes' lists of servers are not up to date.
+func (w *fleet) confirm(context.Context) error {
+	if !w.current {
+		return errors.New("not confirmed")
+	}
+	return nil
+}
+
 // restart replaces a node by one that knows nothing.
 func (w *fleet) restart(n int) {
 	w.start(false)
@@ -103,8 +111,12 @@
 
 // found returns what a node knows of a request's stream without waiting.
 func (w *fleet) found(n int, request string) (tarragondeal.Software, bool) {
-	s, source := w.nodes[n].find(tarragondeal.OriginQuery{Workspace: "a", Request: tarragondeal.RequestID(request), Pools: []string{"m"}, MaxAge: testAge})
-	return s, source != ""
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s, err := w.nodes[n].Find(ctx, tarragondeal.OriginQuery{
+		Workspace: "a", Request: tarragondeal.RequestID(request), Pools: []string{"m"}, MaxAge: testAge,
+	})
+	return s, err == nil
 }
 
 func (w *fleet) expect(t *testing.T, what string, n int, request string, want tarragondeal.Software) {
@@ -316,12 +328,12 @@
 }
 
 // TestListChangesDuringLookup guards against a node that stops for ever: the list of
-// servers changes under the lock of the store's copy, which Current needs too.
+// servers changes under the lock of the store's copy, which Confirm needs too.
 func TestListChangesDuringLookup(t *testing.T) {
 	w := newFleet(1, true)
 	w.list(v1)
 	o := w.nodes[0]
-	o.Current = func() bool {
+	o.Confirm = func(context.Context) error {
 		changed := make(chan struct{})
 		go func() {
 			o.SetServers(servers([]tarragondeal.Software{v1}))
@@ -332,11 +344,53 @@
 		case <-time.After(2 * time.Second):
 			t.Error("the list can't change while a stream is looked up")
 		}
-		return true
+		return nil
 	}
 	w.expect(t, "one version", 0, "r", v1)
 }
 
+// TestListIsConfirmedDuringLookup guards against a stream that goes on at the only version of a
+// list that was confirmed before the caller came back: servers of another version have joined since,
+// began the stream through other nodes, and this node stood still or was cut off meanwhile.
+func TestListIsConfirmedDuringLookup(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		confirm func(o *Origins) error
+		began   bool // Whether the announcement of the stream arrives while the list is confirmed.
+		want    tarragondeal.Software
+	}{
+		{name: "nothing has changed", confirm: func(*Origins) error { return nil }, want: v1},
+		{name: "another version has joined", confirm: func(o *Origins) error {
+			o.SetServers(servers([]tarragondeal.Software{v1, v2}))
+			return nil
+		}, want: unknown},
+		{name: "all servers were replaced", confirm: func(o *Origins) error {
+			o.SetServers(servers([]tarragondeal.Software{v2}))
+			return nil
+		}, want: unknown},
+		{name: "the store does not answer", confirm: func(*Origins) error { return errors.New("no answer") }, want: unknown},
+		{name: "announced meanwhile", confirm: func(o *Origins) error {
+			o.Began("a", "r", v2)()
+			return nil
+		}, want: v2},
+		{name: "announced meanwhile, and the store does not answer", confirm: func(o *Origins) error {
+			o.Began("a", "r", v2)()
+			return errors.New("no answer")
+		}, want: v2},
+	} {
+		w := newFleet(1, true)
+		w.list(v1)
+		o := w.nodes[0]
+		o.Confirm = func(context.Context) error { return c.confirm(o) }
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		s, err := o.Find(ctx, tarragondeal.OriginQuery{Workspace: "a", Request: "r", Pools: []string{"m"}, MaxAge: testAge})
+		cancel()
+		if s != c.want || (err == nil) != c.want.Known() {
+			t.Errorf("%s: found %+v, %v, want %+v", c.name, s, err, c.want)
+		}
+	}
+}
+
 // TestFindWaits guards against a refusal since a record is still on its way, and
 // against a caller that waits for ever.
 func TestFindWaits(t *testing.T) {
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -69,6 +69,8 @@
 // Options configure a Mirror.
 type Options struct {
 	Prefixes []string // Prefixes of the keys to copy.
+	// Confirmed is the prefix of the keys that Confirm brings up to date.
+	Confirmed string
 	// Follows reports whether this node should follow the service itself after
 	// the first listing. Nil means always.
 	Follows func() bool
@@ -118,7 +120,8 @@
 	failingSince   tarragondeal.Instant // When the last outage began; zero before the first.
 	subscribers    []func(Changes)
 
-	others otherAnswers
+	others       otherAnswers
+	confirmation confirmation
 }
 
 // otherAnswers are the answers of the service to other nodes. It has a lock of its own,
@@ -134,7 +137,10 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	return &Mirror{source: s, clock: c, opt: o, items: make(map[string]tarragondeal.Entry), ahead: make(map[string]tarragondeal.Revision)}
+	return &Mirror{
+		source: s, clock: c, opt: o, items: make(map[string]tarragondeal.Entry), ahead: make(map[string]tarragondeal.Revision),
+		confirmation: newConfirmation(),
+	}
 }
 
 // Subscribe calls receive for each later change, one call at a time and in order.
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -146,8 +146,9 @@
 func (n *Node) buildFleet() {
 	n.store = platform.NewStore(n.vm.Store, n.httpClient(storeMaxIdleConns), n.clock)
 	n.mirror = tdmirror.New(n.store, n.clock, tdmirror.Options{
-		Prefixes: []string{platform.ConfigKey, platform.ServersPrefix, tdlease.KeyPrefix},
-		Follows:  func() bool { return n.mesh.Follows() }, RelistDelay: func() time.Duration { return n.mesh.RelistDelay() },
+		Prefixes:  []string{platform.ConfigKey, platform.ServersPrefix, tdlease.KeyPrefix},
+		Confirmed: platform.ServersPrefix,
+		Follows:   func() bool { return n.mesh.Follows() }, RelistDelay: func() time.Duration { return n.mesh.RelistDelay() },
 		Log: tdlog.Part(n.log, "mirror"), Scope: n.metrics.Scope.SubScope("mirror"),
 	})
 	n.mesh = tdmesh.New(tdmesh.Deps{
@@ -222,7 +223,7 @@
 	n.mesh.Publish(tdfit.Topic, func() tdmesh.Writer { return n.fit.Writer() })
 	n.mesh.Receive(tdfit.Topic, n.fit.Receive, n.fit.Lost)
 	n.origins = tdorigin.New(tdorigin.Deps{
-		Clock: n.clock, Current: n.listIsCurrent, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall,
+		Clock: n.clock, Current: n.listIsCurrent, Confirm: n.mirror.Confirm, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall,
 		Log: tdlog.Part(n.log, "origin"), Scope: n.metrics.Scope.SubScope("origin"),
 	}, tdorigin.Options{FirstStart: n.vm.FirstStart})
 	n.mirror.Subscribe(func(c tdmirror.Changes) {
