--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -28,6 +28,7 @@
 	FailRejected                // The server states that it has not run the request and never will.
 	FailResponseTimeout         // The server sent no response in time.
 	FailRevoked                 // The server may not be used any more: no byte was sent.
+	FailLeaving                 // This node is about to end.
 )
 
 // Step is the action that follows an attempt.
@@ -66,7 +67,7 @@
 		return StepDone
 	case FailCallerGone:
 		return StepCallerGone
-	case FailKeyWithdrawn, FailDeadline, FailNoServer, FailDiverged, FailRedirect:
+	case FailKeyWithdrawn, FailLeaving, FailDeadline, FailNoServer, FailDiverged, FailRedirect:
 		return s.finalStep()
 	}
 	if s.Remaining <= 0 || s.Delivered && (s.Final || !s.Stream) {
@@ -146,6 +147,7 @@
 	FailKeyWithdrawn: tarragondeal.OutcomeCancelled,
 	FailDeadline:     tarragondeal.OutcomeLate,
 
+	FailLeaving:         tarragondeal.OutcomeCancelled,
 	FailRejected:        tarragondeal.OutcomeRefused,
 	FailRevoked:         tarragondeal.OutcomeUnused,
 	FailResponseTimeout: tarragondeal.OutcomeLate,
@@ -162,6 +164,7 @@
 	FailDiverged:        "differs",
 	FailCallerGone:      "cancelled",
 	FailKeyWithdrawn:    "keyWithdrawn",
+	FailLeaving:         "leaving",
 	FailDeadline:        "late",
 	FailResponseTimeout: "silent",
 }
--- a/internal/entry/tdflow/failure.go
+++ b/internal/entry/tdflow/failure.go
@@ -13,8 +13,10 @@
 // contextFailure returns the failure for the cause of a context that is done.
 func contextFailure(ctx context.Context) Failure {
 	cause := context.Cause(ctx)
-	_, cut := errors.AsType[*tarragondeal.RefusedError](cause)
+	refused, cut := errors.AsType[*tarragondeal.RefusedError](cause)
 	switch {
+	case cut && refused.Reason == tarragondeal.ReasonLeaving:
+		return FailLeaving
 	case cut:
 		return FailKeyWithdrawn
 	case errors.Is(cause, errDeadline):
--- a/internal/entry/tdhost/doc.go
+++ b/internal/entry/tdhost/doc.go
@@ -8,5 +8,6 @@
 //	h := tdhost.New(tdhost.Deps{...})
 //	h.SetView(view, limits)
 //	srv := &http.Server{Handler: h}
-//	h.Leave() // The node is stopping.
+//	h.Leave(until) // The node is stopping.
+//	h.Cut()        // Until has come: requests that are still open end now.
 package tdhost
--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -48,11 +48,12 @@
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 	lastEnd  atomic.Int64 // Instant at which the last request ended.
+	cut      *cut
 }
 
 // New returns a host without a configuration. It is not ready until SetView is
 // called.
-func New(d Deps) *Host { return &Host{Deps: d} }
+func New(d Deps) *Host { return &Host{Deps: d, cut: newCut()} }
 
 // SetView sets the configuration in force.
 func (h *Host) SetView(v *tarragondeal.View, limits platform.CallerLimits) {
@@ -67,8 +68,9 @@
 func (h *Host) Ready() bool { return h.table.Load() != nil && !h.leaving.Load() }
 
 // Leave makes the host ask callers to close their connections. Requests are still
-// served.
-func (h *Host) Leave() {
+// served if they can be expected to end before the given time.
+func (h *Host) Leave(until tarragondeal.Instant) {
+	h.cut.at.Store(int64(until))
 	h.leaving.Store(true)
 	h.lastEnd.Store(int64(h.Clock.Now()))
 }
@@ -99,6 +101,9 @@
 	caller := platform.DecodeCaller(r.Header)
 	platform.SetRequestID(w.Header(), caller.ID)
 	q, err := h.admit(w, r, caller, arrived)
+	if err == nil && h.leaving.Load() {
+		err = h.cut.check(q, h.Clock.Now())
+	}
 	if err == nil {
 		err = h.serve(r.Context(), w, q, caller, r.Host)
 	}
@@ -110,6 +115,8 @@
 
 // serve serves an admitted request.
 func (h *Host) serve(ctx context.Context, w http.ResponseWriter, q *tdflow.Request, c platform.Caller, host string) error {
+	ctx, end := h.cut.bind(ctx)
+	defer end()
 	if !q.Route.Resumable {
 		c.Resume = "" // The stream begins with its first event.
 	}
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -661,7 +661,7 @@
 // their connections, which are closed when it stops.
 func TestLeavingHostClosesConnections(t *testing.T) {
 	e := newEntry(t, stream(events(1, 2)), status(http.StatusOK, "text/plain", "done"))
-	e.host.Leave()
+	e.host.Leave(tdclock.New().Now().Add(time.Minute))
 	for _, path := range []string{"/resume/1", "/plain/1", "/plain/2"} {
 		conn := e.raw(t, path)
 		in := bufio.NewReader(conn)
--- a/internal/node/tdvm/drain.go
+++ b/internal/node/tdvm/drain.go
@@ -18,6 +18,9 @@
 	minIdleBeforeExit = 300 * time.Millisecond
 	// killMargin is the margin before the platform kills the process.
 	killMargin = 700 * time.Millisecond
+	// answerMargin is how long before the process ends at the latest the requests that are
+	// still open are cut, so that their callers get an answer.
+	answerMargin = 300 * time.Millisecond
 )
 
 // drain marks the node as not ready and keeps serving until callers have moved
@@ -27,12 +30,13 @@
 // kills the process at the latest.
 func (n *Node) drain(g *tdtask.Group, callers *http.Server) {
 	start := n.clock.Now()
-	n.host.Leave()
+	maxDrain := n.vm.Bounds.Grace - killMargin
+	cutAfter := maxDrain - answerMargin
+	n.host.Leave(start.Add(cutAfter))
 	n.tunnels.Leave()
 	n.log.Info().Int("open", n.host.Open()).Int("tunnels", n.tunnels.Serving()).Msg("leaving")
 	minDrain := addressTTLFactor * addressTTL
-	maxDrain := n.vm.Bounds.Grace - killMargin
-	accepting := true
+	accepting, cut := true, false
 	for {
 		time.Sleep(drainPollInterval)
 		after := n.clock.Now().Sub(start)
@@ -41,6 +45,11 @@
 			n.log.Info().Dur("after", after).Int("open", n.host.Open()).Msg("accepting no more connections from callers")
 			g.Go("stop accepting callers", func(ctx context.Context) error { return stopAccepting(ctx, callers) })
 		}
+		if !cut && after >= cutAfter {
+			cut = true
+			n.log.Info().Dur("after", after).Int("open", n.host.Open()).Msg("cutting the requests that are still open")
+			n.host.Cut()
+		}
 		if after >= maxDrain || after >= minDrain && n.host.IdleTime() >= minIdleBeforeExit && n.tunnels.Serving() == 0 {
 			n.log.Info().Dur("after", after).Int("open", n.host.Open()).Int("tunnels", n.tunnels.Serving()).Msg("drained")
 			return
