tdmesh: survey the fleet once for all streams

Cause: each state that a node sends, and each reading of the fleet's wall clock, went through all nodes and what each relay says of them: 22 % of the processor time of a relay with 29 leaves, and a leaf compared the hashes of all nodes twenty times a second. Change: one survey is used by all streams for 50 ms, or until a state changes it; a leaf hashes only the best nodes.

--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -90,6 +90,7 @@
 	followReason      followReason                      // At the last check.
 	copyAt            tarragondeal.Instant              // When the store confirmed this node's copy at the latest; zero if not known.
 	group             *tdtask.Group
+	survey            *survey // The latest; nil if it no longer holds.
 
 	packMu sync.Mutex
 	packed []packedCopy // The copies that were packed last, oldest first.
@@ -244,11 +245,7 @@
 func (m *Mesh) Alive(name tarragondeal.NodeID, incarnation uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.peers[name]
-	if p == nil {
-		return false
-	}
-	known, ok := m.alive(p)
+	known, ok := m.surveyed().live[name]
 	return ok && known.incarnation == incarnation
 }
 
@@ -262,8 +259,8 @@
 	if ready {
 		out = append(out, m.self)
 	}
-	for _, p := range m.peers {
-		if known, ok := m.alive(p); ok && known.ready {
+	for name, known := range m.surveyed().live {
+		if p := m.peers[name]; p != nil && known.ready {
 			out = append(out, p.node)
 		}
 	}
@@ -321,6 +318,7 @@
 		p.cancel()
 	}
 	m.peers[n.Name] = &peer{node: n, listed: true}
+	m.survey = nil
 	m.Log.Info().Str("peer", string(n.Name)).Uint64("incarnation", n.Incarnation).Msg("node listed")
 	m.assignRelays()
 }
@@ -350,6 +348,7 @@
 	}
 	delete(m.peers, p.node.Name)
 	delete(m.forwarded, p.node.Name)
+	m.survey = nil
 	m.assignRelays()
 }
 
--- a/internal/fleet/tdmesh/relay.go
+++ b/internal/fleet/tdmesh/relay.go
@@ -3,7 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -157,12 +157,19 @@
 // bestParent returns the node with the lowest rank. Ties are broken by a hash that
 // spreads the leaves over the relays.
 func (m *Mesh) bestParent(now tarragondeal.Instant) tarragondeal.NodeID {
-	return slices.MinFunc(slices.Collect(maps.Keys(m.peers)), func(a, b tarragondeal.NodeID) int {
-		return cmp.Or(
-			cmp.Compare(m.parentRank(m.peers[a], now), m.parentRank(m.peers[b], now)),
-			cmp.Compare(m.hashOrder(a), m.hashOrder(b)),
-		)
-	})
+	var best tarragondeal.NodeID
+	var order uint64
+	lowest := math.MaxInt
+	for name, p := range m.peers {
+		rank := m.parentRank(p, now)
+		if rank > lowest {
+			continue
+		}
+		if hash := m.hashOrder(name); rank < lowest || hash < order {
+			best, order, lowest = name, hash, rank
+		}
+	}
+	return best
 }
 
 // hashOrder returns a sort key for a node that differs on each node (rendezvous
@@ -180,16 +187,3 @@
 	}
 	p.retryAt = m.Clock.Now().Add(delay + rand.N(delay/2))
 }
-
-// forwardedTo returns the nodes whose updates are forwarded to a peer: all other
-// nodes to a leaf, and only this node's leaves to any other peer, so that no update
-// is received twice.
-func (m *Mesh) forwardedTo(to tarragondeal.NodeID, leaf bool) map[tarragondeal.NodeID]bool {
-	out := make(map[tarragondeal.NodeID]bool, len(m.peers))
-	for name, p := range m.peers {
-		if name != to && (leaf || p.leaf) {
-			out[name] = true
-		}
-	}
-	return out
-}
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -225,6 +225,9 @@
 	p.presence = presence{
 		incarnation: s.GetIncarnation(), ready: s.GetReady(), wallOffset: time.Duration(s.GetWallNanos()) - time.Duration(now),
 	}
+	if p.leaf != w.peerIsLeaf || p.presence.differs(m.surveyedPresence(name)) {
+		m.survey = nil
+	}
 	p.lastState, p.leaf = now, w.peerIsLeaf
 	if p.received != nil {
 		p.bytesAtState = p.received.bytes.Load()
@@ -265,7 +268,16 @@
 // those from earlier states.
 func (m *Mesh) updateForwarded(reporter *peer, reports []*Presence, replace bool) {
 	known := m.forwarded[reporter.node.Name]
-	if known == nil || replace {
+	if replace && len(known) > 0 {
+		known = nil
+		delete(m.forwarded, reporter.node.Name)
+		m.survey = nil
+	}
+	if len(reports) == 0 {
+		return
+	}
+	m.survey = nil
+	if known == nil {
 		known = make(presences)
 		m.forwarded[reporter.node.Name] = known
 	}
@@ -292,6 +304,7 @@
 		return
 	}
 	p.writer, p.leaf = nil, false
+	m.survey = nil
 	p.lastState = min(p.lastState, m.Clock.Now().Add(reconnectGrace-aliveTimeout))
 	m.mu.Unlock()
 	for _, r := range m.receivers {
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -98,7 +98,7 @@
 		return s // Sections are sent only to a known peer.
 	}
 	for n, write := range w.writers {
-		if payload := write(func(name tarragondeal.NodeID) bool { return forwarded[name] }); payload != nil {
+		if payload := write(forwarded); payload != nil {
 			s.Sections = append(s.Sections, &Section{Topic: m.publishers[n].topic, Payload: payload})
 		}
 	}
@@ -107,8 +107,8 @@
 }
 
 // addPresences adds the changed presences of the forwarded nodes to a state. It
-// returns these nodes, and whether the peer is known.
-func (w *stateWriter) addPresences(s *State, wall time.Duration) (forwarded map[tarragondeal.NodeID]bool, known bool) {
+// returns whether a node is one of these, and whether the peer is known.
+func (w *stateWriter) addPresences(s *State, wall time.Duration) (forwarded func(tarragondeal.NodeID) bool, known bool) {
 	m := w.m
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -116,12 +116,13 @@
 	if m.peers[w.peer] == nil {
 		return nil, false
 	}
-	forwarded = m.forwardedTo(w.peer, w.peerIsLeaf)
+	fleet, to := m.surveyed(), w.peer
+	included := fleet.forwardedTo(w.peerIsLeaf)
 	ownOffset := wall - time.Duration(m.Clock.Now())
-	for name := range forwarded {
-		current, ok := m.alive(m.peers[name])
+	for name := range included {
+		current, ok := fleet.live[name]
 		current.wallOffset -= ownOffset
-		if !ok || !current.differs(w.sent[name]) {
+		if name == to || !ok || !current.differs(w.sent[name]) {
 			continue
 		}
 		w.sent[name] = current
@@ -130,16 +131,14 @@
 		})
 	}
 	for name := range w.sent {
-		if forwarded[name] {
-			if _, ok := m.alive(m.peers[name]); ok {
-				continue
-			}
+		if _, ok := fleet.live[name]; ok && included[name] {
+			continue
 		}
 		delete(w.sent, name)
 		s.Behind = append(s.Behind, &Presence{Node: string(name), Gone: true})
 	}
 	s.Whole, w.sentWhole = !w.sentWhole, true
-	return forwarded, true
+	return func(name tarragondeal.NodeID) bool { return name != to && included[name] }, true
 }
 
 // differs reports whether a presence must be sent again.
