tdfit: compare the uses of servers that have changed

Cause: each state summed up the load of all servers over all peers, and each one received read the fleet's wall clock twice for nothing: 13 and 19 % of a relay's processor time. Servers whose use has changed are compared for each state, and all of them four times a second.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -75,6 +75,7 @@
 	prefill        map[string]*prefillMeter // By pool.
 	sentLog        []sentEntry
 	seq            uint64
+	useChanges     uint64                                       // Number of changes of the uses of servers.
 	lastHeard      map[tarragondeal.NodeID]tarragondeal.Instant // When a node's load was last received.
 	lastStarts     map[string]tierStarts                        // By pool.
 	limits         rateNotices                                  // Rates that servers accept.
@@ -305,6 +306,7 @@
 		f.addPrompt(s, open.uncached, r.prefixes, now)
 		f.logSent(open)
 	}
+	f.changeUse(s)
 	s.own.running++
 	s.own.tokens += r.total
 	if r.tight {
@@ -384,6 +386,7 @@
 		return
 	}
 	delete(f.grants, g.ID)
+	f.changeUse(open.server)
 	open.server.own.running--
 	open.server.own.tokens -= open.request.total
 	if open.request.tight {
@@ -421,11 +424,13 @@
 		open.server.failures.add(now, 1)
 		// An engine may only have a long prefill backlog.
 		if open.server.engine == nil && open.server.silentSince(open.sent) {
+			f.changeUse(open.server)
 			open.server.backoffUntil, open.server.suspectUntil = now.Add(backoffTime), now.Add(backoffTime)
 			f.Log.Info().Str("server", string(open.server.ID)).Dur("for", backoffTime).Msg("server does not answer; it gets no requests for a while")
 		}
 	}
 	if open.server.failureShare(now) > failingThreshold {
+		f.changeUse(open.server)
 		open.server.suspectUntil = max(open.server.suspectUntil, now.Add(suspectTime))
 	}
 }
--- a/internal/dispatch/tdfit/pause.go
+++ b/internal/dispatch/tdfit/pause.go
@@ -93,6 +93,9 @@
 
 // receivePauses records the pauses that a peer knows, of this node or another one.
 func (f *Fit) receivePauses(from tarragondeal.NodeID, pauses []*Pause, now tarragondeal.Instant) {
+	if len(pauses) == 0 {
+		return
+	}
 	wall := f.Wall().UnixMilli()
 	for _, m := range pauses {
 		p := nodePause{
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -50,7 +50,7 @@
 // returns true.
 func (f *Fit) Writer() func(include func(tarragondeal.NodeID) bool) []byte {
 	var seq uint64
-	uses := make(map[tarragondeal.ServerID]use)
+	uses := sentUses{last: make(map[tarragondeal.ServerID]use)}
 	limits := make(map[serverRun]sentRate)
 	brittle := make(map[serverRun]sentRate)
 	leaving := make(map[serverRun]bool)
@@ -64,7 +64,7 @@
 		}
 		m := &Load{
 			Sent: f.sentSince(seq, include),
-			Uses: f.changedUses(uses, include, f.Clock.Now()), Whole: first,
+			Uses: f.changedUses(&uses, include, f.Clock.Now()), Whole: first,
 			Limits:  f.changedRates(f.limits, limits, f.Clock.Now()),
 			Brittle: f.changedRates(f.brittle, brittle, f.Clock.Now()),
 			Pauses:  f.newPauses(pauses),
@@ -90,19 +90,46 @@
 	return out
 }
 
+// usesInterval is how often the uses of all servers are compared with the last ones sent, and
+// not only of those that have changed: uses of peers expire, and a peer may have become one
+// whose load another node sends.
+const usesInterval = 250 * time.Millisecond
+
+// sentUses are the uses that were sent last on one stream.
+type sentUses struct {
+	last    map[tarragondeal.ServerID]use
+	changes uint64               // Of all uses, when the last ones were sent.
+	allAt   tarragondeal.Instant // When all were compared last.
+}
+
+// changeUse records that the use of a server changes.
+func (f *Fit) changeUse(s *server) {
+	f.useChanges++
+	s.useChanged = f.useChanges
+}
+
 // changedUses returns the uses that differ from the last ones sent, and updates
 // those.
-func (f *Fit) changedUses(last map[tarragondeal.ServerID]use, include func(tarragondeal.NodeID) bool, now tarragondeal.Instant) []*Use {
+func (f *Fit) changedUses(sent *sentUses, include func(tarragondeal.NodeID) bool, now tarragondeal.Instant) []*Use {
+	all := now.Sub(sent.allAt) >= usesInterval
+	if all {
+		sent.allAt = now
+	}
+	changes := sent.changes
+	sent.changes = f.useChanges
 	var out []*Use
 	for id, s := range f.servers {
+		if !all && s.useChanged <= changes {
+			continue
+		}
 		u := f.sumUse(s, include, now)
-		if u == last[id] {
+		if u == sent.last[id] {
 			continue
 		}
 		if u == (use{}) {
-			delete(last, id)
+			delete(sent.last, id)
 		} else {
-			last[id] = u
+			sent.last[id] = u
 		}
 		out = append(out, &Use{
 			Server: string(id), Running: uint32(max(0, u.running)), Tight: uint32(max(0, u.tight)),
@@ -142,11 +169,13 @@
 func (f *Fit) receiveUses(from tarragondeal.NodeID, m *Load) {
 	if m.GetWhole() {
 		for _, s := range f.servers {
+			f.changeUse(s)
 			delete(s.others, from)
 		}
 	}
 	for _, u := range m.GetUses() {
 		if s := f.servers[tarragondeal.ServerID(u.GetServer())]; s != nil {
+			f.changeUse(s)
 			s.others[from] = use{
 				running: int(u.GetRunning()), tight: int(u.GetTight()), tokens: int(u.GetTokens()), failing: u.GetFailing(),
 			}
--- a/internal/dispatch/tdfit/rate.go
+++ b/internal/dispatch/tdfit/rate.go
@@ -146,6 +146,9 @@
 // receiveRates adopts the rates of a peer that were announced later than the ones known
 // here.
 func (f *Fit) receiveRates(k rateNotices, from tarragondeal.NodeID, rates []*Rate, now tarragondeal.Instant) {
+	if len(rates) == 0 {
+		return
+	}
 	wall := f.Wall().UnixMilli()
 	for _, m := range rates {
 		run := serverRun{id: tarragondeal.ServerID(m.GetServer()), started: m.GetStartedMillis()}
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -61,6 +61,7 @@
 	cache        *promptCache
 	own          use
 	others       map[tarragondeal.NodeID]use
+	useChanged   uint64               // Number of the last change of own, others or suspectUntil, as counted by Fit.
 	prefilledAt  tarragondeal.Instant // When the prompts sent so far will have been read.
 	heavyPrefill decayingSum          // Milliseconds of reading long prompts.
 	rate         float64              // Prompt tokens read per millisecond.
