tdmesh: omit states that say nothing new

Cause: a leaf sends twelve states a second whether or not anything has changed. Change: a state that only repeats the last one is sent four times a second, which is well within the times after which a node counts as silent, also to nodes of earlier builds. A survey of the fleet is used for 100 ms.

--- a/internal/fleet/tdmesh/live.go
+++ b/internal/fleet/tdmesh/live.go
@@ -9,14 +9,14 @@
 
 // liveInterval is how long a survey of the fleet is used. What a peer's state changes is in
 // the next one at once; the end of a silent peer's life may be noticed that much later.
-const liveInterval = 50 * time.Millisecond
+const liveInterval = 100 * time.Millisecond
 
 // survey is what this node knows of the whole fleet at one moment. It is not changed once
 // it is made, so that all streams share it.
 type survey struct {
 	at         tarragondeal.Instant
-	live       presences // Of the peers that are alive.
-	known      map[tarragondeal.NodeID]bool
+	live       presences                    // Of the peers that are alive.
+	known      map[tarragondeal.NodeID]bool // All peers; empty if this node has no leaves.
 	leaves     map[tarragondeal.NodeID]bool // The leaves of this node.
 	wallOffset time.Duration                // Median of the live nodes' wall clocks minus this node's monotonic clock.
 }
@@ -29,21 +29,26 @@
 		return m.survey
 	}
 	s := &survey{
-		at: now, live: make(presences, len(m.peers)), known: make(map[tarragondeal.NodeID]bool, len(m.peers)),
+		at: now, live: make(presences, len(m.peers)), known: make(map[tarragondeal.NodeID]bool),
 		leaves: make(map[tarragondeal.NodeID]bool),
 	}
+	reported := m.reported()
 	offsets := make([]time.Duration, 0, 1+len(m.peers))
 	offsets = append(offsets, time.Duration(m.Clock.Wall().UnixNano())-time.Duration(now))
 	for name, p := range m.peers {
-		s.known[name] = true
 		if p.leaf {
 			s.leaves[name] = true
 		}
-		if known, ok := m.alive(p); ok {
+		if known, ok := m.aliveBy(p, reported); ok {
 			s.live[name] = known
 			offsets = append(offsets, known.wallOffset)
 		}
 	}
+	if len(s.leaves) > 0 {
+		for name := range m.peers {
+			s.known[name] = true
+		}
+	}
 	slices.Sort(offsets)
 	s.wallOffset = offsets[len(offsets)/2]
 	m.survey = s
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -217,12 +217,25 @@
 
 // alive returns the presence of a peer that is alive, either on a direct stream or
 // as forwarded by a peer with a direct stream.
-func (m *Mesh) alive(p *peer) (presence, bool) {
+func (m *Mesh) alive(p *peer) (presence, bool) { return m.aliveBy(p, m.reported()) }
+
+// reported returns the presences that the peers with a direct stream forward.
+func (m *Mesh) reported() []presences {
+	var out []presences
+	for via, reported := range m.forwarded {
+		if m.isDirect(m.peers[via]) {
+			out = append(out, reported)
+		}
+	}
+	return out
+}
+
+func (m *Mesh) aliveBy(p *peer, reported []presences) (presence, bool) {
 	if m.isDirect(p) {
 		return p.presence, true
 	}
-	for via, reported := range m.forwarded {
-		if known, ok := reported[p.node.Name]; ok && m.isDirect(m.peers[via]) {
+	for _, r := range reported {
+		if known, ok := r[p.node.Name]; ok {
 			return known, true
 		}
 	}
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -131,14 +131,16 @@
 func (m *Mesh) sendStates(ctx context.Context, s stream, w *stateWriter) error {
 	for {
 		state := w.nextState()
-		m.counter.add("sent", w.linkOf(true), state)
-		if err := s.Send(state); err != nil {
-			return err
-		}
 		interval := m.stateInterval()
 		if w.outgoing != nil {
 			interval = partInterval
 		}
+		if !w.quiet.mayOmit(state, m.Clock.Now(), interval) {
+			m.counter.add("sent", w.linkOf(true), state)
+			if err := s.Send(state); err != nil {
+				return err
+			}
+		}
 		if !tdclock.Sleep(ctx, interval) {
 			return nil
 		}
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -21,7 +21,8 @@
 	reportedRevision tarragondeal.Revision // The revision that the peer reported last.
 	reportedAt       tarragondeal.Instant  // When the peer had all that was sent, or advanced.
 	sent             map[tarragondeal.NodeID]presence
-	sentWhole        bool                  // A complete list of presences has been sent.
+	sentWhole        bool // A complete list of presences has been sent.
+	quiet            quietState
 	outgoing         *outgoingCopy         // The copy that is being sent in parts; nil for none.
 	withheld         tarragondeal.Revision // Of a copy that is too large for the peer; zero for none.
 	incoming         []byte                // The parts received so far of a copy; used by the receiver of states only.
