tdfit: remember where the first parts of prompts were read

Cause: the index from prompts to engines left out the first part, as one that all prompts share. Where prompts consist of a document and a question, only the questions were remembered, which never come again: a pool of over 16 engines read the document anew for almost each request. Change: all prefixes of 256 tokens and more are indexed.

--- a/internal/dispatch/tdfit/fit_test.go
+++ b/internal/dispatch/tdfit/fit_test.go
@@ -148,6 +148,34 @@
 	}
 }
 
+// TestDocumentsReturnToTheirCache guards against long documents that are read again at one server after
+// the other of a large pool, since only the ends of their prompts are remembered.
+func TestDocumentsReturnToTheirCache(t *testing.T) {
+	const documents, engines = 100, 140
+	w := newTestFit(engines)
+	home := make(map[uint64]tarragondeal.ServerID)
+	again := 0
+	for ask := range uint64(5 * documents) {
+		document := ask % documents
+		g, err := w.reserve(tarragondeal.Ask{
+			Pools: []string{"m"}, Input: 14_000, Output: 400,
+			Parts: []tarragondeal.PromptPart{{ID: document, Tokens: 13_000}, {ID: 1000 + ask, Tokens: 1000}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if known, ok := home[document]; ok && g.Server.ID != known {
+			again++
+		}
+		home[document] = g.Server.ID
+		w.clock.now = w.clock.now.Add(50 * time.Millisecond)
+		w.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
+	}
+	if again > documents/10 {
+		t.Errorf("%d of %d requests read their document again", again, 4*documents)
+	}
+}
+
 // TestBurstFromTwoNodes checks that two nodes that choose at the same time don't
 // overload one engine once each has received what the other sent.
 func TestBurstFromTwoNodes(t *testing.T) {
--- a/internal/dispatch/tdfit/prefixindex.go
+++ b/internal/dispatch/tdfit/prefixindex.go
@@ -17,6 +17,9 @@
 	// Sampling keeps nodes that choose at the same time, from the same load
 	// data, from all choosing the same server.
 	sampleSize = 10
+	// minIndexedTokens is the length of the shortest prefix that is recorded. A shorter one
+	// is read again in less time than a server with less load saves.
+	minIndexedTokens = 256
 	// maxServersPerPrefix bounds the servers that are recorded for a prefix,
 	// maxPrefixes the prefixes.
 	maxServersPerPrefix = 3
@@ -34,11 +37,11 @@
 	return prefixIndex{servers: servers}
 }
 
-// add records that an engine reads a prompt. The first part is left out: most
-// prompts share it, so most engines have it cached.
+// add records that an engine reads a prompt.
 func (x prefixIndex) add(prefixes []prefix, id tarragondeal.ServerID) {
-	for n, p := range prefixes {
-		if n == 0 && len(prefixes) > 1 {
+	tokens := 0
+	for _, p := range prefixes {
+		if tokens += p.tokens; tokens < minIndexedTokens {
 			continue
 		}
 		known, _ := x.servers.Get(p.digest)
