--- a/internal/entry/tdoperator/operator_test.go
+++ b/internal/entry/tdoperator/operator_test.go
@@ -1,7 +1,6 @@
 package tdoperator_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -57,11 +57,11 @@
 		pub    *publisher
 		server *httptest.Server
 		client *tdoperator.Client
-		logged *bytes.Buffer
+		logged *gbytes.Buffer
 	)
 
 	BeforeEach(func() {
-		ctx, pub, logged = context.Background(), newPublisher(), &bytes.Buffer{}
+		ctx, pub, logged = context.Background(), newPublisher(), gbytes.NewBuffer()
 		api := tdoperator.New(tdoperator.Deps{
 			Config: pub, Members: members{}, Clock: tdclock.New(), Metrics: http.NotFoundHandler(),
 			Log: zerolog.New(logged), Tokens: []tdoperator.Token{{Name: "anna", Text: anna}, {Name: "bjorn", Text: bjorn}, {Name: "nobody"}},
@@ -94,7 +94,7 @@
 		It(fmt.Sprintf("rejects the token %q and does not disclose the valid one", token), func() {
 			_, err := tdoperator.NewClient(strings.TrimPrefix(server.URL, "http://"), token).Set(ctx)
 			Expect(codeOf(err)).To(Equal(tdoperator.CodeUnauthorised))
-			Expect(err.Error() + logged.String()).NotTo(ContainSubstring(anna))
+			Expect(err.Error() + string(logged.Contents())).NotTo(ContainSubstring(anna))
 		})
 	}
 
