--- a/internal/entry/tdhost/cut_answer_test.go
+++ b/internal/entry/tdhost/cut_answer_test.go
@@ -32,24 +32,7 @@
 	s.next = next
 }
 
-func (s *scriptServer) start(t testing.TB) netip.AddrPort {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
-	return netip.MustParseAddrPort(ln.Addr().String())
-}
+func (s *scriptServer) start(t testing.TB) netip.AddrPort { return acceptEach(t, s.serve) }
 
 func (s *scriptServer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
--- a/internal/entry/tdhost/refusal_test.go
+++ b/internal/entry/tdhost/refusal_test.go
@@ -23,24 +23,7 @@
 	accepted int
 }
 
-func (s *repeatingServer) start(t *testing.T) netip.AddrPort {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
-	return netip.MustParseAddrPort(ln.Addr().String())
-}
+func (s *repeatingServer) start(t *testing.T) netip.AddrPort { return acceptEach(t, s.serve) }
 
 func (s *repeatingServer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -759,6 +759,22 @@
 // rawServer answers each connection with the same bytes once it has read a request,
 // and then closes or resets it.
 func rawServer(t *testing.T, answer string, reset bool) netip.AddrPort {
+	t.Helper()
+	return acceptEach(t, func(c net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		_, _ = io.WriteString(c, answer)
+		if reset {
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		_ = c.Close()
+	})
+}
+
+// acceptEach listens until the test ends, and calls serve for each connection.
+func acceptEach(t testing.TB, serve func(net.Conn)) netip.AddrPort {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -771,15 +787,7 @@
 			if err != nil {
 				return
 			}
-			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-			}
-			_, _ = io.WriteString(c, answer)
-			if reset {
-				time.Sleep(20 * time.Millisecond)
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}
-			_ = c.Close()
+			go serve(c)
 		}
 	}()
 	return netip.MustParseAddrPort(ln.Addr().String())
