tdmirror: log how long subscribers take to receive changes

Hypotheses on CONFIG and DRAIN beside large configurations can't be told apart by the logs: no line says for how long the copy of the store was held. A line is written where the subscribers take over 0.1 s.

--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -92,9 +92,13 @@
 	if m.answersOthers() {
 		c.AfterOutage, c.OutageEnd = false, 0
 	}
+	start := m.clock.Now()
 	for _, receive := range m.subscribers {
 		receive(c)
 	}
+	if took := m.clock.Now().Sub(start); took > slowReceive {
+		m.opt.Log.Info().Uint64("revision", uint64(m.rev)).Int("changes", len(accepted)).Dur("took", took).Msg("subscribers took long to receive changes")
+	}
 }
 
 func (m *Mirror) isMirrored(key string) bool {
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -60,6 +60,9 @@
 	maxHistory = 256
 	// largeAnswer is the size in bytes of the values from which an answer is logged.
 	largeAnswer = 16 << 10
+	// slowReceive is the time from which it is logged that subscribers take to receive
+	// changes. The mirror does nothing else meanwhile.
+	slowReceive = 100 * time.Millisecond
 )
 
 // MaxAnswerAge is how long ago the last answer may be while the service is available
