tdlisting: decode configurations outside of the copy of the store

Cause: the mirror calls its subscribers with its mutex held, and one of them decoded the whole configuration. The time has no bound: it grows with the configuration and with what slows the node.

Configurations are received by Follow and decoded by a task of their own. A newer one that arrives meanwhile replaces those that wait; if it is invalid, the one before is decoded. The line "configuration in force" says how long it waited.

The tests of versions call applyPending after each change, and at random times in TestLateCopiesDoNotGoBack: the same checks.

--- a/internal/fleet/tdlisting/config.go
+++ b/internal/fleet/tdlisting/config.go
@@ -1,6 +1,9 @@
 package tdlisting
 
 import (
+	"cmp"
+	"context"
+	"slices"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -10,26 +13,38 @@
 	"tarragondeal/internal/fleet/tdmirror"
 )
 
+// maxPending is the number of received configurations that are kept until they are
+// decoded. Only the newest valid one is applied.
+const maxPending = 4
+
 // Apply activates a configuration as a whole and returns its version. It returns an
 // error, and changes nothing, if the value is invalid or its version is not higher
-// than active.
+// than active. Calls do not overlap.
 type Apply func(value []byte, active tarragondeal.Version) (tarragondeal.Version, error)
 
-// Config tracks the active configuration. It is safe for concurrent use.
+// Config tracks the active configuration. Its methods but Run are safe for concurrent use.
 type Config struct {
 	key   string
 	apply Apply
 	clock tarragondeal.Clock
 	log   zerolog.Logger
+	wake  chan struct{} // Holds a token while configurations are pending.
 
 	mu      sync.Mutex
 	version tarragondeal.Version
 	rev     tarragondeal.Revision
+	pending []pendingConfig // In the order in which they were received.
+}
+
+// pendingConfig is a configuration that has not been decoded.
+type pendingConfig struct {
+	tarragondeal.Entry
+	receivedAt tarragondeal.Instant
 }
 
 // NewConfig returns a Config for the configuration that is stored under key.
 func NewConfig(key string, c tarragondeal.Clock, log zerolog.Logger, apply Apply) *Config {
-	return &Config{key: key, apply: apply, clock: c, log: log}
+	return &Config{key: key, apply: apply, clock: c, log: log, wake: make(chan struct{}, 1)}
 }
 
 // Version returns the active version, or zero before the first.
@@ -39,29 +54,71 @@
 	return c.version
 }
 
-// Follow applies changes of the copy of the store.
+// Follow receives changes of the copy of the store. Run applies them: decoding a large
+// configuration takes long, and must not delay other changes.
 func (c *Config) Follow(changes tdmirror.Changes) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, e := range changes.Entries {
-		if e.Key == c.key && !e.Deleted {
-			c.applyEntry(e)
+		if e.Key != c.key || e.Deleted {
+			continue
+		}
+		c.pending = append(c.pending, pendingConfig{Entry: e, receivedAt: c.clock.Now()})
+		if over := len(c.pending) - maxPending; over > 0 {
+			c.pending = slices.Delete(c.pending, 0, over)
+		}
+		select {
+		case c.wake <- struct{}{}:
+		default:
 		}
 	}
 }
 
-func (c *Config) applyEntry(e tarragondeal.Entry) {
+// Run applies received configurations until ctx ends.
+func (c *Config) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-c.wake:
+			c.applyPending()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// applyPending applies the newest valid configuration of those that are pending.
+func (c *Config) applyPending() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if e.Revision <= c.rev {
-		return
+	pending := c.pending
+	c.pending = nil
+	c.mu.Unlock()
+	slices.SortFunc(pending, func(a, b pendingConfig) int { return cmp.Compare(b.Revision, a.Revision) })
+	for n := range pending {
+		if c.applyEntry(&pending[n]) {
+			return
+		}
+	}
+}
+
+// applyEntry reports whether p is applied, or a later one has been.
+func (c *Config) applyEntry(p *pendingConfig) bool {
+	c.mu.Lock()
+	active, rev := c.version, c.rev
+	c.mu.Unlock()
+	if p.Revision <= rev {
+		return true
 	}
 	start := c.clock.Now()
-	version, err := c.apply(e.Value, c.version)
+	version, err := c.apply(p.Value, active)
 	if err != nil {
-		c.log.Error().Err(tdlog.Bounded(err)).Uint64("revision", uint64(e.Revision)).Uint64("inForce", uint64(c.version)).
+		c.log.Error().Err(tdlog.Bounded(err)).Uint64("revision", uint64(p.Revision)).Uint64("inForce", uint64(active)).
 			Msg("configuration rejected, keeping the previous one")
-		return
+		return false
 	}
-	c.log.Info().Uint64("version", uint64(version)).Uint64("before", uint64(c.version)).Uint64("revision", uint64(e.Revision)).
-		Int("bytes", len(e.Value)).Dur("took", c.clock.Now().Sub(start)).Msg("configuration in force")
-	c.version, c.rev = version, e.Revision
+	c.log.Info().Uint64("version", uint64(version)).Uint64("before", uint64(active)).Uint64("revision", uint64(p.Revision)).Int("bytes", len(p.Value)).
+		Dur("waited", start.Sub(p.receivedAt)).Dur("took", c.clock.Now().Sub(start)).Msg("configuration in force")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version, c.rev = version, p.Revision
+	return true
 }
--- a/internal/fleet/tdlisting/decoding_test.go
+++ b/internal/fleet/tdlisting/decoding_test.go
@@ -31,6 +31,7 @@
 	m.Apply([]tarragondeal.Entry{{Key: "s/1", Value: []byte("live"), Revision: 1}}, 1, true)
 	<-lists
 
+	go func() { _ = config.Run(t.Context()) }()
 	defer close(decoded)
 	go m.Apply([]tarragondeal.Entry{{Key: "config", Value: []byte("2"), Revision: 2}}, 2, false)
 	<-decoding
--- a/internal/fleet/tdlisting/doc.go
+++ b/internal/fleet/tdlisting/doc.go
@@ -8,4 +8,6 @@
 //	servers := tdlisting.NewServers("servers/", decode, clock, log, func(list []tarragondeal.Server) { ... })
 //	mirror.Subscribe(servers.Follow)
 //	err := servers.Run(ctx)
+//
+// A Config is used in the same way. Its Run decodes configurations.
 package tdlisting
--- a/internal/fleet/tdlisting/listing_test.go
+++ b/internal/fleet/tdlisting/listing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -117,12 +118,44 @@
 		{Key: "config", Value: []byte("9"), Revision: 9},
 	} {
 		c.Follow(tdmirror.Changes{Entries: []tarragondeal.Entry{e}})
+		c.applyPending()
 	}
 	if len(applied) != 2 || applied[1] != 9 || c.Version() != 9 {
 		t.Errorf("applied versions are %v", applied)
 	}
 }
 
+// TestNewestValidConfigurationIsApplied checks configurations that are received while an
+// earlier one is decoded: only the newest valid one is decoded, also of more than are kept.
+func TestNewestValidConfigurationIsApplied(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		received []string // Values, by revision from 1.
+		want     []string // Values that are decoded, in order.
+		version  tarragondeal.Version
+	}{
+		{"one", []string{"1"}, []string{"1"}, 1},
+		{"several", []string{"1", "2", "3"}, []string{"3"}, 3},
+		{"the newest is invalid", []string{"1", "2", "x"}, []string{"x", "2"}, 2},
+		{"all are invalid", []string{"x", "y"}, []string{"y", "x"}, 0},
+		{"more than are kept", []string{"1", "2", "3", "4", "5", "6", "7"}, []string{"7"}, 7},
+	} {
+		var decoded []string
+		config := NewConfig("config", &fakeClock{}, zerolog.Nop(), func(value []byte, _ tarragondeal.Version) (tarragondeal.Version, error) {
+			decoded = append(decoded, string(value))
+			n, err := strconv.ParseUint(string(value), 10, 64)
+			return tarragondeal.Version(n), err
+		})
+		for n, value := range c.received {
+			config.Follow(tdmirror.Changes{Entries: []tarragondeal.Entry{{Key: "config", Value: []byte(value), Revision: tarragondeal.Revision(n + 1)}}})
+		}
+		config.applyPending()
+		if !slices.Equal(decoded, c.want) || config.Version() != c.version {
+			t.Errorf("%s: %q are decoded, version %d is in force", c.name, decoded, config.Version())
+		}
+	}
+}
+
 // TestServerRemovedAfterOutageIsGoneInTime checks that a server that is removed some
 // time after an outage is kept no longer than until live servers are listed again,
 // which is counted from the end of the outage.
--- a/internal/fleet/tdlisting/order_test.go
+++ b/internal/fleet/tdlisting/order_test.go
@@ -89,7 +89,7 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			key := fmt.Sprintf("s/%d", rapid.IntRange(0, 3).Draw(t, "server"))
-			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
 			case 0:
 				log.add("config", strconv.Itoa(rapid.IntRange(1, 30).Draw(t, "version")), false)
 			case 1:
@@ -105,11 +105,14 @@
 					c := rapid.SampledFrom(copies).Draw(t, "copy")
 					mirror.Apply(c.entries, c.rev, c.whole)
 				}
+			case 8:
+				config.applyPending()
 			}
 		}
 		send(tarragondeal.Revision(len(log)))
 		last := copies[len(copies)-1]
 		mirror.Apply(last.entries, last.rev, last.whole)
+		config.applyPending()
 		held := log.at(tarragondeal.Revision(len(log)))
 		if n, err := strconv.ParseUint(string(held["config"].Value), 10, 64); err == nil && config.Version() < tarragondeal.Version(n) {
 			t.Fatalf("version %d is in force, the store has %d", config.Version(), n)
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -257,6 +257,7 @@
 	n.servers = tdlisting.NewServers(platform.ServersPrefix, platform.DecodeServer, n.clock, tdlog.Part(n.log, "servers"), n.setServers)
 	n.mirror.Subscribe(n.config.Follow)
 	n.mirror.Subscribe(n.servers.Follow)
+	n.addTask("apply configurations", n.config.Run)
 	n.addTask("follow servers", n.servers.Run)
 }
 
