--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -23,6 +23,10 @@
 	// noiseShare is the random part of an estimate. It spreads requests over
 	// servers with similar estimates.
 	noiseShare = 0.08
+	// plainSpread is the mean of the random part for a plain server. Calls end sooner than
+	// the nodes learn of one another's, so that a burst of them all over the fleet would
+	// go to the one server that the last reports show as the best.
+	plainSpread = 2 * plainCallTime
 	// pollInterval is how often a request without a server tries again.
 	pollInterval = 20 * time.Millisecond
 	// waitShare is the share of its target for which a request waits for a
@@ -290,7 +294,7 @@
 			r.tight = r.ask.Gap > 0 && prefillAllowance(r.ask.Gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
 		}
 		c := f.cost(r, s, now)
-		c += time.Duration(noiseShare * rand.Float64() * float64(c+firstTokenOverhead))
+		c += noise(s, c)
 		if best == nil || c < least {
 			best, least = s, c
 		}
@@ -298,6 +302,14 @@
 	return best
 }
 
+// noise returns the random part of the estimate c for a server.
+func noise(s *server, c time.Duration) time.Duration {
+	if s.engine == nil {
+		return time.Duration(rand.ExpFloat64() * float64(plainSpread))
+	}
+	return time.Duration(noiseShare * rand.Float64() * float64(c+firstTokenOverhead))
+}
+
 // assign records that a request is sent to a server and returns its grant.
 func (f *Fit) assign(r *request, s *server, now tarragondeal.Instant) tarragondeal.Grant {
 	open := &openGrant{server: s, request: *r, sent: now, uncontended: s.backlog(now) == 0}
@@ -419,6 +431,7 @@
 		open.server.failures.add(now, 1)
 		if o.Rejected {
 			f.recordRejection(open, now)
+			return // Peers that avoided a full server would fill the others.
 		}
 	case tarragondeal.OutcomeLate:
 		open.server.failures.add(now, 1)
--- a/internal/dispatch/tdfit/fit_test.go
+++ b/internal/dispatch/tdfit/fit_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdpoison"
@@ -608,3 +609,72 @@
 		}
 	}
 }
+
+// TestNodesSpreadOverPlainServers guards against a burst of calls that all nodes send to the one
+// plain server that their common state shows as the least used, whose rejections the callers get.
+func TestNodesSpreadOverPlainServers(t *testing.T) {
+	const size, rounds = 60, 50
+	nodes := make([]tarragondeal.NodeID, size)
+	for n := range nodes {
+		nodes[n] = tarragondeal.NodeID(fmt.Sprintf("node-%d", n))
+	}
+	for _, c := range []struct {
+		name  string
+		state *Load
+	}{
+		{"equal servers", &Load{}},
+		{"one server less used", &Load{Uses: []*Use{{Server: "p0", Running: 2}, {Server: "p1", Running: 2}}}},
+	} {
+		state, err := proto.Marshal(c.state)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent := make(map[tarragondeal.ServerID]int)
+		for _, name := range nodes {
+			w := newTestFitAt(name, nodes, &fakeClock{now: tarragondeal.Instant(time.Hour)}, 0)
+			w.Receive("peer", state)
+			for range rounds {
+				g, err := w.reserve(tarragondeal.Ask{Pools: []string{"p"}, Target: 100 * time.Millisecond})
+				if err != nil {
+					t.Fatal(err)
+				}
+				w.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
+				sent[g.Server.ID]++
+			}
+		}
+		for id, n := range sent {
+			if n > size*rounds/2 {
+				t.Errorf("%s: %d of %d calls were sent to %s", c.name, n, size*rounds, id)
+			}
+		}
+	}
+}
+
+// TestRejectionsAreNotReportedAsFailures guards against nodes that all leave a server without room
+// because one of them was rejected there, and are then rejected by the others.
+func TestRejectionsAreNotReportedAsFailures(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome tarragondeal.Outcome
+		failing bool
+	}{
+		{"rejected", tarragondeal.Outcome{Kind: tarragondeal.OutcomeRefused, Rejected: true}, false},
+		{"failed", tarragondeal.Outcome{Kind: tarragondeal.OutcomeRefused}, true},
+	} {
+		w := newTestFit(0)
+		for range 5 {
+			g, err := w.reserve(tarragondeal.Ask{Pools: []string{"p"}, Target: 100 * time.Millisecond})
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.Done(g, c.outcome)
+		}
+		failing := false
+		for _, s := range w.servers {
+			failing = failing || s.ownUse(w.clock.now).failing
+		}
+		if failing != c.failing {
+			t.Errorf("%s: reported as failing: %t", c.name, failing)
+		}
+	}
+}
