tdhost: find routes by their prefix

Each request was compared with all routes of its host, and the routes were sorted for each configuration. Both grow with the configurations that operators extend by thousands of routes. Routes are found by the lengths of the prefixes now.

--- a/internal/entry/tdhost/host_test.go
+++ b/internal/entry/tdhost/host_test.go
@@ -54,7 +54,7 @@
 func TestMatch(t *testing.T) {
 	set := &tarragondeal.Set{Routes: []tarragondeal.Route{
 		{Name: "short", Host: "x.example", Prefix: "/a/"}, {Name: "long", Host: "x.example", Prefix: "/a/b/"},
-		{Name: "other", Host: "y.example", Prefix: "/a/"},
+		{Name: "other", Host: "y.example", Prefix: "/a/"}, {Name: "repeated", Host: "y.example", Prefix: "/a/"},
 	}}
 	table := newTable(tarragondeal.NewView(1, set), 0)
 	for _, c := range []struct{ host, path, want string }{
--- a/internal/entry/tdhost/match.go
+++ b/internal/entry/tdhost/match.go
@@ -12,26 +12,55 @@
 // table is the routing table built from a published set.
 type table struct {
 	view         *tarragondeal.View
-	routes       map[string][]*tarragondeal.Route // By host, longest prefix first.
-	maxBodyBytes int64                            // Maximum size of a request body.
+	hosts        map[string]*hostRoutes
+	maxBodyBytes int64 // Maximum size of a request body.
+}
+
+// hostRoutes are the routes of one host.
+type hostRoutes struct {
+	byPrefix map[string]*tarragondeal.Route
+	lengths  []int // Of the prefixes, longest first.
 }
 
 func newTable(v *tarragondeal.View, body int64) *table {
-	t := &table{view: v, routes: make(map[string][]*tarragondeal.Route), maxBodyBytes: body}
+	t := &table{view: v, hosts: make(map[string]*hostRoutes), maxBodyBytes: body}
 	for n := range v.Set.Routes {
 		r := &v.Set.Routes[n]
-		t.routes[r.Host] = append(t.routes[r.Host], r)
+		h := t.hosts[r.Host]
+		if h == nil {
+			h = &hostRoutes{byPrefix: make(map[string]*tarragondeal.Route)}
+			t.hosts[r.Host] = h
+		}
+		h.add(r)
 	}
-	for _, routes := range t.routes {
-		slices.SortFunc(routes, func(a, b *tarragondeal.Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	for _, h := range t.hosts {
+		slices.SortFunc(h.lengths, func(a, b int) int { return cmp.Compare(b, a) })
 	}
 	return t
 }
 
+// add adds a route unless there is one with the same prefix.
+func (h *hostRoutes) add(r *tarragondeal.Route) {
+	if _, ok := h.byPrefix[r.Prefix]; ok {
+		return
+	}
+	h.byPrefix[r.Prefix] = r
+	if !slices.Contains(h.lengths, len(r.Prefix)) {
+		h.lengths = append(h.lengths, len(r.Prefix))
+	}
+}
+
 // match returns the route of host with the longest prefix of path, or nil.
 func (t *table) match(host, path string) *tarragondeal.Route {
-	for _, r := range t.routes[hostName(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
+	h := t.hosts[hostName(host)]
+	if h == nil {
+		return nil
+	}
+	for _, n := range h.lengths {
+		if n > len(path) {
+			continue
+		}
+		if r := h.byPrefix[path[:n]]; r != nil {
 			return r
 		}
 	}
