tdmesh: time for which a node stood still is not a relay's silence

Leaves logged "relay is silent" of relays that were well, one after another, and then followed the store for lack of a source.

Cause: a slow node, or one that decodes a large configuration with a small share of a core, runs its checks late. What it received meanwhile is not read yet, and the time counts as silence of the relay. Checks are 0.05 s apart.

Class: a time limit that counts the observer's own pause.

--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -85,6 +85,8 @@
 	source            tarragondeal.NodeID               // The node that sends copies of the store; empty for none.
 	sourceBehindSince tarragondeal.Instant              // Zero while the source is up to date.
 	selfBehindSince   tarragondeal.Instant              // Zero while no other node has a newer revision.
+	checkedAt         tarragondeal.Instant              // When the streams were checked last; zero before the first time.
+	resumedAt         tarragondeal.Instant              // When this node last ran again after it stood still; zero before.
 	noSourceSince     tarragondeal.Instant              // Since when no source of copies is available; zero while one is.
 	noSourceTimeout   time.Duration                     // How long this node waits without a source before it follows the store.
 	followReason      followReason                      // At the last check.
@@ -146,6 +148,7 @@
 	received     *meter               // Of the stream that this node opened; nil before the first.
 	bytesAtState uint64               // Received on it when its last state was complete.
 	retryAt      tarragondeal.Instant // The earliest time to open a stream.
+	stalled      time.Duration        // For how long this node stood still since the peer's last state.
 }
 
 // New returns a mesh that knows only its own node.
--- a/internal/fleet/tdmesh/relay.go
+++ b/internal/fleet/tdmesh/relay.go
@@ -78,8 +78,9 @@
 func (m *Mesh) reconcileStreams() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	want := m.desiredStreams()
 	now := m.Clock.Now()
+	m.recordStall(now)
+	want := m.desiredStreams()
 	for name, p := range m.peers {
 		switch {
 		case !want[name] && p.cancel != nil:
@@ -87,7 +88,7 @@
 			p.cancel = nil
 		case want[name] && p.cancel == nil && now >= p.retryAt:
 			m.openStream(p)
-		case want[name] && p.cancel != nil && now.Sub(max(p.lastHeard(), p.openedAt)) > aliveTimeout:
+		case want[name] && p.cancel != nil && m.silence(p, p.openedAt, now) > aliveTimeout:
 			m.Log.Info().Str("peer", string(name)).Uint64("receivedBytes", p.receivedSinceState()).Msg("stream is silent, reopening")
 			m.closeAndBackOff(p, reopenDelay)
 		}
@@ -118,7 +119,7 @@
 func (m *Mesh) chooseParent() {
 	now := m.Clock.Now()
 	p := m.peers[m.parent]
-	if p != nil && now >= p.retryAt && now.Sub(max(p.lastHeard(), m.parentSince)) > parentTimeout {
+	if p != nil && now >= p.retryAt && m.silence(p, m.parentSince, now) > parentTimeout {
 		m.Log.Info().Str("peer", string(m.parent)).Uint64("receivedBytes", p.receivedSinceState()).Msg("relay is silent, disconnecting")
 		m.closeAndBackOff(p, parentBackoff)
 	}
@@ -128,6 +129,9 @@
 	}
 	m.Log.Info().Str("peer", string(best)).Str("before", string(m.parent)).Msg("relay chosen")
 	m.parent, m.parentSince = best, now
+	if p := m.peers[best]; p != nil {
+		p.stalled = 0
+	}
 }
 
 // shouldSwitchParent reports whether to leave a working relay for a better one.
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -41,7 +41,7 @@
 	}
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancel(context.Background())
-	p.openedAt = m.Clock.Now()
+	p.openedAt, p.stalled = m.Clock.Now(), 0
 	received := new(meter)
 	p.received, p.bytesAtState = received, 0
 	m.group.Go("tell "+string(p.node.Name), func(group context.Context) error {
@@ -230,7 +230,7 @@
 	if p.leaf != w.peerIsLeaf || p.presence.differs(m.surveyedPresence(name)) {
 		m.survey = nil
 	}
-	p.lastState, p.leaf = now, w.peerIsLeaf
+	p.lastState, p.leaf, p.stalled = now, w.peerIsLeaf, 0
 	if p.received != nil {
 		p.bytesAtState = p.received.bytes.Load()
 	}
