test/vm: overlapping changes in the soak

Large configurations, an engine that leaves, stops in turn and SIGHUP come at the same time now, while callers go on using their connections.

--- a/test/vm/soak_test.go
+++ b/test/vm/soak_test.go
@@ -84,6 +84,8 @@
 		s.injectLeaving(srv)
 	case 15:
 		s.injectBrittle()
+	case 16:
+		s.injectOverlap()
 	default:
 		s.injectStreamFault(kind, pause)
 	}
@@ -142,6 +144,60 @@
 	s.updateEngines(func(x *server) { x.brittle = nil })
 }
 
+// injectOverlap makes changes that overlap: two configurations with many more routes, an engine
+// whose entry says that it leaves, and meanwhile nodes that are stopped in turn or get SIGHUP.
+// Callers go on using their connections.
+func (s *soak) injectOverlap() {
+	srv := []*server{s.engine, s.engine2}[s.rng.IntN(2)]
+	order := s.rng.Perm(len(s.nodes))
+	stopped, calm := order[:len(order)/2], order[len(order)/2:]
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for _, n := range stopped {
+			s.nodes[n].signal(syscall.SIGTERM)
+			_ = s.nodes[n].cmd.Wait()
+			s.nodes[n].start()
+		}
+	})
+	for range 2 {
+		s.growConfig()
+		s.nodes[calm[s.rng.IntN(len(calm))]].signal(syscall.SIGHUP)
+		time.Sleep(time.Duration(s.rng.IntN(300)) * time.Millisecond)
+	}
+	s.store.put("servers/"+srv.id, srv.entry("model", "draining"))
+	left, version := time.Now(), s.version
+	time.Sleep(soakConfigBound)
+	for _, n := range calm {
+		if r := s.nodes[n].get(fmt.Sprintf("/v%d/x", version), "key-a"); r.status == http.StatusNotFound {
+			s.logf("VIOLATION: configuration %d is not in force at %s after %s", version, s.nodes[n].name, soakConfigBound)
+		}
+	}
+	wg.Wait()
+	if n := receivedAfter(srv, left.Add(leavingBound)); n > 0 {
+		s.logf("VIOLATION: %d requests reached %s later than %s after its entry said that it leaves", n, srv.id, leavingBound)
+	}
+	s.store.put("servers/"+srv.id, srv.entry("model", "ready"))
+	if srv == s.engine2 && len(s.limitFrom) > 0 {
+		s.limitFrom = append(s.limitFrom, time.Now())
+	}
+}
+
+// growConfig publishes a configuration with many more routes, one of which has the prefix /vN/
+// for version N.
+func (s *soak) growConfig() {
+	for n := range soakMoreRoutes {
+		s.more = append(s.more, map[string]any{
+			"name": fmt.Sprintf("more%d-%d", s.version+1, n), "host": "x.example", "prefix": fmt.Sprintf("/more%d-%d/", s.version+1, n),
+			"kind": "idempotent", "timeoutMs": 5000, "sloMs": 500, "priority": 1, "service": "records", "maxAttempts": 2,
+		})
+	}
+	s.more = append(s.more, map[string]any{
+		"name": fmt.Sprintf("version%d", s.version+1), "host": "x.example", "prefix": fmt.Sprintf("/v%d/", s.version+1),
+		"kind": "idempotent", "timeoutMs": 5000, "sloMs": 500, "priority": 1, "service": "records", "maxAttempts": 2,
+	})
+	s.putConfig()
+}
+
 // injectLinkFault cuts nodes off from servers: one or two nodes from all of them, or all
 // nodes from one, as if that had crashed.
 func (s *soak) injectLinkFault(kind int, pause time.Duration) {
@@ -380,8 +436,8 @@
 	// of faults, which are injected one after another: first each of soakKinds
 	// once, in random order, then random ones.
 	soakCallers = 6
-	soakKinds   = 16
-	soakFaults  = 17
+	soakKinds   = 17
+	soakFaults  = 18
 	// soakNodeFaults is the number of kinds of faults that hit nodes or the store.
 	soakNodeFaults = 4
 	// soakBrittleInterval is the time between two more requests while engines are brittle.
@@ -394,6 +450,10 @@
 	// soakLimit is the limit that an engine announces in the seeds for which
 	// soakLimited returns true, in requests per second.
 	soakLimit = 2
+	// soakMoreRoutes is the number of routes that a configuration has more than the one
+	// before, and soakConfigBound the time in which it must be in force.
+	soakMoreRoutes  = 1400
+	soakConfigBound = 2 * time.Second
 	// soakLinkedSize is the size of the fleets whose nodes have links of their own.
 	soakLinkedSize = 3
 	// soakFirstSeed is the first seed, and soakSeedCount the number of seeds unless
