tdflow: rejected attempts count towards the limit again

The attempts beyond the limit that brought do harm in an overload: the other servers are as full, and what comes on top displaces other calls.

--- a/internal/entry/tdflow/attempt.go
+++ b/internal/entry/tdflow/attempt.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// firstBackoff bounds the delay before the second retry, and before the first one
-	// after a rejection. The bound doubles with each further retry.
+	// firstBackoff bounds the delay before the second retry. The bound doubles
+	// with each further retry.
 	firstBackoff = 25 * time.Millisecond
 	// maxRecordBytes bounds the copy of an answer stored with a claim.
 	maxRecordBytes = 256 << 10
@@ -65,19 +65,13 @@
 	return s.s.Tokens()
 }
 
-// backoff prepares the retry after an attempt that failed with f. The server is avoided and
-// the first retry comes at once, unless the server rejected the attempt: others are probably full
-// too, and it may have room again after a random delay.
-func (r *run) backoff(ctx context.Context, f Failure) {
-	delays := r.attempts - 1
-	if f == FailRejected {
-		delays++
-	} else {
-		r.ask.Avoid = append(r.ask.Avoid, r.current.grant.Server.ID)
-	}
-	if delays > 0 {
-		tdclock.Sleep(ctx, rand.N(firstBackoff<<(delays-1)))
+// backoff sleeps for a random time before each retry except the first.
+func backoff(ctx context.Context, attempts int) {
+	if attempts < 2 {
+		return
 	}
+	bound := firstBackoff << (attempts - 2)
+	tdclock.Sleep(ctx, rand.N(bound))
 }
 
 func (r *run) attempt(ctx context.Context) attemptResult {
--- a/internal/entry/tdflow/decide.go
+++ b/internal/entry/tdflow/decide.go
@@ -54,7 +54,7 @@
 	Final       bool // No other attempt can continue what has been sent.
 	Resumed     bool // This attempt has already been resumed, or has sent nothing of the stream.
 	Attempts    int  // Made so far, including this one.
-	NotRun      int  // Attempts that no server ran: they reached none, or were rejected.
+	Unsent      int  // Attempts that reached no server.
 	MaxAttempts int
 	Remaining   time.Duration
 }
@@ -76,16 +76,17 @@
 	if s.resumable() {
 		return StepResume
 	}
-	safe := s.Idempotent || s.Failure.notRun() && !s.Delivered
-	if !safe || s.Attempts-min(s.NotRun, maxNotRunAttempts) >= s.MaxAttempts {
+	notRun := s.Failure.unsent() || s.Failure == FailRejected
+	safe := s.Idempotent || notRun && !s.Delivered
+	if !safe || s.Attempts-min(s.Unsent, maxUnsentAttempts) >= s.MaxAttempts {
 		return s.finalStep()
 	}
 	return StepRetry
 }
 
-// maxNotRunAttempts is the number of attempts which no server ran that don't count
-// towards the limit of a request.
-const maxNotRunAttempts = 3
+// maxUnsentAttempts is the number of attempts which reached no server that
+// don't count towards the limit of a request.
+const maxUnsentAttempts = 3
 
 // resumable reports whether the same server may be able to resume the stream. An
 // answer to another request can't be resumed.
@@ -118,9 +119,6 @@
 	return f == FailUnreachable || f == FailPlacement || f == FailRevoked
 }
 
-// notRun reports whether no server ran an attempt that failed with f.
-func (f Failure) notRun() bool { return f.unsent() || f == FailRejected }
-
 // CombineRan combines what is known of two attempts of a request. It returns
 // RanYes if either ran, else RanUnknown if either is unknown, else RanNot.
 func CombineRan(a, b tarragondeal.Ran) tarragondeal.Ran {
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -77,8 +77,8 @@
 	// deadline of the class applies.
 	Deadline time.Duration
 	// Attempts bounds the attempts of this request. If zero, the limit in
-	// Options applies. With an Exchange, up to maxNotRunAttempts attempts that
-	// no server ran are not counted.
+	// Options applies. With an Exchange, up to maxUnsentAttempts attempts that
+	// reached no server are not counted.
 	Attempts int
 	// Parts, Input and Output are the caller's description of its prompt.
 	Parts  []tarragondeal.PromptPart
@@ -105,7 +105,7 @@
 	deadline    time.Duration // Counted from arrival.
 	ran         tarragondeal.Ran
 	attempts    int
-	notRun      int     // Attempts that no server ran.
+	unsent      int     // Attempts that reached no server.
 	prevFailure Failure // Of the previous attempt.
 	current     *attempt
 	stream      streamState
@@ -200,8 +200,8 @@
 			r.ran = tarragondeal.RanYes
 		}
 		r.ran = CombineRan(r.ran, res.ran)
-		if res.failure.notRun() {
-			r.notRun++
+		if res.failure.unsent() {
+			r.unsent++
 		}
 		s := r.state(res.failure)
 		s.Final = res.final
@@ -218,7 +218,8 @@
 		r.f.Log.Info().Str("request", string(r.q.ID)).Str("server", string(r.current.grant.Server.ID)).
 			Stringer("failure", res.failure).Str("ran", string(res.ran)).AnErr("error", res.err).
 			Int("attempt", r.attempts).Msg("attempt failed, will be retried")
-		r.backoff(ctx, res.failure)
+		r.ask.Avoid = append(r.ask.Avoid, r.current.grant.Server.ID)
+		backoff(ctx, r.attempts)
 	}
 }
 
@@ -229,7 +230,7 @@
 	}
 	if r.q.Exchange != nil {
 		// A broken stream is continued at another server, never at the same one.
-		s.Stream, s.NotRun = r.q.Class.Events, r.notRun
+		s.Stream, s.Unsent = r.q.Class.Events, r.unsent
 	}
 	if r.q.Attempts > 0 {
 		s.MaxAttempts = r.q.Attempts
