--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -23,9 +23,9 @@
 	// noiseShare is the random part of an estimate. It spreads requests over
 	// servers with similar estimates.
 	noiseShare = 0.08
-	// plainSpread is the mean of the random part for a plain server. Calls end sooner than
-	// the nodes learn of one another's, so that a burst of them all over the fleet would
-	// go to the one server that the last reports show as the best.
+	// plainSpread is the mean of the random part for a plain server. A call ends before
+	// other nodes learn of it. With a small random part, calls that reach all nodes at
+	// once would go to the one server that the last reports show as the best.
 	plainSpread = 2 * plainCallTime
 	// pollInterval is how often a request without a server tries again.
 	pollInterval = 20 * time.Millisecond
--- a/internal/fleet/tdmesh/stall.go
+++ b/internal/fleet/tdmesh/stall.go
@@ -6,24 +6,25 @@
 	"tarragondeal"
 )
 
-// stallThreshold is the time between two checks of the streams from which this node stood
-// still: it was paused, or got too little processor time. What it received meanwhile has not
-// been read.
+// stallThreshold is the longest time between two checks of the streams of a node that runs. After
+// a longer one this node stood still: it was paused, or got too little processor time. What it
+// received meanwhile has not been read.
 const stallThreshold = 3 * reconcileInterval
 
-// recordStall records for how long this node stood still since the last check.
+// recordStall is called at each check of the streams. It records for how long this node stood
+// still since the last one.
 func (m *Mesh) recordStall(now tarragondeal.Instant) {
 	gap := now.Sub(m.checkedAt)
 	isFirst := m.checkedAt == 0
 	m.checkedAt = now
-	if isFirst || gap < stallThreshold {
+	if isFirst || gap <= stallThreshold {
 		return
 	}
 	m.resumedAt = now
 	for _, p := range m.peers {
 		p.stalled += gap - reconcileInterval
 	}
-	if gap > parentTimeout {
+	if gap > parentTimeout { // Shorter ones are frequent on a slow machine.
 		m.Log.Info().Dur("for", gap).Msg("this node stood still")
 	}
 }
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -60,8 +60,8 @@
 	maxHistory = 256
 	// largeAnswer is the size in bytes of the values from which an answer is logged.
 	largeAnswer = 16 << 10
-	// slowReceive is the time from which it is logged that subscribers take to receive
-	// changes. The mirror does nothing else meanwhile.
+	// slowReceive is how long subscribers may take to receive changes before that is
+	// logged. The mirror does nothing else meanwhile.
 	slowReceive = 100 * time.Millisecond
 )
 
