--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -326,3 +326,13 @@
 	defer s.mu.Unlock()
 	return slices.ContainsFunc(s.reports, func(r report) bool { return r.window == window && !r.at.After(until) })
 }
+
+// lastHolder returns the machine that last performed a duty, or an empty name.
+func (s *store) lastHolder() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.reports) == 0 {
+		return ""
+	}
+	return s.reports[len(s.reports)-1].holder
+}
