--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"duties-stop":              dutiesStop,
 	"crashing-request-silent":  crashingRequestSilent,
 	"crashing-request-restart": crashingRequestRestart,
+	"failed-as-refused":        failedAsRefused,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -44,6 +44,8 @@
 	// onRun is called when a server begins to run a request. If it returns true, the server
 	// crashes.
 	onRun func(s *server, r *http.Request) bool
+	// failure returns the status with which a server fails a request that it has run, or 0.
+	failure func(r *http.Request) int
 }
 
 func (p *pool) add(a arrival) {
@@ -214,6 +216,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Server-Stamp", "stamp."+id+"."+a.id)
+	if s.pool.failure != nil {
+		if status := s.pool.failure(r); status != 0 {
+			s.pool.rec.add("server %s has run %s and fails it with %d", id, a.id, status)
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "failed")
+			return
+		}
+	}
 	_, _ = io.WriteString(w, "done "+strings.Repeat("x", 800))
 }
 
