--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,21 +26,24 @@
 	ended                   chan struct{}
 }
 
+// firstPort and portCount are the range of the nodes' ports. It is below that from which a
+// system takes the ports of outgoing connections, so that a node can start again at its own.
+const (
+	firstPort = 20_000
+	portCount = 12_000
+)
+
 // freePorts returns the first of n consecutive ports that are free.
 func freePorts(n int) (int, error) {
 	for range 200 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		first := ln.Addr().(*net.TCPAddr).Port
-		open := []net.Listener{ln}
-		for p := first + 1; p < first+n; p++ {
-			next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		first := firstPort + rand.IntN(portCount-n)
+		var open []net.Listener
+		for p := first; p < first+n; p++ {
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
 			if err != nil {
 				break
 			}
-			open = append(open, next)
+			open = append(open, ln)
 		}
 		for _, l := range open {
 			_ = l.Close()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -82,7 +82,11 @@
 }
 
 func newServer(p *pool, name string) (*server, error) {
-	s := &server{pool: p, name: name, addr: "127.0.0.1:0"}
+	port, err := freePorts(1)
+	if err != nil {
+		return nil, err
+	}
+	s := &server{pool: p, name: name, addr: fmt.Sprintf("127.0.0.1:%d", port)}
 	return s, s.begin()
 }
 
