--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -14,6 +14,8 @@
 const (
 	host = "ficu95.example"
 	key  = "n2ctnfzs989anu6wsjnb"
+	// otherKey is a key of the same tenant, which some cases withdraw.
+	otherKey = "anfqasnmgkcuyj8pjbvk"
 )
 
 var requests atomic.Int64
@@ -28,6 +30,11 @@
 
 // send sends one client attempt on a new connection to a node.
 func send(rec *recorder, n *node, id, method, path, body string, deadline time.Duration) answer {
+	return sendAs(rec, n, key, id, method, path, body, deadline)
+}
+
+// sendAs does the same with a key.
+func sendAs(rec *recorder, n *node, bearer, id, method, path, body string, deadline time.Duration) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.front+path, strings.NewReader(body))
@@ -37,7 +44,7 @@
 	req.Host, req.Close = host, true
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
-	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Authorization", "Bearer "+bearer)
 	rec.add("client sends %s %s %s to %s", id, method, path, n.name)
 	res, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
@@ -54,7 +61,7 @@
 func newID() string { return fmt.Sprintf("%016x", 0x1c41d07be2000000+requests.Add(1)) }
 
 // config returns a configuration like that of a small deployment, without its engines.
-func config(version int) map[string]any {
+func config(version int, keys ...string) map[string]any {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "prefix": prefix, "kind": kind, "timeoutMs": 800, "sloMs": 100, "priority": 2,
@@ -66,6 +73,6 @@
 		"routes":   []any{route("kjede-booking", "/book/", "non_idempotent", 1), route("lager-sjekk", "/stock/", "idempotent", 2)},
 		"services": []any{map[string]any{"name": "leie-system", "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []any{map[string]any{"name": "hule930", "apiKeys": []string{key}}},
+		"tenants":  []any{map[string]any{"name": "hule930", "apiKeys": keys}},
 	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 	"crashing-request-silent":  crashingRequestSilent,
 	"crashing-request-restart": crashingRequestRestart,
 	"failed-as-refused":        failedAsRefused,
+	"large-entries":            largeEntries,
 }
 
 func main() {
@@ -87,7 +88,7 @@
 	if s.store, err = newStore(s.rec); err != nil {
 		return err
 	}
-	s.store.put("op/config", config(3))
+	s.store.put("op/config", config(3, key, otherKey))
 	s.pool = &pool{rec: s.rec, store: s.store, service: "leie-system"}
 	for i := range servers {
 		srv, err := newServer(s.pool, fmt.Sprintf("%c7f3a9", 'a'+i))
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -75,6 +75,7 @@
 	born  int64
 	seq   int
 	up    bool
+	state string // Of its entry.
 	conns map[net.Conn]bool
 	stop  context.CancelFunc
 	busy  chan struct{}
@@ -99,7 +100,7 @@
 	s.mu.Lock()
 	s.addr = ln.Addr().String()
 	s.start++
-	s.id, s.born, s.seq, s.up = fmt.Sprintf("i-%s-%d", s.name, s.start), time.Now().UnixMilli(), 0, true
+	s.id, s.born, s.seq, s.up, s.state = fmt.Sprintf("i-%s-%d", s.name, s.start), time.Now().UnixMilli(), 0, true, "ready"
 	s.conns, s.busy, s.queue = map[net.Conn]bool{}, make(chan struct{}, slots), 0
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
@@ -148,11 +149,22 @@
 	}
 	s.seq++
 	s.pool.store.put("servers/"+s.id, map[string]any{
-		"service": s.pool.service, "addr": s.addr, "zone": "sone-bergen", "version": "v1", "slots": slots, "state": "ready",
+		"service": s.pool.service, "addr": s.addr, "zone": "sone-bergen", "version": "v1", "slots": slots, "state": s.state,
 		"coldLeftMs": 0, "born": s.born, "seq": s.seq,
 	})
 }
 
+// leave makes the server say that it is draining. It goes on serving. It returns when the
+// store has accepted that.
+func (s *server) leave() {
+	s.mu.Lock()
+	s.state = "draining"
+	id := s.id
+	s.mu.Unlock()
+	s.beat()
+	s.pool.rec.add("the store acknowledges that %s is draining", id)
+}
+
 // crash ends an incarnation. The server is back after s.down.
 func (s *server) crash(id string) {
 	s.mu.Lock()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -24,6 +24,9 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
+// history is historyS of the deployment.
+const history = 20 * time.Second
+
 type lease struct {
 	ttl time.Duration
 	end time.Time
@@ -39,6 +42,8 @@
 	rev     uint64
 	items   map[string]item
 	events  []item
+	times   []time.Time // Of the events.
+	dropped uint64      // The last revision whose event is no longer kept.
 	changed chan struct{}
 	leases  map[uint64]*lease
 	reports []report
@@ -129,6 +134,13 @@
 	s.write(key, text, 0)
 }
 
+// putBytes writes a key, as another writer does.
+func (s *store) putBytes(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(key, value, 0)
+}
+
 // remove deletes a key.
 func (s *store) remove(key string) {
 	s.mu.Lock()
@@ -156,7 +168,12 @@
 }
 
 func (s *store) publish(e item) {
-	s.events = append(s.events, e)
+	now := time.Now()
+	for len(s.times) > 0 && now.Sub(s.times[0]) > history {
+		s.dropped = s.events[0].Rev
+		s.events, s.times = s.events[1:], s.times[1:]
+	}
+	s.events, s.times = append(s.events, e), append(s.times, now)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -212,6 +229,11 @@
 	for over := false; ; {
 		out := []item{}
 		s.mu.Lock()
+		if after < s.dropped {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		for _, e := range s.events {
 			if e.Rev > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
 				out = append(out, e)
