--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -114,9 +114,10 @@
 			if s.id != id {
 				return
 			}
-			if state == http.StateNew {
+			switch state {
+			case http.StateNew:
 				s.conns[c] = true
-			} else if state == http.StateClosed || state == http.StateHijacked {
+			case http.StateClosed, http.StateHijacked:
 				delete(s.conns, c)
 			}
 		},
