--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -33,12 +33,15 @@
 	portCount = 12_000
 )
 
-// freePorts returns the first of n consecutive ports that are free.
+// taken are the ports that freePorts has returned. Not all of them are in use at once.
+var taken = map[int]bool{}
+
+// freePorts returns the first of n consecutive ports that are free, each time others.
 func freePorts(n int) (int, error) {
 	for range 200 {
 		first := firstPort + rand.IntN(portCount-n)
 		var open []net.Listener
-		for p := first; p < first+n; p++ {
+		for p := first; p < first+n && !taken[p]; p++ {
 			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
 			if err != nil {
 				break
@@ -49,6 +52,9 @@
 			_ = l.Close()
 		}
 		if len(open) == n {
+			for p := first; p < first+n; p++ {
+				taken[p] = true
+			}
 			return first, nil
 		}
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -27,6 +27,12 @@
 // history is historyS of the deployment.
 const history = 20 * time.Second
 
+// pageItems and pageBytes bound a page of a listing.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
+
 type lease struct {
 	ttl time.Duration
 	end time.Time
@@ -217,8 +223,12 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b item) int { return cmp.Compare(a.Key, b.Key) })
-	const page = 500
-	reply(w, http.StatusOK, map[string]any{"items": out[:min(page, len(out))], "hasMore": len(out) > page, "storeRevision": s.rev})
+	n, size := 0, 0
+	for n < min(pageItems, len(out)) && (n == 0 || size+len(out[n].Value) <= pageBytes) {
+		size += len(out[n].Value)
+		n++
+	}
+	reply(w, http.StatusOK, map[string]any{"items": out[:n], "hasMore": n < len(out), "storeRevision": s.rev})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
