--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -140,11 +140,13 @@
 	s.write(key, text, 0)
 }
 
-// putBytes writes a key, as another writer does.
-func (s *store) putBytes(key string, value []byte) {
+// putTogether writes a value under some keys in one transaction, as another writer does.
+func (s *store) putTogether(keys []string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(key, value, 0)
+	for _, key := range keys {
+		s.write(key, value, 0)
+	}
 }
 
 // remove deletes a key.
