entry: a server's 503 to a booking that it has run is not passed on

Cause: an answer was taken for a refusal only with X-Not-Run or status 421, and each other answer was passed on with its status. callerStatus checks the node's own refusals only.

Change: an answer with 408, 421, 429 or 503 to such a request, which doesn't state that its server has not run it, ends as 502 of the node's own. Answers to requests that may be repeated are passed on as before. callerStatus has the same check for 408 and 429 of the node's own.

--- a/internal/entry/tdhost/answer.go
+++ b/internal/entry/tdhost/answer.go
@@ -35,9 +35,12 @@
 
 // callerStatus returns the status to send for a refusal. Status 503
 // means that the request has not run: it is returned for every request
-// that has not run, except for passedStatuses, and never for one that may have run.
+// that has not run, except for passedStatuses. No status with that meaning is returned
+// for a request that may have run.
 func callerStatus(status int, notRun bool) int {
 	switch {
+	case !notRun && platform.PromisesNotRun(status):
+		return http.StatusBadGateway
 	case slices.Contains(passedStatuses, status):
 		return status
 	case notRun:
--- a/internal/entry/tdhost/host_test.go
+++ b/internal/entry/tdhost/host_test.go
@@ -14,12 +14,12 @@
 // TestCallerStatus checks that callers get a status that means "not run" only if
 // the request has not run.
 func TestCallerStatus(t *testing.T) {
-	promises := map[int]bool{http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true, http.StatusRequestTimeout: true}
+	promises := map[int]bool{http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true, http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true}
 	for status := 400; status < 600; status++ {
 		if got := callerStatus(status, true); got >= 500 && got != http.StatusServiceUnavailable {
 			t.Errorf("status %d of a request that has not run becomes %d", status, got)
 		}
-		if got := callerStatus(status, false); promises[got] && got != status {
+		if got := callerStatus(status, false); promises[got] {
 			t.Errorf("status %d of a request that may have run becomes %d", status, got)
 		}
 	}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -118,6 +119,9 @@
 		return x.rejected(answer)
 	}
 	x.countStart(t)
+	if t.Request.Route.NonIdempotent && platform.PromisesNotRun(answer.Status) {
+		return x.withheld(t, answer)
+	}
 	if x.headSent {
 		return timer.result(x.continueStream(ctx, t, answer, timer))
 	}
@@ -245,6 +249,22 @@
 	return tdflow.Result{Failure: tdflow.FailRejected, Ran: tarragondeal.RanNot}
 }
 
+// statusError reports a server's answer whose status can't be passed on.
+type statusError struct{ Status int }
+
+func (e *statusError) Error() string {
+	return fmt.Sprintf("status %d promises that the request has not run, which its server doesn't state", e.Status)
+}
+
+// withheld handles an answer to a non-idempotent request that has the status of a refusal,
+// and doesn't state that the server has not run the request. The status would tell the
+// caller that the request may be repeated.
+func (x *Exchange) withheld(t *tdflow.Attempt, answer *tarragondeal.Answer) tdflow.Result {
+	t.OnBegin()
+	discard(answer)
+	return tdflow.Result{Failure: tdflow.FailServerError, Ran: tarragondeal.RanYes, Err: &statusError{Status: answer.Status}}
+}
+
 // relayPlain relays an answer that isn't an event stream.
 func (x *Exchange) relayPlain(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer) tdflow.Result {
 	buffered, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
