dispatch: requests that crash servers are known after all nodes have ended

Cause: only parts of prompts were kept in the store. The fingerprint of a request was in the memory of the nodes.

Change: a node that sees the break from which a fingerprint is refused writes it, and once more after each further break, since the time until the next trial depends on their number. The records have a name of their own: nodes of earlier builds read each record under held/poison/ as that of a part.

--- a/internal/dispatch/tdpoison/record.go
+++ b/internal/dispatch/tdpoison/record.go
@@ -108,8 +108,8 @@
 	breaks   []Break // At most one for each run, in the order of At.
 	answered tarragondeal.Instant
 	permits  *tdshare.Share       // For trials; nil before the first one.
-	kept     bool                 // It is to be written to the store, or has been.
-	stored   bool                 // It was read from the store.
+	kept     int                  // The version that is to be written to the store, or has been.
+	stored   int                  // The version that was read from the store.
 	triedAt  tarragondeal.Instant // When this node last tried it; zero if it hasn't.
 }
 
--- a/internal/dispatch/tdpoison/table.go
+++ b/internal/dispatch/tdpoison/table.go
@@ -45,7 +45,7 @@
 	log     []announcement
 	seq     uint64 // Number of the last announcement.
 	sweptAt tarragondeal.Instant
-	unkept  chan Trait // Refused parts that are to be written to the store.
+	unkept  chan unkept // Refused traits that are to be written to the store.
 }
 
 // New returns an empty table.
@@ -53,7 +53,7 @@
 	// The only error is a size that is not above zero.
 	answers, _ := simplelru.NewLRU[Trait, tarragondeal.Instant](maxAnswers, nil)
 	return &Table{
-		Deps: d, answers: answers, records: make(map[Trait]*record), recent: make(map[Run]tarragondeal.Instant), unkept: make(chan Trait, maxUnkept),
+		Deps: d, answers: answers, records: make(map[Trait]*record), recent: make(map[Run]tarragondeal.Instant), unkept: make(chan unkept, maxUnkept),
 	}
 }
 
@@ -93,7 +93,7 @@
 			}
 			after = trialPause
 		}
-		t.keep(trait, r)
+		t.keep(trait, r, false)
 		return Verdict{Refused: true, Trait: trait, Crashes: r.successive(), After: after}
 	}
 	return Verdict{}
@@ -271,8 +271,14 @@
 		return
 	}
 	t.announce(c, from)
+	after := t.refuses(c.trait, r, forever)
+	if after && from == "" && c.kind == changeBroke && c.trait.Kind == KindRequest {
+		// A node that has seen one of the breaks writes them: no request may be refused
+		// for them before all nodes have ended.
+		t.keep(c.trait, r, true)
+	}
 	message := ""
-	switch after := t.refuses(c.trait, r, forever); {
+	switch {
 	case !before && after:
 		message = "servers crashed one after the other under requests with a trait; they are refused"
 	case before && !after:
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -205,12 +205,12 @@
 	n.mesh.Receive(tdpoison.Topic, poison.Receive, nil)
 	n.mirror.Subscribe(func(c tdmirror.Changes) {
 		for _, e := range c.Entries {
-			if !e.Deleted && strings.HasPrefix(e.Key, tdlease.KeyPrefix+tdpoison.NamePrefix) {
-				poison.Load(e.Value)
+			if name, ok := strings.CutPrefix(e.Key, tdlease.KeyPrefix); ok && !e.Deleted {
+				poison.Load(name, e.Value)
 			}
 		}
 	})
-	n.addTask("keep refused parts", func(ctx context.Context) error { return poison.Keep(ctx, n.store) })
+	n.addTask("keep refused traits", func(ctx context.Context) error { return poison.Keep(ctx, n.store) })
 	return poison
 }
 
