dispatch: a server that goes silent under a request counts as crashed

Cause: only a connection that breaks counted as a crash. An attempt at a silent server ends by its deadline, a time-out or its caller, which says only that the server was slow.

So a request that is only slow is not refused: servers that live are not listed as ended, and one server is not enough.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -181,15 +181,20 @@
 		}
 		if known != nil {
 			f.inheritLeaving(&known.Server, &s, now)
+			if runOf(&known.Server) != runOf(&s) {
+				f.recordRunEnded(known)
+			}
 		}
 		var e *tarragondeal.Engine
 		if f.view != nil && f.view.ServerPools[s.Pool] != nil {
 			e = f.view.ServerPools[s.Pool].Engine
 		}
 		f.servers[s.ID] = f.newServer(s, e)
+		f.Poison.Returned(poisonRun(f.servers[s.ID]))
 	}
-	for id := range f.servers {
+	for id, s := range f.servers {
 		if !present[id] {
+			f.recordRunEnded(s)
 			delete(f.servers, id)
 		}
 	}
@@ -377,6 +382,7 @@
 	}
 	open.started = true
 	open.server.lastAnswer = f.Clock.Now()
+	f.Poison.Alive(poisonRun(open.server))
 	if !f.Poison.Empty() {
 		f.Poison.Began(poisonRun(open.server), open.sent)
 	}
@@ -417,6 +423,7 @@
 	case tarragondeal.OutcomeServed:
 		open.server.served.add(now, 1)
 		open.server.lastAnswer = now
+		f.Poison.Alive(poisonRun(open.server))
 		f.Poison.Answered(traitsOf(open.request.ask, open.server.Pool))
 	case tarragondeal.OutcomeUnreachable:
 		open.server.failures.add(now, 1)
@@ -430,10 +437,17 @@
 	case tarragondeal.OutcomeRefused, tarragondeal.OutcomeWrong:
 		open.server.failures.add(now, 1)
 		if o.Rejected {
+			f.Poison.Alive(poisonRun(open.server))
 			f.recordRejection(open, now)
 			return // Peers that avoided a full server would fill the others.
 		}
+		if o.Kind == tarragondeal.OutcomeWrong {
+			f.recordSilence(open, now)
+		}
+	case tarragondeal.OutcomeCancelled:
+		f.recordSilence(open, now)
 	case tarragondeal.OutcomeLate:
+		f.recordSilence(open, now)
 		open.server.failures.add(now, 1)
 		// An engine may only have a long prefill backlog.
 		if open.server.engine == nil && open.server.silentSince(open.sent) {
--- a/internal/dispatch/tdfit/poison.go
+++ b/internal/dispatch/tdfit/poison.go
@@ -38,3 +38,23 @@
 		Str("id", hexID(v.Trait.ID)).Int("crashed", v.Crashes).Dur("retryAfter", v.After).Msg("request refused: servers crashed under requests like it")
 	return refused(tarragondeal.ReasonQuarantined, "backend servers crashed under requests like this one", v.After)
 }
+
+// recordSilence records that a request got no complete answer although its connection did
+// not break. A server that said that it leaves may end before it answers.
+func (f *Fit) recordSilence(open *openGrant, now tarragondeal.Instant) {
+	run := runOf(&open.server.Server)
+	if f.leaving[run] != nil {
+		return
+	}
+	b := tdpoison.Break{Run: poisonRun(open.server), Sent: open.sent, At: now}
+	f.Poison.Silent(traitsOf(open.request.ask, open.server.Pool), b, f.listedRun(run) == nil)
+}
+
+// recordRunEnded records that a run of a server is no longer listed.
+func (f *Fit) recordRunEnded(s *server) {
+	if f.leaving[runOf(&s.Server)] != nil {
+		f.Poison.Left(poisonRun(s))
+		return
+	}
+	f.Poison.Ended(poisonRun(s))
+}
--- a/internal/dispatch/tdpoison/table.go
+++ b/internal/dispatch/tdpoison/table.go
@@ -45,6 +45,7 @@
 	log     []announcement
 	seq     uint64 // Number of the last announcement.
 	sweptAt tarragondeal.Instant
+	silent  map[Run]*silentRun
 	unkept  chan unkept // Refused traits that are to be written to the store.
 }
 
@@ -53,7 +54,8 @@
 	// The only error is a size that is not above zero.
 	answers, _ := simplelru.NewLRU[Trait, tarragondeal.Instant](maxAnswers, nil)
 	return &Table{
-		Deps: d, answers: answers, records: make(map[Trait]*record), recent: make(map[Run]tarragondeal.Instant), unkept: make(chan unkept, maxUnkept),
+		Deps: d, answers: answers, records: make(map[Trait]*record), recent: make(map[Run]tarragondeal.Instant),
+		silent: make(map[Run]*silentRun), unkept: make(chan unkept, maxUnkept),
 	}
 }
 
@@ -185,6 +187,8 @@
 	for _, trait := range traits {
 		if trait.Kind == KindPart {
 			t.answers.Add(trait, now)
+		} else {
+			t.forgetAnswered(trait)
 		}
 		t.apply(change{trait: trait, kind: changeAnswered, b: Break{At: now}}, "")
 	}
