mirror: an answer without events doesn't move the copy

Cause: a watch that ended in that second was answered without events and with the store's latest revision, and the copy continued from there. The changes before it were never received, and no 410 followed, as the revision was late enough.

Change: the copy is complete up to the last change that it has received. It asks from there again, and gets what was held back, or 410 and a listing. The log line of an expired history names the revision that the store last reported.

--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -42,9 +42,17 @@
 	m.merge(entries, m.rev, m.rev)
 }
 
-func (m *Mirror) apply(entries []tarragondeal.Entry, rev tarragondeal.Revision) {
+// applyWatched applies the changes after revision rev that a watch returned. The copy is
+// complete up to the last of them: the service may have reported a later revision while it
+// held changes back.
+func (m *Mirror) applyWatched(entries []tarragondeal.Entry, rev, reported tarragondeal.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for _, e := range entries {
+		rev = max(rev, e.Revision)
+	}
+	m.relists = 0
+	m.reported = max(m.reported, reported)
 	m.add(entries, rev)
 }
 
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -113,8 +113,10 @@
 	history        []tarragondeal.Entry
 	historyStart   tarragondeal.Revision // The history holds all changes after this revision.
 	listed         bool
-	relistAt       tarragondeal.Instant // When the keys may be listed again; zero before the first time.
-	listings       []listing            // The last listings, without their entries.
+	relistAt       tarragondeal.Instant  // When the keys may be listed again; zero before the first time.
+	relists        int                   // Listings since the last watch that was answered.
+	reported       tarragondeal.Revision // The latest revision of the service that it has reported.
+	listings       []listing             // The last listings, without their entries.
 	unavailable    bool
 	failures       int                  // Calls that failed since the last one that did not.
 	delay          time.Duration        // How late the service answered the last watch without changes.
@@ -251,17 +253,15 @@
 	start := m.clock.Now()
 	entries, next, err := m.source.Watch(ctx, "", rev, wait)
 	m.logLarge(entries, next, timer)
-	var historyErr *tarragondeal.HistoryError
-	if errors.As(err, &historyErr) {
+	if _, ok := errors.AsType[*tarragondeal.HistoryError](err); ok {
 		m.recordSuccess()
-		m.opt.Log.Info().Uint64("revision", uint64(rev)).Msg("watch history expired, listing again")
-		m.expireHistory()
+		m.expireHistory(rev)
 		return false, nil
 	}
 	if err != nil {
 		return false, err
 	}
-	m.apply(entries, max(next, rev))
+	m.applyWatched(entries, rev, next)
 	now := m.clock.Now()
 	if len(entries) == 0 {
 		m.recordDelay(now.Sub(start) - wait)
@@ -270,15 +270,25 @@
 	return len(entries) > 0, nil
 }
 
-// expireHistory makes this node list the keys again.
-func (m *Mirror) expireHistory() {
+// expireHistory makes this node list the keys again, since the service has not the changes
+// after revision rev.
+func (m *Mirror) expireHistory(rev tarragondeal.Revision) {
 	delay := time.Duration(0)
 	if m.opt.RelistDelay != nil {
 		delay = m.opt.RelistDelay()
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delay = m.relist(delay)
+	m.opt.Log.Info().Uint64("revision", uint64(rev)).Uint64("reported", uint64(m.reported)).Int("listings", m.relists).Dur("delay", delay).
+		Msg("watch history expired, listing again")
+}
+
+// relist makes this node list the keys again after a delay, which it returns.
+func (m *Mirror) relist(delay time.Duration) time.Duration {
+	m.relists++
 	m.listed, m.relistAt = false, m.clock.Now().Add(delay)
+	return delay
 }
 
 // leavesListing waits until the keys may be listed again. It reports whether this node need
@@ -288,7 +298,7 @@
 	at := m.relistAt
 	m.mu.Unlock()
 	for m.clock.Now() < at && ctx.Err() == nil {
-		if !m.opt.Follows() {
+		if m.opt.Follows != nil && !m.opt.Follows() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.listed = true
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -176,6 +176,7 @@
 	if m.listed && !m.follows {
 		return // It would only wait.
 	}
+	m.clock.(*fakeClock).now = m.clock.Now().Add(time.Second) // Of the wait before a listing.
 	if _, err := m.step(context.Background()); err == nil {
 		m.recordSuccess()
 	} else {
--- /dev/null
+++ b/test/vm/history_test.go
@@ -0,0 +1,56 @@
+package vm_test
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// configTime is how long after its acknowledgement a configuration may come into force.
+	configTime = 2 * time.Second
+	// holdTime is how long the store holds changes back, longer than a watch waits.
+	holdTime = 1500 * time.Millisecond
+)
+
+// withdraw makes the operator withdraw one of the keys, and expects that no node accepts it
+// after a time, unless that is zero.
+func (f *fleet) withdraw(within time.Duration) {
+	GinkgoHelper()
+	withdrawn := f.keys[0]
+	f.keys = append(f.keys[1:], fmt.Sprint("key-", f.version))
+	f.putConfig()
+	if within == 0 {
+		return
+	}
+	time.Sleep(within)
+	for _, n := range f.nodes {
+		Expect(n.get("/look/1", withdrawn).status).To(Equal(http.StatusUnauthorized), n.name)
+		Expect(n.get("/look/1", f.keys[0]).status).To(Equal(http.StatusOK), n.name)
+	}
+}
+
+var _ = Describe("configurations", func() {
+	for _, size := range []int{3, 11} { // Each follows the store, or some receive copies.
+		// Guards against nodes that never learn of changes because a watch answered without
+		// events, and with a later revision, while the store held the changes back.
+		It(fmt.Sprintf("come into force at %d nodes of a store that held changes back and then dropped its history", size), func() {
+			f := newFleet(size)
+			f.waitReady()
+			f.store.setHistory(func() { f.store.holdsBack = true })
+			withdrawn := f.keys[0]
+			f.keys = append(f.keys[1:], "key-new")
+			f.putConfig()
+			time.Sleep(holdTime)
+			f.store.setHistory(func() { f.store.holdsBack, f.store.dropped = false, f.store.rev })
+			time.Sleep(contactTime)
+			for _, n := range f.nodes {
+				Expect(n.get("/look/1", withdrawn).status).To(Equal(http.StatusUnauthorized), n.name)
+			}
+			f.withdraw(configTime)
+		})
+	}
+})
--- a/test/vm/store_test.go
+++ b/test/vm/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -33,6 +34,10 @@
 	leases      map[uint64]time.Time
 	ttls        map[uint64]time.Duration
 	unavailable bool
+	holdsBack   bool                         // Watches give no events, and the latest revision.
+	forgets     bool                         // No watch is answered: the history is gone.
+	dropped     uint64                       // The history up to this revision is gone.
+	calls       int                          // Watches and listings.
 	reports     map[int64][]map[string]int64 // By window: the counts per workspace of each report, in order.
 	fences      []uint64                     // Fencing tokens of the usage reports, in order.
 	srv         *httptest.Server
@@ -79,6 +84,29 @@
 	s.notify()
 }
 
+// setHistory changes how the store answers watches.
+func (s *store) setHistory(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	s.notify()
+}
+
+// copyOf returns what a copy of the store holds.
+func (s *store) copyOf() (items map[string]item, rev uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.items), s.rev
+}
+
+// restore replaces the store by an earlier copy. Revisions after it are given again.
+func (s *store) restore(items map[string]item, rev uint64) {
+	s.setHistory(func() {
+		s.items, s.rev, s.dropped = items, rev, rev
+		s.events = nil
+	})
+}
+
 // notify wakes all pending watches.
 func (s *store) notify() {
 	close(s.changed)
@@ -151,6 +179,7 @@
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	s.expireLeases()
 	out := []item{}
 	for key, i := range s.items {
@@ -168,21 +197,28 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	until := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		s.expireLeases()
 		out := []item{}
 		for _, e := range s.events {
-			if e.Rev > after {
+			if e.Rev > after && !s.holdsBack {
 				out = append(out, e)
 			}
 		}
-		rev, changed, unavailable := s.rev, s.changed, s.unavailable
+		rev, changed, unavailable, gone := s.rev, s.changed, s.unavailable, s.forgets || after < s.dropped || after > s.rev
 		s.mu.Unlock()
 		if unavailable {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(out) > 0 {
 			writeJSON(w, http.StatusOK, map[string]any{"events": out, "storeRevision": rev})
 			return
