mirror: listings pause while no watch is answered

Operators saw a store that drops its history get listings without a pause, and a log line each: a watch from the latest revision that gets 410 is followed by a listing and the next watch at once, for as long as that lasts. Calls beyond the store's rate are rejected, those of other nodes and the operator too.

Cause: an expired history is no error of the step, so that nothing waited.

Change: after a listing that no answered watch followed, the next one waits 50 ms, doubled up to 400 ms. Changes come with the listings meanwhile, in time.

--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -52,6 +52,11 @@
 	// relistCheckInterval is how often a node that waits before it lists the keys again
 	// checks whether it still follows the service.
 	relistCheckInterval = 20 * time.Millisecond
+	// minRelistInterval is the time between two listings of a node whose watch fails for
+	// lack of history right after the first. It doubles with each further one, up to
+	// maxRelistInterval: meanwhile changes are received by listings alone.
+	minRelistInterval = 50 * time.Millisecond
+	maxRelistInterval = 400 * time.Millisecond
 	// changeBatchDelay is the delay between a watch that returned changes and
 	// the next one, so that changes are received in batches.
 	changeBatchDelay = 150 * time.Millisecond
@@ -284,8 +289,12 @@
 		Msg("watch history expired, listing again")
 }
 
-// relist makes this node list the keys again after a delay, which it returns.
+// relist makes this node list the keys again after a delay, which it returns: at least the
+// given one, and longer if no watch was answered since the last listing.
 func (m *Mirror) relist(delay time.Duration) time.Duration {
+	if m.relists > 0 {
+		delay = max(delay, min(minRelistInterval<<min(m.relists-1, 8), maxRelistInterval))
+	}
 	m.relists++
 	m.listed, m.relistAt = false, m.clock.Now().Add(delay)
 	return delay
--- a/test/vm/history_test.go
+++ b/test/vm/history_test.go
@@ -12,6 +12,10 @@
 const (
 	// configTime is how long after its acknowledgement a configuration may come into force.
 	configTime = 2 * time.Second
+	// readsOfAll is how many calls a second all nodes may make, and mostNodes how many nodes
+	// there may be that each follow the store.
+	readsOfAll = 2000
+	mostNodes  = 74
 	// holdTime is how long the store holds changes back, longer than a watch waits.
 	holdTime = 1500 * time.Millisecond
 )
@@ -52,5 +56,22 @@
 			}
 			f.withdraw(configTime)
 		})
+
+		// Guards against nodes that list the store again and again without a pause while no
+		// watch is answered, and against ones that wait too long in between.
+		It(fmt.Sprintf("come into force at %d nodes of a store that has no history", size), func() {
+			f := newFleet(size)
+			f.waitReady()
+			f.store.setHistory(func() { f.store.forgets = true })
+			time.Sleep(contactTime)
+			f.store.setHistory(func() { f.store.calls = 0 })
+			start := time.Now()
+			f.withdraw(configTime)
+			f.withdraw(configTime)
+			f.store.setHistory(func() {
+				perSecond := float64(f.store.calls) / time.Since(start).Seconds()
+				Expect(perSecond).To(BeNumerically("<", float64(size*readsOfAll)/mostNodes))
+			})
+		})
 	}
 })
