store: an answer over the limit is an error, not a part of one

Cause: 8 MiB of an answer were read and taken for the whole. A watch returns all changes since a revision; the part can't be decoded, and the same call again gets the same bytes and more.

Change: a longer answer is an AnswerSizeError. A watch that gets one is followed by a listing, which has pages, and the next watch begins there. The own interface's store and platform calls cut their answers too, and have the same error now.

--- a/error.go
+++ b/error.go
@@ -149,3 +149,11 @@
 func (e *HistoryError) Error() string {
 	return fmt.Sprintf("store: the history after revision %d is forgotten", e.After)
 }
+
+// AnswerSizeError reports an answer that is longer than what is read of one. The same call
+// is likely to get it again.
+type AnswerSizeError struct{ Limit int }
+
+func (e *AnswerSizeError) Error() string {
+	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
+}
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -263,6 +263,11 @@
 		m.expireHistory(rev)
 		return false, nil
 	}
+	if _, ok := errors.AsType[*tarragondeal.AnswerSizeError](err); ok {
+		m.recordSuccess()
+		m.skipChanges(err, rev)
+		return false, nil
+	}
 	if err != nil {
 		return false, err
 	}
@@ -289,6 +294,16 @@
 		Msg("watch history expired, listing again")
 }
 
+// skipChanges makes this node list the keys again, since the changes after revision rev are
+// too large for one answer. Listings have pages.
+func (m *Mirror) skipChanges(err error, rev tarragondeal.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delay := m.relist(0)
+	m.opt.Log.Warn().Err(err).Uint64("revision", uint64(rev)).Int("listings", m.relists).Dur("delay", delay).
+		Msg("changes are too large for a watch, listing again")
+}
+
 // relist makes this node list the keys again after a delay, which it returns: at least the
 // given one, and longer if no watch was answered since the last listing.
 func (m *Mirror) relist(delay time.Duration) time.Duration {
--- a/internal/platform/tdkv/kv.go
+++ b/internal/platform/tdkv/kv.go
@@ -13,7 +13,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -22,6 +21,7 @@
 	"github.com/rotisserie/eris"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdbody"
 	"tarragondeal/internal/platform/tdwire"
 )
 
@@ -123,7 +123,7 @@
 		return &tarragondeal.StoreError{Op: op, Key: key, Err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	body, err := tdbody.Read(res.Body, maxAnswerBytes)
 	if err != nil {
 		return &tarragondeal.StoreError{Op: op, Key: key, Err: err}
 	}
--- a/internal/platform/tdsite/site.go
+++ b/internal/platform/tdsite/site.go
@@ -13,12 +13,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/rotisserie/eris"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdbody"
 	"tarragondeal/internal/platform/tdwire"
 )
 
@@ -155,9 +155,9 @@
 	return decode(op, status, answer, out)
 }
 
-// send makes one call and returns the response's status and up to limit bytes of
-// its body. The call is a POST with in as JSON, or a GET if in is nil.
-func (s *Site) send(ctx context.Context, client *http.Client, op, url string, in any, limit int64) (int, []byte, error) {
+// send makes one call and returns the response's status and its body of up to limit
+// bytes. The call is a POST with in as JSON, or a GET if in is nil.
+func (s *Site) send(ctx context.Context, client *http.Client, op, url string, in any, limit int) (int, []byte, error) {
 	method, body := http.MethodGet, []byte(nil)
 	if in != nil {
 		b, err := json.Marshal(in)
@@ -175,7 +175,7 @@
 		return 0, nil, &tarragondeal.PlatformError{Op: op, Err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(res.Body, limit))
+	answer, err := tdbody.Read(res.Body, limit)
 	if err != nil {
 		return 0, nil, &tarragondeal.PlatformError{Op: op, Status: res.StatusCode, Err: err}
 	}
--- a/test/vm/history_test.go
+++ b/test/vm/history_test.go
@@ -1,6 +1,7 @@
 package vm_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"time"
@@ -18,6 +19,8 @@
 	mostNodes  = 74
 	// holdTime is how long the store holds changes back, longer than a watch waits.
 	holdTime = 1500 * time.Millisecond
+	// oddBytes is the size of a value that another writer leaves.
+	oddBytes = 1_000_000
 )
 
 // withdraw makes the operator withdraw one of the keys, and expects that no node accepts it
@@ -73,5 +76,19 @@
 				Expect(perSecond).To(BeNumerically("<", float64(size*readsOfAll)/mostNodes))
 			})
 		})
+
+		// Guards against nodes that learn of no change any more after one answer of a watch was
+		// too large to be read: the same call again gets a larger one.
+		It(fmt.Sprintf("come into force at %d nodes after large entries of another writer", size), func() {
+			f := newFleet(size)
+			f.waitReady()
+			f.store.setHistory(func() {
+				for n := range 8 {
+					f.store.write(fmt.Sprintf("servers/odd-%d", n), bytes.Repeat([]byte{0xff}, oddBytes), 0)
+				}
+			})
+			time.Sleep(500 * time.Millisecond)
+			f.withdraw(configTime)
+		})
 	}
 })
