mirror: a store at an earlier revision is followed

Callers would be refused on routes that were added, and served with withdrawn keys, until the store's revisions had passed those of the copies: the users' record has seven expired histories in a second, each at the same revision, with listings in between that passed.

Cause: a copy takes an entry only if its revision is higher than the held one, and never lowers its own; each watch from it gets 410.

Change: a copy whose history has expired, and which gets listings begun after that at an earlier revision, is started anew from them. A store that loses nothing it has acknowledged never gives such an answer. Configurations are compared by version only, so that none goes back; servers that are missing are kept as after an outage.

That the users saw this is not known.

--- a/internal/fleet/tdlisting/config.go
+++ b/internal/fleet/tdlisting/config.go
@@ -32,7 +32,6 @@
 
 	mu      sync.Mutex
 	version tarragondeal.Version
-	rev     tarragondeal.Revision
 	pending []pendingConfig // In the order in which they were received.
 }
 
@@ -100,14 +99,11 @@
 	}
 }
 
-// applyEntry reports whether p is applied, or a later one has been.
+// applyEntry reports whether p is applied.
 func (c *Config) applyEntry(p *pendingConfig) bool {
 	c.mu.Lock()
-	active, rev := c.version, c.rev
+	active := c.version
 	c.mu.Unlock()
-	if p.Revision <= rev {
-		return true
-	}
 	start := c.clock.Now()
 	version, err := c.apply(p.Value, active)
 	if err != nil {
@@ -119,6 +115,6 @@
 		Dur("waited", start.Sub(p.receivedAt)).Dur("took", c.clock.Now().Sub(start)).Msg("configuration in force")
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.version, c.rev = version, p.Revision
+	c.version = version
 	return true
 }
--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -51,7 +51,7 @@
 	for _, e := range entries {
 		rev = max(rev, e.Revision)
 	}
-	m.relists = 0
+	m.relists, m.expired = 0, 0
 	m.reported = max(m.reported, reported)
 	m.add(entries, rev)
 }
--- a/internal/fleet/tdmirror/listing.go
+++ b/internal/fleet/tdmirror/listing.go
@@ -64,6 +64,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listings = nil // Superseded, and not to be compared with the new ones.
+	m.reset(all)
 	m.replace(all, true)
 	m.listings = all
 	for n := range all {
@@ -71,6 +72,30 @@
 	}
 }
 
+// reset forgets the revisions of this copy if the service has lost them: it had no history
+// after one of them, and is at an earlier one in listings that were begun later. The
+// listings then replace the copy, whose entries would otherwise pass for later ones. Some
+// entries may be written again soon, as after an outage.
+func (m *Mirror) reset(all []listing) {
+	latest := tarragondeal.Revision(0)
+	for _, l := range all {
+		latest = max(latest, l.rev)
+	}
+	m.reported = latest
+	if latest >= m.expired {
+		return
+	}
+	m.opt.Log.Warn().Uint64("revision", uint64(m.rev)).Uint64("expired", uint64(m.expired)).Uint64("reported", uint64(latest)).
+		Msg("the store is at an earlier revision than this copy, starting the copy anew")
+	for key, e := range m.items {
+		e.Revision = 0
+		m.items[key] = e
+	}
+	clear(m.ahead)
+	m.rev, m.history, m.historyStart, m.expired = 0, nil, 0, 0
+	m.availableSince = m.clock.Now()
+}
+
 // replace applies listings, which together are a full copy. It is complete at the
 // earliest of their revisions. All their entries are applied if they are not older
 // than this copy, and either come from the service itself or this copy is not known
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -120,6 +120,7 @@
 	listed         bool
 	relistAt       tarragondeal.Instant  // When the keys may be listed again; zero before the first time.
 	relists        int                   // Listings since the last watch that was answered.
+	expired        tarragondeal.Revision // The service has not the changes after it; zero if it has, or that is not known.
 	reported       tarragondeal.Revision // The latest revision of the service that it has reported.
 	listings       []listing             // The last listings, without their entries.
 	unavailable    bool
@@ -290,6 +291,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delay = m.relist(delay)
+	m.expired = rev
 	m.opt.Log.Info().Uint64("revision", uint64(rev)).Uint64("reported", uint64(m.reported)).Int("listings", m.relists).Dur("delay", delay).
 		Msg("watch history expired, listing again")
 }
--- a/test/vm/history_test.go
+++ b/test/vm/history_test.go
@@ -19,6 +19,8 @@
 	mostNodes  = 74
 	// holdTime is how long the store holds changes back, longer than a watch waits.
 	holdTime = 1500 * time.Millisecond
+	// lostVersions is how many configurations a copy of the store lacks.
+	lostVersions = 100
 	// oddBytes is the size of a value that another writer leaves.
 	oddBytes = 1_000_000
 )
@@ -91,4 +93,21 @@
 			f.withdraw(configTime)
 		})
 	}
+
+	// Guards against nodes that never take a configuration again since the store has a lower
+	// revision than their copy of it.
+	It("come into force at nodes of a store that came back from an older copy", func() {
+		f := newFleet(3)
+		f.waitReady()
+		items, rev := f.store.copyOf()
+		for range lostVersions {
+			f.withdraw(0)
+		}
+		f.withdraw(configTime)
+		f.store.restore(items, rev)
+		f.version--
+		f.putConfig() // The operator writes again what it wrote last.
+		time.Sleep(contactTime)
+		f.withdraw(configTime)
+	})
 })
