entry: the answers that a node buffers are bounded together

Other operators saw a machine run out of memory, and all its requests end, since a faulty server sent bytes without end.

Change: all requests of a node buffer at most 8 MiB of incomplete answers and events beyond 16 KiB of each. Without room a plain answer is relayed from where it is, and an event that needs more ends its attempt. A copy of another node that unpacks to more than its limit is an error, and no longer cut.

TestBytesWithoutEnd took any complete answer to a long one for a part of it. These are told apart now; a complete answer with the endless server's bytes still fails.

--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -44,6 +44,7 @@
 // Host serves callers' requests on a node.
 type Host struct {
 	Deps
+	buffers  tdpass.Buffers
 	table    atomic.Pointer[table]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -126,7 +127,7 @@
 		}
 	}
 	x := tdpass.New(tdpass.Deps{
-		Backend: h.Backend, Starts: h.Starts, Notices: h.Notices, Origins: h.Origins, Clock: h.Clock, Log: h.Log,
+		Backend: h.Backend, Starts: h.Starts, Notices: h.Notices, Origins: h.Origins, Buffers: &h.buffers, Clock: h.Clock, Log: h.Log,
 	}, c, host)
 	defer x.End()
 	q.Exchange = x
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -17,7 +17,8 @@
 
 const (
 	// maxBufferedBytes is the size up to which an answer is buffered until it is
-	// complete. Longer answers are relayed as they arrive, with their length.
+	// complete, if the node has room. Longer answers are relayed as they arrive, with their
+	// length.
 	maxBufferedBytes = 1 << 20
 	// responseTimeoutTargets is the response timeout of an attempt that may be
 	// retried, in multiples of its target. minResponseTimeout is
@@ -51,6 +52,7 @@
 	Starts  Starts
 	Notices tarragondeal.ServerNotices
 	Origins tarragondeal.StreamOrigins
+	Buffers *Buffers // Of the node.
 	Clock   tarragondeal.Clock
 	Log     zerolog.Logger
 }
@@ -71,6 +73,7 @@
 	sentBytes int64
 	order     order // Of the events sent to the caller.
 	counted   bool  // The request has been counted in starts.
+	buffered  int   // Bytes taken from Buffers.
 }
 
 // New returns the Exchange of one request that was sent to host.
@@ -80,6 +83,7 @@
 
 // End must be called when the request has ended.
 func (x *Exchange) End() {
+	x.Buffers.free(x.buffered)
 	if x.ended != nil {
 		x.ended()
 	}
@@ -267,11 +271,11 @@
 
 // relayPlain relays an answer that isn't an event stream.
 func (x *Exchange) relayPlain(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer) tdflow.Result {
-	buffered, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
+	buffered, whole, err := x.buffer(answer)
 	switch {
 	case err != nil:
 		return broken(ctx, err)
-	case len(buffered) > maxBufferedBytes:
+	case !whole:
 		t.OnBegin()
 		return x.relayLong(ctx, t, answer, buffered)
 	case answer.Length >= 0 && int64(len(buffered)) != answer.Length && t.Request.Method != http.MethodHead:
@@ -306,7 +310,7 @@
 	return nil
 }
 
-// relayLong relays an answer that is too long to be buffered.
+// relayLong relays an answer of which only the beginning is buffered.
 func (x *Exchange) relayLong(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer, buffered []byte) tdflow.Result {
 	platform.EncodeAnswer(t.W.Header(), answer.Header)
 	t.OnDelivered()
--- a/internal/entry/tdpass/stream.go
+++ b/internal/entry/tdpass/stream.go
@@ -74,7 +74,7 @@
 
 // relayStream relays the events of a stream.
 func (x *Exchange) relayStream(ctx context.Context, t *tdflow.Attempt, answer *tarragondeal.Answer, timer *responseTimer) tdflow.Result {
-	events := tdrelay.NewEvents(answer.Body)
+	events := x.events(answer)
 	rc := http.NewResponseController(t.W)
 	continues := x.order.sent || x.order.numbered()
 	p := part{rest: x.headSent, continues: continues, placed: !continues}
--- a/internal/entry/tdrelay/events.go
+++ b/internal/entry/tdrelay/events.go
@@ -47,14 +47,34 @@
 
 // Events reads server-sent events from a stream.
 type Events struct {
-	r    *bufio.Reader
-	raw  []byte
-	data []byte
+	r     *bufio.Reader
+	raw   []byte
+	data  []byte
+	limit int         // Of the bytes of an event.
+	step  int         // By which grow raises the limit.
+	grow  func() bool // Nil if the limit is not raised.
 }
 
 // NewEvents returns an Events that reads from r.
 func NewEvents(r io.Reader) *Events {
-	return &Events{r: bufio.NewReaderSize(r, readBufferBytes)}
+	return &Events{r: bufio.NewReaderSize(r, readBufferBytes), limit: maxEventBytes}
+}
+
+// Bound limits an event to fewer bytes than by default. For a larger one the limit is raised
+// by step as often as grow returns true, up to the default. It stays for later events.
+func (e *Events) Bound(limit, step int, grow func() bool) {
+	e.limit, e.step, e.grow = limit, step, grow
+}
+
+// fits reports whether an event may have n bytes.
+func (e *Events) fits(n int) bool {
+	for n > e.limit {
+		if e.grow == nil || e.limit >= maxEventBytes || !e.grow() {
+			return false
+		}
+		e.limit = min(e.limit+e.step, maxEventBytes)
+	}
+	return true
 }
 
 // Next returns the next event. The error is io.EOF if the stream ended after a
@@ -78,8 +98,8 @@
 func (e *Events) readLine() error {
 	for {
 		part, err := e.r.ReadSlice('\n')
-		if len(e.raw)+len(part) > maxEventBytes {
-			return &EventSizeError{Limit: maxEventBytes}
+		if !e.fits(len(e.raw) + len(part)) {
+			return &EventSizeError{Limit: e.limit}
 		}
 		e.raw = append(e.raw, part...)
 		switch {
--- a/internal/fleet/tdmesh/parts.go
+++ b/internal/fleet/tdmesh/parts.go
@@ -5,13 +5,13 @@
 	"cmp"
 	"compress/flate"
 	"fmt"
-	"io"
 	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdbody"
 )
 
 const (
@@ -235,7 +235,7 @@
 }
 
 func unpack(packed []byte) (*Copy, error) {
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedCopy))
+	raw, err := tdbody.Read(flate.NewReader(bytes.NewReader(packed)), maxUnpackedCopy)
 	if err != nil {
 		return nil, err
 	}
