--- a/internal/dispatch/tdpoison/silence.go
+++ b/internal/dispatch/tdpoison/silence.go
@@ -20,8 +20,8 @@
 )
 
 // silence is an attempt that ended without a complete answer, on a connection that did not
-// break: the server was slow or cut off, its caller gave up, or it has crashed and sends
-// nothing. The end of the server's run tells these apart.
+// break: the server was slow or cut off, the caller gave up, or the server has crashed and
+// sends nothing. Only in the last case does its run end.
 type silence struct {
 	traits []Trait
 	b      Break // When the attempt ended.
--- a/internal/entry/tdhost/withheld_test.go
+++ b/internal/entry/tdhost/withheld_test.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// TestRefusalOfServerThatRan guards against a caller who is told, by the status of a
-// refusal, that a request has not run although its server doesn't state that.
+// TestRefusalOfServerThatRan guards against a status that means "not run" in the answer to a
+// non-idempotent request whose server doesn't state that.
 func TestRefusalOfServerThatRan(t *testing.T) {
 	bodies := []string{"", "failed", strings.Repeat("x", maxAnswerInTest)}
 	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
--- a/internal/entry/tdpass/buffers.go
+++ b/internal/entry/tdpass/buffers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"sync/atomic"
 
@@ -59,7 +60,7 @@
 	for step := int64(minBuffered); ; step = bufferStep {
 		n, err := io.CopyN(&buf, answer.Body, step)
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return buf.Bytes(), true, nil
 		case err != nil:
 			return buf.Bytes(), false, err
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -261,8 +261,8 @@
 }
 
 // withheld handles an answer to a non-idempotent request that has the status of a refusal,
-// and doesn't state that the server has not run the request. The status would tell the
-// caller that the request may be repeated.
+// and doesn't state that the server has not run the request. Callers would repeat the
+// request because of that status.
 func (x *Exchange) withheld(t *tdflow.Attempt, answer *tarragondeal.Answer) tdflow.Result {
 	t.OnBegin()
 	discard(answer)
