lease: an attempt to acquire a lease ends after the lease's time

Cause: the calls that acquire a lease had no time-out. A connection that returns nothing blocked the node for good: it was never a candidate again.

Change: an attempt ends after the time of the lease, by when what it got would have expired.

--- a/internal/fleet/tdlease/lease.go
+++ b/internal/fleet/tdlease/lease.go
@@ -171,8 +171,10 @@
 func recordKey(name string) string { return "lease/" + name + "/holder" }
 
 // acquire acquires a lease and registers this process as its holder. The lease
-// is held only if both calls got a reply.
+// is held only if both calls got a reply, before it would have expired.
 func (l *Leases) acquire(ctx context.Context, name string) (*term, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.opt.TTL)
+	defer cancel()
 	lease, err := l.store.Acquire(ctx, name, l.holder, l.opt.TTL)
 	if err != nil {
 		return nil, err
