notices: the load that servers report, the pauses between events, output hints

Servers report their load in X-Server-Load, callers their estimate of the output in X-Length-Hint; neither was read. They are decoded now and passed to the dispatcher, which keeps the last load of each server and whether the servers of a pool share their machines with other work.

--- a/dispatch.go
+++ b/dispatch.go
@@ -45,6 +45,9 @@
 	Parts  []PromptPart
 	Input  int
 	Output int
+	// OutputHint is the caller's estimate of the output tokens; zero if there is none. It may
+	// be far off.
+	OutputHint int
 	// Gap is the longest permitted pause between events; zero means no limit.
 	Gap time.Duration
 	// Software, if set, is the only software that may answer: the one that began
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -91,6 +91,7 @@
 	fleet          tdshare.Fleet                           // As of fleetAt.
 	fleetAt        tarragondeal.Instant
 	waiting        map[string]map[int]int // Requests without a server, by pool and tier.
+	shared         map[string]bool        // Pools whose servers share their machines with other work.
 }
 
 // openGrant is a grant that has not ended.
@@ -111,6 +112,7 @@
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
 		lastStarts: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), otherPauses: make(map[nodePause]int64), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
 		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
+		shared: make(map[string]bool),
 	}
 }
 
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -73,6 +73,7 @@
 	leaving      bool                 // It said so, whatever State is.
 	pausedUntil  tarragondeal.Instant // It accepts no requests of this node before.
 	room         nodeRoom             // This node's part of its room, used while it is brittle.
+	reported     reportedLoad         // The load that it reported last.
 }
 
 func newServer(s tarragondeal.Server, e *tarragondeal.Engine, rate float64) *server {
--- a/internal/entry/tdflow/ask.go
+++ b/internal/entry/tdflow/ask.go
@@ -111,7 +111,7 @@
 		Route: q.Route.Name, Class: q.Class.Name, Tier: q.Class.Tier, MinShare: q.Class.MinShare,
 		Pools: q.Route.Pools, DataCentres: dataCentres, Work: float64(q.Work()),
 		Fingerprint: Fingerprint(q.Workspace.Name, q.Path, q.Body), Idempotent: !q.Route.NonIdempotent,
-		Shares: q.Route.Shares, Parts: q.Parts, Input: q.Input, Output: q.Output, Software: q.Software,
+		Shares: q.Route.Shares, Parts: q.Parts, Input: q.Input, Output: q.Output, OutputHint: q.OutputHint, Software: q.Software,
 	}
 	if q.Class.Events {
 		a.Gap = time.Duration(q.Class.BetweenTokens)
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -84,6 +84,8 @@
 	Parts  []tarragondeal.PromptPart
 	Input  int
 	Output int
+	// OutputHint is the caller's estimate of the output tokens, or zero.
+	OutputHint int
 	// Software, if set, is the only software that may answer.
 	Software *tarragondeal.Software
 
--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -185,7 +185,7 @@
 	q := &tdflow.Request{
 		ID: tarragondeal.RequestID(c.ID), View: t.view, Route: route, Class: t.view.RequestClasses[route.Class],
 		Workspace: &tarragondeal.Workspace{}, Method: r.Method, Path: target, Header: r.Header, Arrived: arrived,
-		Deadline: c.Deadline, Attempts: route.MaxAttempts, Parts: c.Parts, Input: c.Input, Output: c.Output,
+		Deadline: c.Deadline, Attempts: route.MaxAttempts, Parts: c.Parts, Input: c.Input, Output: c.Output, OutputHint: c.OutputHint,
 	}
 	if c.ID == "" {
 		q.ID = tarragondeal.RequestID(uuid.NewString())
--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -85,6 +85,11 @@
 func (s *servers) ObserveLimit(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.ServerRate, tarragondeal.Instant) {
 }
 func (s *servers) ObserveLeaving(tarragondeal.Server, tarragondeal.RequestID) {}
+func (s *servers) ObserveLoad(tarragondeal.Server, tarragondeal.RequestID, tarragondeal.ServerLoad, tarragondeal.Instant) {
+}
+
+func (s *servers) ObserveEvent(tarragondeal.Server, tarragondeal.RequestID, time.Duration) {}
+
 func (s *servers) ObservePause(tarragondeal.Server, tarragondeal.RequestID, time.Duration, tarragondeal.NodeID) {
 }
 
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -152,6 +152,17 @@
 	}
 	x.observeRates(t, status, r, sent)
 	x.observePause(t, answer, r)
+	x.observeLoad(t, status, r, sent)
+}
+
+// observeLoad passes on the load that a server reports.
+func (x *Exchange) observeLoad(t *tdflow.Attempt, status int, r *platform.Reply, sent tarragondeal.Instant) {
+	switch {
+	case r.LoadErr != nil:
+		x.Notices.ObserveInvalid(t.Server, t.Request.ID, tarragondeal.NoticeLoad, r.LoadErr)
+	case r.Load != nil && status != http.StatusMisdirectedRequest && (r.Signed || r.NotRun):
+		x.Notices.ObserveLoad(t.Server, t.Request.ID, *r.Load, sent)
+	}
 }
 
 // observePause passes on for how long a server at capacity accepts no request of a node.
--- a/internal/entry/tdpass/stream.go
+++ b/internal/entry/tdpass/stream.go
@@ -101,8 +101,11 @@
 			p.begin(&ev)
 		}
 		if !isComment(&ev) {
+			pause := x.timing.event(x.Clock.Now())
+			if p.hasEvent { // Otherwise the event before came from another server, if any.
+				x.Notices.ObserveEvent(t.Server, t.Request.ID, pause)
+			}
 			p.placed, p.hasEvent = true, true
-			x.timing.event(x.Clock.Now())
 		}
 		if err := x.writeEvent(t.W, rc, &ev, events.More()); err != nil {
 			return tdflow.Result{Failure: tdflow.FailCallerGone, Ran: tarragondeal.RanYes, Err: err}
--- a/internal/entry/tdpass/timing.go
+++ b/internal/entry/tdpass/timing.go
@@ -15,14 +15,18 @@
 	events      int
 }
 
-func (p *eventTiming) event(now tarragondeal.Instant) {
+// event records an event and returns the pause before it, which is zero for the first one.
+func (p *eventTiming) event(now tarragondeal.Instant) time.Duration {
 	p.events++
 	if p.first == 0 {
-		p.first = now
-	} else if pause := now.Sub(p.last); pause > p.longest {
+		p.first, p.last = now, now
+	}
+	pause := now.Sub(p.last)
+	if pause > p.longest {
 		p.longest, p.longestAt = pause, p.events
 	}
 	p.last = now
+	return pause
 }
 
 // logLate logs a complete stream that missed the objectives of its class.
--- a/limit.go
+++ b/limit.go
@@ -19,6 +19,16 @@
 	PerSecond float64 // Requests per second, not negative.
 }
 
+// ServerLoad is the load that a backend server reports in an answer.
+type ServerLoad struct {
+	Running int // Requests that it runs.
+	Waiting int // Requests that wait for a slot.
+	Slots   int // Requests that it runs at once.
+	// Slowdown is how long work takes on the server's machine at the moment of the report,
+	// relative to the usual time: 1 is as usual. It is zero if the server doesn't report it.
+	Slowdown float64
+}
+
 // NoticeKind is a kind of what backend servers say of themselves.
 type NoticeKind string
 
@@ -28,6 +38,7 @@
 	NoticeBrittle NoticeKind = "brittle"
 	NoticeLeaving NoticeKind = "leaving"
 	NoticePause   NoticeKind = "pause"
+	NoticeLoad    NoticeKind = "load"
 )
 
 // ServerNotices records what backend servers say of themselves in their answers.
@@ -45,6 +56,11 @@
 	// another node connected this one to s, it is that node's requests that s doesn't
 	// accept; through is empty otherwise.
 	ObservePause(s Server, request RequestID, d time.Duration, through NodeID)
+	// ObserveLoad records the load that s reports in an answer to a request that was sent at
+	// sent.
+	ObserveLoad(s Server, request RequestID, l ServerLoad, sent Instant)
+	// ObserveEvent records that an event of a stream of s came pause after the one before.
+	ObserveEvent(s Server, request RequestID, pause time.Duration)
 	// ObserveInvalid records that a notice in an answer of s can't be read or may not be
 	// its own. It binds nothing.
 	ObserveInvalid(s Server, request RequestID, k NoticeKind, err error)
