backend: statuses out of range and answers that end under the upload

Two faults in what a server's answer may look like.

Status: net/http's client accepts any three digits. Status 000, 099 and +20 of a server made the handler panic on routes of idempotent requests (the caller's connection was closed, no log line, no second attempt); 600 to 999 were passed on. A status outside 200 to 599 is a failed attempt now, after which the request may have run.

The end counts now only once the request has been written to the end.

--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -112,10 +112,24 @@
 // asks for that.
 var errSwitched = errors.New("server switched protocols")
 
+// minStatus and maxStatus bound the statuses of final responses. The client of net/http
+// accepts any three digits, and its server panics on those below.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// StatusError reports a response whose status is out of range.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %03d is out of range", e.Status)
+}
+
 // Send sends one attempt and returns the response as soon as its header is read.
 // The error is a *tarragondeal.BackendError.
 func (b *Backend) Send(ctx context.Context, s tarragondeal.Server, c tarragondeal.Call) (*tarragondeal.Answer, error) {
-	t := sendTrace{maySend: c.MaySend}
+	t := newSendTrace(c.MaySend)
 	req, err := b.newRequest(httptrace.WithClientTrace(ctx, t.hooks()), s, c)
 	if err != nil {
 		return nil, &tarragondeal.BackendError{Server: s.ID, Ran: tarragondeal.RanNot, Err: err}
@@ -132,9 +146,18 @@
 		_ = res.Body.Close()
 		return nil, &tarragondeal.BackendError{Server: s.ID, Ran: tarragondeal.RanUnknown, Err: errSwitched}
 	}
+	if res.StatusCode < minStatus || res.StatusCode > maxStatus {
+		_ = res.Body.Close()
+		t.closeConns()
+		return nil, &tarragondeal.BackendError{Server: s.ID, Ran: tarragondeal.RanUnknown, Err: &StatusError{Status: res.StatusCode}}
+	}
 	body := res.Body
-	if !b.opt.Verbatim {
-		body = delimitedBody(res)
+	if unframed(res) {
+		body = unframedBody{ReadCloser: body, trace: t}
+		if !b.opt.Verbatim {
+			res.Body = body
+			body = delimitedBody(res)
+		}
 	}
 	return &tarragondeal.Answer{
 		Status: res.StatusCode, Header: res.Header, Body: body, Drop: t.closeConns,
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -116,11 +116,16 @@
 // sendTrace records the connections that the transport used for one request.
 type sendTrace struct {
 	maySend func() bool // Nil means always.
+	written chan struct{} // Closed when the request has been written to the end.
 	mu      sync.Mutex
 	used    []usedConn
 	revoked bool // maySend returned false, or the connection had been closed.
 }
 
+func newSendTrace(maySend func() bool) *sendTrace {
+	return &sendTrace{maySend: maySend, written: make(chan struct{})}
+}
+
 type usedConn struct {
 	conn   *countedConn
 	before int64 // Writes before the request was given the connection.
@@ -148,9 +153,43 @@
 			before = c.writes.Load()
 		}
 		t.used = append(t.used, usedConn{conn: c, before: before})
+	}, WroteRequest: func(i httptrace.WroteRequestInfo) {
+		if i.Err == nil {
+			t.setWritten()
+		}
 	}}
 }
 
+// setWritten records that the request has been written to the end. The transport may
+// report it more than once.
+func (t *sendTrace) setWritten() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	select {
+	case <-t.written:
+	default:
+		close(t.written)
+	}
+}
+
+// isWritten reports whether the request has been written to the end. It waits for a short
+// time.
+func (t *sendTrace) isWritten() bool {
+	select {
+	case <-t.written:
+		return true
+	default:
+	}
+	timer := time.NewTimer(maxWriteWait)
+	defer timer.Stop()
+	select {
+	case <-t.written:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // closeConns closes the connections, so that nothing that still arrives on them
 // is read. Those that another request has got since stay open.
 func (t *sendTrace) closeConns() {
@@ -213,14 +252,26 @@
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.ProtoMajor <= 1
 }
 
-// delimitedBody returns the body of a response. If the body ends only with its
-// connection, it may be truncated, so reading its end returns errCloseDelimited
+// unframedBody is a body that ends only with its connection. If the connection ends before
+// the request has been written to the end, the server may have broken off.
+type unframedBody struct {
+	io.ReadCloser
+	trace *sendTrace
+}
+
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.trace.isWritten() {
+		err = errUnsentEnd
+	}
+	return n, err
+}
+
+// delimitedBody returns the body of a response that ends only with its connection. It may
+// be truncated, so reading its end returns errCloseDelimited
 // instead of io.EOF. JSON is excepted: its format shows where it ends; and so are
 // event streams, unless they end inside an event.
 func delimitedBody(res *http.Response) io.ReadCloser {
-	if !unframed(res) {
-		return res.Body
-	}
 	media, _, _ := mime.ParseMediaType(res.Header.Get("Content-Type"))
 	switch media {
 	case "application/json":
