--- a/internal/dispatch/tdfit/reported.go
+++ b/internal/dispatch/tdfit/reported.go
@@ -36,4 +36,10 @@
 func (f *Fit) sharesMachines(pool string) bool { return f.shared[pool] }
 
 // ObserveEvent implements tarragondeal.ServerNotices.
-func (f *Fit) ObserveEvent(tarragondeal.Server, tarragondeal.RequestID, time.Duration) {}
+func (f *Fit) ObserveEvent(s tarragondeal.Server, _ tarragondeal.RequestID, _ time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.sharesMachines(s.Pool) {
+		return
+	}
+}
--- a/internal/entry/tdpass/stream.go
+++ b/internal/entry/tdpass/stream.go
@@ -101,11 +101,7 @@
 			p.begin(&ev)
 		}
 		if !isComment(&ev) {
-			pause := x.timing.event(x.Clock.Now())
-			if p.hasEvent { // Otherwise the event before came from another server, if any.
-				x.Notices.ObserveEvent(t.Server, t.Request.ID, pause)
-			}
-			p.placed, p.hasEvent = true, true
+			x.observeEvent(t, &p)
 		}
 		if err := x.writeEvent(t.W, rc, &ev, events.More()); err != nil {
 			return tdflow.Result{Failure: tdflow.FailCallerGone, Ran: tarragondeal.RanYes, Err: err}
@@ -113,6 +109,16 @@
 	}
 }
 
+// observeEvent records the arrival of an event. The one before the first event of a part came
+// from another server, if there was one.
+func (x *Exchange) observeEvent(t *tdflow.Attempt, p *part) {
+	pause := x.timing.event(x.Clock.Now())
+	if p.hasEvent {
+		x.Notices.ObserveEvent(t.Server, t.Request.ID, pause)
+	}
+	p.placed, p.hasEvent = true, true
+}
+
 // checkEvent returns an error if ev must not be sent next.
 func (x *Exchange) checkEvent(answer *tarragondeal.Answer, p *part, ev *tdrelay.Event) error {
 	if answer.Unframed && x.order.isForeign(ev) {
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -115,7 +115,7 @@
 
 // sendTrace records the connections that the transport used for one request.
 type sendTrace struct {
-	maySend func() bool // Nil means always.
+	maySend func() bool   // Nil means always.
 	written chan struct{} // Closed when the request has been written to the end.
 	mu      sync.Mutex
 	used    []usedConn
