fit, pace: learn the speed of engines from the pauses between events

tdpace learns the time of an event by batch size, the delay by reading, the speed of each engine and the slowdown of its machine. It decides which streams a long prompt would make late.

--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -94,18 +94,25 @@
 	}
 	fresh := r.uncachedTokens(s)
 	read := s.prefillTime(fresh)
+	step := decodeStep
+	shared := f.sharesMachines(s.Pool)
+	if shared {
+		read = time.Duration(float64(read) * s.pace.RelativeSlowdown(now))
+		step = s.pace.Event(t.running, now) / time.Duration(max(1, s.engine.TokensPerEvent))
+		c += f.pauseCost(r, s, &t, read, now)
+	}
 	c += s.backlog(now) + read + time.Duration(duplicatePrefillCost*float64(read))
 	if over := t.tokens + r.total - s.engine.KVTokens; over > 0 {
 		c += time.Duration(float64(overloadCost) * float64(over) / float64(s.engine.KVTokens))
 	}
-	c += time.Duration(t.running) * decodeStep / 10
+	c += time.Duration(t.running) * step / 10
 	switch {
 	case r.tight:
 		c += time.Duration(heavyCost * s.heavyPrefill.now(now) * float64(time.Millisecond))
 		if t.tight == 0 {
 			c += firstTightCost
 		}
-	case fresh > f.heavyThreshold:
+	case !shared && fresh > f.heavyThreshold:
 		c += time.Duration(t.tight) * tightCost
 	}
 	return c
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -14,6 +14,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/dispatch/tdpace"
 	"tarragondeal/internal/dispatch/tdpoison"
 	"tarragondeal/internal/dispatch/tdretry"
 	"tarragondeal/internal/dispatch/tdshare"
@@ -92,6 +93,8 @@
 	fleetAt        tarragondeal.Instant
 	waiting        map[string]map[int]int // Requests without a server, by pool and tier.
 	shared         map[string]bool        // Pools whose servers share their machines with other work.
+	paces          map[string]*tdpace.Pool
+	shortestGap    map[string]time.Duration // Shortest pause that the classes of a pool permit.
 }
 
 // openGrant is a grant that has not ended.
@@ -112,7 +115,7 @@
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
 		lastStarts: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), otherPauses: make(map[nodePause]int64), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
 		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
-		shared: make(map[string]bool),
+		shared: make(map[string]bool), paces: make(map[string]*tdpace.Pool),
 	}
 }
 
@@ -128,6 +131,7 @@
 			f.heavyThreshold = min(f.heavyThreshold, prefillAllowance(time.Duration(c.BetweenTokens), f.stride(v, c), f.meanRate))
 		}
 	}
+	f.setGaps(v)
 	for _, s := range f.servers {
 		if p := v.ServerPools[s.Pool]; p != nil && s.engine == nil && p.Engine != nil {
 			f.servers[s.ID] = f.newServer(s.Server, p.Engine)
@@ -140,6 +144,9 @@
 // it said of itself.
 func (f *Fit) newServer(s tarragondeal.Server, e *tarragondeal.Engine) *server {
 	out := newServer(s, e, f.meanRate)
+	if e != nil {
+		out.pace = f.paceOf(s.Pool, e).NewEngine()
+	}
 	out.leaving, out.pausedUntil = f.leaving[runOf(&s)] != nil, f.pauses[runOf(&s)]
 	return out
 }
@@ -298,7 +305,7 @@
 			continue
 		}
 		if s.engine != nil {
-			r.tight = r.ask.Gap > 0 && prefillAllowance(r.ask.Gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
+			r.tight = f.isTight(r.ask, s)
 		}
 		c := f.cost(r, s, now)
 		c += noise(s, c)
@@ -345,7 +352,7 @@
 
 // addPrompt records that this or another node sent a prompt to an engine.
 func (f *Fit) addPrompt(s *server, fresh int, prefixes []prefix, now tarragondeal.Instant) {
-	took := s.addPrompt(now, fresh, prefixes, fresh > f.heavyThreshold)
+	took := s.addPrompt(now, fresh, prefixes, f.isHeavy(s, fresh, now))
 	f.prefixes.add(prefixes, s.ID)
 	r := f.prefill[s.Pool]
 	if r == nil {
--- /dev/null
+++ b/internal/dispatch/tdfit/pace.go
@@ -0,0 +1,94 @@
+package tdfit
+
+import (
+	"time"
+
+	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdpace"
+)
+
+const (
+	// latePauseCost is added for a stream whose pauses an engine would make longer than
+	// permitted, as it is for the streams that a long prompt would make late.
+	latePauseCost = 250 * time.Millisecond
+	// nominalRunning is the number of requests at an engine for which a pool's pauses are
+	// compared with the permitted ones.
+	nominalRunning = 8
+)
+
+// paceOf returns what is known of the speed of the engines of a pool.
+func (f *Fit) paceOf(pool string, e *tarragondeal.Engine) *tdpace.Pool {
+	p := f.paces[pool]
+	if p == nil {
+		p = tdpace.NewPool(tdpace.Defaults{Event: time.Duration(max(1, e.TokensPerEvent)) * decodeStep})
+		f.paces[pool] = p
+	}
+	return p
+}
+
+// ObserveEvent implements tarragondeal.ServerNotices.
+func (f *Fit) ObserveEvent(s tarragondeal.Server, _ tarragondeal.RequestID, pause time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.sharesMachines(s.Pool) {
+		return
+	}
+	if listed := f.listedRun(runOf(&s)); listed != nil && listed.engine != nil {
+		now := f.Clock.Now()
+		listed.pace.ObserveEvent(f.totalUse(listed, now).running, pause, now)
+	}
+}
+
+// isTight reports whether a long prompt beside a stream would make its pauses longer than
+// permitted.
+func (f *Fit) isTight(a *tarragondeal.Ask, s *server) bool {
+	if a.Gap <= 0 {
+		return false
+	}
+	if !f.sharesMachines(s.Pool) {
+		return prefillAllowance(a.Gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
+	}
+	return float64(f.paceOf(s.Pool, s.engine).Pause(nominalRunning)) > gapMargin*float64(a.Gap)
+}
+
+// isHeavy reports whether reading a prompt takes so long at an engine that it delays tight
+// streams.
+func (f *Fit) isHeavy(s *server, fresh int, now tarragondeal.Instant) bool {
+	if !f.sharesMachines(s.Pool) {
+		return fresh > f.heavyThreshold
+	}
+	gap := f.shortestGap[s.Pool]
+	return gap > 0 && float64(s.pace.Pause(nominalRunning, s.prefillTime(fresh), now)) > gapMargin*float64(gap)
+}
+
+// pauseCost returns the cost of the pauses that a request at an engine of a shared pool must
+// expect, and of those that it causes to the tight streams there.
+func (f *Fit) pauseCost(r *request, s *server, t *use, read time.Duration, now tarragondeal.Instant) time.Duration {
+	var c time.Duration
+	backlog := s.backlog(now)
+	if gap := r.ask.Gap; gap > 0 && float64(s.pace.Pause(t.running+1, backlog, now)) > gapMargin*float64(gap) {
+		c += latePauseCost
+	}
+	if gap := f.shortestGap[s.Pool]; !r.tight && t.tight > 0 && float64(s.pace.Pause(t.running+1, backlog+read, now)) > gapMargin*float64(gap) {
+		c += time.Duration(t.tight) * tightCost
+	}
+	return c
+}
+
+// setGaps determines the shortest pause that the classes of each pool permit.
+func (f *Fit) setGaps(v *tarragondeal.View) {
+	f.shortestGap = make(map[string]time.Duration)
+	for n := range v.Set.Routes {
+		r := &v.Set.Routes[n]
+		c := v.RequestClasses[r.Class]
+		if c == nil || !c.Events || c.BetweenTokens <= 0 {
+			continue
+		}
+		for _, pool := range r.Pools {
+			gap := time.Duration(c.BetweenTokens)
+			if known, ok := f.shortestGap[pool]; !ok || gap < known {
+				f.shortestGap[pool] = gap
+			}
+		}
+	}
+}
--- a/internal/dispatch/tdfit/reported.go
+++ b/internal/dispatch/tdfit/reported.go
@@ -1,10 +1,6 @@
 package tdfit
 
-import (
-	"time"
-
-	"tarragondeal"
-)
+import "tarragondeal"
 
 // reportedLoad is the load that a server reported to this node last.
 type reportedLoad struct {
@@ -24,6 +20,9 @@
 		return
 	}
 	listed.reported = reportedLoad{ServerLoad: l, known: true, sent: sent, at: f.Clock.Now()}
+	if l.Slowdown > 0 && listed.engine != nil {
+		listed.pace.ObserveSlowdown(l.Slowdown, listed.reported.at)
+	}
 	if l.Slowdown > 0 && !f.shared[listed.Pool] {
 		f.shared[listed.Pool] = true
 		f.Log.Info().Str("request", string(request)).Str("server", string(s.ID)).Str("pool", listed.Pool).Float64("slowdown", l.Slowdown).
@@ -34,12 +33,3 @@
 // sharesMachines reports whether servers of a pool share their machines with other work: one
 // of them has reported how long work takes at that moment.
 func (f *Fit) sharesMachines(pool string) bool { return f.shared[pool] }
-
-// ObserveEvent implements tarragondeal.ServerNotices.
-func (f *Fit) ObserveEvent(s tarragondeal.Server, _ tarragondeal.RequestID, _ time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.sharesMachines(s.Pool) {
-		return
-	}
-}
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdpace"
 )
 
 const (
@@ -74,6 +75,7 @@
 	pausedUntil  tarragondeal.Instant // It accepts no requests of this node before.
 	room         nodeRoom             // This node's part of its room, used while it is brittle.
 	reported     reportedLoad         // The load that it reported last.
+	pace         *tdpace.Engine       // Nil for plain servers.
 }
 
 func newServer(s tarragondeal.Server, e *tarragondeal.Engine, rate float64) *server {
--- /dev/null
+++ b/internal/dispatch/tdpace/quantile.go
@@ -0,0 +1,29 @@
+package tdpace
+
+// quantileStep is the step by which a quantile follows its samples, as a share of its value.
+const quantileStep = 0.05
+
+// minQuantile is the smallest value of a quantile, in seconds.
+const minQuantile = 1e-5
+
+// quantile follows one quantile of samples that change over time: it steps up with each
+// sample above it, and down with each one below, in the ratio that keeps it at the quantile.
+type quantile struct {
+	q     float64
+	value float64
+	count int
+}
+
+func newQuantile(q float64) quantile { return quantile{q: q} }
+
+func (e *quantile) add(sample float64) {
+	if e.count++; e.count == 1 {
+		e.value = max(sample, minQuantile)
+		return
+	}
+	if sample > e.value {
+		e.value += quantileStep * e.q * e.value
+	} else {
+		e.value = max(minQuantile, e.value-quantileStep*(1-e.q)*e.value)
+	}
+}
