fit, admit, backend: prefer kept connections, decide on admission

The dispatcher prefers servers to which the node has an idle connection, and requests that may run once use connections that were idle for at most a second, in adaptive pools.

--- a/backend.go
+++ b/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Call is one attempt of a request at a backend server. It does not contain
@@ -23,6 +24,9 @@
 	Host string
 	// DedicatedConn requests a connection that is used for this call only.
 	DedicatedConn bool
+	// MaxIdle, if not zero, permits a call with DedicatedConn to use a kept connection that
+	// has been idle for at most this time, and to leave its connection to later calls.
+	MaxIdle time.Duration
 	// MaySend is called when the connection is there, before any byte is written. If it
 	// returns false, nothing is. Nil means that the call may always be sent.
 	MaySend func() bool
--- a/dispatch.go
+++ b/dispatch.go
@@ -71,6 +71,11 @@
 	Epoch   uint64 // The owner's epoch, which identifies grants of a lost owner.
 	Tier    int
 	Expires Instant // By this node's clock; extended by calls of Progress.
+	// MaxIdle is how long a connection may have been idle that is used for a request which
+	// may run once; zero means that such requests have connections of their own.
+	MaxIdle time.Duration
+	// Deferred is set if the server is to serve the request after the others of its tier.
+	Deferred bool
 }
 
 // OutcomeKind says how an attempt ended.
--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -53,6 +53,7 @@
 	ask      *tarragondeal.Ask
 	prefixes []prefix
 	tight    bool // A concurrent long prompt would make its pauses too long.
+	deferred bool // The engine serves it after the requests of its tier that are not.
 	total    int  // KV cache tokens that it uses when it ends.
 	input    int
 }
@@ -88,7 +89,7 @@
 // the request causes to others there.
 func (f *Fit) cost(r *request, s *server, now tarragondeal.Instant) time.Duration {
 	t := f.totalUse(s, now)
-	c := f.commonCost(s, &t, now)
+	c := f.commonCost(r, s, &t, now)
 	if s.engine == nil {
 		return c + plainCallTime*time.Duration(t.running)/time.Duration(s.slots())
 	}
@@ -131,11 +132,12 @@
 }
 
 // commonCost returns the part of the cost that engines and plain servers share.
-func (f *Fit) commonCost(s *server, t *use, now tarragondeal.Instant) time.Duration {
+func (f *Fit) commonCost(r *request, s *server, t *use, now tarragondeal.Instant) time.Duration {
 	c := time.Duration(coldCost * float64(s.WarmUpLeft))
 	if s.DataCentre != f.opt.DataCentre {
 		c += remoteCost
 	}
+	c += f.connectCost(r, s)
 	if over := t.running - s.slots() + 1; over > 0 {
 		c += overloadCost * time.Duration(over) / time.Duration(s.slots())
 	}
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -50,6 +51,9 @@
 	Self  tarragondeal.NodeID
 	Nodes func() []tarragondeal.NodeID // All nodes in the fleet, including Self.
 	Wall  func() time.Time             // A clock on which the nodes agree.
+	// IdleConn returns for how long the kept connection to a server has been idle that was
+	// used last. Ok is false if there is none.
+	IdleConn func(addr netip.AddrPort) (idle time.Duration, ok bool)
 	// Poison records what the requests have in common that crash servers.
 	Poison *tdpoison.Table
 	Log    zerolog.Logger
@@ -94,6 +98,8 @@
 	waiting        map[string]map[int]int // Requests without a server, by pool and tier.
 	shared         map[string]bool        // Pools whose servers share their machines with other work.
 	paces          map[string]*tdpace.Pool
+	used           map[string][]*server     // Servers that this node has used last, by pool; the latest first.
+	lowestTier     map[string]int           // Lowest tier of the classes of a pool.
 	shortestGap    map[string]time.Duration // Shortest pause that the classes of a pool permit.
 }
 
@@ -115,7 +121,7 @@
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
 		lastStarts: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), otherPauses: make(map[nodePause]int64), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
 		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
-		shared: make(map[string]bool), paces: make(map[string]*tdpace.Pool),
+		shared: make(map[string]bool), paces: make(map[string]*tdpace.Pool), used: make(map[string][]*server),
 	}
 }
 
@@ -131,7 +137,7 @@
 			f.heavyThreshold = min(f.heavyThreshold, prefillAllowance(time.Duration(c.BetweenTokens), f.stride(v, c), f.meanRate))
 		}
 	}
-	f.setGaps(v)
+	f.setPoolClasses(v)
 	for _, s := range f.servers {
 		if p := v.ServerPools[s.Pool]; p != nil && s.engine == nil && p.Engine != nil {
 			f.servers[s.ID] = f.newServer(s.Server, p.Engine)
@@ -270,6 +276,9 @@
 			if f.shouldHold(r, s, now, start) {
 				return tarragondeal.Grant{}, false, nil
 			}
+			if err := f.admit(r, s, now, start); err != nil {
+				return tarragondeal.Grant{}, false, err
+			}
 			return f.assign(r, s, now), true, nil
 		}
 	}
@@ -326,10 +335,10 @@
 
 // assign records that a request is sent to a server and returns its grant.
 func (f *Fit) assign(r *request, s *server, now tarragondeal.Instant) tarragondeal.Grant {
-	open := &openGrant{server: s, request: *r, sent: now, uncontended: s.backlog(now) == 0}
+	open := &openGrant{server: s, request: *r, sent: now, uncontended: s.fullBacklog(now) == 0}
 	if s.engine != nil {
 		open.uncached = r.uncachedTokens(s)
-		f.addPrompt(s, open.uncached, r.prefixes, now)
+		f.addPrompt(s, prompt{prefixes: r.prefixes, fresh: open.uncached, deferred: r.deferred}, now)
 		f.logSent(open)
 	}
 	f.changeUse(s)
@@ -340,20 +349,21 @@
 	}
 	f.takePermit(r.ask, s, now)
 	f.takeRoom(r.ask, s, now)
+	f.recordUsed(r, s)
 	if !f.Poison.Empty() {
 		f.Poison.Sent(traitsOf(r.ask, s.Pool))
 	}
 	id := tarragondeal.GrantID(strconv.FormatUint(f.lastGrant.Add(1), 10))
 	f.grants[id] = open
 	return tarragondeal.Grant{
-		ID: id, Request: r.ask.Request, Attempt: r.ask.Attempt, Server: s.Server, Tier: r.ask.Tier,
+		ID: id, Request: r.ask.Request, Attempt: r.ask.Attempt, Server: s.Server, Tier: r.ask.Tier, MaxIdle: f.maxIdle(s.Pool), Deferred: r.deferred,
 	}
 }
 
 // addPrompt records that this or another node sent a prompt to an engine.
-func (f *Fit) addPrompt(s *server, fresh int, prefixes []prefix, now tarragondeal.Instant) {
-	took := s.addPrompt(now, fresh, prefixes, f.isHeavy(s, fresh, now))
-	f.prefixes.add(prefixes, s.ID)
+func (f *Fit) addPrompt(s *server, p prompt, now tarragondeal.Instant) {
+	took := s.addPrompt(now, p, f.isHeavy(s, p.fresh, now))
+	f.prefixes.add(p.prefixes, s.ID)
 	r := f.prefill[s.Pool]
 	if r == nil {
 		r = newPrefillMeter()
--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -45,10 +45,12 @@
 	if a.Gap <= 0 {
 		return false
 	}
-	if !f.sharesMachines(s.Pool) {
-		return prefillAllowance(a.Gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
+	if f.sharesMachines(s.Pool) {
+		if pause, learnt := f.paceOf(s.Pool, s.engine).Pause(nominalRunning); learnt {
+			return float64(pause) > gapMargin*float64(a.Gap)
+		}
 	}
-	return float64(f.paceOf(s.Pool, s.engine).Pause(nominalRunning)) > gapMargin*float64(a.Gap)
+	return prefillAllowance(a.Gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
 }
 
 // isHeavy reports whether reading a prompt takes so long at an engine that it delays tight
@@ -65,7 +67,7 @@
 // expect, and of those that it causes to the tight streams there.
 func (f *Fit) pauseCost(r *request, s *server, t *use, read time.Duration, now tarragondeal.Instant) time.Duration {
 	var c time.Duration
-	backlog := s.backlog(now)
+	backlog := s.fullBacklog(now)
 	if gap := r.ask.Gap; gap > 0 && float64(s.pace.Pause(t.running+1, backlog, now)) > gapMargin*float64(gap) {
 		c += latePauseCost
 	}
@@ -75,18 +77,20 @@
 	return c
 }
 
-// setGaps determines the shortest pause that the classes of each pool permit.
-func (f *Fit) setGaps(v *tarragondeal.View) {
-	f.shortestGap = make(map[string]time.Duration)
+// setPoolClasses determines the shortest pause that the classes of each pool permit, and their
+// lowest tier.
+func (f *Fit) setPoolClasses(v *tarragondeal.View) {
+	f.shortestGap, f.lowestTier = make(map[string]time.Duration), make(map[string]int)
 	for n := range v.Set.Routes {
 		r := &v.Set.Routes[n]
 		c := v.RequestClasses[r.Class]
-		if c == nil || !c.Events || c.BetweenTokens <= 0 {
+		if c == nil {
 			continue
 		}
+		gap := time.Duration(c.BetweenTokens)
 		for _, pool := range r.Pools {
-			gap := time.Duration(c.BetweenTokens)
-			if known, ok := f.shortestGap[pool]; !ok || gap < known {
+			f.lowestTier[pool] = max(f.lowestTier[pool], c.Tier)
+			if known, ok := f.shortestGap[pool]; c.Events && gap > 0 && (!ok || gap < known) {
 				f.shortestGap[pool] = gap
 			}
 		}
--- a/internal/dispatch/tdfit/prefixindex.go
+++ b/internal/dispatch/tdfit/prefixindex.go
@@ -76,6 +76,7 @@
 			out = append(out, s)
 		}
 	}
+	out = append(out, f.keptServers(pool)...)
 	for range sampleSize {
 		out = append(out, all[rand.IntN(len(all))])
 	}
--- a/internal/dispatch/tdpace/pool.go
+++ b/internal/dispatch/tdpace/pool.go
@@ -76,13 +76,11 @@
 }
 
 // Pause returns the longest pause between two events that a stream must expect at an engine of
-// average speed that always has prompts to read.
-func (p *Pool) Pause(running int) time.Duration {
-	d, learnt := p.Reading()
-	if !learnt {
-		return maxPause
-	}
-	return p.Event(running) + d
+// average speed that always has prompts to read. Learnt is false while too few samples are
+// known.
+func (p *Pool) Pause(running int) (d time.Duration, learnt bool) {
+	d, learnt = p.Reading()
+	return p.Event(running) + d, learnt
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/entry/tdflow/exchange.go
+++ b/internal/entry/tdflow/exchange.go
@@ -31,7 +31,10 @@
 	// MaySend reports whether the request may still be sent to the server. It is for the
 	// call of the attempt.
 	MaySend func() bool
-	W       http.ResponseWriter
+	// MaxIdle and Deferred are those of the grant.
+	MaxIdle  time.Duration
+	Deferred bool
+	W        http.ResponseWriter
 	// OnBegin must be called when the server begins to answer, and OnDelivered
 	// before the first byte is sent to the caller.
 	OnBegin     func()
@@ -61,7 +64,7 @@
 		Request: r.q, Server: a.grant.Server, Number: r.attempts, Tier: r.ask.Tier,
 		Target: r.ask.Target, Left: r.remaining(), Last: Next(s) != StepRetry, W: r.w,
 		MayRetry: func() bool { return r.f.Dispatch.MayRetry(r.ask) },
-		MaySend:  a.maySend,
+		MaySend:  a.maySend, MaxIdle: a.grant.MaxIdle, Deferred: a.grant.Deferred,
 		OnBegin: func() {
 			a.firstToken()
 			r.f.Dispatch.Progress(a.grant, 1)
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -224,7 +224,7 @@
 	q := t.Request
 	sending := platform.RouterHeaders{
 		Server: t.Server.ID, Workspace: q.Workspace.Name, Left: t.Left,
-		Tier: t.Tier, ClassTier: q.Class.Tier, LowestTier: q.View.LowestTier,
+		Tier: t.Tier, ClassTier: q.Class.Tier, LowestTier: q.View.LowestTier, Deferred: t.Deferred,
 	}
 	if x.order.sent {
 		sending.Resume = x.order.last
@@ -233,10 +233,19 @@
 		Request: q.ID, Attempt: t.Number, Method: q.Method, Path: q.Path, Body: q.Body, Tier: t.Tier,
 		ID: x.caller.ID, Host: x.host, Header: platform.EncodeCall(q.Header, sending),
 		// Without an id, an answer on a kept connection may be that to an earlier request.
-		DedicatedConn: q.Route.NonIdempotent || x.caller.ID == "", MaySend: t.MaySend,
+		DedicatedConn: q.Route.NonIdempotent || x.caller.ID == "", MaySend: t.MaySend, MaxIdle: x.maxIdle(t),
 	}
 }
 
+// maxIdle returns how long a kept connection may have been idle that is used for a request
+// which may run once. Without an id, its answer can't be told from another one.
+func (x *Exchange) maxIdle(t *tdflow.Attempt) time.Duration {
+	if x.caller.ID == "" {
+		return 0
+	}
+	return t.MaxIdle
+}
+
 func invalid(err error) tdflow.Result {
 	return tdflow.Result{Failure: tdflow.FailInvalid, Ran: tarragondeal.RanUnknown, Err: err}
 }
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -216,8 +216,9 @@
 
 func (n *Node) buildEntry() {
 	poison := n.buildPoison()
+	backend := tdbackend.NewWith(tdbackend.Options{Dial: n.tunnels.DialContext, Idle: serverIdleTimeout, Verbatim: true})
 	n.fit = tdfit.New(tdfit.Deps{
-		Clock: n.clock, Size: n.mesh.Size, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall, Poison: poison,
+		IdleConn: backend.IdleConn, Clock: n.clock, Size: n.mesh.Size, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall, Poison: poison,
 		Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
 	}, tdfit.Options{DataCentre: n.vm.DataCentre, Bounds: n.vm.Bounds})
 	n.mesh.Publish(tdfit.Topic, func() tdmesh.Writer { return n.fit.Writer() })
@@ -242,7 +243,6 @@
 	flow := tdflow.New(tdflow.Deps{
 		Dispatch: n.fit, Meter: metrics, Burn: metrics, Clock: n.clock, Metrics: scope, Log: log,
 	}, tdflow.Options{Attempts: defaultMaxAttempts})
-	backend := tdbackend.NewWith(tdbackend.Options{Dial: n.tunnels.DialContext, Idle: serverIdleTimeout, Verbatim: true})
 	n.addTask("tunnel to servers", func(ctx context.Context) error { return n.tunnels.Run(ctx, backend.CloseIdle) })
 	n.host = tdhost.New(tdhost.Deps{
 		Flow: flow, Backend: backend,
--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -48,6 +48,7 @@
 type Backend struct {
 	client    *http.Client
 	dedicated *http.Client // Opens a connection for each request.
+	kept      *keptConns   // Of client.
 	opt       Options
 }
 
@@ -75,9 +76,10 @@
 	if o.Idle == 0 {
 		o.Idle = idleTimeout
 	}
-	dedicated := newTransport(o)
+	dedicated := newTransport(o, nil)
 	dedicated.DisableKeepAlives = true
-	return &Backend{client: newClient(newTransport(o)), dedicated: newClient(dedicated), opt: o}
+	kept := newKeptConns()
+	return &Backend{client: newClient(newTransport(o, kept)), dedicated: newClient(dedicated), kept: kept, opt: o}
 }
 
 // CloseIdle closes the idle connections.
@@ -90,14 +92,14 @@
 	}
 }
 
-func newTransport(o Options) *http.Transport {
+func newTransport(o Options, kept *keptConns) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := o.Dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: c}, nil
+			return &countedConn{Conn: c, kept: kept, addr: addr}, nil
 		},
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        o.Idle,
@@ -136,7 +138,10 @@
 	}
 	client := b.client
 	if c.DedicatedConn {
-		client = b.dedicated
+		t.maxIdle = c.MaxIdle
+		if !b.mayUseKept(s, c.MaxIdle) {
+			client = b.dedicated
+		}
 	}
 	res, err := client.Do(req)
 	if err != nil {
@@ -166,6 +171,16 @@
 	}, nil
 }
 
+// mayUseKept reports whether a call that requests a connection of its own may be sent on a
+// kept one: it has been used a short time ago, or there is none and a new one is kept.
+func (b *Backend) mayUseKept(s tarragondeal.Server, maxIdle time.Duration) bool {
+	if maxIdle <= 0 {
+		return false
+	}
+	idle, ok := b.IdleConn(s.Addr)
+	return !ok || idle <= maxIdle
+}
+
 // nonReplayableBody keeps the transport from retrying a request on its own when
 // a connection breaks, which it does for an empty body and for a body that it
 // can read again.
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -24,6 +24,16 @@
 	revoked atomic.Bool                  // The request that has the connection must not be written.
 	refused refusals
 	user    atomic.Pointer[sendTrace] // The request that got the connection last; &dropped if that closed it.
+	kept    *keptConns                // Nil if the connection is not kept.
+	addr    string
+}
+
+// Close closes the connection.
+func (c *countedConn) Close() error {
+	if c.kept != nil {
+		c.kept.remove(c)
+	}
+	return c.Conn.Close()
 }
 
 // maxRefusals is the number of refusals of a connection that are remembered.
@@ -115,6 +125,7 @@
 
 // sendTrace records the connections that the transport used for one request.
 type sendTrace struct {
+	maxIdle time.Duration // Of a kept connection; zero means any.
 	maySend func() bool   // Nil means always.
 	written chan struct{} // Closed when the request has been written to the end.
 	mu      sync.Mutex
@@ -135,6 +146,10 @@
 	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c, ok := i.Conn.(*countedConn)
 		revoked := t.maySend != nil && !t.maySend()
+		if ok && c.kept != nil {
+			idle := c.kept.take(c)
+			revoked = revoked || i.Reused && t.maxIdle > 0 && idle > t.maxIdle
+		}
 		if ok && c.user.Swap(t) == &dropped {
 			revoked = true
 		}
@@ -153,6 +168,10 @@
 			before = c.writes.Load()
 		}
 		t.used = append(t.used, usedConn{conn: c, before: before})
+	}, PutIdleConn: func(err error) {
+		if err == nil {
+			t.keepConn()
+		}
 	}, WroteRequest: func(i httptrace.WroteRequestInfo) {
 		if i.Err == nil {
 			t.setWritten()
@@ -160,6 +179,18 @@
 	}}
 }
 
+// keepConn records that the connection of the request is idle.
+func (t *sendTrace) keepConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.used) == 0 {
+		return
+	}
+	if c := t.used[len(t.used)-1].conn; c.kept != nil && c.user.Load() == t {
+		c.kept.add(c)
+	}
+}
+
 // setWritten records that the request has been written to the end. The transport may
 // report it more than once.
 func (t *sendTrace) setWritten() {
--- /dev/null
+++ b/internal/platform/tdbackend/kept.go
@@ -0,0 +1,72 @@
+package tdbackend
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// keptConns knows the idle connections of a transport. It is safe for concurrent use.
+type keptConns struct {
+	mu   sync.Mutex
+	idle map[string]map[*countedConn]time.Time // By address, since when each is idle.
+}
+
+func newKeptConns() *keptConns {
+	return &keptConns{idle: make(map[string]map[*countedConn]time.Time)}
+}
+
+// add records that a connection is idle from now on.
+func (k *keptConns) add(c *countedConn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.idle[c.addr] == nil {
+		k.idle[c.addr] = make(map[*countedConn]time.Time)
+	}
+	k.idle[c.addr][c] = time.Now()
+}
+
+// take records that a connection is used, and returns how long it was idle.
+func (k *keptConns) take(c *countedConn) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	since, ok := k.idle[c.addr][c]
+	if !ok {
+		return 0
+	}
+	k.removeLocked(c)
+	return time.Since(since)
+}
+
+// remove records that a connection is closed.
+func (k *keptConns) remove(c *countedConn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.removeLocked(c)
+}
+
+func (k *keptConns) removeLocked(c *countedConn) {
+	delete(k.idle[c.addr], c)
+	if len(k.idle[c.addr]) == 0 {
+		delete(k.idle, c.addr)
+	}
+}
+
+// newest returns for how long the connection to an address has been idle that was used
+// last, which the transport uses next. Ok is false if there is none.
+func (k *keptConns) newest(addr string) (idle time.Duration, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, since := range k.idle[addr] {
+		if d := time.Since(since); !ok || d < idle {
+			idle, ok = d, true
+		}
+	}
+	return idle, ok
+}
+
+// IdleConn returns for how long the kept connection to a server has been idle that was used
+// last. Ok is false if there is none.
+func (b *Backend) IdleConn(addr netip.AddrPort) (idle time.Duration, ok bool) {
+	return b.kept.newest(addr.String())
+}
