fit, reuse: weigh what a cached prefix saves against the wait

An engine was assumed to hold what it read last up to 0.6 of its memory, whatever its running requests take. tdreuse estimates the probability that each part is held, from the tokens added since its last use and the memory left, corrected by the time to first events.

--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -20,7 +20,8 @@
 	}
 	t := f.totalUse(s, now)
 	waited := now.Sub(start)
-	read := time.Duration(float64(s.prefillTime(r.uncachedTokens(s))) * s.pace.RelativeSlowdown(now))
+	fresh, _ := f.uncached(r, s, &t)
+	read := time.Duration(float64(s.prefillTime(fresh)) * s.pace.RelativeSlowdown(now))
 	e := tdadmit.Estimate{
 		Begin: s.backlog(now) + read, DeferredBegin: s.fullBacklog(now) + read, Decode: f.decodeTime(r, s, t.running, now),
 		Busy: 2*t.running >= s.slots() || s.fullBacklog(now) > 0 && t.running > 0,
--- a/internal/dispatch/tdfit/cache.go
+++ b/internal/dispatch/tdfit/cache.go
@@ -5,6 +5,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdreuse"
 )
 
 const (
@@ -15,12 +16,8 @@
 	cacheShare = 0.6
 )
 
-// prefix is a prompt part together with all parts before it. The digest covers
-// them all, tokens counts those of the last part.
-type prefix struct {
-	digest uint64
-	tokens int
-}
+// prefix is a prompt part together with all parts before it.
+type prefix = tdreuse.Prefix
 
 // prefixesOf returns the prefixes of a prompt, shortest first. Two prompts share
 // a part only if they share all parts before it.
@@ -32,7 +29,7 @@
 		put(buf[:8], sum)
 		put(buf[8:], p.ID)
 		sum = xxhash.Sum64(buf[:])
-		out = append(out, prefix{digest: sum, tokens: p.Tokens})
+		out = append(out, prefix{Digest: sum, Tokens: p.Tokens})
 	}
 	return out
 }
@@ -62,10 +59,10 @@
 func (c *promptCache) cachedTokens(prefixes []prefix) int {
 	tokens := 0
 	for _, p := range prefixes {
-		if !c.parts.Contains(p.digest) {
+		if !c.parts.Contains(p.Digest) {
 			break
 		}
-		tokens += p.tokens
+		tokens += p.Tokens
 	}
 	return tokens
 }
@@ -73,11 +70,11 @@
 // add records that the engine reads a prompt.
 func (c *promptCache) add(prefixes []prefix) {
 	for _, p := range prefixes {
-		if _, ok := c.parts.Get(p.digest); ok {
+		if _, ok := c.parts.Get(p.Digest); ok {
 			continue
 		}
-		c.parts.Add(p.digest, p.tokens)
-		c.tokens += p.tokens
+		c.parts.Add(p.Digest, p.Tokens)
+		c.tokens += p.Tokens
 	}
 	for c.tokens > c.capacity && c.parts.Len() > 0 {
 		c.parts.RemoveOldest()
--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -56,6 +56,7 @@
 	deferred bool // The engine serves it after the requests of its tier that are not.
 	total    int  // KV cache tokens that it uses when it ends.
 	input    int
+	mostHeld float64 // Most tokens that one of the engines compared is expected to have cached.
 }
 
 func newRequest(a *tarragondeal.Ask) request {
@@ -93,7 +94,8 @@
 	if s.engine == nil {
 		return c + plainCallTime*time.Duration(t.running)/time.Duration(s.slots())
 	}
-	fresh := r.uncachedTokens(s)
+	fresh, held := f.uncached(r, s, &t)
+	r.mostHeld = max(r.mostHeld, held.Tokens)
 	read := s.prefillTime(fresh)
 	step := decodeStep
 	shared := f.sharesMachines(s.Pool)
@@ -102,7 +104,7 @@
 		step = s.pace.Event(t.running, now) / time.Duration(max(1, s.engine.TokensPerEvent))
 		c += f.pauseCost(r, s, &t, read, now)
 	}
-	c += s.backlog(now) + read + time.Duration(duplicatePrefillCost*float64(read))
+	c += f.engineCost(r, s, read, now)
 	if over := t.tokens + r.total - s.engine.KVTokens; over > 0 {
 		c += time.Duration(float64(overloadCost) * float64(over) / float64(s.engine.KVTokens))
 	}
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -18,6 +18,7 @@
 	"tarragondeal/internal/dispatch/tdpace"
 	"tarragondeal/internal/dispatch/tdpoison"
 	"tarragondeal/internal/dispatch/tdretry"
+	"tarragondeal/internal/dispatch/tdreuse"
 	"tarragondeal/internal/dispatch/tdshare"
 )
 
@@ -111,6 +112,7 @@
 	uncontended bool // The engine had no prefill backlog when it was sent.
 	sent        tarragondeal.Instant
 	started     bool
+	held        tdreuse.Held // What the engine was expected to have cached.
 }
 
 // New returns a Fit without servers.
@@ -337,7 +339,9 @@
 func (f *Fit) assign(r *request, s *server, now tarragondeal.Instant) tarragondeal.Grant {
 	open := &openGrant{server: s, request: *r, sent: now, uncontended: s.fullBacklog(now) == 0}
 	if s.engine != nil {
-		open.uncached = r.uncachedTokens(s)
+		t := f.totalUse(s, now)
+		open.uncached, open.held = f.uncached(r, s, &t)
+		f.countReuse(r, open.held)
 		f.addPrompt(s, prompt{prefixes: r.prefixes, fresh: open.uncached, deferred: r.deferred}, now)
 		f.logSent(open)
 	}
@@ -363,6 +367,12 @@
 // addPrompt records that this or another node sent a prompt to an engine.
 func (f *Fit) addPrompt(s *server, p prompt, now tarragondeal.Instant) {
 	took := s.addPrompt(now, p, f.isHeavy(s, p.fresh, now))
+	if f.sharesMachines(s.Pool) {
+		t := f.totalUse(s, now)
+		s.held.Add(p.prefixes, s.freeTokens(&t))
+	} else {
+		s.cache.add(p.prefixes)
+	}
 	f.prefixes.add(p.prefixes, s.ID)
 	r := f.prefill[s.Pool]
 	if r == nil {
@@ -409,7 +419,12 @@
 		f.recordStart(open.server.Pool, open.request.ask.Tier, open.server.lastAnswer)
 	}
 	if open.server.engine != nil && open.uncontended {
-		open.server.learnRate(open.uncached, f.Clock.Now().Sub(open.sent))
+		took := f.Clock.Now().Sub(open.sent)
+		f.observeReuse(open, took)
+		if open.held.IsDoubtful() {
+			return // How much the engine has read is not known.
+		}
+		open.server.learnRate(open.uncached, took)
 		f.meanRate += rateWeight / 4 * (open.server.rate - f.meanRate)
 	}
 }
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -31,8 +31,8 @@
 func (f *Fit) logSent(open *openGrant) {
 	m := &Sent{Server: string(open.server.ID), Fresh: uint32(open.uncached), Deferred: open.request.deferred}
 	for _, p := range open.request.prefixes {
-		m.Chain = append(m.Chain, p.digest)
-		m.Tokens = append(m.Tokens, uint32(p.tokens))
+		m.Chain = append(m.Chain, p.Digest)
+		m.Tokens = append(m.Tokens, uint32(p.Tokens))
 	}
 	f.appendSent(sentEntry{sent: m})
 }
@@ -193,7 +193,7 @@
 		}
 		prefixes := make([]prefix, 0, len(m.GetChain()))
 		for n, digest := range m.GetChain() {
-			prefixes = append(prefixes, prefix{digest: digest, tokens: int(m.GetTokens()[n])})
+			prefixes = append(prefixes, prefix{Digest: digest, Tokens: int(m.GetTokens()[n])})
 		}
 		f.addPrompt(s, prompt{prefixes: prefixes, fresh: int(m.GetFresh()), deferred: m.GetDeferred()}, now)
 	}
--- a/internal/dispatch/tdfit/prefixindex.go
+++ b/internal/dispatch/tdfit/prefixindex.go
@@ -41,22 +41,22 @@
 func (x prefixIndex) add(prefixes []prefix, id tarragondeal.ServerID) {
 	tokens := 0
 	for _, p := range prefixes {
-		if tokens += p.tokens; tokens < minIndexedTokens {
+		if tokens += p.Tokens; tokens < minIndexedTokens {
 			continue
 		}
-		known, _ := x.servers.Get(p.digest)
+		known, _ := x.servers.Get(p.Digest)
 		if slices.Contains(known, id) {
 			continue
 		}
 		known = append(known, id)
-		x.servers.Add(p.digest, known[max(0, len(known)-maxServersPerPrefix):])
+		x.servers.Add(p.Digest, known[max(0, len(known)-maxServersPerPrefix):])
 	}
 }
 
 // find returns the engines that read the longest known prefix of a prompt.
 func (x prefixIndex) find(prefixes []prefix) []tarragondeal.ServerID {
 	for n := len(prefixes) - 1; n >= 0; n-- {
-		if ids, ok := x.servers.Get(prefixes[n].digest); ok {
+		if ids, ok := x.servers.Get(prefixes[n].Digest); ok {
 			return ids
 		}
 	}
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -6,6 +6,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdpace"
+	"tarragondeal/internal/dispatch/tdreuse"
 )
 
 const (
@@ -60,6 +61,7 @@
 	tarragondeal.Server
 	engine       *tarragondeal.Engine // Nil for plain servers.
 	cache        *promptCache
+	held         *tdreuse.Cache // What it has cached, if its pool is shared; cache is used otherwise.
 	own          use
 	others       map[tarragondeal.NodeID]use
 	useChanged   uint64               // Number of the last change of own, others or suspectUntil, as counted by Fit.
@@ -85,7 +87,7 @@
 		heavyPrefill: decayingSum{halfLife: heavyHalfLife}, failures: decayingSum{halfLife: failureHalfLife}, served: decayingSum{halfLife: failureHalfLife},
 	}
 	if e != nil {
-		out.cache = newPromptCache(e.KVTokens)
+		out.cache, out.held = newPromptCache(e.KVTokens), tdreuse.NewCache()
 	}
 	return out
 }
@@ -150,7 +152,6 @@
 	if heavy {
 		s.heavyPrefill.add(now, took.Seconds()*1000)
 	}
-	s.cache.add(p.prefixes)
 	return took
 }
 
