fit, listing, scale: cold servers, evacuated data centres, homes

The rate that a cold server bears, op/evacuate and homeRegions were not read. The rate is divided over the nodes like announced limits; servers of evacuated data centres are not eligible, and no more are ordered there; homes become permitted data centres.

--- a/internal/capacity/tdscale/duty.go
+++ b/internal/capacity/tdscale/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,6 +47,8 @@
 	Busy(pool string) Busy
 	// Servers returns the listed servers.
 	Servers() []tarragondeal.Server
+	// Evacuated returns the data centres that may not be used.
+	Evacuated() []string
 	// View returns the configuration in force, or nil.
 	View() *tarragondeal.View
 }
@@ -144,7 +147,8 @@
 		t.pools[p.Name] = m
 	}
 	now := t.d.Clock.Now()
-	live := t.live(p.Name, m)
+	evacuated := t.d.Fleet.Evacuated()
+	live := t.live(p.Name, m, evacuated)
 	if !m.settled(live, now, t.d.opt.Start) {
 		return // The list may be incomplete.
 	}
@@ -154,21 +158,23 @@
 	m.updateNeed(p.Engine, t.d.Fleet.Busy(p.Name), live, now)
 	state := State{Live: live, Unavailable: m.unavailableAt(now)}
 	for c := range m.dataCentres {
-		state.DataCentres = append(state.DataCentres, c)
+		if !slices.Contains(evacuated, c) { // What runs there stays until the evacuation ends.
+			state.DataCentres = append(state.DataCentres, c)
+		}
 	}
 	t.order(ctx, p, m, MakePlan(p, m.need, state), live)
 }
 
-// live counts the servers of a pool that are not leaving, and records the data
-// centres of the pool.
-func (t *term) live(name string, m *pool) map[Group]int {
+// live counts the servers of a pool that are not leaving, but for those of evacuated
+// data centres, and records the data centres of the pool.
+func (t *term) live(name string, m *pool, evacuated []string) map[Group]int {
 	live := make(map[Group]int)
 	for _, s := range t.d.Fleet.Servers() {
 		if s.Pool != name {
 			continue
 		}
 		m.dataCentres[s.DataCentre] = true
-		if s.State == tarragondeal.VMLive {
+		if s.State == tarragondeal.VMLive && !slices.Contains(evacuated, s.DataCentre) {
 			live[Group{DataCentre: s.DataCentre, Spot: s.Spot}]++
 		}
 	}
--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -135,7 +135,7 @@
 
 // commonCost returns the part of the cost that engines and plain servers share.
 func (f *Fit) commonCost(r *request, s *server, t *use, now tarragondeal.Instant) time.Duration {
-	c := time.Duration(coldCost * float64(s.WarmUpLeft))
+	c := time.Duration(coldCost * float64(f.warmUpLeft(s, now)))
 	if s.DataCentre != f.opt.DataCentre {
 		c += remoteCost
 	}
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -99,6 +99,7 @@
 	waiting        map[string]map[int]int // Requests without a server, by pool and tier.
 	shared         map[string]bool        // Pools whose servers share their machines with other work.
 	paces          map[string]*tdpace.Pool
+	evacuated      []string                 // Data centres, sorted.
 	used           map[string][]*server     // Servers that this node has used last, by pool; the latest first.
 	lowestTier     map[string]int           // Lowest tier of the classes of a pool.
 	shortestGap    map[string]time.Duration // Shortest pause that the classes of a pool permit.
@@ -156,6 +157,8 @@
 		out.pace = f.paceOf(s.Pool, e).NewEngine()
 	}
 	out.leaving, out.pausedUntil = f.leaving[runOf(&s)] != nil, f.pauses[runOf(&s)]
+	out.evacuated = f.isEvacuated(s.DataCentre)
+	out.cold.list(nil, &s, f.Clock.Now())
 	return out
 }
 
@@ -193,6 +196,7 @@
 		present[s.ID] = true
 		known := f.servers[s.ID]
 		if known != nil && known.StartedAt.Equal(s.StartedAt) && known.Addr == s.Addr {
+			known.cold.list(&known.Server, &s, now)
 			known.Server = s
 			continue
 		}
--- a/internal/dispatch/tdfit/limit.go
+++ b/internal/dispatch/tdfit/limit.go
@@ -29,12 +29,14 @@
 	f.observeRate(f.limits, runOf(&s), request, l, sent)
 }
 
-// limitOf returns the limit of a server, or nil if it has none.
+// limitOf returns the limit of a server, or nil if it has none: the one that it has announced,
+// or the lower one while it is cold.
 func (f *Fit) limitOf(s *server) *rateNotice {
-	if l := f.limits.byRun[runOf(&s.Server)]; l != nil && l.Announced {
+	cold := f.coldLimit(s)
+	if l := f.limits.byRun[runOf(&s.Server)]; l != nil && l.Announced && (cold == nil || l.PerSecond < cold.PerSecond) {
 		return l
 	}
-	return nil
+	return cold
 }
 
 // currentFleet returns the nodes of the fleet and the time on which they agree.
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -75,6 +75,8 @@
 	lastAnswer   tarragondeal.Instant // When it last answered a request of this node.
 	suspectUntil tarragondeal.Instant // Until when it is reported to peers as failing.
 	leaving      bool                 // It said so, whatever State is.
+	evacuated    bool                 // Its data centre is.
+	cold         coldState
 	pausedUntil  tarragondeal.Instant // It accepts no requests of this node before.
 	room         nodeRoom             // This node's part of its room, used while it is brittle.
 	reported     reportedLoad         // The load that it reported last.
@@ -92,9 +94,11 @@
 	return out
 }
 
-// isLive reports whether the server may get requests: it is listed as live and has not
-// said that it is leaving.
-func (s *server) isLive() bool { return s.State == tarragondeal.VMLive && !s.leaving }
+// isLive reports whether the server may get requests: it is listed as live, has not said that
+// it is leaving, and its data centre is not evacuated.
+func (s *server) isLive() bool {
+	return s.State == tarragondeal.VMLive && !s.leaving && !s.evacuated
+}
 
 // peerUseTTL is how long the use that a peer reported counts.
 const peerUseTTL = 3 * time.Second
--- a/internal/dispatch/tdfit/version.go
+++ b/internal/dispatch/tdfit/version.go
@@ -12,6 +12,9 @@
 	if !s.isLive() || slices.Contains(a.Avoid, s.ID) {
 		return false
 	}
+	if len(a.DataCentres) > 0 && !slices.Contains(a.DataCentres, s.DataCentre) {
+		return false
+	}
 	return a.Software == nil || s.Software().Continues(*a.Software)
 }
 
--- a/internal/entry/tdhost/answer.go
+++ b/internal/entry/tdhost/answer.go
@@ -81,6 +81,9 @@
 type Addresses struct {
 	Nodes func() []tdmesh.Node // Returns the ready nodes.
 	TTL   time.Duration        // How long callers may use an answer.
+	// Regions are the regions of the data centres. MayName is that of the Host.
+	Regions map[string]string
+	MayName func(host, dataCentre string, ownRegion bool) bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -89,7 +92,11 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	addrs := Choose(a.Nodes(), platform.DecodeLocation(r).DataCentre)
+	at := platform.DecodeLocation(r)
+	nodes := slices.DeleteFunc(a.Nodes(), func(n tdmesh.Node) bool {
+		return !a.MayName(at.Host, n.DataCentre, a.Regions[n.DataCentre] == at.Region)
+	})
+	addrs := Choose(nodes, at.DataCentre)
 	if len(addrs) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,24 @@
 	h.table.Store(newTable(v, body))
 }
 
+// HasHomes reports whether requests of a route or a workspace may run in some data centres
+// only. Then their bodies must not pass through the nodes of other regions.
+func (h *Host) HasHomes() bool {
+	t := h.table.Load()
+	return t != nil && t.homes
+}
+
+// MayName reports whether a caller of a host may be sent to the nodes of a data centre. The
+// caller's own region is always permitted, any other one by the homes of the host's routes.
+func (h *Host) MayName(host, dataCentre string, ownRegion bool) bool {
+	t := h.table.Load()
+	if t == nil || ownRegion {
+		return true
+	}
+	routes := t.hosts[hostName(host)]
+	return routes == nil || len(routes.homes) == 0 || slices.Contains(routes.homes, dataCentre)
+}
+
 // Ready reports whether the node accepts new callers.
 func (h *Host) Ready() bool { return h.table.Load() != nil && !h.leaving.Load() }
 
--- a/internal/entry/tdhost/match.go
+++ b/internal/entry/tdhost/match.go
@@ -13,6 +13,7 @@
 type table struct {
 	view         *tarragondeal.View
 	hosts        map[string]*hostRoutes
+	homes        bool  // A route or workspace has homes.
 	maxBodyBytes int64 // Maximum size of a request body.
 }
 
@@ -20,6 +21,8 @@
 type hostRoutes struct {
 	byPrefix map[string]*tarragondeal.Route
 	lengths  []int // Of the prefixes, longest first.
+	// homes are the data centres of the routes' homes; empty if no route has any.
+	homes []string
 }
 
 func newTable(v *tarragondeal.View, body int64) *table {
@@ -32,6 +35,11 @@
 			t.hosts[r.Host] = h
 		}
 		h.add(r)
+		h.homes = append(h.homes, r.DataCentres...)
+		t.homes = t.homes || len(r.DataCentres) > 0
+	}
+	for n := range v.Set.Workspaces {
+		t.homes = t.homes || len(v.Set.Workspaces[n].DataCentres) > 0
 	}
 	for _, h := range t.hosts {
 		slices.SortFunc(h.lengths, func(a, b int) int { return cmp.Compare(b, a) })
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -146,7 +146,7 @@
 func (n *Node) buildFleet() {
 	n.store = platform.NewStore(n.vm.Store, n.httpClient(storeMaxIdleConns), n.clock)
 	n.mirror = tdmirror.New(n.store, n.clock, tdmirror.Options{
-		Prefixes:  []string{platform.ConfigKey, platform.ServersPrefix, tdlease.KeyPrefix},
+		Prefixes:  []string{platform.OperatorPrefix, platform.ServersPrefix, tdlease.KeyPrefix},
 		Confirmed: platform.ServersPrefix,
 		Follows:   func() bool { return n.mesh.Follows() }, RelistDelay: func() time.Duration { return n.mesh.RelistDelay() },
 		Log: tdlog.Part(n.log, "mirror"), Scope: n.metrics.Scope.SubScope("mirror"),
@@ -181,10 +181,15 @@
 	n.mesh.Register(n.tunnels.Register)
 }
 
-// tunnelPeers returns the other nodes that are alive.
+// tunnelPeers returns the other nodes that are alive. Where requests have homes, they are
+// those of this node's region.
 func (n *Node) tunnelPeers() []tdtunnel.Peer {
 	var out []tdtunnel.Peer
+	homes := n.host.HasHomes()
 	for _, m := range n.mesh.Members() {
+		if homes && n.vm.Regions[m.DataCentre] != n.vm.Region {
+			continue
+		}
 		if m.Node != n.vm.Node && m.State == tarragondeal.MemberAlive {
 			out = append(out, tdtunnel.Peer{Node: m.Node, DataCentre: m.DataCentre, Addr: m.Peer})
 		}
@@ -255,6 +260,8 @@
 func (n *Node) subscribe() {
 	n.config = tdlisting.NewConfig(platform.ConfigKey, n.clock, tdlog.Part(n.log, "config"), n.applyConfig)
 	n.servers = tdlisting.NewServers(platform.ServersPrefix, platform.DecodeServer, n.clock, tdlog.Part(n.log, "servers"), n.setServers)
+	evacuations := tdlisting.NewEvacuations(platform.DecodeEvacuation, tdlog.Part(n.log, "servers"), n.fit.SetEvacuated)
+	n.mirror.Subscribe(evacuations.Follow)
 	n.mirror.Subscribe(n.config.Follow)
 	n.mirror.Subscribe(n.servers.Follow)
 	n.addTask("apply configurations", n.config.Run)
@@ -298,7 +305,9 @@
 	}
 	callers := n.serve(g, "serve callers", n.listeners.callers, n.host)
 	n.serve(g, "answer readiness", n.listeners.ready, http.HandlerFunc(n.host.ServeReady))
-	n.serve(g, "answer addresses", n.listeners.addresses, &tdhost.Addresses{Nodes: n.mesh.ReadyNodes, TTL: addressTTL})
+	n.serve(g, "answer addresses", n.listeners.addresses, &tdhost.Addresses{
+		Nodes: n.mesh.ReadyNodes, TTL: addressTTL, Regions: n.vm.Regions, MayName: n.host.MayName,
+	})
 	n.serve(g, "answer metrics", n.listeners.metrics, n.metrics.Handler())
 	n.log.Info().Str("dataCentre", n.vm.DataCentre).Str("callers", n.vm.Callers.String()).Bool("firstStart", n.vm.FirstStart).Msg("started")
 	err := n.wait(ctx, g)
--- a/object.go
+++ b/object.go
@@ -49,8 +49,11 @@
 	// Engine and Scaling come from the platform and are not part of the
 	// router's own configuration format. They are nil for plain services and
 	// for pools of fixed size.
-	Engine  *Engine  `json:"-" yaml:"-"`
-	Scaling *Scaling `json:"-" yaml:"-"`
+	Engine *Engine `json:"-" yaml:"-"`
+	// ColdRate is how many requests a second of all nodes together a server bears while it is
+	// cold; zero means that there is no limit.
+	ColdRate float64  `json:"-" yaml:"-"`
+	Scaling  *Scaling `json:"-" yaml:"-"`
 }
 
 // Engine describes the model engines of a pool as the platform reports them.
--- a/vm.go
+++ b/vm.go
@@ -41,4 +41,6 @@
 	UsageDue    time.Duration // From a window's end until it must be reported.
 	AddressTTL  time.Duration // Longest time that callers cache an address lookup.
 	MinLease    time.Duration // Shortest lease that the store grants.
+	ColdExcess  float64       // Requests that a cold server may get in a second, relative to its rate.
+	ColdSlack   float64       // Requests that it may get in addition.
 }
