--- /dev/null
+++ b/internal/dispatch/tdfit/cold_test.go
@@ -0,0 +1,141 @@
+package tdfit
+
+import (
+	"testing"
+	"time"
+
+	"tarragondeal"
+)
+
+// coldFleet is a fleet before engines that bear few requests while they are cold.
+func coldFleet(size, engines int, perSecond float64) *limitFleet {
+	w := newLimitFleet(size, engines)
+	for _, node := range w.nodes {
+		node.opt.Bounds.ColdExcess, node.opt.Bounds.ColdSlack = 1.5, 5
+		node.view.ServerPools["m"].ColdRate = perSecond
+	}
+	return w
+}
+
+// listCold lists a server as cold for a time at all nodes.
+func (w *limitFleet) listCold(id tarragondeal.ServerID, left time.Duration) {
+	for _, node := range w.nodes {
+		var list []tarragondeal.Server
+		for _, s := range node.Servers() {
+			if s.ID == id {
+				s.WarmUpLeft = left
+			}
+			list = append(list, s)
+		}
+		node.SetServers(list)
+	}
+}
+
+// TestColdServerGetsFewRequests answers the load of a burst of all nodes when a server comes
+// back cold and the others are full: it crashes again under the requests of all of them.
+func TestColdServerGetsFewRequests(t *testing.T) {
+	const perSecond = 9.1
+	bound := 1.5*perSecond + 5
+	for _, size := range []int{7, 88} {
+		w := coldFleet(size, 3, perSecond)
+		w.listCold("m0", 3*time.Second)
+		var sent []tarragondeal.Instant
+		warm := 0
+		for step := range 300 {
+			for _, node := range w.nodes {
+				a := liveStream()
+				a.Attempt, a.Avoid = 1, []tarragondeal.ServerID{"m1", "m2"}
+				r := newRequest(&a)
+				g, ok, err := node.choose(&r, w.clock.now, true)
+				switch {
+				case err != nil:
+					t.Fatal(err)
+				case !ok:
+				case step < 150:
+					sent = append(sent, w.clock.now)
+				default:
+					warm++
+				}
+				node.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
+			}
+			if step == 100 {
+				w.listCold("m0", 3*time.Second) // Its entry is written again, with the same time left.
+			}
+			w.advance(20 * time.Millisecond)
+		}
+		if n := mostWithin(sent, time.Second); float64(n) > bound {
+			t.Errorf("%d nodes: %d requests in a second, %.0f permitted", size, n, bound)
+		}
+		if len(sent) < 5 {
+			t.Errorf("%d nodes: only %d requests in 3s", size, len(sent))
+		}
+		if warm < 100 {
+			t.Errorf("%d nodes: only %d requests when it is warm again", size, warm)
+		}
+	}
+}
+
+// TestServersWithoutColdRate guards against limits at servers that bear any number of requests
+// while they are slow after their start.
+func TestServersWithoutColdRate(t *testing.T) {
+	w := coldFleet(1, 3, 0)
+	w.listCold("m0", 3*time.Second)
+	if w.nodes[0].limited("m0") {
+		t.Error("a server has a limit without a rate")
+	}
+}
+
+// TestEvacuatedDataCentre guards against requests to the servers of a data centre that operators
+// have evacuated, those among them whose connection is being made, and against servers
+// that get none after the evacuation.
+func TestEvacuatedDataCentre(t *testing.T) {
+	w := newTestFit(3)
+	list := w.Servers()
+	for n := range list {
+		if list[n].ID == "m0" {
+			list[n].DataCentre = "b"
+		}
+	}
+	w.SetServers(list)
+	var connecting tarragondeal.Grant
+	for connecting.Server.ID != "m0" {
+		g, err := w.reserve(liveStream())
+		if err != nil {
+			t.Fatal(err)
+		}
+		connecting = g
+	}
+	w.SetEvacuated([]string{"z", "b"})
+	if w.Valid(connecting) {
+		t.Error("a request may be sent that was connecting at the evacuation")
+	}
+	if n := w.chosen(t, 100, liveStream())["m0"]; n > 0 {
+		t.Errorf("%d requests went to an evacuated data centre", n)
+	}
+	list = append(list, tarragondeal.Server{ID: "m9", Pool: "m", DataCentre: "b", State: tarragondeal.VMLive})
+	w.SetServers(list)
+	if n := w.chosen(t, 100, liveStream())["m9"]; n > 0 {
+		t.Errorf("%d requests went to a new server of an evacuated data centre", n)
+	}
+	w.SetEvacuated(nil)
+	if got := w.chosen(t, 200, liveStream()); got["m0"]+got["m9"] == 0 {
+		t.Error("no request went to the data centre after its evacuation")
+	}
+}
+
+// TestHomes guards against requests that run outside of their homes.
+func TestHomes(t *testing.T) {
+	w := newTestFit(3)
+	list := w.Servers()
+	for n := range list {
+		if list[n].ID != "m0" {
+			list[n].DataCentre = "b"
+		}
+	}
+	w.SetServers(list)
+	a := liveStream()
+	a.DataCentres = []string{"a"}
+	if got := w.chosen(t, 50, a); got["m0"] != 50 {
+		t.Errorf("requests went to %v", got)
+	}
+}
