--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -17,11 +17,11 @@
 // rejectionLogTime is how long after a rejection by plain servers the next one is logged.
 const rejectionLogTime = 3 * time.Second
 
-// admit decides whether a request is sent to an engine of a shared pool, the best one for it,
+// admit decides whether a request is sent to an engine of an adaptive pool, the best one for it,
 // is deferred there or is refused. The error is a *tarragondeal.RefusedError.
 func (f *Fit) admit(r *request, s *server, now, start tarragondeal.Instant) error {
 	r.deferred = false
-	if s.engine == nil || !f.sharesMachines(s.Pool) || r.ask.Target <= 0 {
+	if s.engine == nil || !f.isAdaptive(s.Pool) || r.ask.Target <= 0 {
 		return nil
 	}
 	t := f.totalUse(s, now)
--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -98,8 +98,8 @@
 	r.mostHeld = max(r.mostHeld, held.Tokens)
 	read := s.prefillTime(fresh)
 	step := decodeStep
-	shared := f.sharesMachines(s.Pool)
-	if shared {
+	adaptive := f.isAdaptive(s.Pool)
+	if adaptive {
 		read = time.Duration(float64(read) * s.pace.RelativeSlowdown(now))
 		step = s.pace.Event(t.running, now) / time.Duration(max(1, s.engine.TokensPerEvent))
 		c += f.pauseCost(r, s, &t, read, now)
@@ -115,7 +115,7 @@
 		if t.tight == 0 {
 			c += firstTightCost
 		}
-	case !shared && fresh > f.heavyThreshold:
+	case !adaptive && fresh > f.heavyThreshold:
 		c += time.Duration(t.tight) * tightCost
 	}
 	return c
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -65,6 +65,8 @@
 type Options struct {
 	DataCentre string
 	Bounds     tarragondeal.Bounds
+	// Scarce is set if callers may ask for more than the servers have room for.
+	Scarce bool
 }
 
 // Fit chooses backend servers. It is safe for concurrent use.
@@ -375,7 +377,7 @@
 // addPrompt records that this or another node sent a prompt to an engine.
 func (f *Fit) addPrompt(s *server, p prompt, now tarragondeal.Instant) {
 	took := s.addPrompt(now, p, f.isHeavy(s, p.fresh, now))
-	if f.sharesMachines(s.Pool) {
+	if f.isAdaptive(s.Pool) {
 		t := f.totalUse(s, now)
 		s.held.Add(p.prefixes, s.freeTokens(&t))
 	} else {
--- a/internal/dispatch/tdfit/kept.go
+++ b/internal/dispatch/tdfit/kept.go
@@ -22,15 +22,15 @@
 // maxIdle returns how long a connection to a server of a pool may have been idle that is used
 // for a request which may run once, or zero if such requests get connections of their own.
 func (f *Fit) maxIdle(pool string) time.Duration {
-	if !f.sharesMachines(pool) {
+	if !f.isAdaptive(pool) {
 		return 0
 	}
 	return maxConnIdle
 }
 
-// connectCost returns the cost of connecting to a server of a shared pool.
+// connectCost returns the cost of connecting to a server of an adaptive pool.
 func (f *Fit) connectCost(r *request, s *server) time.Duration {
-	if !f.sharesMachines(s.Pool) || f.IdleConn == nil {
+	if !f.isAdaptive(s.Pool) || f.IdleConn == nil {
 		return 0
 	}
 	if idle, ok := f.IdleConn(s.Addr); ok && (r.ask.Idempotent || idle <= maxConnIdle) {
@@ -39,9 +39,9 @@
 	return connectCost
 }
 
-// recordUsed records that this node uses a server of a shared pool for a request.
+// recordUsed records that this node uses a server of an adaptive pool for a request.
 func (f *Fit) recordUsed(r *request, s *server) {
-	if !f.sharesMachines(s.Pool) {
+	if !f.isAdaptive(s.Pool) {
 		return
 	}
 	f.Scope.Tagged(map[string]string{
@@ -53,7 +53,7 @@
 	f.used[s.Pool] = used[:min(len(used), maxUsed)]
 }
 
-// keptServers returns the servers of a shared pool that this node has used last.
+// keptServers returns the servers of an adaptive pool that this node has used last.
 func (f *Fit) keptServers(pool string) []*server {
 	return slices.DeleteFunc(slices.Clone(f.used[pool]), func(s *server) bool { return f.servers[s.ID] != s })
 }
--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -30,7 +30,7 @@
 func (f *Fit) ObserveEvent(s tarragondeal.Server, _ tarragondeal.RequestID, pause time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.sharesMachines(s.Pool) {
+	if !f.isAdaptive(s.Pool) {
 		return
 	}
 	if listed := f.listedRun(runOf(&s)); listed != nil && listed.engine != nil {
@@ -45,7 +45,7 @@
 	if a.Gap <= 0 {
 		return false
 	}
-	if f.sharesMachines(s.Pool) {
+	if f.isAdaptive(s.Pool) {
 		if pause, learnt := f.paceOf(s.Pool, s.engine).Pause(nominalRunning); learnt {
 			return float64(pause) > gapMargin*float64(a.Gap)
 		}
@@ -56,14 +56,14 @@
 // isHeavy reports whether reading a prompt takes so long at an engine that it delays tight
 // streams.
 func (f *Fit) isHeavy(s *server, fresh int, now tarragondeal.Instant) bool {
-	if !f.sharesMachines(s.Pool) {
+	if !f.isAdaptive(s.Pool) {
 		return fresh > f.heavyThreshold
 	}
 	gap := f.shortestGap[s.Pool]
 	return gap > 0 && float64(s.pace.Pause(nominalRunning, s.prefillTime(fresh), now)) > gapMargin*float64(gap)
 }
 
-// pauseCost returns the cost of the pauses that a request at an engine of a shared pool must
+// pauseCost returns the cost of the pauses that a request at an engine of an adaptive pool must
 // expect, and of those that it causes to the tight streams there.
 func (f *Fit) pauseCost(r *request, s *server, t *use, read time.Duration, now tarragondeal.Instant) time.Duration {
 	var c time.Duration
--- a/internal/dispatch/tdfit/reported.go
+++ b/internal/dispatch/tdfit/reported.go
@@ -30,6 +30,7 @@
 	}
 }
 
-// sharesMachines reports whether servers of a pool share their machines with other work: one
-// of them has reported how long work takes at that moment.
-func (f *Fit) sharesMachines(pool string) bool { return f.shared[pool] }
+// isAdaptive reports whether requests to a pool are scheduled by what this node learns of its
+// servers: callers may ask for more than they have room for, or they share their machines
+// with other work, since one of them has reported how long work takes at that moment.
+func (f *Fit) isAdaptive(pool string) bool { return f.opt.Scarce || f.shared[pool] }
--- a/internal/dispatch/tdfit/reuse.go
+++ b/internal/dispatch/tdfit/reuse.go
@@ -25,7 +25,7 @@
 // uncached returns how many tokens of the request an engine must be expected to read, and
 // what it is expected to have cached if its pool is shared.
 func (f *Fit) uncached(r *request, s *server, t *use) (int, tdreuse.Held) {
-	if !f.sharesMachines(s.Pool) {
+	if !f.isAdaptive(s.Pool) {
 		return r.uncachedTokens(s), tdreuse.Held{}
 	}
 	h := s.held.Expect(r.prefixes, s.freeTokens(t))
@@ -74,7 +74,7 @@
 // reads the prompt for a part.
 func (f *Fit) engineCost(r *request, s *server, read time.Duration, now tarragondeal.Instant) time.Duration {
 	wait := s.backlog(now)
-	if !f.sharesMachines(s.Pool) {
+	if !f.isAdaptive(s.Pool) {
 		return wait + read + time.Duration(duplicatePrefillCost*float64(read))
 	}
 	return tdreuse.Offer{Wait: wait, Read: read}.Cost(r.ask.Target)
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -225,7 +225,7 @@
 	n.fit = tdfit.New(tdfit.Deps{
 		IdleConn: backend.IdleConn, Clock: n.clock, Size: n.mesh.Size, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall, Poison: poison,
 		Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
-	}, tdfit.Options{DataCentre: n.vm.DataCentre, Bounds: n.vm.Bounds})
+	}, tdfit.Options{DataCentre: n.vm.DataCentre, Bounds: n.vm.Bounds, Scarce: n.vm.Scarce})
 	n.mesh.Publish(tdfit.Topic, func() tdmesh.Writer { return n.fit.Writer() })
 	n.mesh.Receive(tdfit.Topic, n.fit.Receive, n.fit.Lost)
 	n.origins = tdorigin.New(tdorigin.Deps{
--- a/vm.go
+++ b/vm.go
@@ -25,7 +25,9 @@
 	FirstStart  bool
 	MemoryBytes int64
 	Processor   float64 // CPU limit of the process, in cores.
-	Bounds      Bounds
+	// Scarce is set if callers may ask for more than the backend servers have room for.
+	Scarce bool
+	Bounds Bounds
 }
 
 // Bounds are the time and retry limits that the deployment guarantees.
