fit: tight streams find the engines that run some

A few random engines of a large pool are compared, so tight streams spread over engines that read long prompts. In adaptive pools those that run tight streams are compared as well.

--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -1,6 +1,7 @@
 package tdfit
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"tarragondeal"
@@ -14,6 +15,8 @@
 	// nominalRunning is the number of requests at an engine for which a pool's pauses are
 	// compared with the permitted ones.
 	nominalRunning = 8
+	// maxTightServers bounds the engines that are compared because they run tight streams.
+	maxTightServers = 16
 )
 
 // paceOf returns what is known of the speed of the engines of a pool.
@@ -53,6 +56,27 @@
 	return prefillAllowance(a.Gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
 }
 
+// tightServers returns the engines of an adaptive pool that run tight streams, if the request
+// is one. Few of them would be among the random ones of a large pool, and tight streams
+// would spread over the engines that read long prompts.
+func (f *Fit) tightServers(r *request, pool string) []*server {
+	if !f.isAdaptive(pool) || len(f.pools[pool]) == 0 || f.pools[pool][0].engine == nil || !f.isTight(r.ask, f.pools[pool][0]) {
+		return nil
+	}
+	now := f.Clock.Now()
+	var out []*server
+	for _, s := range f.pools[pool] {
+		if f.totalUse(s, now).tight > 0 {
+			out = append(out, s)
+		}
+	}
+	if len(out) > maxTightServers {
+		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		out = out[:maxTightServers]
+	}
+	return out
+}
+
 // isHeavy reports whether reading a prompt takes so long at an engine that it delays tight
 // streams.
 func (f *Fit) isHeavy(s *server, fresh int, now tarragondeal.Instant) bool {
--- a/internal/dispatch/tdfit/prefixindex.go
+++ b/internal/dispatch/tdfit/prefixindex.go
@@ -77,6 +77,7 @@
 		}
 	}
 	out = append(out, f.keptServers(pool)...)
+	out = append(out, f.tightServers(r, pool)...)
 	for range sampleSize {
 		out = append(out, all[rand.IntN(len(all))])
 	}
