explain: where a request would go now, and why

A node answers at /explain on its metrics address, and the command tarragondeal explain prints the answer. The cost of a server is kept by its causes. Nothing is sent.

--- a/cmd/tarragondeal/main.go
+++ b/cmd/tarragondeal/main.go
@@ -66,7 +66,7 @@
 
 func (t *tool) root() *ffcli.Command {
 	return t.group("tarragondeal", "Run the router for language-model traffic, and operate it.",
-		t.quickstart(), t.serve(), t.config(), t.key(), t.entry(), t.status(), t.report())
+		t.quickstart(), t.serve(), t.config(), t.key(), t.entry(), t.status(), t.explain(), t.report())
 }
 
 // group returns a command that has only subcommands.
--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -21,9 +21,28 @@
 // is deferred there or is refused. The error is a *tarragondeal.RefusedError.
 func (f *Fit) admit(r *request, s *server, now, start tarragondeal.Instant) error {
 	r.deferred = false
-	if s.engine == nil || !f.isAdaptive(s.Pool) || r.ask.Target <= 0 {
+	d, decided := f.decideAdmission(r, s, now, start)
+	if !decided || d.Action == tdadmit.Send {
 		return nil
 	}
+	f.Scope.Tagged(map[string]string{"action": d.Action.String(), "pool": s.Pool}).Counter("admission").Inc(1)
+	f.Log.Info().Str("request", string(r.ask.Request)).Int("attempt", r.ask.Attempt).Int("tier", r.ask.Tier).Str("server", string(s.ID)).
+		Stringer("action", d.Action).Dur("begin", d.Begin).Dur("end", d.End).Dur("target", r.ask.Target).Dur("left", r.ask.Deadline).
+		Dur("waited", now.Sub(start)).Int("running", f.totalUse(s, now).running).Dur("backlog", s.backlog(now)).Dur("fullBacklog", s.fullBacklog(now)).
+		Dur("reportAge", now.Sub(s.reported.at)).Dur("retryAfter", d.RetryAfter).Msg("request can't begin within its target")
+	if d.Action == tdadmit.Defer {
+		r.deferred = true
+		return nil
+	}
+	return refused(tarragondeal.ReasonOverload, "the backend servers can't serve the request before its deadline", d.RetryAfter)
+}
+
+// decideAdmission returns what happens to a request whose best server is s. Decided is false
+// if it is sent anyway.
+func (f *Fit) decideAdmission(r *request, s *server, now, start tarragondeal.Instant) (d tdadmit.Decision, decided bool) {
+	if s.engine == nil || !f.isAdaptive(s.Pool) || r.ask.Target <= 0 {
+		return tdadmit.Decision{}, false
+	}
 	t := f.totalUse(s, now)
 	waited := now.Sub(start)
 	fresh, _ := f.uncached(r, s, &t)
@@ -32,19 +51,7 @@
 		Begin: s.backlog(now) + read, DeferredBegin: s.fullBacklog(now) + read, Decode: f.decodeTime(r, s, t.running, now),
 		Busy: 2*t.running >= s.slots() || s.fullBacklog(now) > 0 && t.running > 0,
 	}
-	d := tdadmit.Decide(tdadmit.Request{Target: r.ask.Target - waited, Left: r.ask.Deadline - waited, Yields: f.yields(r.ask, s.Pool, now)}, e)
-	if d.Action == tdadmit.Send {
-		return nil
-	}
-	f.Scope.Tagged(map[string]string{"action": d.Action.String(), "pool": s.Pool}).Counter("admission").Inc(1)
-	f.Log.Info().Str("request", string(r.ask.Request)).Int("attempt", r.ask.Attempt).Int("tier", r.ask.Tier).Str("server", string(s.ID)).
-		Stringer("action", d.Action).Dur("begin", e.Begin).Dur("end", d.End).Dur("target", r.ask.Target).Dur("left", r.ask.Deadline-waited).
-		Int("running", t.running).Dur("reportAge", now.Sub(s.reported.at)).Dur("retryAfter", d.RetryAfter).Msg("request can't begin within its target")
-	if d.Action == tdadmit.Defer {
-		r.deferred = true
-		return nil
-	}
-	return refused(tarragondeal.ReasonOverload, "the backend servers can't serve the request before its deadline", d.RetryAfter)
+	return tdadmit.Decide(tdadmit.Request{Target: r.ask.Target - waited, Left: r.ask.Deadline - waited, Yields: f.yields(r.ask, s.Pool, now)}, e), true
 }
 
 // spread holds a request to plain servers back for a short time while they reject requests. It
--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdreuse"
 )
 
 const (
@@ -86,15 +87,29 @@
 	return max(1, r.input-s.cache.cachedTokens(r.prefixes))
 }
 
-// cost estimates the time until a server begins to answer, plus the delay that
-// the request causes to others there.
-func (f *Fit) cost(r *request, s *server, now tarragondeal.Instant) time.Duration {
+// cost is the estimated cost of sending a request to a server, by its causes. It is the time
+// until the server begins to answer, plus the delay that the request causes to others there.
+type cost struct {
+	warmUp, distance, connect, full, failures time.Duration
+	answer                                    time.Duration // Waiting for the prompts before it, and reading its own.
+	memory, batch, pauses, separation         time.Duration
+	held                                      tdreuse.Held // What the engine is expected to have cached.
+}
+
+func (c *cost) sum() time.Duration {
+	return c.warmUp + c.distance + c.connect + c.full + c.failures + c.answer + c.memory + c.batch + c.pauses + c.separation
+}
+
+// cost returns the estimated cost of sending a request to a server.
+func (f *Fit) cost(r *request, s *server, now tarragondeal.Instant) cost {
 	t := f.totalUse(s, now)
 	c := f.commonCost(r, s, &t, now)
 	if s.engine == nil {
-		return c + plainCallTime*time.Duration(t.running)/time.Duration(s.slots())
+		c.answer = plainCallTime * time.Duration(t.running) / time.Duration(s.slots())
+		return c
 	}
 	fresh, held := f.uncached(r, s, &t)
+	c.held = held
 	r.mostHeld = max(r.mostHeld, held.Tokens)
 	read := s.prefillTime(fresh)
 	step := decodeStep
@@ -102,21 +117,21 @@
 	if adaptive {
 		read = time.Duration(float64(read) * s.pace.RelativeSlowdown(now))
 		step = s.pace.Event(t.running, now) / time.Duration(max(1, s.engine.TokensPerEvent))
-		c += f.pauseCost(r, s, &t, read, now)
+		c.pauses = f.pauseCost(r, s, &t, read, now)
 	}
-	c += f.engineCost(r, s, read, now)
+	c.answer = f.engineCost(r, s, read, now)
 	if over := t.tokens + r.total - s.engine.KVTokens; over > 0 {
-		c += time.Duration(float64(overloadCost) * float64(over) / float64(s.engine.KVTokens))
+		c.memory = time.Duration(float64(overloadCost) * float64(over) / float64(s.engine.KVTokens))
 	}
-	c += time.Duration(t.running) * step / 10
+	c.batch = time.Duration(t.running) * step / 10
 	switch {
 	case r.tight:
-		c += time.Duration(heavyCost * s.heavyPrefill.now(now) * float64(time.Millisecond))
+		c.separation = time.Duration(heavyCost * s.heavyPrefill.now(now) * float64(time.Millisecond))
 		if t.tight == 0 {
-			c += firstTightCost
+			c.separation += firstTightCost
 		}
 	case !adaptive && fresh > f.heavyThreshold:
-		c += time.Duration(t.tight) * tightCost
+		c.separation = time.Duration(t.tight) * tightCost
 	}
 	return c
 }
@@ -134,18 +149,17 @@
 }
 
 // commonCost returns the part of the cost that engines and plain servers share.
-func (f *Fit) commonCost(r *request, s *server, t *use, now tarragondeal.Instant) time.Duration {
-	c := time.Duration(coldCost * float64(f.warmUpLeft(s, now)))
+func (f *Fit) commonCost(r *request, s *server, t *use, now tarragondeal.Instant) cost {
+	c := cost{warmUp: time.Duration(coldCost * float64(f.warmUpLeft(s, now))), connect: f.connectCost(r, s)}
 	if s.DataCentre != f.opt.DataCentre {
-		c += remoteCost
+		c.distance = remoteCost
 	}
-	c += f.connectCost(r, s)
 	if over := t.running - s.slots() + 1; over > 0 {
-		c += overloadCost * time.Duration(over) / time.Duration(s.slots())
+		c.full = overloadCost * time.Duration(over) / time.Duration(s.slots())
 	}
-	c += time.Duration(s.failureShare(now) * float64(failureCost))
+	c.failures = time.Duration(s.failureShare(now) * float64(failureCost))
 	if t.failing {
-		c += failureCost / 2
+		c.failures += failureCost / 2
 	}
 	return c
 }
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -328,7 +328,8 @@
 		if s.engine != nil {
 			r.tight = f.isTight(r.ask, s)
 		}
-		c := f.cost(r, s, now)
+		estimate := f.cost(r, s, now)
+		c := estimate.sum()
 		c += noise(s, c)
 		if best == nil || c < least {
 			best, least = s, c
--- a/internal/entry/tdflow/ask.go
+++ b/internal/entry/tdflow/ask.go
@@ -103,9 +103,9 @@
 	return 1 + len(q.Model.Prompt())/bytesPerToken
 }
 
-// newAsk returns the reservation request for q. The attempt's number and times
+// Ask returns the reservation request for q. The attempt's number and times
 // are set per attempt.
-func (q *Request) newAsk(dataCentres []string) tarragondeal.Ask {
+func (q *Request) Ask(dataCentres []string) tarragondeal.Ask {
 	a := tarragondeal.Ask{
 		Request: q.ID, Workspace: q.Workspace.Name, Weight: q.Workspace.Weight,
 		Route: q.Route.Name, Class: q.Class.Name, Tier: q.Class.Tier, MinShare: q.Class.MinShare,
--- a/internal/entry/tdflow/flow.go
+++ b/internal/entry/tdflow/flow.go
@@ -145,7 +145,7 @@
 	if len(dataCentres) == 0 {
 		return r.refuse(tarragondeal.ReasonNoPlace, "workspace and route permit no common data centre")
 	}
-	r.ask = q.newAsk(dataCentres)
+	r.ask = q.Ask(dataCentres)
 	if q.Route.NonIdempotent && q.Exchange == nil {
 		return r.runOnce(ctx)
 	}
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -308,7 +308,10 @@
 	n.serve(g, "answer addresses", n.listeners.addresses, &tdhost.Addresses{
 		Nodes: n.mesh.ReadyNodes, TTL: addressTTL, Regions: n.vm.Regions, MayName: n.host.MayName,
 	})
-	n.serve(g, "answer metrics", n.listeners.metrics, n.metrics.Handler())
+	operators := http.NewServeMux()
+	operators.Handle("/", n.metrics.Handler())
+	operators.Handle("GET "+tdhost.ExplainPath, n.host.Explain(n.fit))
+	n.serve(g, "answer metrics", n.listeners.metrics, operators)
 	n.log.Info().Str("dataCentre", n.vm.DataCentre).Str("callers", n.vm.Callers.String()).Bool("firstStart", n.vm.FirstStart).Msg("started")
 	err := n.wait(ctx, g)
 	n.drain(g, callers)
