--- /dev/null
+++ b/internal/dispatch/tdfit/explain_test.go
@@ -0,0 +1,65 @@
+package tdfit
+
+import (
+	"testing"
+	"time"
+
+	"tarragondeal"
+)
+
+// TestExplain guards against explanations that name another server than the one to which a
+// request goes, or that change what happens next.
+func TestExplain(t *testing.T) {
+	w := newTestFit(4)
+	w.opt.Scarce = true
+	w.SetEvacuated([]string{"b"})
+	w.servers["m0"].evacuated = true
+	w.servers["m1"].backoffUntil = w.clock.now.Add(time.Minute)
+	w.servers["m2"].prefilledAt = w.clock.now.Add(3 * time.Second)
+	a := longPrompt(1)
+	a.Target, a.Deadline = time.Second, 4*time.Second
+	var first, second tarragondeal.Explanation
+	w.Explain(a, &first)
+	w.Explain(a, &second)
+	if len(first.Servers) != 4 || first.Action != "send" || first.Servers[0].Server != "m3" || first.Servers[1].Server != "m2" {
+		t.Errorf("%+v", first)
+	}
+	for n, s := range first.Servers {
+		if excluded := s.Server == "m0" || s.Server == "m1"; excluded != (s.Excluded != "") {
+			t.Errorf("%s: %q", s.Server, s.Excluded)
+		}
+		if second.Servers[n].Server != s.Server || second.Servers[n].Cost != s.Cost {
+			t.Errorf("a second explanation has %+v instead of %+v", second.Servers[n], s)
+		}
+	}
+	if g, err := w.reserve(a); err != nil || g.Server.ID != first.Servers[0].Server {
+		t.Errorf("the request goes to %s, %v", g.Server.ID, err)
+	}
+}
+
+// TestExplainOverload guards against explanations that say of a request which is deferred or
+// refused that it would be sent.
+func TestExplainOverload(t *testing.T) {
+	for _, c := range []struct {
+		deferred time.Duration // Backlog of deferred prompts.
+		want     string
+	}{{2 * time.Second, "defer"}, {10 * time.Second, "refuse"}} {
+		w := newTestFit(1)
+		w.opt.Scarce = true
+		s := w.servers["m0"]
+		s.prefilledAt, s.allReadAt = w.clock.now.Add(time.Second), w.clock.now.Add(c.deferred)
+		s.own.running = 40
+		a := longPrompt(1)
+		a.Target, a.Deadline, a.Tier = 500*time.Millisecond, 4*time.Second, 3
+		var e tarragondeal.Explanation
+		w.Explain(a, &e)
+		if e.Action == "wait" { // Held for a moment first.
+			r := newRequest(&a)
+			d, _ := w.decideAdmission(&r, s, w.clock.now, w.clock.now)
+			e.Action = d.Action.String()
+		}
+		if e.Action != c.want {
+			t.Errorf("%v of deferred prompts: %s, want %s", c.deferred, e.Action, c.want)
+		}
+	}
+}
