--- a/internal/dispatch/tdfit/explain.go
+++ b/internal/dispatch/tdfit/explain.go
@@ -19,7 +19,7 @@
 	for _, pool := range a.Pools {
 		for _, s := range f.pools[pool] {
 			if s.engine != nil {
-				r.tight = f.isTight(&a, s)
+				r.tight = f.isTight(&r, s)
 			}
 			out.Servers = append(out.Servers, f.assess(&r, s, now))
 		}
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -326,7 +326,7 @@
 			continue
 		}
 		if s.engine != nil {
-			r.tight = f.isTight(r.ask, s)
+			r.tight = f.isTight(r, s)
 		}
 		estimate := f.cost(r, s, now)
 		c := estimate.sum()
@@ -377,7 +377,7 @@
 
 // addPrompt records that this or another node sent a prompt to an engine.
 func (f *Fit) addPrompt(s *server, p prompt, now tarragondeal.Instant) {
-	took := s.addPrompt(now, p, f.isHeavy(s, p.fresh, now))
+	took := s.addPrompt(now, p, f.isHeavy(s, p.fresh))
 	if f.isAdaptive(s.Pool) {
 		t := f.totalUse(s, now)
 		s.held.Add(p.prefixes, s.freeTokens(&t))
--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -15,6 +15,9 @@
 	// nominalRunning is the number of requests at an engine for which a pool's pauses are
 	// compared with the permitted ones.
 	nominalRunning = 8
+	// tightPromptShare is the longest time to read the prompt of a tight stream, as a share of
+	// its permitted pause.
+	tightPromptShare = 0.1
 	// maxTightServers bounds the engines that are compared because they run tight streams.
 	maxTightServers = 16
 )
@@ -43,24 +46,27 @@
 }
 
 // isTight reports whether a long prompt beside a stream would make its pauses longer than
-// permitted.
-func (f *Fit) isTight(a *tarragondeal.Ask, s *server) bool {
-	if a.Gap <= 0 {
+// permitted. In an adaptive pool its own prompt must be short: streams with long prompts
+// would delay one another.
+func (f *Fit) isTight(r *request, s *server) bool {
+	gap := r.ask.Gap
+	if gap <= 0 {
 		return false
 	}
 	if f.isAdaptive(s.Pool) {
 		if pause, learnt := f.paceOf(s.Pool, s.engine).Pause(nominalRunning); learnt {
-			return float64(pause) > gapMargin*float64(a.Gap)
+			read := float64(r.input) / f.meanRate * float64(time.Millisecond)
+			return float64(pause) > gapMargin*float64(gap) && read <= tightPromptShare*float64(gap)
 		}
 	}
-	return prefillAllowance(a.Gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
+	return prefillAllowance(gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
 }
 
 // tightServers returns the engines of an adaptive pool that run tight streams, if the request
 // is one. Few of them would be among the random ones of a large pool, and tight streams
 // would spread over the engines that read long prompts.
 func (f *Fit) tightServers(r *request, pool string) []*server {
-	if !f.isAdaptive(pool) || len(f.pools[pool]) == 0 || f.pools[pool][0].engine == nil || !f.isTight(r.ask, f.pools[pool][0]) {
+	if !f.isAdaptive(pool) || len(f.pools[pool]) == 0 || f.pools[pool][0].engine == nil || !f.isTight(r, f.pools[pool][0]) {
 		return nil
 	}
 	now := f.Clock.Now()
@@ -77,14 +83,14 @@
 	return out
 }
 
-// isHeavy reports whether reading a prompt takes so long at an engine that it delays tight
-// streams.
-func (f *Fit) isHeavy(s *server, fresh int, now tarragondeal.Instant) bool {
+// isHeavy reports whether the time in which an engine reads a prompt counts for tight streams.
+// In an adaptive pool it does for all but the prompts of tight streams: several shorter ones
+// delay a stream as one long one does.
+func (f *Fit) isHeavy(s *server, fresh int) bool {
 	if !f.isAdaptive(s.Pool) {
 		return fresh > f.heavyThreshold
 	}
-	gap := f.shortestGap[s.Pool]
-	return gap > 0 && float64(s.pace.Pause(nominalRunning, s.prefillTime(fresh), now)) > gapMargin*float64(gap)
+	return float64(s.prefillTime(fresh)) > tightPromptShare*float64(f.shortestGap[s.Pool])
 }
 
 // pauseCost returns the cost of the pauses that a request at an engine of an adaptive pool must
@@ -95,7 +101,7 @@
 	if gap := r.ask.Gap; gap > 0 && float64(s.pace.Pause(t.running+1, backlog, now)) > gapMargin*float64(gap) {
 		c += latePauseCost
 	}
-	if gap := f.shortestGap[s.Pool]; !r.tight && t.tight > 0 && float64(s.pace.Pause(t.running+1, backlog+read, now)) > gapMargin*float64(gap) {
+	if gap := f.shortestGap[s.Pool]; t.tight > 0 && float64(s.pace.Pause(t.running+1, backlog+read, now)) > gapMargin*float64(gap) {
 		c += time.Duration(t.tight) * tightCost
 	}
 	return c
