admit: hold and refuse the least urgent requests

Requests are held while the prompts before them are too long, and those of the least urgent tier are then refused, with a Retry-After. The field of the load message that said which requests are deferred is gone again.

--- a/dispatch.go
+++ b/dispatch.go
@@ -74,8 +74,6 @@
 	// MaxIdle is how long a connection may have been idle that is used for a request which
 	// may run once; zero means that such requests have connections of their own.
 	MaxIdle time.Duration
-	// Deferred is set if the server is to serve the request after the others of its tier.
-	Deferred bool
 }
 
 // OutcomeKind says how an attempt ended.
--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -17,41 +17,44 @@
 // rejectionLogTime is how long after a rejection by plain servers the next one is logged.
 const rejectionLogTime = 3 * time.Second
 
-// admit decides whether a request is sent to an engine of an adaptive pool, the best one for it,
-// is deferred there or is refused. The error is a *tarragondeal.RefusedError.
-func (f *Fit) admit(r *request, s *server, now, start tarragondeal.Instant) error {
-	r.deferred = false
-	d, decided := f.decideAdmission(r, s, now, start)
-	if !decided || d.Action == tdadmit.Send {
-		return nil
+// admit decides whether a request is sent to an engine of an adaptive pool, the best one for
+// it. Held is set if it is kept for a moment. The error is a *tarragondeal.RefusedError.
+func (f *Fit) admit(r *request, s *server, now, start tarragondeal.Instant) (held bool, err error) {
+	d, e := f.decideAdmission(r, s, now, start)
+	switch d.Action {
+	case tdadmit.Send:
+		return false, nil
+	case tdadmit.Hold:
+		if !r.held {
+			r.held = true
+			f.Scope.Tagged(map[string]string{"action": d.Action.String(), "pool": s.Pool}).Counter("admission").Inc(1)
+		}
+		return true, nil
 	}
 	f.Scope.Tagged(map[string]string{"action": d.Action.String(), "pool": s.Pool}).Counter("admission").Inc(1)
 	f.Log.Info().Str("request", string(r.ask.Request)).Int("attempt", r.ask.Attempt).Int("tier", r.ask.Tier).Str("server", string(s.ID)).
-		Stringer("action", d.Action).Dur("begin", d.Begin).Dur("end", d.End).Dur("target", r.ask.Target).Dur("left", r.ask.Deadline).
-		Dur("waited", now.Sub(start)).Int("running", f.totalUse(s, now).running).Dur("backlog", s.backlog(now)).Dur("fullBacklog", s.fullBacklog(now)).
-		Dur("reportAge", now.Sub(s.reported.at)).Dur("retryAfter", d.RetryAfter).Msg("request can't begin within its target")
-	if d.Action == tdadmit.Defer {
-		r.deferred = true
-		return nil
-	}
-	return refused(tarragondeal.ReasonOverload, "the backend servers can't serve the request before its deadline", d.RetryAfter)
+		Dur("backlog", e.Backlog).Dur("read", e.Read).Dur("limit", d.Limit).Dur("target", r.ask.Target).Dur("left", r.ask.Deadline).
+		Dur("waited", now.Sub(start)).Int("running", f.totalUse(s, now).running).Int("reportedWaiting", s.reported.Waiting).
+		Dur("reportAge", now.Sub(s.reported.at)).Dur("retryAfter", d.RetryAfter).Msg("request refused: it would be late, or make more urgent ones late")
+	return false, refused(tarragondeal.ReasonOverload, "the backend servers can't serve the request in its time", d.RetryAfter)
 }
 
-// decideAdmission returns what happens to a request whose best server is s. Decided is false
-// if it is sent anyway.
-func (f *Fit) decideAdmission(r *request, s *server, now, start tarragondeal.Instant) (d tdadmit.Decision, decided bool) {
+// decideAdmission returns what happens to a request whose best server is s.
+func (f *Fit) decideAdmission(r *request, s *server, now, start tarragondeal.Instant) (tdadmit.Decision, tdadmit.Estimate) {
 	if s.engine == nil || !f.isAdaptive(s.Pool) || r.ask.Target <= 0 {
-		return tdadmit.Decision{}, false
+		return tdadmit.Decision{}, tdadmit.Estimate{}
 	}
 	t := f.totalUse(s, now)
 	waited := now.Sub(start)
 	fresh, _ := f.uncached(r, s, &t)
-	read := time.Duration(float64(s.prefillTime(fresh)) * s.pace.RelativeSlowdown(now))
 	e := tdadmit.Estimate{
-		Begin: s.backlog(now) + read, DeferredBegin: s.fullBacklog(now) + read, Decode: f.decodeTime(r, s, t.running, now),
-		Busy: 2*t.running >= s.slots() || s.fullBacklog(now) > 0 && t.running > 0,
+		Backlog: s.backlog(now), Read: time.Duration(float64(s.prefillTime(fresh)) * s.pace.RelativeSlowdown(now)),
+		Busy: 2*t.running >= s.slots() || s.backlog(now) > 0 && t.running > 0,
 	}
-	return tdadmit.Decide(tdadmit.Request{Target: r.ask.Target - waited, Left: r.ask.Deadline - waited, Yields: f.yields(r.ask, s.Pool, now)}, e), true
+	return tdadmit.Decide(tdadmit.Request{
+		Target: r.ask.Target, Left: r.ask.Deadline - waited, Waited: waited, Tight: r.tight,
+		Urgent: f.urgentTarget(r.ask, s.Pool), Yields: f.yields(r.ask, s.Pool, now),
+	}, e), e
 }
 
 // spread holds a request to plain servers back for a short time while they reject requests. It
@@ -100,13 +103,16 @@
 	f.rejectedAt[s.Pool] = now
 }
 
-// decodeTime returns the estimated time from the first event of a request to the last.
-func (f *Fit) decodeTime(r *request, s *server, running int, now tarragondeal.Instant) time.Duration {
-	output := r.ask.OutputHint
-	if output <= 0 {
-		output = r.ask.Output
+// urgentTarget returns the shortest target of the more urgent classes of a pool whose streams
+// are not kept apart from long prompts, or zero.
+func (f *Fit) urgentTarget(a *tarragondeal.Ask, pool string) time.Duration {
+	var least time.Duration
+	for tier, target := range f.tierTargets[pool] {
+		if tier < a.Tier && (least == 0 || target < least) {
+			least = target
+		}
 	}
-	return time.Duration(output/max(1, s.engine.TokensPerEvent)) * s.pace.Event(running+1, now)
+	return least
 }
 
 // yields reports whether no class of a pool is less urgent than a request, and no less urgent
--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -53,8 +53,8 @@
 type request struct {
 	ask      *tarragondeal.Ask
 	prefixes []prefix
+	held     bool // It has been kept for a moment.
 	tight    bool // A concurrent long prompt would make its pauses too long.
-	deferred bool // The engine serves it after the requests of its tier that are not.
 	total    int  // KV cache tokens that it uses when it ends.
 	input    int
 	mostHeld float64 // Most tokens that one of the engines compared is expected to have cached.
@@ -129,6 +129,8 @@
 		c.separation = time.Duration(heavyCost * s.heavyPrefill.now(now) * float64(time.Millisecond))
 		if t.tight == 0 {
 			c.separation += firstTightCost
+		} else if adaptive {
+			c.separation += time.Duration(float64(firstTightCost) * float64(t.running) / (tightPackShare * float64(s.slots())))
 		}
 	case !adaptive && fresh > f.heavyThreshold:
 		c.separation = time.Duration(t.tight) * tightCost
@@ -139,7 +141,7 @@
 // shouldHold reports whether a request that isn't tight waits for the engine's
 // prefill backlog to shrink, rather than add to it and delay tight streams.
 func (f *Fit) shouldHold(r *request, s *server, now, start tarragondeal.Instant) bool {
-	if s.engine == nil || r.tight || r.ask.Target <= 0 {
+	if s.engine == nil || f.isAdaptive(s.Pool) || r.tight || r.ask.Target <= 0 {
 		return false
 	}
 	if now.Sub(start) > time.Duration(holdShare*float64(r.ask.Target)) {
--- a/internal/dispatch/tdfit/explain.go
+++ b/internal/dispatch/tdfit/explain.go
@@ -50,17 +50,13 @@
 	}
 	switch {
 	case s == nil:
-		out.Action, out.Reason = "wait", "no server may be used"
+		out.Action, out.Reason = tdadmit.Hold.String(), "no server may be used"
 	case f.shouldHold(r, s, now, now):
-		out.Action, out.Reason = "wait", "the best engine has a long prefill backlog"
+		out.Action, out.Reason = tdadmit.Hold.String(), "the best engine has a long prefill backlog"
 	default:
-		d, decided := f.decideAdmission(r, s, now, now)
-		if !decided {
-			return
-		}
-		out.Action, out.RetryAfter = d.Action.String(), tarragondeal.Duration(d.RetryAfter)
-		if d.Action != tdadmit.Send {
-			out.Reason = "the request can't begin within its target"
+		d, _ := f.decideAdmission(r, s, now, now)
+		if d.Action == tdadmit.Hold {
+			out.Action, out.Reason = d.Action.String(), "the best engine has a long prefill backlog; the request may be refused after that"
 		}
 	}
 }
@@ -79,7 +75,7 @@
 	if s.engine != nil {
 		fresh, _ := f.uncached(r, s, &t)
 		out.Tokens, out.KVTokens, out.Cached = t.tokens, s.engine.KVTokens, max(0, r.input-fresh)
-		out.Backlog = tarragondeal.Duration(s.fullBacklog(now))
+		out.Backlog = tarragondeal.Duration(s.backlog(now))
 	}
 	for _, p := range []tarragondeal.Cost{
 		{Name: "answer", Time: tarragondeal.Duration(c.answer)},
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -101,11 +101,12 @@
 	waiting        map[string]map[int]int // Requests without a server, by pool and tier.
 	shared         map[string]bool        // Pools whose servers share their machines with other work.
 	paces          map[string]*tdpace.Pool
-	rejectedAt     map[string]tarragondeal.Instant // When plain servers last rejected a request of this node, by pool.
-	evacuated      []string                        // Data centres, sorted.
-	used           map[string][]*server            // Servers that this node has used last, by pool; the latest first.
-	lowestTier     map[string]int                  // Lowest tier of the classes of a pool.
-	shortestGap    map[string]time.Duration        // Shortest pause that the classes of a pool permit.
+	rejectedAt     map[string]tarragondeal.Instant  // When plain servers last rejected a request of this node, by pool.
+	evacuated      []string                         // Data centres, sorted.
+	used           map[string][]*server             // Servers that this node has used last, by pool; the latest first.
+	lowestTier     map[string]int                   // Lowest tier of the classes of a pool.
+	tierTargets    map[string]map[int]time.Duration // Shortest target of a pool's classes, by tier, without those that permit the shortest pauses.
+	shortestGap    map[string]time.Duration         // Shortest pause that the classes of a pool permit.
 }
 
 // openGrant is a grant that has not ended.
@@ -288,7 +289,7 @@
 			if f.shouldHold(r, s, now, start) {
 				return tarragondeal.Grant{}, false, nil
 			}
-			if err := f.admit(r, s, now, start); err != nil {
+			if held, err := f.admit(r, s, now, start); held || err != nil {
 				return tarragondeal.Grant{}, false, err
 			}
 			return f.assign(r, s, now), true, nil
@@ -330,7 +331,7 @@
 		}
 		estimate := f.cost(r, s, now)
 		c := estimate.sum()
-		c += noise(s, c)
+		c += f.noise(s, c)
 		if best == nil || c < least {
 			best, least = s, c
 		}
@@ -339,21 +340,24 @@
 }
 
 // noise returns the random part of the estimate c for a server.
-func noise(s *server, c time.Duration) time.Duration {
-	if s.engine == nil {
+func (f *Fit) noise(s *server, c time.Duration) time.Duration {
+	switch {
+	case s.engine == nil:
 		return time.Duration(rand.ExpFloat64() * float64(plainSpread))
+	case f.isAdaptive(s.Pool):
+		return 0 // Each node compares other servers, and stays with its own ones.
 	}
 	return time.Duration(noiseShare * rand.Float64() * float64(c+firstTokenOverhead))
 }
 
 // assign records that a request is sent to a server and returns its grant.
 func (f *Fit) assign(r *request, s *server, now tarragondeal.Instant) tarragondeal.Grant {
-	open := &openGrant{server: s, request: *r, sent: now, uncontended: s.fullBacklog(now) == 0}
+	open := &openGrant{server: s, request: *r, sent: now, uncontended: s.backlog(now) == 0}
 	if s.engine != nil {
 		t := f.totalUse(s, now)
 		open.uncached, open.held = f.uncached(r, s, &t)
 		f.countReuse(r, open.held)
-		f.addPrompt(s, prompt{prefixes: r.prefixes, fresh: open.uncached, deferred: r.deferred}, now)
+		f.addPrompt(s, prompt{prefixes: r.prefixes, fresh: open.uncached}, now)
 		f.logSent(open)
 	}
 	f.changeUse(s)
@@ -371,7 +375,7 @@
 	id := tarragondeal.GrantID(strconv.FormatUint(f.lastGrant.Add(1), 10))
 	f.grants[id] = open
 	return tarragondeal.Grant{
-		ID: id, Request: r.ask.Request, Attempt: r.ask.Attempt, Server: s.Server, Tier: r.ask.Tier, MaxIdle: f.maxIdle(s.Pool), Deferred: r.deferred,
+		ID: id, Request: r.ask.Request, Attempt: r.ask.Attempt, Server: s.Server, Tier: r.ask.Tier, MaxIdle: f.maxIdle(s.Pool),
 	}
 }
 
--- a/internal/dispatch/tdfit/kept.go
+++ b/internal/dispatch/tdfit/kept.go
@@ -16,7 +16,7 @@
 	maxConnIdle = time.Second
 	// maxUsed bounds the servers of a large pool that are compared because this node has used
 	// them last.
-	maxUsed = 8
+	maxUsed = 16
 )
 
 // maxIdle returns how long a connection to a server of a pool may have been idle that is used
--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -18,6 +18,10 @@
 	// tightPromptShare is the longest time to read the prompt of a tight stream, as a share of
 	// its permitted pause.
 	tightPromptShare = 0.1
+	// tightPackShare is the share of an engine's slots up to which tight streams are packed
+	// before another engine gets some. The rest is for those that other nodes send at the same
+	// time.
+	tightPackShare = 1.0 / 3
 	// maxTightServers bounds the engines that are compared because they run tight streams.
 	maxTightServers = 16
 )
@@ -90,27 +94,29 @@
 	if !f.isAdaptive(s.Pool) {
 		return fresh > f.heavyThreshold
 	}
-	return float64(s.prefillTime(fresh)) > tightPromptShare*float64(f.shortestGap[s.Pool])
+	gap := f.shortestGap[s.Pool]
+	return gap > 0 && float64(s.prefillTime(fresh)) > tightPromptShare*float64(gap)
 }
 
 // pauseCost returns the cost of the pauses that a request at an engine of an adaptive pool must
 // expect, and of those that it causes to the tight streams there.
 func (f *Fit) pauseCost(r *request, s *server, t *use, read time.Duration, now tarragondeal.Instant) time.Duration {
 	var c time.Duration
-	backlog := s.fullBacklog(now)
+	backlog := s.backlog(now)
 	if gap := r.ask.Gap; gap > 0 && float64(s.pace.Pause(t.running+1, backlog, now)) > gapMargin*float64(gap) {
 		c += latePauseCost
 	}
-	if gap := f.shortestGap[s.Pool]; t.tight > 0 && float64(s.pace.Pause(t.running+1, backlog+read, now)) > gapMargin*float64(gap) {
+	if gap := f.shortestGap[s.Pool]; gap > 0 && t.tight > 0 && float64(s.pace.Pause(t.running+1, backlog+read, now)) > gapMargin*float64(gap) {
 		c += time.Duration(t.tight) * tightCost
 	}
 	return c
 }
 
-// setPoolClasses determines the shortest pause that the classes of each pool permit, and their
-// lowest tier.
+// setPoolClasses determines the shortest pause that the classes of each pool permit, their
+// lowest tier, and the shortest target of each tier.
 func (f *Fit) setPoolClasses(v *tarragondeal.View) {
 	f.shortestGap, f.lowestTier = make(map[string]time.Duration), make(map[string]int)
+	f.tierTargets = make(map[string]map[int]time.Duration)
 	for n := range v.Set.Routes {
 		r := &v.Set.Routes[n]
 		c := v.RequestClasses[r.Class]
@@ -125,4 +131,25 @@
 			}
 		}
 	}
+	for n := range v.Set.Routes {
+		r := &v.Set.Routes[n]
+		if c := v.RequestClasses[r.Class]; c != nil && c.FirstToken > 0 {
+			f.setTierTargets(r.Pools, c)
+		}
+	}
+}
+
+func (f *Fit) setTierTargets(pools []string, c *tarragondeal.RequestClass) {
+	target := time.Duration(c.FirstToken)
+	for _, pool := range pools {
+		if time.Duration(c.BetweenTokens) == f.shortestGap[pool] {
+			continue
+		}
+		if f.tierTargets[pool] == nil {
+			f.tierTargets[pool] = make(map[int]time.Duration)
+		}
+		if known, ok := f.tierTargets[pool][c.Tier]; !ok || target < known {
+			f.tierTargets[pool][c.Tier] = target
+		}
+	}
 }
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -29,7 +29,7 @@
 
 // logSent appends a request of this node to the log for its peers.
 func (f *Fit) logSent(open *openGrant) {
-	m := &Sent{Server: string(open.server.ID), Fresh: uint32(open.uncached), Deferred: open.request.deferred}
+	m := &Sent{Server: string(open.server.ID), Fresh: uint32(open.uncached)}
 	for _, p := range open.request.prefixes {
 		m.Chain = append(m.Chain, p.Digest)
 		m.Tokens = append(m.Tokens, uint32(p.Tokens))
@@ -195,6 +195,6 @@
 		for n, digest := range m.GetChain() {
 			prefixes = append(prefixes, prefix{Digest: digest, Tokens: int(m.GetTokens()[n])})
 		}
-		f.addPrompt(s, prompt{prefixes: prefixes, fresh: int(m.GetFresh()), deferred: m.GetDeferred()}, now)
+		f.addPrompt(s, prompt{prefixes: prefixes, fresh: int(m.GetFresh())}, now)
 	}
 }
--- a/internal/dispatch/tdfit/prefixindex.go
+++ b/internal/dispatch/tdfit/prefixindex.go
@@ -17,6 +17,11 @@
 	// Sampling keeps nodes that choose at the same time, from the same load
 	// data, from all choosing the same server.
 	sampleSize = 10
+	// adaptiveSampleSize is the number of random servers in a pool where those are compared as
+	// well that the node has used last. Of these it knows its own requests at once, those of
+	// other nodes only later: the fewer nodes compare a server, the fewer send to it at the
+	// same time.
+	adaptiveSampleSize = 2
 	// minIndexedTokens is the length of the shortest prefix that is recorded. A shorter one
 	// is read again in less time than a server with less load saves.
 	minIndexedTokens = 256
@@ -76,9 +81,13 @@
 			out = append(out, s)
 		}
 	}
-	out = append(out, f.keptServers(pool)...)
-	out = append(out, f.tightServers(r, pool)...)
-	for range sampleSize {
+	n := sampleSize
+	if f.isAdaptive(pool) {
+		n = adaptiveSampleSize
+		out = append(out, f.keptServers(pool)...)
+		out = append(out, f.tightServers(r, pool)...)
+	}
+	for range n {
 		out = append(out, all[rand.IntN(len(all))])
 	}
 	return out
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -65,8 +65,7 @@
 	own          use
 	others       map[tarragondeal.NodeID]use
 	useChanged   uint64               // Number of the last change of own, others or suspectUntil, as counted by Fit.
-	prefilledAt  tarragondeal.Instant // When the prompts sent so far will have been read, without those that are deferred.
-	allReadAt    tarragondeal.Instant // The same with the deferred ones.
+	prefilledAt  tarragondeal.Instant // When the prompts sent so far will have been read.
 	heavyPrefill decayingSum          // Milliseconds of reading long prompts.
 	rate         float64              // Prompt tokens read per millisecond.
 	failures     decayingSum
@@ -149,10 +148,7 @@
 // engine takes to read it.
 func (s *server) addPrompt(now tarragondeal.Instant, p prompt, heavy bool) time.Duration {
 	took := s.prefillTime(p.fresh)
-	s.allReadAt = max(s.allReadAt, now).Add(took)
-	if !p.deferred {
-		s.prefilledAt = max(s.prefilledAt, now).Add(took)
-	}
+	s.prefilledAt = max(s.prefilledAt, now).Add(took)
 	if heavy {
 		s.heavyPrefill.add(now, took.Seconds()*1000)
 	}
@@ -162,21 +158,14 @@
 // prompt is a prompt that was sent to an engine.
 type prompt struct {
 	prefixes []prefix
-	fresh    int  // Tokens that the engine must read.
-	deferred bool // The engine reads it after those that are not deferred.
+	fresh    int // Tokens that the engine must read.
 }
 
-// backlog returns how long the engine takes to read the prompts it was sent, without the
-// deferred ones.
+// backlog returns how long the engine takes to read the prompts it was sent.
 func (s *server) backlog(now tarragondeal.Instant) time.Duration {
 	return max(0, s.prefilledAt.Sub(now))
 }
 
-// fullBacklog returns how long the engine takes to read all prompts it was sent.
-func (s *server) fullBacklog(now tarragondeal.Instant) time.Duration {
-	return max(0, s.prefilledAt.Sub(now), s.allReadAt.Sub(now))
-}
-
 // learnRate updates the prefill rate from the time to the first event of a
 // prompt that had no backlog before it.
 func (s *server) learnRate(fresh int, took time.Duration) {
--- a/internal/entry/tdflow/exchange.go
+++ b/internal/entry/tdflow/exchange.go
@@ -31,10 +31,9 @@
 	// MaySend reports whether the request may still be sent to the server. It is for the
 	// call of the attempt.
 	MaySend func() bool
-	// MaxIdle and Deferred are those of the grant.
-	MaxIdle  time.Duration
-	Deferred bool
-	W        http.ResponseWriter
+	// MaxIdle is that of the grant.
+	MaxIdle time.Duration
+	W       http.ResponseWriter
 	// OnBegin must be called when the server begins to answer, and OnDelivered
 	// before the first byte is sent to the caller.
 	OnBegin     func()
@@ -64,7 +63,7 @@
 		Request: r.q, Server: a.grant.Server, Number: r.attempts, Tier: r.ask.Tier,
 		Target: r.ask.Target, Left: r.remaining(), Last: Next(s) != StepRetry, W: r.w,
 		MayRetry: func() bool { return r.f.Dispatch.MayRetry(r.ask) },
-		MaySend:  a.maySend, MaxIdle: a.grant.MaxIdle, Deferred: a.grant.Deferred,
+		MaySend:  a.maySend, MaxIdle: a.grant.MaxIdle,
 		OnBegin: func() {
 			a.firstToken()
 			r.f.Dispatch.Progress(a.grant, 1)
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -224,7 +224,7 @@
 	q := t.Request
 	sending := platform.RouterHeaders{
 		Server: t.Server.ID, Workspace: q.Workspace.Name, Left: t.Left,
-		Tier: t.Tier, ClassTier: q.Class.Tier, LowestTier: q.View.LowestTier, Deferred: t.Deferred,
+		Tier: t.Tier, ClassTier: q.Class.Tier, LowestTier: q.View.LowestTier,
 	}
 	if x.order.sent {
 		sending.Resume = x.order.last
