tdfit: judge prompts by length in pools without a shortest pause

A pool of which no class limits the pauses has no shortest pause. An adaptive pool then took every prompt for heavy, those of tight streams too, so that each tight stream made the next one avoid its engine.

Such pools use the threshold for long prompts, as pools that are not adaptive do.

TestLiveStreamsOfALargePool failed in 5 of 5 runs, with 150 streams at 76 to 78 engines; it passes in 5 of 5, with 3 or 4 engines.

--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -87,10 +87,11 @@
 // In an adaptive pool it does for all but the prompts of tight streams: several shorter ones
 // delay a stream as one long one does.
 func (f *Fit) isHeavy(s *server, fresh int) bool {
-	if !f.isAdaptive(s.Pool) {
+	gap := f.shortestGap[s.Pool]
+	if gap <= 0 || !f.isAdaptive(s.Pool) {
 		return fresh > f.heavyThreshold
 	}
-	return float64(s.prefillTime(fresh)) > tightPromptShare*float64(f.shortestGap[s.Pool])
+	return float64(s.prefillTime(fresh)) > tightPromptShare*float64(gap)
 }
 
 // pauseCost returns the cost of the pauses that a request at an engine of an adaptive pool must
@@ -101,12 +102,23 @@
 	if gap := r.ask.Gap; gap > 0 && float64(s.pace.Pause(t.running+1, backlog, now)) > gapMargin*float64(gap) {
 		c += latePauseCost
 	}
-	if gap := f.shortestGap[s.Pool]; t.tight > 0 && float64(s.pace.Pause(t.running+1, backlog+read, now)) > gapMargin*float64(gap) {
+	if t.tight > 0 && f.delaysTight(s, t, backlog, read, now) {
 		c += time.Duration(t.tight) * tightCost
 	}
 	return c
 }
 
+// delaysTight reports whether reading a prompt would make the pauses of the tight streams at an
+// engine longer than permitted. A pool of which no class limits the pauses has no shortest one: its
+// prompts are judged by their length alone.
+func (f *Fit) delaysTight(s *server, t *use, backlog, read time.Duration, now tarragondeal.Instant) bool {
+	gap := f.shortestGap[s.Pool]
+	if gap <= 0 {
+		return read > s.prefillTime(f.heavyThreshold)
+	}
+	return float64(s.pace.Pause(t.running+1, backlog+read, now)) > gapMargin*float64(gap)
+}
+
 // setPoolClasses determines the shortest pause that the classes of each pool permit, and their
 // lowest tier.
 func (f *Fit) setPoolClasses(v *tarragondeal.View) {
