tdpace: learn engines that are much slower than their pool

An event that took more than half longer than usual counted as one during which the engine read prompts. All events of an engine whose events take more than 1.5 times as long as those of its pool did, so that its speed stayed at 1 and its events raised the pool's delay by reading.

The speed of an engine now follows the same quantile as the pool's events, with the same step as before.

--- a/internal/dispatch/tdpace/engine.go
+++ b/internal/dispatch/tdpace/engine.go
@@ -15,8 +15,6 @@
 	slowdownWeight = 0.1
 	// minSlowdown and maxSlowdown bound a reported slowdown.
 	minSlowdown, maxSlowdown = 0.2, 10.0
-	// speedWeight is the weight of a new sample of an engine's speed.
-	speedWeight = 0.05
 	// minSpeed and maxSpeed bound how much longer an engine's events take than those of its
 	// pool.
 	minSpeed, maxSpeed = 0.25, 4.0
@@ -27,8 +25,11 @@
 
 // Engine holds what is known of one run of an engine.
 type Engine struct {
-	pool     *Pool
-	speed    float64 // Time of its events, relative to those of the pool.
+	pool *Pool
+	// speed is the time of its events, relative to those of the pool. It follows the same quantile
+	// as theirs: the mean of events during which no prompt was read would leave out all those of an
+	// engine that is much slower than its pool.
+	speed    float64
 	speedAt  tarragondeal.Instant
 	mean     float64 // Of the reported slowdowns; zero before the first.
 	reported float64
@@ -91,10 +92,8 @@
 	speed := e.Speed(now)
 	if delay := sample - usual*speed; delay > readingShare*usual*speed {
 		e.pool.reading.add(delay)
-		return
 	}
-	ratio := min(max(sample/usual, minSpeed), maxSpeed)
-	e.speed, e.speedAt = speed+speedWeight*(ratio-speed), now
+	e.speed, e.speedAt = min(max(followQuantile(speed, sample/usual, eventQuantile), minSpeed), maxSpeed), now
 }
 
 // Event returns the estimated time of an event of a stream while the engine reads no prompt.
--- a/internal/dispatch/tdpace/pace_test.go
+++ b/internal/dispatch/tdpace/pace_test.go
@@ -133,3 +133,27 @@
 		t.Errorf("slowdown %.2f is not bounded", got)
 	}
 }
+
+// TestEngineMuchSlowerThanItsPool answers the load of uneven servers of which one is slower by more
+// than the delay that is attributed to reading: it is never learnt to be slow if all its events are
+// taken for events during which it read prompts.
+func TestEngineMuchSlowerThanItsPool(t *testing.T) {
+	for _, speed := range []float64{1.6, 2, 2.6} {
+		r := rand.New(rand.NewPCG(1, 2))
+		p := tdpace.NewPool(tdpace.Defaults{Event: 20 * time.Millisecond})
+		now := tarragondeal.Instant(time.Hour)
+		engines := []*tdpace.Engine{p.NewEngine(), p.NewEngine(), p.NewEngine(), p.NewEngine()}
+		for range 4000 {
+			n := r.IntN(len(engines))
+			s := simulated{stride: 5, step: 5 * time.Millisecond, speed: 1}
+			if n == 0 {
+				s.speed = speed
+			}
+			engines[n].ObserveEvent(4, time.Duration((0.95+0.1*r.Float64())*float64(s.pause(4, 0, 1))), now)
+			now = now.Add(10 * time.Millisecond)
+		}
+		if got := engines[0].Speed(now) / engines[1].Speed(now); got < 0.8*speed || got > 1.2*speed {
+			t.Errorf("events take %.1f times as long as at other engines, %.2f is learnt", speed, got)
+		}
+	}
+}
--- a/internal/dispatch/tdpace/quantile.go
+++ b/internal/dispatch/tdpace/quantile.go
@@ -21,9 +21,13 @@
 		e.value = max(sample, minQuantile)
 		return
 	}
-	if sample > e.value {
-		e.value += quantileStep * e.q * e.value
-	} else {
-		e.value = max(minQuantile, e.value-quantileStep*(1-e.q)*e.value)
+	e.value = max(minQuantile, followQuantile(e.value, sample, e.q))
+}
+
+// followQuantile returns the value of quantile q after one more sample.
+func followQuantile(value, sample, q float64) float64 {
+	if sample > value {
+		return value + quantileStep*q*value
 	}
+	return value - quantileStep*(1-q)*value
 }
