tdfit: remove the uses of peers that have ended

A use of zero that a peer reported stayed in the map of the server, as did those of nodes that had left the fleet. At 90 nodes and 140 engines, the sums over all engines for one tight stream went over up to 12,600 uses under the lock, of which most were zero.

Uses of zero are removed, and all that is known of a peer ten minutes after its last message.

TestUsesOfPeersAreRemoved: 90 uses were left where one peer used the server, and an hour later; now 1 and 0.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -223,6 +223,7 @@
 		}
 	}
 	f.recordListedLeaving(list, now)
+	f.evictPeers(now)
 	f.indexPools()
 	f.evictRates(f.limits)
 	f.evictRates(f.brittle)
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -18,6 +18,9 @@
 	// lostGrace is how long the load of a node counts after its stream has
 	// ended. The node may open another stream, which sends its load again.
 	lostGrace = 500 * time.Millisecond
+	// peerRetention is how long the load of a silent peer is kept, which no longer counts: a
+	// stream that was held up, and goes on, sends only what has changed.
+	peerRetention = 10 * time.Minute
 )
 
 // sentEntry is a request that was sent to an engine. from is the peer that
@@ -176,9 +179,32 @@
 	for _, u := range m.GetUses() {
 		if s := f.servers[tarragondeal.ServerID(u.GetServer())]; s != nil {
 			f.changeUse(s)
-			s.others[from] = use{
+			s.setPeerUse(from, use{
 				running: int(u.GetRunning()), tight: int(u.GetTight()), tokens: int(u.GetTokens()), failing: u.GetFailing(),
-			}
+			})
+		}
+	}
+}
+
+// setPeerUse records the load that a peer puts on the server. One that has ended is removed: each
+// choice sums the loads of all peers at many servers.
+func (s *server) setPeerUse(from tarragondeal.NodeID, u use) {
+	if u == (use{}) {
+		delete(s.others, from)
+		return
+	}
+	s.others[from] = u
+}
+
+// evictPeers removes what is known of peers that have not been heard from for long.
+func (f *Fit) evictPeers(now tarragondeal.Instant) {
+	for node, at := range f.lastHeard {
+		if now.Sub(at) <= peerRetention {
+			continue
+		}
+		delete(f.lastHeard, node)
+		for _, s := range f.servers {
+			delete(s.others, node)
 		}
 	}
 }
