tdfit: limit backlogs to requests that have not ended

The backlog of an engine shrank with time only. Requests that were cut at their deadlines, rejected or cancelled before the engine read their prompts stayed in it, so that after an overload an engine without work was avoided, and requests were deferred or refused for it.

In adaptive pools the backlog is at most the time to read all tokens of the requests that this node and its peers still have at the engine.

TestBacklogOfEndedRequests: 16.9 s and 18.5 s of backlog were left of 100 requests that had ended; now none.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -456,6 +456,7 @@
 	if open.request.tight {
 		open.server.own.tight--
 	}
+	f.trimBacklog(open.server)
 	f.recordOutcome(open, o)
 }
 
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -182,6 +182,7 @@
 			s.setPeerUse(from, use{
 				running: int(u.GetRunning()), tight: int(u.GetTight()), tokens: int(u.GetTokens()), failing: u.GetFailing(),
 			})
+			f.trimBacklog(s)
 		}
 	}
 }
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -177,6 +177,18 @@
 	return max(0, s.prefilledAt.Sub(now), s.allReadAt.Sub(now))
 }
 
+// trimBacklog limits the backlog of an engine of an adaptive pool to the prompts of the requests that
+// have not ended there. Under overload, requests end at their deadlines before the engine has
+// read their prompts.
+func (f *Fit) trimBacklog(s *server) {
+	if s.engine == nil || !f.isAdaptive(s.Pool) {
+		return
+	}
+	now := f.Clock.Now()
+	most := now.Add(s.prefillTime(max(0, f.totalUse(s, now).tokens)))
+	s.prefilledAt, s.allReadAt = min(s.prefilledAt, most), min(s.allReadAt, most)
+}
+
 // learnRate updates the prefill rate from the time to the first event of a
 // prompt that had no backlog before it.
 func (s *server) learnRate(fresh int, took time.Duration) {
