tdfit: ignore prompts that exceed the memory of their engine

The announced length of a prompt, at most 2^30 tokens, counted in full in the backlog of the engine at all nodes, although the engine rejects such a prompt: others avoided it for hours, nothing was expected of its cache, and the work led to orders for servers. The sum of a prompt's parts could also exceed the 32 bits of the message to peers.

Prompts longer than the engine's memory count as not read, at the node that sends them and at its peers.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -378,6 +378,9 @@
 
 // addPrompt records that this or another node sent a prompt to an engine.
 func (f *Fit) addPrompt(s *server, p prompt, now tarragondeal.Instant) {
+	if most := s.engine.KVTokens; most > 0 && p.tokens() > most {
+		p = prompt{deferred: p.deferred} // The engine rejects it, and reads nothing.
+	}
 	took := s.addPrompt(now, p, f.isHeavy(s, p.fresh))
 	if f.isAdaptive(s.Pool) {
 		t := f.totalUse(s, now)
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -1,6 +1,7 @@
 package tdfit
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -32,7 +33,7 @@
 
 // logSent appends a request of this node to the log for its peers.
 func (f *Fit) logSent(open *openGrant) {
-	m := &Sent{Server: string(open.server.ID), Fresh: uint32(open.uncached), Deferred: open.request.deferred}
+	m := &Sent{Server: string(open.server.ID), Fresh: uint32(min(open.uncached, math.MaxUint32)), Deferred: open.request.deferred}
 	for _, p := range open.request.prefixes {
 		m.Chain = append(m.Chain, p.Digest)
 		m.Tokens = append(m.Tokens, uint32(p.Tokens))
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -166,6 +166,15 @@
 	deferred bool // The engine reads it after those that are not deferred.
 }
 
+// tokens returns the length of the prompt, as far as it is known.
+func (p *prompt) tokens() int {
+	n := 0
+	for _, x := range p.prefixes {
+		n += x.Tokens
+	}
+	return max(n, p.fresh)
+}
+
 // backlog returns how long the engine takes to read the prompts it was sent, without the
 // deferred ones.
 func (s *server) backlog(now tarragondeal.Instant) time.Duration {
