tdfit: refuse requests only if all engines are too late

Admission looked at the best of the servers that were compared. In a pool of 140 engines these are some 10 to 30, so that a request was refused while an engine that was not among them had nothing to do; the other pools of the request were not asked either.

Before it refuses a request, a node looks for an engine of the pool that can serve it before its deadline, starting at a random one, and then at the other pools.

TestRefusedOnlyIfLateEverywhere: a request was refused with one of 140 engines idle, and with another pool idle; it now goes to these.

--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -18,12 +18,13 @@
 const rejectionLogTime = 3 * time.Second
 
 // admit decides whether a request is sent to an engine of an adaptive pool, the best one for it,
-// is deferred there or is refused. The error is a *tarragondeal.RefusedError.
-func (f *Fit) admit(r *request, s *server, now, start tarragondeal.Instant) error {
+// is deferred there or is refused. It returns the server to send to, which is another one if only
+// that can serve the request before its deadline. The error is a *tarragondeal.RefusedError.
+func (f *Fit) admit(r *request, s *server, now, start tarragondeal.Instant) (*server, error) {
 	r.deferred = false
-	d, decided := f.decideAdmission(r, s, now, start)
+	s, d, decided := f.admission(r, s, now, start)
 	if !decided || d.Action == tdadmit.Send {
-		return nil
+		return s, nil
 	}
 	f.Scope.Tagged(map[string]string{"action": d.Action.String(), "pool": s.Pool}).Counter("admission").Inc(1)
 	f.Log.Info().Str("request", string(r.ask.Request)).Int("attempt", r.ask.Attempt).Int("tier", r.ask.Tier).Str("server", string(s.ID)).
@@ -32,9 +33,30 @@
 		Dur("reportAge", now.Sub(s.reported.at)).Dur("retryAfter", d.RetryAfter).Msg("request can't begin within its target")
 	if d.Action == tdadmit.Defer {
 		r.deferred = true
-		return nil
+		return s, nil
 	}
-	return refused(tarragondeal.ReasonOverload, "the backend servers can't serve the request before its deadline", d.RetryAfter)
+	return nil, refused(tarragondeal.ReasonOverload, "the backend servers can't serve the request before its deadline", d.RetryAfter)
+}
+
+// admission returns what happens to a request whose best server is s, and at which server. A large
+// pool has servers that were not compared: a request is refused only if all of them are too late.
+func (f *Fit) admission(r *request, s *server, now, start tarragondeal.Instant) (at *server, d tdadmit.Decision, decided bool) {
+	d, decided = f.decideAdmission(r, s, now, start)
+	if !decided || d.Action != tdadmit.Refuse {
+		return s, d, decided
+	}
+	all := f.pools[s.Pool]
+	first := rand.IntN(len(all)) // Nodes that search at the same time start at different servers.
+	for n := range all {
+		other := all[(first+n)%len(all)]
+		if other == s || !f.mayUse(r.ask, other, now) {
+			continue
+		}
+		if o, _ := f.decideAdmission(r, other, now, start); o.Action != tdadmit.Refuse {
+			return other, o, true
+		}
+	}
+	return s, d, true
 }
 
 // decideAdmission returns what happens to a request whose best server is s. Decided is false
--- a/internal/dispatch/tdfit/admit_test.go
+++ b/internal/dispatch/tdfit/admit_test.go
@@ -1,6 +1,7 @@
 package tdfit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -47,3 +48,64 @@
 		}
 	}
 }
+
+// overloaded returns a Fit of an adaptive pool all of whose engines have work for some time.
+func overloaded(engines int, backlog time.Duration) *testFit {
+	w := newTestFit(engines)
+	w.opt.Scarce = true
+	for n := range engines {
+		overload(w, w.servers[tarragondeal.ServerID(fmt.Sprint("m", n))], backlog)
+	}
+	return w
+}
+
+func overload(w *testFit, s *server, backlog time.Duration) {
+	s.prefilledAt, s.allReadAt = w.clock.now.Add(backlog), w.clock.now.Add(backlog)
+	s.own.running, s.own.tokens = 40, 200_000
+}
+
+// due returns an ask whose first event is due soon.
+func due() tarragondeal.Ask {
+	a := longPrompt(1)
+	a.Target, a.Deadline = 500*time.Millisecond, 4*time.Second
+	return a
+}
+
+// decide returns the server to which a request would be sent after it was held back, and the error
+// if it is refused.
+func decide(w *testFit, a tarragondeal.Ask) (tarragondeal.ServerID, error) {
+	r := newRequest(&a)
+	start := w.clock.now.Add(-a.Target / 2)
+	g, ok, err := w.choose(&r, start, true)
+	if !ok && err == nil {
+		return "", fmt.Errorf("no server")
+	}
+	return g.Server.ID, err
+}
+
+// TestRefusedOnlyIfLateEverywhere guards against the refusal of a request that an engine which was not
+// among those compared, or another pool, can serve before its deadline.
+func TestRefusedOnlyIfLateEverywhere(t *testing.T) {
+	const (
+		engines = 140
+		late    = 10 * time.Second
+		tries   = 20
+	)
+	for range tries {
+		w := overloaded(engines, late)
+		if id, err := decide(w, due()); err == nil {
+			t.Fatalf("sent to %s, which is late", id)
+		}
+		idle := w.servers["m77"]
+		idle.prefilledAt, idle.allReadAt, idle.own = 0, 0, use{}
+		if id, err := decide(w, due()); err != nil || id != idle.ID {
+			t.Fatalf("sent to %q, %v; %s has nothing to do", id, err, idle.ID)
+		}
+	}
+	w := overloaded(1, late)
+	a := due()
+	a.Pools = []string{"m", "p"}
+	if id, err := decide(w, a); err != nil || id[0] != 'p' {
+		t.Errorf("sent to %q, %v; the other pool has nothing to do", id, err)
+	}
+}
--- a/internal/dispatch/tdfit/explain.go
+++ b/internal/dispatch/tdfit/explain.go
@@ -54,7 +54,7 @@
 	case f.shouldHold(r, s, now, now):
 		out.Action, out.Reason = "wait", "the best engine has a long prefill backlog"
 	default:
-		d, decided := f.decideAdmission(r, s, now, now)
+		at, d, decided := f.admission(r, s, now, now)
 		if !decided {
 			return
 		}
@@ -62,6 +62,9 @@
 		if d.Action != tdadmit.Send {
 			out.Reason = "the request can't begin within its target"
 		}
+		if at != s {
+			out.Reason = "the best engine can't serve the request before its deadline; it goes to another"
+		}
 	}
 }
 
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -279,23 +279,25 @@
 	if r.ask.Attempt == 1 && first {
 		f.budget(r.ask).CountRequest()
 	}
-	var poisoned error
+	var refusal error
 	for _, pool := range poolsByShare(r.ask) {
 		if err := f.checkPoison(r.ask, pool); err != nil {
-			poisoned = err
+			refusal = err
 			continue
 		}
 		if s := f.best(r, pool, now); s != nil {
 			if f.shouldHold(r, s, now, start) {
 				return tarragondeal.Grant{}, false, nil
 			}
-			if err := f.admit(r, s, now, start); err != nil {
-				return tarragondeal.Grant{}, false, err
+			s, err := f.admit(r, s, now, start)
+			if err != nil {
+				refusal = err
+				continue
 			}
 			return f.assign(r, s, now), true, nil
 		}
 	}
-	return tarragondeal.Grant{}, false, poisoned
+	return tarragondeal.Grant{}, false, refusal
 }
 
 // poolsByShare returns the pools of an ask, starting with one chosen at
@@ -323,7 +325,7 @@
 	var best *server
 	var least time.Duration
 	for _, s := range f.candidates(r, pool) {
-		if !eligible(r.ask, s) || now < s.backoffUntil || now < s.pausedUntil || !f.withinLimit(r.ask, s, now) || !f.hasRoom(r.ask, s, now) {
+		if !f.mayUse(r.ask, s, now) {
 			continue
 		}
 		if s.engine != nil {
@@ -339,6 +341,11 @@
 	return best
 }
 
+// mayUse reports whether a request may be sent to a server now.
+func (f *Fit) mayUse(a *tarragondeal.Ask, s *server, now tarragondeal.Instant) bool {
+	return eligible(a, s) && now >= s.backoffUntil && now >= s.pausedUntil && f.withinLimit(a, s, now) && f.hasRoom(a, s, now)
+}
+
 // noise returns the random part of the estimate c for a server.
 func noise(s *server, c time.Duration) time.Duration {
 	if s.engine == nil {
