tdfit: don't refuse urgent requests after less urgent ones were sent

Whether less urgent requests use a pool was seen only from those that had begun there. One that this node had sent, and that waited, began after a more urgent one was refused.

Requests count from when they are sent.

TestUrgentAfterLessUrgentWasSent: the urgent request was refused before the other began; now it is sent.

--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -10,8 +10,8 @@
 	"tarragondeal/internal/dispatch/tdadmit"
 )
 
-// lowerTierTime is how long after the last request of a tier began at a pool more urgent ones
-// don't yield.
+// lowerTierTime is how long after the last request of a tier was sent to a pool, or began there, more urgent
+// ones don't yield.
 const lowerTierTime = 30 * time.Second
 
 // rejectionLogTime is how long after a rejection by plain servers the next one is logged.
@@ -132,11 +132,11 @@
 }
 
 // yields reports whether no class of a pool is less urgent than a request, and no less urgent
-// request of a workspace has begun at the pool lately.
+// request of a workspace has begun at the pool lately, or was sent there and may be about to begin.
 func (f *Fit) yields(a *tarragondeal.Ask, pool string, now tarragondeal.Instant) bool {
 	if a.Tier < f.lowestTier[pool] {
 		return false
 	}
-	lower := f.lastStarts[pool].lowerStart(a.Tier)
+	lower := max(f.lastStarts[pool].lowerStart(a.Tier), f.lastSent[pool].lowerStart(a.Tier))
 	return lower == 0 || now.Sub(lower) > lowerTierTime
 }
--- a/internal/dispatch/tdfit/admit_test.go
+++ b/internal/dispatch/tdfit/admit_test.go
@@ -109,3 +109,25 @@
 		t.Errorf("sent to %q, %v; the other pool has nothing to do", id, err)
 	}
 }
+
+// TestUrgentAfterLessUrgentWasSent guards against the refusal of a request while a less urgent one
+// that this node has sent to the pool has yet to begin.
+func TestUrgentAfterLessUrgentWasSent(t *testing.T) {
+	w := overloaded(1, 0)
+	low := due()
+	low.Tier = 5
+	g, err := w.reserve(low)
+	if err != nil {
+		t.Fatal(err)
+	}
+	overload(w, w.servers["m0"], 10*time.Second)
+	urgent := due()
+	urgent.Tier = 3
+	if _, err := decide(w, urgent); err != nil {
+		t.Errorf("the urgent request is refused before the other begins: %v", err)
+	}
+	w.Progress(g, 1)
+	if _, err := decide(w, urgent); err != nil {
+		t.Errorf("the urgent request is refused after the other has begun: %v", err)
+	}
+}
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -90,6 +90,7 @@
 	useChanges     uint64                                       // Number of changes of the uses of servers.
 	lastHeard      map[tarragondeal.NodeID]tarragondeal.Instant // When a node's load was last received.
 	lastStarts     map[string]tierStarts                        // By pool.
+	lastSent       map[string]tierStarts                        // When a request of each tier was last sent, by pool.
 	limits         rateNotices                                  // Rates that servers accept.
 	brittle        rateNotices                                  // Rejections a second after which servers fail.
 	leaving        map[serverRun]*leavingNotice
@@ -125,7 +126,7 @@
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
-		lastStarts: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), otherPauses: make(map[nodePause]int64), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
+		lastStarts: make(map[string]tierStarts), lastSent: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), otherPauses: make(map[nodePause]int64), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
 		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
 		shared: make(map[string]bool), paces: make(map[string]*tdpace.Pool), used: make(map[string][]*server), rejectedAt: make(map[string]tarragondeal.Instant),
 	}
@@ -363,6 +364,7 @@
 		f.countReuse(r, open.held)
 		f.addPrompt(s, prompt{prefixes: r.prefixes, fresh: open.uncached, deferred: r.deferred}, now)
 		f.logSent(open)
+		recordTier(f.lastSent, s.Pool, r.ask.Tier, now)
 	}
 	f.changeUse(s)
 	s.own.running++
--- a/internal/dispatch/tdfit/trace.go
+++ b/internal/dispatch/tdfit/trace.go
@@ -12,10 +12,15 @@
 // recordStart records that an engine of a pool began to answer a request of this
 // node.
 func (f *Fit) recordStart(pool string, tier int, now tarragondeal.Instant) {
-	if f.lastStarts[pool] == nil {
-		f.lastStarts[pool] = make(tierStarts)
+	recordTier(f.lastStarts, pool, tier, now)
+}
+
+// recordTier records a request of a tier in starts, by pool.
+func recordTier(starts map[string]tierStarts, pool string, tier int, now tarragondeal.Instant) {
+	if starts[pool] == nil {
+		starts[pool] = make(tierStarts)
 	}
-	f.lastStarts[pool][tier] = now
+	starts[pool][tier] = now
 }
 
 // lowerStart returns when a request of a tier below tier last began, or zero.
