tdfit: judge cache hits by the current slowdown of the machine

Whether a prefix was cached is seen from the time to the first event, which was compared with the times at the machine's mean slowdown. At a machine that was slow for a moment, a cached prefix counted as missed, and the engine was expected to keep less.

The times are multiplied by the relative slowdown, as those of admission are.

TestPrefixAtSlowMachine: the trust fell from 0.80 to 0.74 although the prefix was cached; now it stays.

--- a/internal/dispatch/tdfit/reuse.go
+++ b/internal/dispatch/tdfit/reuse.go
@@ -39,8 +39,10 @@
 	if float64(h.Known) == 0 || h.Tokens < minReuseShare*float64(h.Known) {
 		return
 	}
-	ifHeld := firstTokenOverhead + s.prefillTime(open.request.input-h.Known)
-	ifNot := firstTokenOverhead + s.prefillTime(open.request.input)
+	slowdown := s.pace.RelativeSlowdown(f.Clock.Now())
+	read := func(tokens int) time.Duration { return time.Duration(slowdown * float64(s.prefillTime(tokens))) }
+	ifHeld := firstTokenOverhead + read(open.request.input-h.Known)
+	ifNot := firstTokenOverhead + read(open.request.input)
 	if ifNot-ifHeld < minReuseSample {
 		return
 	}
--- a/internal/dispatch/tdfit/reuse_test.go
+++ b/internal/dispatch/tdfit/reuse_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"tarragondeal"
 )
@@ -43,3 +44,38 @@
 		}
 	}
 }
+
+// TestPrefixAtSlowMachine guards against a prefix that is taken for lost since the machine of its
+// engine is slow at the moment: the engine is then expected to keep less than it does.
+func TestPrefixAtSlowMachine(t *testing.T) {
+	w := newTestFit(1)
+	w.opt.Scarce = true
+	s := w.servers["m0"]
+	for range 200 {
+		s.pace.ObserveSlowdown(1, w.clock.now)
+	}
+	g, err := w.reserve(longPrompt(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
+	w.clock.now = w.clock.now.Add(5 * time.Second)
+	again := longPrompt(1) // 9,000 tokens, of which the last 4,500 are new.
+	again.Parts[2] = tarragondeal.PromptPart{ID: 7, Tokens: 4500}
+	again.Input = 2500 + 3700 + 4500
+	g, err = w.reserve(again)
+	if err != nil {
+		t.Fatal(err)
+	}
+	open := w.grants[g.ID]
+	if open.held.Known != 6200 || !open.uncontended {
+		t.Fatalf("%+v, uncontended %t", open.held, open.uncontended)
+	}
+	before := s.held.Trust()
+	w.clock.now = w.clock.now.Add(firstTokenOverhead + 3*s.prefillTime(4500))
+	s.pace.ObserveSlowdown(3, w.clock.now)
+	w.Progress(g, 1)
+	if got := s.held.Trust(); got < before {
+		t.Errorf("trust falls from %.2f to %.2f although the prefix was cached", before, got)
+	}
+}
