tdfit: count holders of a prefix by the servers of one choice

The most tokens that an engine was expected to have cached were kept over the choices for one request, which are repeated while it has no server, and over its pools. A request counted as sent elsewhere because of an engine that was no longer a candidate.

--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -325,6 +325,7 @@
 func (f *Fit) best(r *request, pool string, now tarragondeal.Instant) *server {
 	var best *server
 	var least time.Duration
+	r.mostHeld = 0
 	for _, s := range f.candidates(r, pool) {
 		if !f.mayUse(r.ask, s, now) {
 			continue
--- a/internal/dispatch/tdfit/reuse_test.go
+++ b/internal/dispatch/tdfit/reuse_test.go
@@ -79,3 +79,25 @@
 		t.Errorf("trust falls from %.2f to %.2f although the prefix was cached", before, got)
 	}
 }
+
+// TestHolderCount guards against the comparison of a request with engines of an earlier attempt to
+// find it a server.
+func TestHolderCount(t *testing.T) {
+	w := newTestFit(2)
+	w.opt.Scarce = true
+	a := longPrompt(1)
+	if _, err := w.reserve(a); err != nil {
+		t.Fatal(err)
+	}
+	r := newRequest(&a)
+	w.best(&r, "m", w.clock.now)
+	if r.mostHeld < 1000 {
+		t.Fatalf("%.0f tokens are expected", r.mostHeld)
+	}
+	w.listServers(0)
+	w.listServers(2)
+	w.best(&r, "m", w.clock.now)
+	if r.mostHeld != 0 {
+		t.Errorf("%.0f tokens are expected at engines that have read nothing", r.mostHeld)
+	}
+}
