tdfit: explain requests that are refused by one of their pools

The explanation said that a request would be refused if requests like it crashed the servers of any of its pools. It goes to the others.

Servers of such a pool are shown as excluded, and the request as refused if no server is left.

TestExplainPoisonedPool: the explanation said refuse while the request went to the other pool; it says send.

--- a/internal/dispatch/tdfit/explain.go
+++ b/internal/dispatch/tdfit/explain.go
@@ -16,12 +16,21 @@
 	now := f.Clock.Now()
 	r := newRequest(&a)
 	var best *server
+	var poisoned error
 	for _, pool := range a.Pools {
+		err := f.checkPoison(&a, pool)
+		if err != nil {
+			poisoned = err
+		}
 		for _, s := range f.pools[pool] {
 			if s.engine != nil {
 				r.tight = f.isTight(&r, s)
 			}
-			out.Servers = append(out.Servers, f.assess(&r, s, now))
+			assessment := f.assess(&r, s, now)
+			if err != nil && assessment.Excluded == "" {
+				assessment.Excluded = "requests like this one crash the servers of its pool"
+			}
+			out.Servers = append(out.Servers, assessment)
 		}
 	}
 	slices.SortFunc(out.Servers, func(a, b tarragondeal.ServerAssessment) int {
@@ -31,23 +40,23 @@
 	if len(out.Servers) > 0 && out.Servers[0].Excluded == "" {
 		best = f.servers[out.Servers[0].Server]
 	}
+	if best == nil && poisoned != nil {
+		explainRefusal(poisoned, out)
+		return
+	}
 	f.explainAction(&r, best, now, out)
 }
 
+// explainRefusal adds that a request is refused.
+func explainRefusal(err error, out *tarragondeal.Explanation) {
+	out.Action, out.Reason = tdadmit.Refuse.String(), err.Error()
+	if e, ok := errors.AsType[*tarragondeal.RefusedError](err); ok {
+		out.RetryAfter = tarragondeal.Duration(e.RetryAfter)
+	}
+}
+
 // explainAction adds what happens to a request whose best server is s, or nil if it has none.
 func (f *Fit) explainAction(r *request, s *server, now tarragondeal.Instant, out *tarragondeal.Explanation) {
-	refuse := func(err error) {
-		out.Action, out.Reason = tdadmit.Refuse.String(), err.Error()
-		if e, ok := errors.AsType[*tarragondeal.RefusedError](err); ok {
-			out.RetryAfter = tarragondeal.Duration(e.RetryAfter)
-		}
-	}
-	for _, pool := range r.ask.Pools {
-		if err := f.checkPoison(r.ask, pool); err != nil {
-			refuse(err)
-			return
-		}
-	}
 	switch {
 	case s == nil:
 		out.Action, out.Reason = "wait", "no server may be used"
--- a/internal/dispatch/tdfit/explain_test.go
+++ b/internal/dispatch/tdfit/explain_test.go
@@ -1,10 +1,12 @@
 package tdfit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/dispatch/tdpoison"
 )
 
 // TestExplain guards against explanations that name another server than the one to which a
@@ -63,3 +65,30 @@
 		}
 	}
 }
+
+// TestExplainPoisonedPool guards against an explanation that says of a request which goes to another pool
+// that it would be refused, since requests like it crash the servers of one pool.
+func TestExplainPoisonedPool(t *testing.T) {
+	w := newTestFit(1)
+	a := longPrompt(1)
+	a.Fingerprint = 7
+	a.Pools = []string{"m", "p"}
+	for n := range 40 {
+		w.clock.now = w.clock.now.Add(100 * time.Millisecond)
+		run := tdpoison.Run{Server: tarragondeal.ServerID(fmt.Sprint("old", n)), Started: int64(n)}
+		w.Poison.Sent(traitsOf(&a, "m"))
+		w.Poison.Broke(traitsOf(&a, "m"), tdpoison.Break{Run: run, Sent: w.clock.now.Add(-time.Millisecond), At: w.clock.now})
+	}
+	if w.checkPoison(&a, "m") == nil || w.checkPoison(&a, "p") != nil {
+		t.Fatalf("%v, %v", w.checkPoison(&a, "m"), w.checkPoison(&a, "p"))
+	}
+	var e tarragondeal.Explanation
+	w.Explain(a, &e)
+	g, err := w.reserve(a)
+	if err != nil || g.Server.Pool != "p" {
+		t.Fatalf("the request goes to %s, %v", g.Server.ID, err)
+	}
+	if e.Action != "send" || e.Servers[0].Pool != "p" || e.Servers[len(e.Servers)-1].Excluded == "" {
+		t.Errorf("%s (%s), %+v", e.Action, e.Reason, e.Servers)
+	}
+}
