--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -10,33 +10,55 @@
 	"tarragondeal/internal/dispatch/tdadmit"
 )
 
-// lowerTierTime is how long after the last request of a tier began at a pool more urgent ones
-// don't yield.
+// lowerTierTime is how long after the last request of a tier was sent to a pool, or began there, more urgent
+// ones don't yield.
 const lowerTierTime = 30 * time.Second
 
 // rejectionLogTime is how long after a rejection by plain servers the next one is logged.
 const rejectionLogTime = 3 * time.Second
 
 // admit decides whether a request is sent to an engine of an adaptive pool, the best one for
-// it. Held is set if it is kept for a moment. The error is a *tarragondeal.RefusedError.
-func (f *Fit) admit(r *request, s *server, now, start tarragondeal.Instant) (held bool, err error) {
-	d, e := f.decideAdmission(r, s, now, start)
+// it. It returns the server to send to, which is another one if only that may get it, or nil if
+// the request is held for a moment. The error is a *tarragondeal.RefusedError.
+func (f *Fit) admit(r *request, s *server, now, start tarragondeal.Instant) (*server, error) {
+	s, d, e := f.admission(r, s, now, start)
 	switch d.Action {
 	case tdadmit.Send:
-		return false, nil
+		return s, nil
 	case tdadmit.Hold:
 		if !r.held {
 			r.held = true
 			f.Scope.Tagged(map[string]string{"action": d.Action.String(), "pool": s.Pool}).Counter("admission").Inc(1)
 		}
-		return true, nil
+		return nil, nil
 	}
 	f.Scope.Tagged(map[string]string{"action": d.Action.String(), "pool": s.Pool}).Counter("admission").Inc(1)
 	f.Log.Info().Str("request", string(r.ask.Request)).Int("attempt", r.ask.Attempt).Int("tier", r.ask.Tier).Str("server", string(s.ID)).
 		Dur("backlog", e.Backlog).Dur("read", e.Read).Dur("limit", d.Limit).Dur("target", r.ask.Target).Dur("left", r.ask.Deadline).
 		Dur("waited", now.Sub(start)).Int("running", f.totalUse(s, now).running).Int("reportedWaiting", s.reported.Waiting).
 		Dur("reportAge", now.Sub(s.reported.at)).Dur("retryAfter", d.RetryAfter).Msg("request refused: it would be late, or make more urgent ones late")
-	return false, refused(tarragondeal.ReasonOverload, "the backend servers can't serve the request in its time", d.RetryAfter)
+	return nil, refused(tarragondeal.ReasonOverload, "the backend servers can't serve the request in its time", d.RetryAfter)
+}
+
+// admission returns what happens to a request whose best server is s, and at which server. A large
+// pool has servers that were not compared: a request is refused only if none of them may get it.
+func (f *Fit) admission(r *request, s *server, now, start tarragondeal.Instant) (at *server, d tdadmit.Decision, e tdadmit.Estimate) {
+	d, e = f.decideAdmission(r, s, now, start)
+	if d.Action != tdadmit.Refuse {
+		return s, d, e
+	}
+	all := f.pools[s.Pool]
+	first := rand.IntN(len(all)) // Nodes that search at the same time start at different servers.
+	for n := range all {
+		other := all[(first+n)%len(all)]
+		if other == s || !f.mayUse(r.ask, other, now) {
+			continue
+		}
+		if o, oe := f.decideAdmission(r, other, now, start); o.Action != tdadmit.Refuse {
+			return other, o, oe
+		}
+	}
+	return s, d, e
 }
 
 // decideAdmission returns what happens to a request whose best server is s.
@@ -116,11 +138,11 @@
 }
 
 // yields reports whether no class of a pool is less urgent than a request, and no less urgent
-// request of a workspace has begun at the pool lately.
+// request of a workspace has begun at the pool lately, or was sent there and may be about to begin.
 func (f *Fit) yields(a *tarragondeal.Ask, pool string, now tarragondeal.Instant) bool {
 	if a.Tier < f.lowestTier[pool] {
 		return false
 	}
-	lower := f.lastStarts[pool].lowerStart(a.Tier)
+	lower := max(f.lastStarts[pool].lowerStart(a.Tier), f.lastSent[pool].lowerStart(a.Tier))
 	return lower == 0 || now.Sub(lower) > lowerTierTime
 }
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -90,6 +90,7 @@
 	useChanges     uint64                                       // Number of changes of the uses of servers.
 	lastHeard      map[tarragondeal.NodeID]tarragondeal.Instant // When a node's load was last received.
 	lastStarts     map[string]tierStarts                        // By pool.
+	lastSent       map[string]tierStarts                        // When a request of each tier was last sent, by pool.
 	limits         rateNotices                                  // Rates that servers accept.
 	brittle        rateNotices                                  // Rejections a second after which servers fail.
 	leaving        map[serverRun]*leavingNotice
@@ -126,7 +127,7 @@
 		Deps: d, opt: o, servers: make(map[tarragondeal.ServerID]*server), budgets: make(map[string]*tdretry.Budget),
 		meanRate: initialRate, heavyThreshold: chunkTokens, grants: make(map[tarragondeal.GrantID]*openGrant),
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
-		lastStarts: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), otherPauses: make(map[nodePause]int64), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
+		lastStarts: make(map[string]tierStarts), lastSent: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), otherPauses: make(map[nodePause]int64), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
 		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
 		shared: make(map[string]bool), paces: make(map[string]*tdpace.Pool), used: make(map[string][]*server), rejectedAt: make(map[string]tarragondeal.Instant),
 	}
@@ -224,6 +225,7 @@
 		}
 	}
 	f.recordListedLeaving(list, now)
+	f.evictPeers(now)
 	f.indexPools()
 	f.evictRates(f.limits)
 	f.evictRates(f.brittle)
@@ -279,23 +281,28 @@
 	if r.ask.Attempt == 1 && first {
 		f.budget(r.ask).CountRequest()
 	}
-	var poisoned error
+	var refusal error
 	for _, pool := range poolsByShare(r.ask) {
 		if err := f.checkPoison(r.ask, pool); err != nil {
-			poisoned = err
+			refusal = err
 			continue
 		}
 		if s := f.best(r, pool, now); s != nil {
 			if f.shouldHold(r, s, now, start) {
 				return tarragondeal.Grant{}, false, nil
 			}
-			if held, err := f.admit(r, s, now, start); held || err != nil {
-				return tarragondeal.Grant{}, false, err
+			s, err := f.admit(r, s, now, start)
+			switch {
+			case err != nil:
+				refusal = err
+				continue
+			case s == nil:
+				return tarragondeal.Grant{}, false, nil
 			}
 			return f.assign(r, s, now), true, nil
 		}
 	}
-	return tarragondeal.Grant{}, false, poisoned
+	return tarragondeal.Grant{}, false, refusal
 }
 
 // poolsByShare returns the pools of an ask, starting with one chosen at
@@ -322,8 +329,9 @@
 func (f *Fit) best(r *request, pool string, now tarragondeal.Instant) *server {
 	var best *server
 	var least time.Duration
+	r.mostHeld = 0
 	for _, s := range f.candidates(r, pool) {
-		if !eligible(r.ask, s) || now < s.backoffUntil || now < s.pausedUntil || !f.withinLimit(r.ask, s, now) || !f.hasRoom(r.ask, s, now) {
+		if !f.mayUse(r.ask, s, now) {
 			continue
 		}
 		if s.engine != nil {
@@ -339,6 +347,11 @@
 	return best
 }
 
+// mayUse reports whether a request may be sent to a server now.
+func (f *Fit) mayUse(a *tarragondeal.Ask, s *server, now tarragondeal.Instant) bool {
+	return eligible(a, s) && now >= s.backoffUntil && now >= s.pausedUntil && f.withinLimit(a, s, now) && f.hasRoom(a, s, now)
+}
+
 // noise returns the random part of the estimate c for a server.
 func (f *Fit) noise(s *server, c time.Duration) time.Duration {
 	switch {
@@ -359,6 +372,7 @@
 		f.countReuse(r, open.held)
 		f.addPrompt(s, prompt{prefixes: r.prefixes, fresh: open.uncached}, now)
 		f.logSent(open)
+		recordTier(f.lastSent, s.Pool, r.ask.Tier, now)
 	}
 	f.changeUse(s)
 	s.own.running++
@@ -381,6 +395,9 @@
 
 // addPrompt records that this or another node sent a prompt to an engine.
 func (f *Fit) addPrompt(s *server, p prompt, now tarragondeal.Instant) {
+	if most := s.engine.KVTokens; most > 0 && p.tokens() > most {
+		p = prompt{} // The engine rejects it, and reads nothing.
+	}
 	took := s.addPrompt(now, p, f.isHeavy(s, p.fresh))
 	if f.isAdaptive(s.Pool) {
 		t := f.totalUse(s, now)
@@ -459,6 +476,7 @@
 	if open.request.tight {
 		open.server.own.tight--
 	}
+	f.trimBacklog(open.server)
 	f.recordOutcome(open, o)
 }
 
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -1,6 +1,7 @@
 package tdfit
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -18,6 +19,9 @@
 	// lostGrace is how long the load of a node counts after its stream has
 	// ended. The node may open another stream, which sends its load again.
 	lostGrace = 500 * time.Millisecond
+	// peerRetention is how long the load of a silent peer is kept, which no longer counts: a
+	// stream that was held up, and goes on, sends only what has changed.
+	peerRetention = 10 * time.Minute
 )
 
 // sentEntry is a request that was sent to an engine. from is the peer that
@@ -29,7 +33,7 @@
 
 // logSent appends a request of this node to the log for its peers.
 func (f *Fit) logSent(open *openGrant) {
-	m := &Sent{Server: string(open.server.ID), Fresh: uint32(open.uncached)}
+	m := &Sent{Server: string(open.server.ID), Fresh: uint32(min(open.uncached, math.MaxUint32))}
 	for _, p := range open.request.prefixes {
 		m.Chain = append(m.Chain, p.Digest)
 		m.Tokens = append(m.Tokens, uint32(p.Tokens))
@@ -176,9 +180,33 @@
 	for _, u := range m.GetUses() {
 		if s := f.servers[tarragondeal.ServerID(u.GetServer())]; s != nil {
 			f.changeUse(s)
-			s.others[from] = use{
+			s.setPeerUse(from, use{
 				running: int(u.GetRunning()), tight: int(u.GetTight()), tokens: int(u.GetTokens()), failing: u.GetFailing(),
-			}
+			})
+			f.trimBacklog(s)
+		}
+	}
+}
+
+// setPeerUse records the load that a peer puts on the server. One that has ended is removed: each
+// choice sums the loads of all peers at many servers.
+func (s *server) setPeerUse(from tarragondeal.NodeID, u use) {
+	if u == (use{}) {
+		delete(s.others, from)
+		return
+	}
+	s.others[from] = u
+}
+
+// evictPeers removes what is known of peers that have not been heard from for long.
+func (f *Fit) evictPeers(now tarragondeal.Instant) {
+	for node, at := range f.lastHeard {
+		if now.Sub(at) <= peerRetention {
+			continue
+		}
+		delete(f.lastHeard, node)
+		for _, s := range f.servers {
+			delete(s.others, node)
 		}
 	}
 }
--- a/internal/dispatch/tdfit/server.go
+++ b/internal/dispatch/tdfit/server.go
@@ -161,11 +161,32 @@
 	fresh    int // Tokens that the engine must read.
 }
 
+// tokens returns the length of the prompt, as far as it is known.
+func (p *prompt) tokens() int {
+	n := 0
+	for _, x := range p.prefixes {
+		n += x.Tokens
+	}
+	return max(n, p.fresh)
+}
+
 // backlog returns how long the engine takes to read the prompts it was sent.
 func (s *server) backlog(now tarragondeal.Instant) time.Duration {
 	return max(0, s.prefilledAt.Sub(now))
 }
 
+// trimBacklog limits the backlog of an engine of an adaptive pool to the prompts of the requests that
+// have not ended there. Under overload, requests end at their deadlines before the engine has
+// read their prompts.
+func (f *Fit) trimBacklog(s *server) {
+	if s.engine == nil || !f.isAdaptive(s.Pool) {
+		return
+	}
+	now := f.Clock.Now()
+	most := now.Add(s.prefillTime(max(0, f.totalUse(s, now).tokens)))
+	s.prefilledAt = min(s.prefilledAt, most)
+}
+
 // learnRate updates the prefill rate from the time to the first event of a
 // prompt that had no backlog before it.
 func (s *server) learnRate(fresh int, took time.Duration) {
