pace, admit: waits beyond the estimate

The pool's mean of what requests waited beyond their estimates is added to the backlog. TestUnexpectedWaits.

--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -70,8 +70,8 @@
 	waited := now.Sub(start)
 	fresh, _ := f.uncached(r, s, &t)
 	e := tdadmit.Estimate{
-		Backlog: s.backlog(now), Read: time.Duration(float64(s.prefillTime(fresh)) * s.pace.RelativeSlowdown(now)),
-		Busy: 2*t.running >= s.slots() || s.backlog(now) > 0 && t.running > 0,
+		Backlog: s.backlog(now) + f.paceOf(s.Pool, s.engine).UnexpectedWait(now), Read: time.Duration(float64(s.prefillTime(fresh)) * s.pace.RelativeSlowdown(now)),
+		Busy: 2*t.running >= s.slots() || t.running > 0 && (s.backlog(now) > 0 || s.reported.Waiting > 0),
 	}
 	return tdadmit.Decide(tdadmit.Request{
 		Target: r.ask.Target, Left: r.ask.Deadline - waited, Waited: waited, Tight: r.tight,
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -118,7 +118,8 @@
 	uncontended bool // The engine had no prefill backlog when it was sent.
 	sent        tarragondeal.Instant
 	started     bool
-	held        tdreuse.Held // What the engine was expected to have cached.
+	held        tdreuse.Held  // What the engine was expected to have cached.
+	estimated   time.Duration // From sending it until the first event.
 }
 
 // New returns a Fit without servers.
@@ -370,6 +371,7 @@
 		t := f.totalUse(s, now)
 		open.uncached, open.held = f.uncached(r, s, &t)
 		f.countReuse(r, open.held)
+		open.estimated = s.backlog(now) + s.prefillTime(open.uncached) + firstTokenOverhead
 		f.addPrompt(s, prompt{prefixes: r.prefixes, fresh: open.uncached}, now)
 		f.logSent(open)
 		recordTier(f.lastSent, s.Pool, r.ask.Tier, now)
@@ -447,6 +449,7 @@
 	if !f.Poison.Empty() {
 		f.Poison.Began(poisonRun(open.server), open.sent)
 	}
+	f.observeWait(open, open.server.lastAnswer)
 	if open.server.engine != nil {
 		f.recordStart(open.server.Pool, open.request.ask.Tier, open.server.lastAnswer)
 	}
@@ -477,6 +480,9 @@
 		open.server.own.tight--
 	}
 	f.trimBacklog(open.server)
+	if !open.started && (o.Kind == tarragondeal.OutcomeLate || o.Kind == tarragondeal.OutcomeCancelled) {
+		f.observeWait(open, f.Clock.Now()) // It would have waited for longer.
+	}
 	f.recordOutcome(open, o)
 }
 
--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// observeWait records for how long a request waited for its first event. Tight streams wait
+// at engines of their own.
+func (f *Fit) observeWait(open *openGrant, now tarragondeal.Instant) {
+	if s := open.server; s.engine != nil && !open.request.tight && f.isAdaptive(s.Pool) {
+		f.paceOf(s.Pool, s.engine).ObserveWait(open.estimated, now.Sub(open.sent), now)
+	}
+}
+
 // isTight reports whether a long prompt beside a stream would make its pauses longer than
 // permitted. In an adaptive pool its own prompt must be short: streams with long prompts
 // would delay one another.
--- a/internal/dispatch/tdpace/pace_test.go
+++ b/internal/dispatch/tdpace/pace_test.go
@@ -157,3 +157,34 @@
 		}
 	}
 }
+
+// TestUnexpectedWaits answers the load of a burst that reaches engines from many nodes before
+// any of them knows of the others' requests: requests wait for longer than each node estimates,
+// and none is held back or refused.
+func TestUnexpectedWaits(t *testing.T) {
+	p := tdpace.NewPool(tdpace.Defaults{})
+	now := tarragondeal.Instant(time.Hour)
+	const estimated = 200 * time.Millisecond
+	for range 50 {
+		p.ObserveWait(estimated, estimated, now)
+	}
+	if got := p.UnexpectedWait(now); got != 0 {
+		t.Errorf("%v without a burst", got)
+	}
+	for range 30 {
+		now = now.Add(50 * time.Millisecond)
+		p.ObserveWait(estimated, 1200*time.Millisecond, now)
+	}
+	if got := p.UnexpectedWait(now); got < 500*time.Millisecond || got > time.Second {
+		t.Errorf("%v in a burst that delays requests by 1s", got)
+	}
+	if got := p.UnexpectedWait(now.Add(5 * time.Second)); got > 50*time.Millisecond {
+		t.Errorf("%v long after a burst", got)
+	}
+	for range 200 {
+		p.ObserveWait(time.Hour, 0, now)
+	}
+	if got := p.UnexpectedWait(now); got != 0 {
+		t.Errorf("%v where requests wait for less than estimated", got)
+	}
+}
--- a/internal/dispatch/tdpace/pool.go
+++ b/internal/dispatch/tdpace/pool.go
@@ -35,6 +35,7 @@
 	defaults Defaults
 	events   [batchClasses]quantile // In seconds, by class of batch sizes.
 	reading  quantile               // Delay of events by reading, in seconds.
+	wait     waitError
 }
 
 // NewPool returns a pool of which nothing is known.
