fit: misses of cached prefixes, cost of late pauses

A first event that comes much later than reading the whole prompt takes says nothing of the cache: 56 lines of one node named misses of prefixes that were read just before. A long prompt pays 250 ms instead of 50 for each tight stream that it would make late.

--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -115,7 +115,7 @@
 		c += latePauseCost
 	}
 	if t.tight > 0 && f.delaysTight(s, t, backlog, read, now) {
-		c += time.Duration(t.tight) * tightCost
+		c += time.Duration(t.tight) * latePauseCost
 	}
 	return c
 }
--- a/internal/dispatch/tdfit/reuse.go
+++ b/internal/dispatch/tdfit/reuse.go
@@ -14,6 +14,9 @@
 	// minReuseShare is the share of its known prefix that an engine must be expected to have
 	// cached for a sample.
 	minReuseShare = 0.5
+	// maxMissShare is the time to the first event, relative to that without a cached prefix, up
+	// to which it shows that the prefix was not cached.
+	maxMissShare = 1.3
 	// elsewhereShare is the share of the tokens expected at the best holder below which a
 	// request counts as sent elsewhere.
 	elsewhereShare = 0.5
@@ -47,6 +50,9 @@
 		return
 	}
 	hit := took < (ifHeld+ifNot)/2
+	if !hit && took > time.Duration(maxMissShare*float64(ifNot)) {
+		return // It waited behind requests that this node doesn't know of.
+	}
 	before := s.held.Trust()
 	s.held.Observe(h, hit)
 	outcome := "hit"
