tdbackend: don't record a closed connection as idle

The transport puts a connection into its idle list before it calls PutIdleConn. If the connection is closed in between (CloseIdleConnections, the idle timeout), the hook recorded it after Close had removed it, and the entry stayed for as long as the process ran: IdleConn returned a connection that didn't exist, and requests that may run once got connections of their own for that server.

keptConns now remembers on the connection that it is closed.

--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -26,6 +26,7 @@
 	user    atomic.Pointer[sendTrace] // The request that got the connection last; &dropped if that closed it.
 	kept    *keptConns                // Nil if the connection is not kept.
 	addr    string
+	closed  bool // Guarded by kept.mu. The transport may report a closed connection as idle.
 }
 
 // Close closes the connection.
--- a/internal/platform/tdbackend/kept.go
+++ b/internal/platform/tdbackend/kept.go
@@ -16,10 +16,13 @@
 	return &keptConns{idle: make(map[string]map[*countedConn]time.Time)}
 }
 
-// add records that a connection is idle from now on.
+// add records that a connection is idle from now on, unless it is closed.
 func (k *keptConns) add(c *countedConn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if c.closed {
+		return
+	}
 	if k.idle[c.addr] == nil {
 		k.idle[c.addr] = make(map[*countedConn]time.Time)
 	}
@@ -42,6 +45,7 @@
 func (k *keptConns) remove(c *countedConn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	c.closed = true
 	k.removeLocked(c)
 }
 
