tdbackend: don't record a connection in use as idle

PutIdleConn checked that no other request had the connection and added the entry in two steps, and GotConn removed the entry before it set the user. A request that got the connection between them left an entry for a connection in use, with a time that the next use took for its idle time.

The user is now set before the entry is removed, and checked under the lock that adds it. TestUsedConnIsNotRecorded failed before (25 of 20,000 tries) and passes.

--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -147,13 +147,13 @@
 	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c, ok := i.Conn.(*countedConn)
 		revoked := t.maySend != nil && !t.maySend()
+		if ok && c.user.Swap(t) == &dropped {
+			revoked = true
+		}
 		if ok && c.kept != nil {
 			idle := c.kept.take(c)
 			revoked = revoked || i.Reused && t.maxIdle > 0 && idle > t.maxIdle
 		}
-		if ok && c.user.Swap(t) == &dropped {
-			revoked = true
-		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if revoked && ok {
@@ -187,8 +187,8 @@
 	if len(t.used) == 0 {
 		return
 	}
-	if c := t.used[len(t.used)-1].conn; c.kept != nil && c.user.Load() == t {
-		c.kept.add(c)
+	if c := t.used[len(t.used)-1].conn; c.kept != nil {
+		c.kept.add(c, t)
 	}
 }
 
--- a/internal/platform/tdbackend/kept.go
+++ b/internal/platform/tdbackend/kept.go
@@ -16,11 +16,13 @@
 	return &keptConns{idle: make(map[string]map[*countedConn]time.Time)}
 }
 
-// add records that a connection is idle from now on, unless it is closed.
-func (k *keptConns) add(c *countedConn) {
+// add records that a connection is idle from now on, unless it is closed or another request
+// than its latest user t has got it since. A request sets itself as the user before it calls
+// take, so that its entry is either not added or removed.
+func (k *keptConns) add(c *countedConn, t *sendTrace) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if c.closed {
+	if c.closed || c.user.Load() != t {
 		return
 	}
 	if k.idle[c.addr] == nil {
