tdbackend: record connections that no request has used

A request that waits for a new connection gets another one if that becomes idle first, and the transport keeps the new one without calling PutIdleConn. It had no record, so GotConn took its idle time for zero: a request that may run once was sent on a connection that was idle for any time up to the transport's idle timeout (90 s), although one second is permitted.

Connections are recorded from when they are opened. TestUnusedConnAges failed before (sent on a connection 201 ms old, 50 ms permitted) and passes.

--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -99,7 +99,13 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: c, kept: kept, addr: addr}, nil
+			conn := &countedConn{Conn: c, kept: kept, addr: addr}
+			if kept != nil {
+				// The request that opens it may get another one that becomes idle first; the
+				// transport then keeps this one without calling PutIdleConn.
+				kept.add(conn, nil)
+			}
+			return conn, nil
 		},
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        o.Idle,
--- a/internal/platform/tdbackend/kept.go
+++ b/internal/platform/tdbackend/kept.go
@@ -17,7 +17,7 @@
 }
 
 // add records that a connection is idle from now on, unless it is closed or another request
-// than its latest user t has got it since. A request sets itself as the user before it calls
+// than its latest user t has got it since; t is nil for a new connection. A request sets itself as the user before it calls
 // take, so that its entry is either not added or removed.
 func (k *keptConns) add(c *countedConn, t *sendTrace) {
 	k.mu.Lock()
--- a/internal/platform/tdbackend/record_test.go
+++ b/internal/platform/tdbackend/record_test.go
@@ -1,10 +1,19 @@
 package tdbackend
 
 import (
+	"context"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"tarragondeal"
 )
 
 // recorded returns a connection that is recorded in k while it is idle.
@@ -49,3 +58,66 @@
 		t.Errorf("%d of %d connections are recorded as idle while they are used", wrong, tries)
 	}
 }
+
+// TestUnusedConnAges guards against a request that may run once and is sent on a connection
+// that was idle for longer than permitted since it was opened: the request for which it was
+// opened got another one, which became idle first.
+func TestUnusedConnAges(t *testing.T) {
+	const maxIdle = 50 * time.Millisecond
+	release, arrived := make(chan struct{}), make(chan struct{}, 9)
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/wait":
+			arrived <- struct{}{}
+			<-release
+		case "/last":
+			w.Header().Set("Connection", "close")
+		}
+		_, _ = io.WriteString(w, r.RemoteAddr)
+	}))
+	srv.Start()
+	defer srv.Close()
+	var dialled atomic.Int64
+	second := make(chan struct{})
+	var opened sync.Map // The time at which each connection was opened, by its local address.
+	b := NewWith(Options{Verbatim: true, Dial: func(_ context.Context, network, addr string) (net.Conn, error) {
+		if dialled.Add(1) == 2 {
+			arrived <- struct{}{}
+			<-second
+		}
+		c, err := net.Dial(network, addr)
+		if err == nil {
+			opened.Store(c.LocalAddr().String(), time.Now())
+		}
+		return c, err
+	}})
+	server := tarragondeal.Server{ID: "s", Addr: netip.MustParseAddrPort(srv.Listener.Addr().String())}
+	send := func(path string, maxIdle time.Duration) (string, error) {
+		answer, err := b.Send(t.Context(), server, tarragondeal.Call{
+			Method: http.MethodPost, Path: path, Host: "h", Body: []byte("b"), DedicatedConn: maxIdle > 0, MaxIdle: maxIdle,
+		})
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = answer.Body.Close() }()
+		body, err := io.ReadAll(answer.Body)
+		return string(body), err
+	}
+	var done sync.WaitGroup
+	done.Go(func() { _, _ = send("/wait", 0) })
+	<-arrived
+	done.Go(func() { _, _ = send("/last", 0) })
+	<-arrived
+	close(release)
+	done.Wait()
+	close(second)
+	time.Sleep(4 * maxIdle)
+	from, err := send("/x", maxIdle)
+	at, ok := opened.Load(from)
+	if err != nil || !ok {
+		t.Fatalf("sent from %q: %v", from, err)
+	}
+	if age := time.Since(at.(time.Time)); age > 2*maxIdle {
+		t.Errorf("sent on a connection that was opened %v before and not used, at most %v are permitted", age, maxIdle)
+	}
+}
