tdbackend: replace connections that were idle for too long

A request that may run once got a connection of its own, which is not kept, while the newest idle connection was older than permitted. That one stayed in the pool, so each later request of this kind opened another connection until the server closed the old one. If another request got the newest connection after the check, the transport chose an older one and the request failed as revoked ("the backend server left").

Send now closes a connection that was idle for too long, of which nothing is written, and tries again: the transport then opens a new one and keeps it. After four tries the request gets a connection of its own. TestStaleConnIsReplaced failed before (3 connections instead of 2, 5 instead of 4, and one request failed as revoked) and passes.

--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -35,6 +35,9 @@
 	dialTimeout = time.Second
 	// maxIdleConnsPerServer is how many idle connections are kept to one server.
 	maxIdleConnsPerServer = 64
+	// maxKeptTries bounds the kept connections that a request closes since they were idle for
+	// longer than it permits, before it gets a connection of its own.
+	maxKeptTries = 4
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes limits the size of a response's header.
@@ -137,18 +140,30 @@
 // Send sends one attempt and returns the response as soon as its header is read.
 // The error is a *tarragondeal.BackendError.
 func (b *Backend) Send(ctx context.Context, s tarragondeal.Server, c tarragondeal.Call) (*tarragondeal.Answer, error) {
-	t := newSendTrace(c.MaySend)
+	if !c.DedicatedConn {
+		return b.send(ctx, b.client, s, c, newSendTrace(c.MaySend))
+	}
+	if c.MaxIdle > 0 {
+		// The transport chooses the connection that became idle last, so that a new one is
+		// opened and kept once those that are stale are closed.
+		for range maxKeptTries {
+			t := newSendTrace(c.MaySend)
+			t.maxIdle = c.MaxIdle
+			answer, err := b.send(ctx, b.client, s, c, t)
+			if err == nil || !t.isStale() || ctx.Err() != nil {
+				return answer, err
+			}
+		}
+	}
+	return b.send(ctx, b.dedicated, s, c, newSendTrace(c.MaySend))
+}
+
+// send sends a request with one of the clients.
+func (b *Backend) send(ctx context.Context, client *http.Client, s tarragondeal.Server, c tarragondeal.Call, t *sendTrace) (*tarragondeal.Answer, error) {
 	req, err := b.newRequest(httptrace.WithClientTrace(ctx, t.hooks()), s, c)
 	if err != nil {
 		return nil, &tarragondeal.BackendError{Server: s.ID, Ran: tarragondeal.RanNot, Err: err}
 	}
-	client := b.client
-	if c.DedicatedConn {
-		t.maxIdle = c.MaxIdle
-		if !b.mayUseKept(s, c.MaxIdle) {
-			client = b.dedicated
-		}
-	}
 	res, err := client.Do(req)
 	if err != nil {
 		return nil, t.sendError(ctx, s.ID, err)
@@ -177,16 +192,6 @@
 	}, nil
 }
 
-// mayUseKept reports whether a call that requests a connection of its own may be sent on a
-// kept one: it has been used a short time ago, or there is none and a new one is kept.
-func (b *Backend) mayUseKept(s tarragondeal.Server, maxIdle time.Duration) bool {
-	if maxIdle <= 0 {
-		return false
-	}
-	idle, ok := b.IdleConn(s.Addr)
-	return !ok || idle <= maxIdle
-}
-
 // nonReplayableBody keeps the transport from retrying a request on its own when
 // a connection breaks, which it does for an empty body and for a body that it
 // can read again.
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -132,6 +132,7 @@
 	mu      sync.Mutex
 	used    []usedConn
 	revoked bool // maySend returned false, or the connection had been closed.
+	stale   bool // The connection was idle for longer than maxIdle, and nothing was written to it.
 }
 
 func newSendTrace(maySend func() bool) *sendTrace {
@@ -150,14 +151,15 @@
 		if ok && c.user.Swap(t) == &dropped {
 			revoked = true
 		}
+		stale := false
 		if ok && c.kept != nil {
 			idle := c.kept.take(c)
-			revoked = revoked || i.Reused && t.maxIdle > 0 && idle > t.maxIdle
+			stale = i.Reused && t.maxIdle > 0 && idle > t.maxIdle
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		if revoked && ok {
-			t.revoked = true
+		if (revoked || stale) && ok {
+			t.revoked, t.stale = revoked, stale && !revoked
 			c.revoked.Store(true)
 		}
 		if !ok {
@@ -263,6 +265,13 @@
 	return t.revoked
 }
 
+// isStale reports whether the request was not sent since its connection was idle for too long.
+func (t *sendTrace) isStale() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stale
+}
+
 // wrote reports whether any byte of the request may have been sent.
 func (t *sendTrace) wrote() bool {
 	t.mu.Lock()
