tdbackend: don't wait for a write that has failed

The end of an answer without a length waited up to 250 ms for the request to be written, even if writing it had already failed, as it does when the server has closed the connection. Callers got the broken answer 250 ms late.

WroteRequest now records a failure, which ends the wait. TestFailedWriteIsNotAwaited failed before (waits 250 ms) and passes.

--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -129,6 +129,7 @@
 	maxIdle time.Duration // Of a kept connection; zero means any.
 	maySend func() bool   // Nil means always.
 	written chan struct{} // Closed when the request has been written to the end.
+	failed  chan struct{} // Closed when writing the request has failed.
 	mu      sync.Mutex
 	used    []usedConn
 	revoked bool // maySend returned false, or the connection had been closed.
@@ -136,7 +137,7 @@
 }
 
 func newSendTrace(maySend func() bool) *sendTrace {
-	return &sendTrace{maySend: maySend, written: make(chan struct{})}
+	return &sendTrace{maySend: maySend, written: make(chan struct{}), failed: make(chan struct{})}
 }
 
 type usedConn struct {
@@ -176,9 +177,11 @@
 			t.keepConn()
 		}
 	}, WroteRequest: func(i httptrace.WroteRequestInfo) {
-		if i.Err == nil {
-			t.setWritten()
+		if i.Err != nil {
+			t.closeOnce(t.failed)
+			return
 		}
+		t.closeOnce(t.written)
 	}}
 }
 
@@ -194,15 +197,15 @@
 	}
 }
 
-// setWritten records that the request has been written to the end. The transport may
-// report it more than once.
-func (t *sendTrace) setWritten() {
+// closeOnce closes one of the channels of t. The transport may report the end of a write
+// more than once.
+func (t *sendTrace) closeOnce(c chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	select {
-	case <-t.written:
+	case <-c:
 	default:
-		close(t.written)
+		close(c)
 	}
 }
 
@@ -219,6 +222,8 @@
 	select {
 	case <-t.written:
 		return true
+	case <-t.failed:
+		return false
 	case <-timer.C:
 		return false
 	}
--- a/internal/platform/tdbackend/conn_test.go
+++ b/internal/platform/tdbackend/conn_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http/httptrace"
 	"syscall"
 	"testing"
 	"time"
@@ -101,3 +102,17 @@
 		<-done
 	}
 }
+
+// TestFailedWriteIsNotAwaited guards against the end of an answer that is reported late: the
+// request can't be written to the end any more, and nothing is left to wait for.
+func TestFailedWriteIsNotAwaited(t *testing.T) {
+	trace := newSendTrace(nil)
+	trace.hooks().WroteRequest(httptrace.WroteRequestInfo{Err: syscall.ECONNRESET})
+	start := time.Now()
+	if trace.isWritten() {
+		t.Error("a write that failed has written the request")
+	}
+	if d := time.Since(start); d >= maxWriteWait {
+		t.Errorf("waits %v for a write that failed", d)
+	}
+}
