tdtunnel: don't end a connection in order if a write to its server failed

The system reports a reset only once. If a node's write to a server got it, or was still going on when the server's side ended, its read got io.EOF, and the other node read a regular end of the connection. That node had written the whole request, since the tunnel buffers it, so a part of an answer without a length looked complete there.

The end of a connection now waits for a write that goes on, at most 250 ms, and is an error if the write fails, as on direct connections. TestEndUnderUpload failed before in 3 of 5 cases and passes.

--- a/internal/fleet/tdtunnel/serve.go
+++ b/internal/fleet/tdtunnel/serve.go
@@ -23,6 +23,8 @@
 	// failedTime is how long this node makes no connections for others to a server that
 	// it couldn't reach.
 	failedTime = 500 * time.Millisecond
+	// maxWriteWait is how long the end of a connection waits for a write to return.
+	maxWriteWait = 250 * time.Millisecond
 )
 
 // Register adds the service to a gRPC server.
@@ -48,12 +50,54 @@
 	if err := s.Send(&Chunk{}); err != nil {
 		return err
 	}
+	up := &upload{Conn: c, writing: make(chan struct{}, 1)}
 	ends := make(chan error, 2)
-	go func() { ends <- copyToServer(c, s) }()
-	go func() { ends <- copyFromServer(s, c) }()
+	go func() { ends <- copyToServer(up, s) }()
+	go func() { ends <- copyFromServer(s, up) }()
 	return <-ends
 }
 
+var errUnsentEnd = errors.New("connection ended while data was being written to the server")
+
+// upload is a connection to a server whose reads return errUnsentEnd for the end of the
+// connection if a write failed or goes on. The system reports a reset only once: if the write
+// gets it, the read gets io.EOF, as after a regular end.
+type upload struct {
+	net.Conn
+	writing chan struct{} // Holds an element during a write.
+	failed  bool          // A write has failed. Guarded by writing.
+}
+
+func (u *upload) Write(b []byte) (int, error) {
+	u.writing <- struct{}{}
+	defer func() { <-u.writing }()
+	n, err := u.Conn.Write(b)
+	u.failed = u.failed || err != nil
+	return n, err
+}
+
+func (u *upload) Read(b []byte) (int, error) {
+	n, err := u.Conn.Read(b)
+	if errors.Is(err, io.EOF) && !u.isWritten() {
+		err = errUnsentEnd
+	}
+	return n, err
+}
+
+// isWritten waits for a write that goes on, and reports whether it has returned and all writes
+// have succeeded.
+func (u *upload) isWritten() bool {
+	timer := time.NewTimer(maxWriteWait)
+	defer timer.Stop()
+	select {
+	case u.writing <- struct{}{}:
+		defer func() { <-u.writing }()
+		return !u.failed
+	case <-timer.C:
+		return false
+	}
+}
+
 // dialFor connects to a server for another node. The error is a status.
 func (t *Tunnels) dialFor(ctx context.Context, id tarragondeal.ServerID) (net.Conn, error) {
 	t.mu.Lock()
