tdbackend: don't take an early answer for complete while the upload is unsent

A request counted as written once its last write had returned. The send buffer of a connection holds up to 4 MB, so nearly every upload (at most 4 MB by default) was written at once: a server that answered 200 without a length, sent a part, ended its side with a FIN and didn't read the upload got its part relayed as a complete answer, to callers of HTTP/1.1 (with a length or in chunks) and HTTP/1.0 alike, on new and on kept connections.

The end of a connection is now an error unless the server's system has acknowledged what was written within 250 ms (SIOCOUTQ). The system of a server that doesn't read acknowledges what fits into its receive buffer, so a smaller upload still can't be told from one that was read.

--- a/internal/entry/tdhost/stream_test.go
+++ b/internal/entry/tdhost/stream_test.go
@@ -34,7 +34,8 @@
 	mu       sync.Mutex
 	addrs    []netip.AddrPort
 	granted  int
-	budget   func() bool // Nil permits every retry.
+	budget   func() bool   // Nil permits every retry.
+	maxIdle  time.Duration // Of the grants.
 	outcomes []tarragondeal.OutcomeKind
 }
 
@@ -47,7 +48,7 @@
 	s.granted++
 	id := tarragondeal.ServerID(fmt.Sprint("s", s.granted))
 	server := tarragondeal.Server{ID: id, Addr: s.addrs[s.granted-1], Pool: "p", DataCentre: "duluth"}
-	return tarragondeal.Grant{Request: a.Request, Attempt: a.Attempt, Server: server}, nil
+	return tarragondeal.Grant{Request: a.Request, Attempt: a.Attempt, Server: server, MaxIdle: s.maxIdle}, nil
 }
 func (s *servers) Progress(tarragondeal.Grant, int) {}
 func (s *servers) Done(_ tarragondeal.Grant, o tarragondeal.Outcome) {
@@ -107,6 +108,8 @@
 	addr string
 	host *Host
 	logs *syncBuffer
+
+	backend *tdbackend.Backend
 }
 
 type syncBuffer struct {
@@ -163,6 +166,7 @@
 	}
 	clock, log := tdclock.New(), zerolog.New(e.logs)
 	backend := tdbackend.NewWith(tdbackend.Options{Verbatim: true})
+	e.backend = backend
 	flow := tdflow.New(tdflow.Deps{
 		Dispatch: e.servers, Backend: backend, Meter: e.servers, Burn: e.servers, Clock: clock, Metrics: tally.NoopScope, Log: log,
 	}, tdflow.Options{Attempts: 3, WriteTimeout: time.Minute})
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tddial"
 )
 
 // countedConn counts the writes started on a connection.
@@ -88,21 +89,30 @@
 // errUnsentEnd reports the end of a connection to which a request was being written.
 var errUnsentEnd = errors.New("connection ended while the request was being written")
 
-// maxWriteWait is how long the end of a connection waits for a write to return.
+// maxWriteWait is how long the end of a connection waits for a write to return, and for what
+// was written to be acknowledged.
 const maxWriteWait = 250 * time.Millisecond
 
 // Read returns errUnsentEnd for the end of a connection on which a write failed or
-// goes on. The system reports a reset only once: if the write gets it, the read gets
+// goes on, or whose server has not received all that was written: the send buffer may hold
+// a whole upload. The system reports a reset only once: if the write gets it, the read gets
 // io.EOF, as after a regular end. A write that has sent its data, or has got the
 // reset, returns soon after the end is read.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, io.EOF) && (!c.waitWritten() || c.failed.Load()) {
+	if errors.Is(err, io.EOF) && !c.isSent() {
 		err = errUnsentEnd
 	}
 	return n, err
 }
 
+// isSent waits for a short time and reports whether all writes have succeeded and their data
+// has reached the server.
+func (c *countedConn) isSent() bool {
+	deadline := time.Now().Add(maxWriteWait)
+	return c.waitWritten() && !c.failed.Load() && tddial.IsAcknowledged(c.Conn, deadline)
+}
+
 // waitWritten waits for the latest write and reports whether it has returned.
 func (c *countedConn) waitWritten() bool {
 	pending := c.writing.Load()
