tdtunnel: don't end a connection in order while the upload is unsent

A node that connects another one to a server passed on the regular end of the server's side although its send buffer still held the upload, so the other node took a part of an answer for complete, as on direct connections.

The end is now an error unless the server's system has acknowledged what was written within 250 ms. TestEndBeforeUploadIsReceived failed before (an upload of 3 MB that is not read ended with io.EOF) and passes.

--- a/internal/fleet/tdtunnel/end_test.go
+++ b/internal/fleet/tdtunnel/end_test.go
@@ -76,3 +76,40 @@
 		}
 	}
 }
+
+// TestEndBeforeUploadIsReceived guards against a part of an answer that looks complete at the
+// other node, since the server ends its side while the request is held in the send buffer of
+// the connection to it.
+func TestEndBeforeUploadIsReceived(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		size  int
+		reads bool
+	}{{"not read", 3 << 20, false}, {"read", 3 << 20, true}, {"small", 100, false}} {
+		f := newTestFleet(t, 2)
+		f.nodes[0].set(true, false)
+		client, server := f.dial(t, 0)
+		if !c.reads {
+			_ = server.(*net.TCPConn).SetReadBuffer(16 << 10)
+		}
+		written := make(chan struct{})
+		go func() {
+			defer close(written)
+			_, _ = client.Write(make([]byte, c.size))
+		}()
+		if c.reads {
+			if _, err := io.CopyN(io.Discard, server, int64(c.size)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(200 * time.Millisecond) // For the other node to fill the send buffer.
+		_ = server.(*net.TCPConn).CloseWrite()
+		_, err := client.Read(make([]byte, 1))
+		clean := c.reads || c.size < 1<<10
+		if _, broken := errors.AsType[*PeerError](err); clean != errors.Is(err, io.EOF) || clean == broken {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		_ = client.Close()
+		<-written
+	}
+}
--- a/internal/fleet/tdtunnel/serve.go
+++ b/internal/fleet/tdtunnel/serve.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tddial"
 )
 
 const (
@@ -23,7 +24,8 @@
 	// failedTime is how long this node makes no connections for others to a server that
 	// it couldn't reach.
 	failedTime = 500 * time.Millisecond
-	// maxWriteWait is how long the end of a connection waits for a write to return.
+	// maxWriteWait is how long the end of a connection waits for a write to return, and for
+	// what was written to be acknowledged.
 	maxWriteWait = 250 * time.Millisecond
 )
 
@@ -60,7 +62,8 @@
 var errUnsentEnd = errors.New("connection ended while data was being written to the server")
 
 // upload is a connection to a server whose reads return errUnsentEnd for the end of the
-// connection if a write failed or goes on. The system reports a reset only once: if the write
+// connection if a write failed or goes on, or if the server has not received all that was
+// written. The system reports a reset only once: if the write
 // gets it, the read gets io.EOF, as after a regular end.
 type upload struct {
 	net.Conn
@@ -78,21 +81,22 @@
 
 func (u *upload) Read(b []byte) (int, error) {
 	n, err := u.Conn.Read(b)
-	if errors.Is(err, io.EOF) && !u.isWritten() {
+	if errors.Is(err, io.EOF) && !u.isSent() {
 		err = errUnsentEnd
 	}
 	return n, err
 }
 
-// isWritten waits for a write that goes on, and reports whether it has returned and all writes
-// have succeeded.
-func (u *upload) isWritten() bool {
+// isSent waits for a short time and reports whether all writes have succeeded and their data
+// has reached the server.
+func (u *upload) isSent() bool {
+	deadline := time.Now().Add(maxWriteWait)
 	timer := time.NewTimer(maxWriteWait)
 	defer timer.Stop()
 	select {
 	case u.writing <- struct{}{}:
 		defer func() { <-u.writing }()
-		return !u.failed
+		return !u.failed && tddial.IsAcknowledged(u.Conn, deadline)
 	case <-timer.C:
 		return false
 	}
