--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -156,33 +156,7 @@
 }
 
 func (t *sendTrace) hooks() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		c, ok := i.Conn.(*countedConn)
-		revoked := t.maySend != nil && !t.maySend()
-		if ok && c.user.Swap(t) == &dropped {
-			revoked = true
-		}
-		stale := false
-		if ok && c.kept != nil {
-			idle := c.kept.take(c)
-			stale = i.Reused && t.maxIdle > 0 && idle > t.maxIdle
-		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if (revoked || stale) && ok {
-			t.revoked, t.stale = revoked, stale && !revoked
-			c.revoked.Store(true)
-		}
-		if !ok {
-			c = &countedConn{}
-			c.writes.Store(1) // Not counted, so it may have written.
-		}
-		before := int64(0)
-		if ok {
-			before = c.writes.Load()
-		}
-		t.used = append(t.used, usedConn{conn: c, before: before})
-	}, PutIdleConn: func(err error) {
+	return &httptrace.ClientTrace{GotConn: t.gotConn, PutIdleConn: func(err error) {
 		if err == nil {
 			t.keepConn()
 		}
@@ -195,6 +169,36 @@
 	}}
 }
 
+// gotConn records the connection that the transport uses for the request, and revokes it if
+// the request must not be written to it.
+func (t *sendTrace) gotConn(i httptrace.GotConnInfo) {
+	c, ok := i.Conn.(*countedConn)
+	if !ok {
+		c = &countedConn{}
+		c.writes.Store(1) // Not counted, so it may have written.
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.used = append(t.used, usedConn{conn: c})
+		return
+	}
+	revoked := t.maySend != nil && !t.maySend()
+	if c.user.Swap(t) == &dropped {
+		revoked = true
+	}
+	stale := false
+	if c.kept != nil {
+		idle := c.kept.take(c)
+		stale = i.Reused && t.maxIdle > 0 && idle > t.maxIdle
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if revoked || stale {
+		t.revoked, t.stale = revoked, stale && !revoked
+		c.revoked.Store(true)
+	}
+	t.used = append(t.used, usedConn{conn: c, before: c.writes.Load()})
+}
+
 // keepConn records that the connection of the request is idle.
 func (t *sendTrace) keepConn() {
 	t.mu.Lock()
