tdbackend: count the time suspended as idle time of connections

Idle times were measured with the monotonic clock, which stands still while the system is suspended. After a suspension a connection that its server may have closed looked as if it had just been used, and a request that may run once was sent on it.

Idle times are now measured with the node's clock, which counts suspensions.

--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -221,7 +221,7 @@
 
 func (n *Node) buildEntry() {
 	poison := n.buildPoison()
-	backend := tdbackend.NewWith(tdbackend.Options{Dial: n.tunnels.DialContext, Idle: serverIdleTimeout, Verbatim: true})
+	backend := tdbackend.NewWith(tdbackend.Options{Dial: n.tunnels.DialContext, Idle: serverIdleTimeout, Clock: n.clock, Verbatim: true})
 	n.fit = tdfit.New(tdfit.Deps{
 		IdleConn: backend.IdleConn, Clock: n.clock, Size: n.mesh.Size, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall, Poison: poison,
 		Log: tdlog.Part(n.log, "dispatch"), Scope: n.metrics.Scope.SubScope("dispatch"),
--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/platform/tdwire"
 )
 
@@ -60,6 +61,9 @@
 	// Dial connects to a server. Nil means a dialer with the default timeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Idle time.Duration // How long an idle connection is kept; zero means the default.
+	// Clock tells for how long connections are idle; nil means the clock of the system. It
+	// must count the time for which the system is suspended.
+	Clock tarragondeal.Clock
 	// Verbatim sends the caller's path unchanged and adds no headers of the router.
 	// It accepts the end of the connection as the end of a response without a
 	// length.
@@ -79,9 +83,12 @@
 	if o.Idle == 0 {
 		o.Idle = idleTimeout
 	}
+	if o.Clock == nil {
+		o.Clock = tdclock.New()
+	}
 	dedicated := newTransport(o, nil)
 	dedicated.DisableKeepAlives = true
-	kept := newKeptConns()
+	kept := newKeptConns(o.Clock)
 	return &Backend{client: newClient(newTransport(o, kept)), dedicated: newClient(dedicated), kept: kept, opt: o}
 }
 
--- a/internal/platform/tdbackend/kept.go
+++ b/internal/platform/tdbackend/kept.go
@@ -4,16 +4,19 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"tarragondeal"
 )
 
 // keptConns knows the idle connections of a transport. It is safe for concurrent use.
 type keptConns struct {
-	mu   sync.Mutex
-	idle map[string]map[*countedConn]time.Time // By address, since when each is idle.
+	clock tarragondeal.Clock
+	mu    sync.Mutex
+	idle  map[string]map[*countedConn]tarragondeal.Instant // By address, since when each is idle.
 }
 
-func newKeptConns() *keptConns {
-	return &keptConns{idle: make(map[string]map[*countedConn]time.Time)}
+func newKeptConns(clock tarragondeal.Clock) *keptConns {
+	return &keptConns{clock: clock, idle: make(map[string]map[*countedConn]tarragondeal.Instant)}
 }
 
 // add records that a connection is idle from now on, unless it is closed or another request
@@ -26,9 +29,9 @@
 		return
 	}
 	if k.idle[c.addr] == nil {
-		k.idle[c.addr] = make(map[*countedConn]time.Time)
+		k.idle[c.addr] = make(map[*countedConn]tarragondeal.Instant)
 	}
-	k.idle[c.addr][c] = time.Now()
+	k.idle[c.addr][c] = k.clock.Now()
 }
 
 // take records that a connection is used, and returns how long it was idle.
@@ -40,7 +43,7 @@
 		return 0
 	}
 	k.removeLocked(c)
-	return time.Since(since)
+	return k.clock.Now().Sub(since)
 }
 
 // remove records that a connection is closed.
@@ -63,8 +66,9 @@
 func (k *keptConns) newest(addr string) (idle time.Duration, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	now := k.clock.Now()
 	for _, since := range k.idle[addr] {
-		if d := time.Since(since); !ok || d < idle {
+		if d := now.Sub(since); !ok || d < idle {
 			idle, ok = d, true
 		}
 	}
--- a/internal/platform/tdbackend/record_test.go
+++ b/internal/platform/tdbackend/record_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
 )
 
 // recorded returns a connection that is recorded in k while it is idle.
@@ -26,7 +27,7 @@
 // reports that a connection is idle after it has closed it, if idle connections are closed
 // at that moment.
 func TestClosedConnIsNotRecorded(t *testing.T) {
-	k := newKeptConns()
+	k := newKeptConns(tdclock.New())
 	c, trace := recorded(k), newSendTrace(nil)
 	trace.hooks().GotConn(httptrace.GotConnInfo{Conn: c})
 	_ = c.Close()
@@ -40,7 +41,7 @@
 // used: the transport gives it to the next request while it reports that it is idle.
 func TestUsedConnIsNotRecorded(t *testing.T) {
 	const tries = 20_000
-	k := newKeptConns()
+	k := newKeptConns(tdclock.New())
 	wrong := 0
 	for range tries {
 		c, first, next := recorded(k), newSendTrace(nil), newSendTrace(nil)
