--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/platform/tdwire"
 )
 
@@ -35,6 +36,9 @@
 	dialTimeout = time.Second
 	// maxIdleConnsPerServer is how many idle connections are kept to one server.
 	maxIdleConnsPerServer = 64
+	// maxKeptTries bounds the kept connections that a request closes since they were idle for
+	// longer than it permits, before it gets a connection of its own.
+	maxKeptTries = 4
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes limits the size of a response's header.
@@ -57,6 +61,9 @@
 	// Dial connects to a server. Nil means a dialer with the default timeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Idle time.Duration // How long an idle connection is kept; zero means the default.
+	// Clock tells for how long connections are idle; nil means the clock of the system. It
+	// must count the time for which the system is suspended.
+	Clock tarragondeal.Clock
 	// Verbatim sends the caller's path unchanged and adds no headers of the router.
 	// It accepts the end of the connection as the end of a response without a
 	// length.
@@ -76,9 +83,12 @@
 	if o.Idle == 0 {
 		o.Idle = idleTimeout
 	}
+	if o.Clock == nil {
+		o.Clock = tdclock.New()
+	}
 	dedicated := newTransport(o, nil)
 	dedicated.DisableKeepAlives = true
-	kept := newKeptConns()
+	kept := newKeptConns(o.Clock)
 	return &Backend{client: newClient(newTransport(o, kept)), dedicated: newClient(dedicated), kept: kept, opt: o}
 }
 
@@ -99,7 +109,13 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: c, kept: kept, addr: addr}, nil
+			conn := &countedConn{Conn: c, kept: kept, addr: addr}
+			if kept != nil {
+				// The request that opens it may get another one that becomes idle first; the
+				// transport then keeps this one without calling PutIdleConn.
+				kept.add(conn, nil)
+			}
+			return conn, nil
 		},
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        o.Idle,
@@ -131,18 +147,30 @@
 // Send sends one attempt and returns the response as soon as its header is read.
 // The error is a *tarragondeal.BackendError.
 func (b *Backend) Send(ctx context.Context, s tarragondeal.Server, c tarragondeal.Call) (*tarragondeal.Answer, error) {
-	t := newSendTrace(c.MaySend)
+	if !c.DedicatedConn {
+		return b.send(ctx, b.client, s, c, newSendTrace(c.MaySend))
+	}
+	if c.MaxIdle > 0 {
+		// The transport chooses the connection that became idle last, so that a new one is
+		// opened and kept once those that are stale are closed.
+		for range maxKeptTries {
+			t := newSendTrace(c.MaySend)
+			t.maxIdle = c.MaxIdle
+			answer, err := b.send(ctx, b.client, s, c, t)
+			if err == nil || !t.isStale() || ctx.Err() != nil {
+				return answer, err
+			}
+		}
+	}
+	return b.send(ctx, b.dedicated, s, c, newSendTrace(c.MaySend))
+}
+
+// send sends a request with one of the clients.
+func (b *Backend) send(ctx context.Context, client *http.Client, s tarragondeal.Server, c tarragondeal.Call, t *sendTrace) (*tarragondeal.Answer, error) {
 	req, err := b.newRequest(httptrace.WithClientTrace(ctx, t.hooks()), s, c)
 	if err != nil {
 		return nil, &tarragondeal.BackendError{Server: s.ID, Ran: tarragondeal.RanNot, Err: err}
 	}
-	client := b.client
-	if c.DedicatedConn {
-		t.maxIdle = c.MaxIdle
-		if !b.mayUseKept(s, c.MaxIdle) {
-			client = b.dedicated
-		}
-	}
 	res, err := client.Do(req)
 	if err != nil {
 		return nil, t.sendError(ctx, s.ID, err)
@@ -171,16 +199,6 @@
 	}, nil
 }
 
-// mayUseKept reports whether a call that requests a connection of its own may be sent on a
-// kept one: it has been used a short time ago, or there is none and a new one is kept.
-func (b *Backend) mayUseKept(s tarragondeal.Server, maxIdle time.Duration) bool {
-	if maxIdle <= 0 {
-		return false
-	}
-	idle, ok := b.IdleConn(s.Addr)
-	return !ok || idle <= maxIdle
-}
-
 // nonReplayableBody keeps the transport from retrying a request on its own when
 // a connection breaks, which it does for an empty body and for a body that it
 // can read again.
--- a/internal/platform/tdbackend/conn.go
+++ b/internal/platform/tdbackend/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tddial"
 )
 
 // countedConn counts the writes started on a connection.
@@ -26,6 +27,7 @@
 	user    atomic.Pointer[sendTrace] // The request that got the connection last; &dropped if that closed it.
 	kept    *keptConns                // Nil if the connection is not kept.
 	addr    string
+	closed  bool // Guarded by kept.mu. The transport may report a closed connection as idle.
 }
 
 // Close closes the connection.
@@ -87,21 +89,30 @@
 // errUnsentEnd reports the end of a connection to which a request was being written.
 var errUnsentEnd = errors.New("connection ended while the request was being written")
 
-// maxWriteWait is how long the end of a connection waits for a write to return.
+// maxWriteWait is how long the end of a connection waits for a write to return, and for what
+// was written to be acknowledged.
 const maxWriteWait = 250 * time.Millisecond
 
 // Read returns errUnsentEnd for the end of a connection on which a write failed or
-// goes on. The system reports a reset only once: if the write gets it, the read gets
+// goes on, or whose server has not received all that was written: the send buffer may hold
+// a whole upload. The system reports a reset only once: if the write gets it, the read gets
 // io.EOF, as after a regular end. A write that has sent its data, or has got the
 // reset, returns soon after the end is read.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, io.EOF) && (!c.waitWritten() || c.failed.Load()) {
+	if errors.Is(err, io.EOF) && !c.isSent() {
 		err = errUnsentEnd
 	}
 	return n, err
 }
 
+// isSent waits for a short time and reports whether all writes have succeeded and their data
+// has reached the server.
+func (c *countedConn) isSent() bool {
+	deadline := time.Now().Add(maxWriteWait)
+	return c.waitWritten() && !c.failed.Load() && tddial.IsAcknowledged(c.Conn, deadline)
+}
+
 // waitWritten waits for the latest write and reports whether it has returned.
 func (c *countedConn) waitWritten() bool {
 	pending := c.writing.Load()
@@ -128,13 +139,15 @@
 	maxIdle time.Duration // Of a kept connection; zero means any.
 	maySend func() bool   // Nil means always.
 	written chan struct{} // Closed when the request has been written to the end.
+	failed  chan struct{} // Closed when writing the request has failed.
 	mu      sync.Mutex
 	used    []usedConn
 	revoked bool // maySend returned false, or the connection had been closed.
+	stale   bool // The connection was idle for longer than maxIdle, and nothing was written to it.
 }
 
 func newSendTrace(maySend func() bool) *sendTrace {
-	return &sendTrace{maySend: maySend, written: make(chan struct{})}
+	return &sendTrace{maySend: maySend, written: make(chan struct{}), failed: make(chan struct{})}
 }
 
 type usedConn struct {
@@ -143,42 +156,49 @@
 }
 
 func (t *sendTrace) hooks() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		c, ok := i.Conn.(*countedConn)
-		revoked := t.maySend != nil && !t.maySend()
-		if ok && c.kept != nil {
-			idle := c.kept.take(c)
-			revoked = revoked || i.Reused && t.maxIdle > 0 && idle > t.maxIdle
-		}
-		if ok && c.user.Swap(t) == &dropped {
-			revoked = true
-		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if revoked && ok {
-			t.revoked = true
-			c.revoked.Store(true)
-		}
-		if !ok {
-			c = &countedConn{}
-			c.writes.Store(1) // Not counted, so it may have written.
-		}
-		before := int64(0)
-		if ok {
-			before = c.writes.Load()
-		}
-		t.used = append(t.used, usedConn{conn: c, before: before})
-	}, PutIdleConn: func(err error) {
+	return &httptrace.ClientTrace{GotConn: t.gotConn, PutIdleConn: func(err error) {
 		if err == nil {
 			t.keepConn()
 		}
 	}, WroteRequest: func(i httptrace.WroteRequestInfo) {
-		if i.Err == nil {
-			t.setWritten()
+		if i.Err != nil {
+			t.closeOnce(t.failed)
+			return
 		}
+		t.closeOnce(t.written)
 	}}
 }
 
+// gotConn records the connection that the transport uses for the request, and revokes it if
+// the request must not be written to it.
+func (t *sendTrace) gotConn(i httptrace.GotConnInfo) {
+	c, ok := i.Conn.(*countedConn)
+	if !ok {
+		c = &countedConn{}
+		c.writes.Store(1) // Not counted, so it may have written.
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.used = append(t.used, usedConn{conn: c})
+		return
+	}
+	revoked := t.maySend != nil && !t.maySend()
+	if c.user.Swap(t) == &dropped {
+		revoked = true
+	}
+	stale := false
+	if c.kept != nil {
+		idle := c.kept.take(c)
+		stale = i.Reused && t.maxIdle > 0 && idle > t.maxIdle
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if revoked || stale {
+		t.revoked, t.stale = revoked, stale && !revoked
+		c.revoked.Store(true)
+	}
+	t.used = append(t.used, usedConn{conn: c, before: c.writes.Load()})
+}
+
 // keepConn records that the connection of the request is idle.
 func (t *sendTrace) keepConn() {
 	t.mu.Lock()
@@ -186,20 +206,20 @@
 	if len(t.used) == 0 {
 		return
 	}
-	if c := t.used[len(t.used)-1].conn; c.kept != nil && c.user.Load() == t {
-		c.kept.add(c)
+	if c := t.used[len(t.used)-1].conn; c.kept != nil {
+		c.kept.add(c, t)
 	}
 }
 
-// setWritten records that the request has been written to the end. The transport may
-// report it more than once.
-func (t *sendTrace) setWritten() {
+// closeOnce closes one of the channels of t. The transport may report the end of a write
+// more than once.
+func (t *sendTrace) closeOnce(c chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	select {
-	case <-t.written:
+	case <-c:
 	default:
-		close(t.written)
+		close(c)
 	}
 }
 
@@ -216,6 +236,8 @@
 	select {
 	case <-t.written:
 		return true
+	case <-t.failed:
+		return false
 	case <-timer.C:
 		return false
 	}
@@ -262,6 +284,13 @@
 	return t.revoked
 }
 
+// isStale reports whether the request was not sent since its connection was idle for too long.
+func (t *sendTrace) isStale() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stale
+}
+
 // wrote reports whether any byte of the request may have been sent.
 func (t *sendTrace) wrote() bool {
 	t.mu.Lock()
