admit: rank requests by the tier of their class

Where workspaces have tiers of their own, no request ever yielded: the tier of the request was compared with those of classes. TestWorkspacesWithTiers.

--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -129,18 +129,30 @@
 // are not kept apart from long prompts, or zero.
 func (f *Fit) urgentTarget(a *tarragondeal.Ask, pool string) time.Duration {
 	var least time.Duration
+	own := f.classTier(a)
 	for tier, target := range f.tierTargets[pool] {
-		if tier < a.Tier && (least == 0 || target < least) {
+		if tier < own && (least == 0 || target < least) {
 			least = target
 		}
 	}
 	return least
 }
 
-// yields reports whether no class of a pool is less urgent than a request, and no less urgent
-// request of a workspace has begun at the pool lately, or was sent there and may be about to begin.
+// classTier returns the tier of a request's class, which ranks the requests of one workspace. The
+// tier of the request is the workspace's, if that has one.
+func (f *Fit) classTier(a *tarragondeal.Ask) int {
+	if f.view != nil {
+		if c := f.view.RequestClasses[a.Class]; c != nil {
+			return c.Tier
+		}
+	}
+	return a.Tier
+}
+
+// yields reports whether no class of a pool is less urgent than that of a request, and no request of
+// a lower tier has begun at the pool lately, or was sent there and may be about to begin.
 func (f *Fit) yields(a *tarragondeal.Ask, pool string, now tarragondeal.Instant) bool {
-	if a.Tier < f.lowestTier[pool] {
+	if f.classTier(a) < f.lowestTier[pool] {
 		return false
 	}
 	lower := max(f.lastStarts[pool].lowerStart(a.Tier), f.lastSent[pool].lowerStart(a.Tier))
--- a/internal/dispatch/tdfit/admit_test.go
+++ b/internal/dispatch/tdfit/admit_test.go
@@ -131,3 +131,34 @@
 		t.Errorf("the urgent request is refused after the other has begun: %v", err)
 	}
 }
+
+// TestWorkspacesWithTiers guards against requests that are never refused where workspaces have tiers
+// of their own: those are no tiers of classes. Among the workspaces, only the least urgent yield.
+func TestWorkspacesWithTiers(t *testing.T) {
+	w := overloaded(1, 0)
+	w.SetView(tarragondeal.NewView(1, &tarragondeal.Set{
+		ServerPools: []tarragondeal.ServerPool{{Name: "m", Engine: &tarragondeal.Engine{Slots: 64, KVTokens: 250_000, TokensPerEvent: 4}}},
+		Routes:      []tarragondeal.Route{{Name: "live", Class: "live", Pools: []string{"m"}}, {Name: "long", Class: "long", Pools: []string{"m"}}},
+		RequestClasses: []tarragondeal.RequestClass{
+			{Name: "live", Tier: 1, Events: true, BetweenTokens: tarragondeal.Duration(250 * time.Millisecond)},
+			{Name: "long", Tier: 3, Events: true, FirstToken: tarragondeal.Duration(time.Second)},
+		},
+	}))
+	second := due()
+	second.Class, second.Tier = "long", 2
+	if _, err := w.reserve(second); err != nil {
+		t.Fatal(err)
+	}
+	overload(w, w.servers["m0"], 10*time.Second)
+	for _, c := range []struct {
+		class   string
+		tier    int
+		refused bool
+	}{{"long", 2, true}, {"long", 1, false}, {"live", 2, false}} {
+		a := due()
+		a.Class, a.Tier = c.class, c.tier
+		if _, err := decide(w, a); (err != nil) != c.refused {
+			t.Errorf("%s of a workspace of tier %d: %v", c.class, c.tier, err)
+		}
+	}
+}
