tdscale: send no orders for a data centre evacuated since the plan

The duty read the evacuated data centres once for a plan and then sent its orders one after the other, each of which may take a second. A data centre evacuated meanwhile still got orders.

The data centre is checked again before each order. TestEvacuationBetweenOrders: 3 orders, 2 of them for evacuated data centres before; none for evacuated ones now. TestOrdersDuringEvacuation passes before and after.

--- a/internal/capacity/tdscale/duty.go
+++ b/internal/capacity/tdscale/duty.go
@@ -253,8 +253,13 @@
 }
 
 // send sends one order, unless the lease may end before the call does. Then the
-// order is sent once the lease is renewed, or the duty ends.
+// order is sent once the lease is renewed, or the duty ends. No order is sent for a data
+// centre that has been evacuated since the plan: the orders before it may have taken long.
 func (t *term) send(ctx context.Context, p *tarragondeal.ServerPool, m *pool, k Group, want int) {
+	if slices.Contains(t.d.Fleet.Evacuated(), k.DataCentre) {
+		t.d.Log.Info().Str("pool", p.Name).Str("dataCentre", k.DataCentre).Msg("order dropped: the data centre is evacuated")
+		return
+	}
 	if err := t.held.Check(callTimeout); err != nil {
 		t.d.Log.Info().Err(err).Str("pool", p.Name).Msg("order postponed: the lease may end before the call does")
 		return
