tdhost: a caller without a region has no region in common with a node

The address lookup compared the caller's region with that of the node's data centre. Both are empty for a caller that names none and a node in a data centre that the settings lack, so such nodes were named for hosts whose routes have homes elsewhere.

An empty region equals no other. TestAddressesOfHomes: 2 of 8 lookups named such a node before, none now. It also checks the answer (503) if no node is left.

--- a/internal/entry/tdhost/answer.go
+++ b/internal/entry/tdhost/answer.go
@@ -94,7 +94,7 @@
 	}
 	at := platform.DecodeLocation(r)
 	nodes := slices.DeleteFunc(a.Nodes(), func(n tdmesh.Node) bool {
-		return !a.MayName(at.Host, n.DataCentre, a.Regions[n.DataCentre] == at.Region)
+		return !a.MayName(at.Host, n.DataCentre, at.Region != "" && a.Regions[n.DataCentre] == at.Region)
 	})
 	addrs := Choose(nodes, at.DataCentre)
 	if len(addrs) == 0 {
