tdfit: a cold server's rate and its announced limit use the same permits

A server that was cold and had announced a lower limit had a share of its own for each. When the announcement ended, a node could use the permits of the last second once more from the other share.

Both limits use one share, whose permits for a lower rate are among those for a higher one.

--- a/internal/dispatch/tdfit/cold.go
+++ b/internal/dispatch/tdfit/cold.go
@@ -57,7 +57,10 @@
 		return nil
 	}
 	if s.cold.rate == nil {
-		s.cold.rate = &rateNotice{share: tdshare.New("cold " + string(s.ID)), at: f.Clock.Now()}
+		s.cold.rate = &rateNotice{share: tdshare.New(f.limits.shares + string(s.ID)), at: f.Clock.Now()}
+		if l := f.limits.byRun[runOf(&s.Server)]; l != nil {
+			s.cold.rate.share = l.share // limitOf says why.
+		}
 		f.Scope.Counter("coldServers").Inc(1)
 		f.Log.Info().Str("server", string(s.ID)).Str("pool", s.Pool).Str("dataCentre", s.DataCentre).Float64("perSecond", f.coldRate(p)).
 			Dur("for", s.cold.until.Sub(f.Clock.Now())).Msg("server is cold; it gets few requests")
--- a/internal/dispatch/tdfit/cold_test.go
+++ b/internal/dispatch/tdfit/cold_test.go
@@ -76,6 +76,50 @@
 }
 
 // TestServersWithoutColdRate guards against limits at servers that bear any number of requests
+// TestColdServerWhoseLimitEnds guards against a cold server that has announced a limit below that
+// of cold ones and no longer does: the permits of both limits together are too many.
+func TestColdServerWhoseLimitEnds(t *testing.T) {
+	const perSecond = 9.1
+	bound := 1.5*perSecond + 5
+	for _, coldFirst := range []bool{true, false} {
+		w := coldFleet(7, 3, perSecond)
+		if coldFirst {
+			w.listCold("m0", time.Minute)
+			w.nodes[0].limited("m0")
+		}
+		for _, node := range w.nodes {
+			node.announce("m0", 8, w.clock.now)
+		}
+		w.listCold("m0", time.Minute)
+		w.advance(3 * time.Second) // Permits of a second are there.
+		var sent []tarragondeal.Instant
+		for step := range 100 {
+			for _, node := range w.nodes {
+				if step == 10 {
+					node.announce("m0", 0, w.clock.now)
+				}
+				for range 10 {
+					a := liveStream()
+					a.Attempt, a.Avoid = 1, []tarragondeal.ServerID{"m1", "m2"}
+					r := newRequest(&a)
+					g, ok, err := node.choose(&r, w.clock.now, true)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if ok {
+						sent = append(sent, w.clock.now)
+					}
+					node.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
+				}
+			}
+			w.advance(20 * time.Millisecond)
+		}
+		if n := mostWithin(sent, time.Second); float64(n) > bound || n < 8 {
+			t.Errorf("cold first %t: %d requests in a second, %.0f permitted", coldFirst, n, bound)
+		}
+	}
+}
+
 // while they are slow after their start.
 func TestServersWithoutColdRate(t *testing.T) {
 	w := coldFleet(1, 3, 0)
--- a/internal/dispatch/tdfit/limit.go
+++ b/internal/dispatch/tdfit/limit.go
@@ -30,10 +30,15 @@
 }
 
 // limitOf returns the limit of a server, or nil if it has none: the one that it has announced,
-// or the lower one while it is cold.
+// or the lower one while it is cold. Both use the same permits, so that a change from one to the
+// other gives none in addition to those that were used.
 func (f *Fit) limitOf(s *server) *rateNotice {
 	cold := f.coldLimit(s)
-	if l := f.limits.byRun[runOf(&s.Server)]; l != nil && l.Announced && (cold == nil || l.PerSecond < cold.PerSecond) {
+	l := f.limits.byRun[runOf(&s.Server)]
+	if l != nil && s.cold.rate != nil {
+		l.share = s.cold.rate.share
+	}
+	if l != nil && l.Announced && (cold == nil || l.PerSecond < cold.PerSecond) {
 		return l
 	}
 	return cold
