tdlisting: evacuations of the settings' data centres always count

Of all evacuations 1,000 were kept, whatever they named. With as many keys of another writer the evacuation of a real data centre was ignored, and nothing brought it back when they were removed.

TestEvacuationsBesideManyKeys.

--- a/internal/fleet/tdlisting/evacuations.go
+++ b/internal/fleet/tdlisting/evacuations.go
@@ -10,26 +10,35 @@
 	"tarragondeal/internal/fleet/tdmirror"
 )
 
-// maxEvacuations bounds the data centres that are known to be evacuated. Another writer may
-// leave any number of keys.
+// maxEvacuations bounds the data centres outside of the settings that are known to be
+// evacuated. Another writer may leave any number of keys.
 const maxEvacuations = 1000
 
+// Names interprets keys and data centres.
+type Names struct {
+	// Decode returns the data centre that a key names as evacuated.
+	Decode func(key string) (dataCentre string, ok bool)
+	// IsKnown reports whether the settings have a data centre. Its evacuation always counts.
+	IsKnown func(dataCentre string) bool
+}
+
 // Evacuations tracks the data centres that operators have evacuated. It is safe for concurrent
 // use.
 type Evacuations struct {
-	decode func(key string) (dataCentre string, ok bool)
-	log    zerolog.Logger
-	apply  func([]string)
+	names Names
+	log   zerolog.Logger
+	apply func([]string)
 
-	mu    sync.Mutex
-	known []string
-	full  bool // More than maxEvacuations were there.
+	mu      sync.Mutex
+	known   []string
+	unknown int  // Data centres among them that the settings don't have.
+	full    bool // More than maxEvacuations of these were there.
 }
 
-// NewEvacuations returns an empty list. Decode returns the data centre that a key names. Apply
-// is called with the full list, sorted, after each change, one call at a time.
-func NewEvacuations(decode func(key string) (string, bool), log zerolog.Logger, apply func([]string)) *Evacuations {
-	return &Evacuations{decode: decode, log: log, apply: apply}
+// NewEvacuations returns an empty list. Apply is called with the full list, sorted, after each
+// change, one call at a time.
+func NewEvacuations(names Names, log zerolog.Logger, apply func([]string)) *Evacuations {
+	return &Evacuations{names: names, log: log, apply: apply}
 }
 
 // Follow applies changes of the copy of the store.
@@ -38,7 +47,7 @@
 	defer e.mu.Unlock()
 	changed := false
 	for n := range c.Entries {
-		if name, ok := e.decode(c.Entries[n].Key); ok {
+		if name, ok := e.names.Decode(c.Entries[n].Key); ok {
 			changed = e.applyEntry(name, &c.Entries[n]) || changed
 		}
 	}
@@ -50,19 +59,26 @@
 // applyEntry reports whether an entry changes the list.
 func (e *Evacuations) applyEntry(dataCentre string, entry *tarragondeal.Entry) bool {
 	at, found := slices.BinarySearch(e.known, dataCentre)
+	isKnown := e.names.IsKnown(dataCentre)
 	switch {
 	case found == !entry.Deleted:
 		return false
 	case entry.Deleted:
 		e.known = slices.Delete(e.known, at, at+1)
-	case len(e.known) == maxEvacuations:
+		if !isKnown {
+			e.unknown--
+		}
+	case !isKnown && e.unknown == maxEvacuations:
 		if !e.full {
-			e.log.Error().Int("known", maxEvacuations).Msg("too many data centres are evacuated; further ones are ignored")
+			e.log.Error().Int("known", maxEvacuations).Msg("too many keys evacuate data centres that the settings lack; further ones are ignored")
 		}
 		e.full = true
 		return false
 	default:
 		e.known = slices.Insert(e.known, at, dataCentre)
+		if !isKnown {
+			e.unknown++
+		}
 	}
 	e.log.Info().Str("dataCentre", dataCentre).Bool("evacuated", !entry.Deleted).Uint64("revision", uint64(entry.Revision)).
 		Msg("evacuation of a data centre")
--- a/internal/fleet/tdlisting/evacuations_test.go
+++ b/internal/fleet/tdlisting/evacuations_test.go
@@ -17,7 +17,10 @@
 func TestEvacuations(t *testing.T) {
 	var current []string
 	applied := 0
-	e := NewEvacuations(func(key string) (string, bool) { return strings.CutPrefix(key, "e/") }, zerolog.Nop(), func(list []string) {
+	e := NewEvacuations(Names{
+		Decode:  func(key string) (string, bool) { return strings.CutPrefix(key, "e/") },
+		IsKnown: func(string) bool { return false },
+	}, zerolog.Nop(), func(list []string) {
 		current = list
 		applied++
 	})
@@ -48,3 +51,37 @@
 		t.Errorf("%d data centres are evacuated", len(current))
 	}
 }
+
+// TestEvacuationsBesideManyKeys guards against an evacuation that is ignored since another writer
+// has left many keys like it, and against one that is ignored after they are removed.
+func TestEvacuationsBesideManyKeys(t *testing.T) {
+	var current []string
+	e := NewEvacuations(Names{
+		Decode: func(key string) (string, bool) { return strings.CutPrefix(key, "e/") }, IsKnown: func(name string) bool { return name == "oslo" },
+	}, zerolog.Nop(), func(list []string) { current = list })
+	rev := tarragondeal.Revision(0)
+	write := func(key string, deleted bool) {
+		rev++
+		e.Follow(tdmirror.Changes{Entries: []tarragondeal.Entry{{Key: key, Deleted: deleted, Revision: rev}}})
+	}
+	for n := range 2 * maxEvacuations {
+		write(fmt.Sprint("e/", n), false)
+	}
+	write("e/oslo", false)
+	if !slices.Contains(current, "oslo") {
+		t.Error("the evacuation of a data centre of the settings is ignored")
+	}
+	if len(current) > maxEvacuations+1 {
+		t.Errorf("%d data centres are evacuated", len(current))
+	}
+	write("e/oslo", true)
+	if slices.Contains(current, "oslo") {
+		t.Error("an evacuation that was taken back is kept")
+	}
+	for n := range 2 * maxEvacuations {
+		write(fmt.Sprint("e/", n), true)
+	}
+	if len(current) > 0 {
+		t.Errorf("%d data centres are evacuated without a key", len(current))
+	}
+}
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -260,7 +260,8 @@
 func (n *Node) subscribe() {
 	n.config = tdlisting.NewConfig(platform.ConfigKey, n.clock, tdlog.Part(n.log, "config"), n.applyConfig)
 	n.servers = tdlisting.NewServers(platform.ServersPrefix, platform.DecodeServer, n.clock, tdlog.Part(n.log, "servers"), n.setServers)
-	evacuations := tdlisting.NewEvacuations(platform.DecodeEvacuation, tdlog.Part(n.log, "servers"), n.fit.SetEvacuated)
+	evacuations := tdlisting.NewEvacuations(tdlisting.Names{Decode: platform.DecodeEvacuation, IsKnown: n.hasDataCentre},
+		tdlog.Part(n.log, "servers"), n.fit.SetEvacuated)
 	n.mirror.Subscribe(evacuations.Follow)
 	n.mirror.Subscribe(n.config.Follow)
 	n.mirror.Subscribe(n.servers.Follow)
@@ -268,6 +269,12 @@
 	n.addTask("follow servers", n.servers.Run)
 }
 
+// hasDataCentre reports whether the settings have a data centre.
+func (n *Node) hasDataCentre(name string) bool {
+	_, ok := n.vm.Regions[name]
+	return ok
+}
+
 // setServers passes the list of servers on.
 func (n *Node) setServers(list []tarragondeal.Server) {
 	n.origins.SetServers(list)
