tdfit: a server that turns cold again with the same time left is cold

An entry counted as unchanged if its time left was the same as in the one before, so a server that turned cold again for as long as before got the requests of a warm one. A view that makes a pool's servers engines also began their time left anew.

TestServerColdAgain, TestServerWrittenAgain. In TestColdServerGetsFewRequests a comment called the repeated list a repeated write; the check is the same.

--- a/internal/dispatch/tdfit/cold.go
+++ b/internal/dispatch/tdfit/cold.go
@@ -23,12 +23,16 @@
 	rate  *rateNotice // Its limit while it is cold; nil until it is needed.
 }
 
-// list records an entry of the server. The entry before, if there is one, says since when the
-// time left in it counts: entries are not written again because time passes.
+// list records an entry of the server. Its time left counts from when the entry was received. A
+// server that turns cold again writes its entry again, perhaps with the same time left.
 func (c *coldState) list(before, s *tarragondeal.Server, now tarragondeal.Instant) {
-	if before == nil || before.WarmUpLeft != s.WarmUpLeft {
-		c.until = now.Add(s.WarmUpLeft)
+	if before != nil && before.WarmUpLeft == s.WarmUpLeft && before.ListedAt == s.ListedAt {
+		return
 	}
+	if s.ListedAt != 0 {
+		now = s.ListedAt
+	}
+	c.until = now.Add(s.WarmUpLeft)
 }
 
 // warmUpLeft returns how much longer a server is slow. For servers that bear any number of
--- a/internal/dispatch/tdfit/cold_test.go
+++ b/internal/dispatch/tdfit/cold_test.go
@@ -1,6 +1,7 @@
 package tdfit
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -59,7 +60,7 @@
 				node.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
 			}
 			if step == 100 {
-				w.listCold("m0", 3*time.Second) // Its entry is written again, with the same time left.
+				w.listCold("m0", 3*time.Second) // Another server's entry changes; its own is the same.
 			}
 			w.advance(20 * time.Millisecond)
 		}
@@ -75,7 +76,47 @@
 	}
 }
 
-// TestServersWithoutColdRate guards against limits at servers that bear any number of requests
+// TestServerColdAgain guards against a server that turns cold again while it runs, for as long
+// as after its start, and gets as many requests as a warm one; against one that a list with
+// other changes makes cold once more; and against one that stays cold although its entry says
+// that it is warm.
+func TestServerColdAgain(t *testing.T) {
+	w := coldFleet(1, 3, 9)
+	node := w.nodes[0]
+	list := node.Servers()
+	at := slices.IndexFunc(list, func(s tarragondeal.Server) bool { return s.ID == "m0" })
+	write := func(left time.Duration) {
+		list[at].WarmUpLeft, list[at].ListedAt = left, w.clock.now
+		node.SetServers(slices.Clone(list))
+	}
+	write(3 * time.Second)
+	w.advance(4 * time.Second)
+	node.SetServers(slices.Clone(list))
+	node.SetView(node.view)
+	if node.limited("m0") {
+		t.Error("a server is cold after the time that its entry said")
+	}
+	write(3 * time.Second)
+	if !node.limited("m0") {
+		t.Error("a server whose entry says again that it is cold has no limit")
+	}
+	w.advance(time.Second)
+	write(time.Second) // Written again with less time left.
+	w.advance(900 * time.Millisecond)
+	if !node.limited("m0") {
+		t.Error("a server is warm before the time left in its entry")
+	}
+	w.advance(200 * time.Millisecond)
+	if node.limited("m0") {
+		t.Error("a server is cold after the time left in its entry")
+	}
+	write(3 * time.Second)
+	write(0)
+	if node.limited("m0") {
+		t.Error("a server is cold whose entry says that it is warm")
+	}
+}
+
 // TestColdServerWhoseLimitEnds guards against a cold server that has announced a limit below that
 // of cold ones and no longer does: the permits of both limits together are too many.
 func TestColdServerWhoseLimitEnds(t *testing.T) {
@@ -120,6 +161,7 @@
 	}
 }
 
+// TestServersWithoutColdRate guards against limits at servers that bear any number of requests
 // while they are slow after their start.
 func TestServersWithoutColdRate(t *testing.T) {
 	w := coldFleet(1, 3, 0)
--- a/internal/fleet/tdlisting/listing_test.go
+++ b/internal/fleet/tdlisting/listing_test.go
@@ -179,3 +179,28 @@
 		}
 	}
 }
+
+// TestServerWrittenAgain guards against a server that turns cold again for as long as before
+// and passes for one whose entry is unchanged, and against entries that a listing gives once
+// more at the same revision and count as written again.
+func TestServerWrittenAgain(t *testing.T) {
+	l := newServerList()
+	l.put("s/1", "live")
+	first := l.current[0].ListedAt
+	if first != l.clock.now {
+		t.Errorf("listed at %d, not %d", first, l.clock.now)
+	}
+	l.clock.now = l.clock.now.Add(time.Second)
+	l.put("s/2", "live")
+	if l.current[0].ListedAt != first {
+		t.Error("another server's entry changes when a server was listed")
+	}
+	l.Follow(tdmirror.Changes{Entries: []tarragondeal.Entry{{Key: "s/1", Value: []byte("live"), Revision: 1}}})
+	if l.current[0].ListedAt != first {
+		t.Error("an entry of the same revision counts as written again")
+	}
+	l.put("s/1", "live")
+	if l.current[0].ListedAt != l.clock.now {
+		t.Error("an entry that was written again counts as the one before")
+	}
+}
--- a/internal/fleet/tdlisting/servers.go
+++ b/internal/fleet/tdlisting/servers.go
@@ -38,16 +38,22 @@
 	apply  func([]tarragondeal.Server)
 
 	mu      sync.Mutex
-	known   map[string]tarragondeal.Server
+	known   map[string]listedServer
 	expired map[string]tarragondeal.Instant // When to remove each server, by key.
 }
 
+// listedServer is a server with the revision of its entry.
+type listedServer struct {
+	tarragondeal.Server
+	revision tarragondeal.Revision
+}
+
 // NewServers returns an empty list of the servers under prefix. Apply is called
 // with the full list, sorted by ID, after each change, one call at a time.
 func NewServers(prefix string, d Decode, c tarragondeal.Clock, log zerolog.Logger, apply func([]tarragondeal.Server)) *Servers {
 	return &Servers{
 		prefix: prefix, decode: d, clock: c, log: log, apply: apply,
-		known: make(map[string]tarragondeal.Server), expired: make(map[string]tarragondeal.Instant),
+		known: make(map[string]listedServer), expired: make(map[string]tarragondeal.Instant),
 	}
 }
 
@@ -86,7 +92,11 @@
 		s.log.Warn().Err(err).Str("key", e.Key).Uint64("revision", uint64(e.Revision)).Msg("invalid server entry")
 		return s.removeServer(e.Key, uint64(e.Revision))
 	}
-	s.known[e.Key] = server
+	server.ListedAt = s.clock.Now()
+	if before, ok := s.known[e.Key]; ok && before.revision == e.Revision {
+		server.ListedAt = before.ListedAt // The entry was read again, not written again.
+	}
+	s.known[e.Key] = listedServer{Server: server, revision: e.Revision}
 	s.log.Info().Str("server", string(server.ID)).Str("pool", server.Pool).Str("dataCentre", server.DataCentre).
 		Str("state", string(server.State)).Str("version", server.SoftwareVersion).Uint64("revision", uint64(e.Revision)).Msg("server listed")
 	return true
@@ -106,7 +116,7 @@
 func (s *Servers) list() []tarragondeal.Server {
 	out := make([]tarragondeal.Server, 0, len(s.known))
 	for _, server := range s.known {
-		out = append(out, server)
+		out = append(out, server.Server)
 	}
 	slices.SortFunc(out, func(a, b tarragondeal.Server) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/platform.go
+++ b/platform.go
@@ -24,7 +24,8 @@
 	State      VMState
 	Slots      int
 	Spot       bool          // The platform may take the server back at any time.
-	WarmUpLeft time.Duration // Rest of the warm-up, during which it is slow.
+	WarmUpLeft time.Duration // Rest of the warm-up, during which it is slow, at ListedAt.
+	ListedAt   Instant       // When this node received the entry; zero if unknown.
 	StartedAt  time.Time     // Start of this incarnation; zero if unknown.
 	// SoftwareVersion is the version of the server's software, not of a model's
 	// weights; empty if unknown.
