tdfit: a node that has just started sends nothing to cold servers for a second

When all nodes start after their entries have expired, each knows only those that have registered before it, and counts their permits as its own.

For a second after its first configuration a node uses no permits of cold servers. TestColdServerWhenAllNodesStart: 21 in a second without the change where 14 are permitted; passes now.

--- a/internal/dispatch/tdfit/cold.go
+++ b/internal/dispatch/tdfit/cold.go
@@ -15,6 +15,10 @@
 	// coldMargin is the share of what a cold server may get that is used. The rest allows for
 	// nodes that know other members.
 	coldMargin = 0.9
+	// coldSettle is how long a node sends nothing to cold servers after its first configuration:
+	// if all nodes start at once, it knows few others at first and would use their permits. At
+	// 11 nodes all knew each other within a second.
+	coldSettle = time.Second
 )
 
 // coldState is until when a server is cold.
--- a/internal/dispatch/tdfit/cold_test.go
+++ b/internal/dispatch/tdfit/cold_test.go
@@ -161,6 +161,45 @@
 	}
 }
 
+// TestColdServerWhenAllNodesStart guards against a cold server that gets too many requests when all
+// nodes start at once: each knows only those that have registered before it.
+func TestColdServerWhenAllNodesStart(t *testing.T) {
+	const perSecond = 6.0
+	bound := 1.5*perSecond + 5
+	w := coldFleet(11, 3, perSecond)
+	start := w.clock.now
+	for n, node := range w.nodes {
+		all := node.Nodes()
+		node.Nodes = func() []tarragondeal.NodeID {
+			if w.clock.now.Sub(start) < 400*time.Millisecond {
+				return all[:n+1]
+			}
+			return all
+		}
+	}
+	w.listCold("m0", time.Minute)
+	var sent []tarragondeal.Instant
+	for range 200 {
+		for _, node := range w.nodes {
+			a := liveStream()
+			a.Attempt, a.Avoid = 1, []tarragondeal.ServerID{"m1", "m2"}
+			r := newRequest(&a)
+			g, ok, err := node.choose(&r, w.clock.now, true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if ok {
+				sent = append(sent, w.clock.now)
+			}
+			node.Done(g, tarragondeal.Outcome{Kind: tarragondeal.OutcomeServed})
+		}
+		w.advance(20 * time.Millisecond)
+	}
+	if n := mostWithin(sent, time.Second); float64(n) > bound || len(sent) < 10 {
+		t.Errorf("%d requests in a second, %.0f permitted; %d in 4s", n, bound, len(sent))
+	}
+}
+
 // TestServersWithoutColdRate guards against limits at servers that bear any number of requests
 // while they are slow after their start.
 func TestServersWithoutColdRate(t *testing.T) {
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -102,6 +102,7 @@
 	shared         map[string]bool        // Pools whose servers share their machines with other work.
 	paces          map[string]*tdpace.Pool
 	rejectedAt     map[string]tarragondeal.Instant // When plain servers last rejected a request of this node, by pool.
+	coldFrom       tarragondeal.Instant            // When cold servers may get requests of this node.
 	evacuated      []string                        // Data centres, sorted.
 	used           map[string][]*server            // Servers that this node has used last, by pool; the latest first.
 	lowestTier     map[string]int                  // Lowest tier of the classes of a pool.
@@ -135,6 +136,9 @@
 func (f *Fit) SetView(v *tarragondeal.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.view == nil {
+		f.coldFrom = f.Clock.Now().Add(coldSettle)
+	}
 	f.view = v
 	f.heavyThreshold = chunkTokens
 	for n := range v.Set.RequestClasses {
--- a/internal/dispatch/tdfit/limit.go
+++ b/internal/dispatch/tdfit/limit.go
@@ -62,6 +62,9 @@
 	if l == nil {
 		return true
 	}
+	if now < f.coldFrom && f.coldLimit(s) != nil {
+		return false
+	}
 	if !l.share.Available(f.currentFleet(now), limitRate(l)) {
 		return false
 	}
