test/vm: evacuated data centres and cold servers

Specs with real processes: nothing reaches a server of an evacuated data centre later than evacuateMs after its key was written (3 and 11 nodes, running on, all killed, an outage of the store, foreign keys), and all nodes use it after the key is removed; a cold server gets no more requests in any second than permitted.

--- a/test/vm/node_test.go
+++ b/test/vm/node_test.go
@@ -92,6 +92,7 @@
 unknown = "passed over"
 [zones]
 duluth = "great-lakes"
+marquette = "great-lakes"
 [listen]
 front = %q
 ready = %q
@@ -109,6 +110,9 @@
 usageWindowS = 2
 usageLateS = 4
 ttl_max_s = 5
+coldExcess = 1.5
+coldSlack = 5
+evacuateMs = 5000
 [provider]
 addr = %q
 minTtlMs = 1000
@@ -190,6 +194,7 @@
 	more    []any // Further routes of the configuration.
 	// attempts is the maximum number of attempts of each route.
 	attempts int
+	coldPerS float64 // Of the engines; 0 means no limit.
 }
 
 func newFleet(nodes int) *fleet { return newFleetOf(nodes, "") }
@@ -236,7 +241,7 @@
 			route("book", "/book/", "non_idempotent", "records", false),
 		}, f.more...),
 		"services": []any{
-			map[string]any{"name": "model", "engine": map[string]any{"slots": 8, "kvCapacity": 90000, "stride": 4}},
+			map[string]any{"name": "model", "coldPerS": f.coldPerS, "engine": map[string]any{"slots": 8, "kvCapacity": 90000, "stride": 4}},
 			map[string]any{"name": "records"},
 		},
 		"tenants": []any{
