--- a/internal/dispatch/tdfit/cold.go
+++ b/internal/dispatch/tdfit/cold.go
@@ -15,6 +15,10 @@
 	// coldMargin is the share of what a cold server may get that is used. The rest allows for
 	// nodes that know other members.
 	coldMargin = 0.9
+	// coldSettle is how long a node sends nothing to cold servers after its first configuration:
+	// if all nodes start at once, it knows few others at first and would use their permits. At
+	// 11 nodes all knew each other within a second.
+	coldSettle = time.Second
 )
 
 // coldState is until when a server is cold.
@@ -23,12 +27,16 @@
 	rate  *rateNotice // Its limit while it is cold; nil until it is needed.
 }
 
-// list records an entry of the server. The entry before, if there is one, says since when the
-// time left in it counts: entries are not written again because time passes.
+// list records an entry of the server. Its time left counts from when the entry was received. A
+// server that turns cold again writes its entry again, perhaps with the same time left.
 func (c *coldState) list(before, s *tarragondeal.Server, now tarragondeal.Instant) {
-	if before == nil || before.WarmUpLeft != s.WarmUpLeft {
-		c.until = now.Add(s.WarmUpLeft)
+	if before != nil && before.WarmUpLeft == s.WarmUpLeft && before.ListedAt == s.ListedAt {
+		return
 	}
+	if s.ListedAt != 0 {
+		now = s.ListedAt
+	}
+	c.until = now.Add(s.WarmUpLeft)
 }
 
 // warmUpLeft returns how much longer a server is slow. For servers that bear any number of
@@ -57,7 +65,10 @@
 		return nil
 	}
 	if s.cold.rate == nil {
-		s.cold.rate = &rateNotice{share: tdshare.New("cold " + string(s.ID)), at: f.Clock.Now()}
+		s.cold.rate = &rateNotice{share: tdshare.New(f.limits.shares + string(s.ID)), at: f.Clock.Now()}
+		if l := f.limits.byRun[runOf(&s.Server)]; l != nil {
+			s.cold.rate.share = l.share // limitOf says why.
+		}
 		f.Scope.Counter("coldServers").Inc(1)
 		f.Log.Info().Str("server", string(s.ID)).Str("pool", s.Pool).Str("dataCentre", s.DataCentre).Float64("perSecond", f.coldRate(p)).
 			Dur("for", s.cold.until.Sub(f.Clock.Now())).Msg("server is cold; it gets few requests")
