tdhost: bound the bodies of all requests together

A node holds each request's body, up to 4 MiB, until the request ends. With a server that doesn't read, or callers that send many large bodies, nothing bounded their sum, and a length that a caller only announced was allocated at once. Bodies now take their memory from a room of a quarter of the VM's memory, of which one workspace may take half. A request beyond that is refused at once as not run (503, Retry-After), and the rest of its body is read for at most 1 s, so that the caller gets the refusal and not a reset.

TestBodiesOfSlowServer fails without the bound: the requests beyond the room are sent.

--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -40,12 +40,15 @@
 	Clock   tarragondeal.Clock
 	Log     zerolog.Logger
 	Scope   tally.Scope
+	// MemoryBytes is the size of the VM's memory; zero if it isn't known.
+	MemoryBytes int64
 }
 
 // Host serves callers' requests on a node.
 type Host struct {
 	Deps
 	buffers  tdpass.Buffers
+	bodies   *tdpass.Room // For the bodies of all requests.
 	table    atomic.Pointer[table]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -55,7 +58,11 @@
 
 // New returns a host without a configuration. It is not ready until SetView is
 // called.
-func New(d Deps) *Host { return &Host{Deps: d, cut: newCut()} }
+func New(d Deps) *Host {
+	h := &Host{Deps: d, cut: newCut()}
+	h.bodies = tdpass.NewRoom(h.bodyRoom(defaultMaxBodyBytes))
+	return h
+}
 
 // SetView sets the configuration in force.
 func (h *Host) SetView(v *tarragondeal.View, limits platform.CallerLimits) {
@@ -63,6 +70,7 @@
 	if body <= 0 {
 		body = defaultMaxBodyBytes
 	}
+	h.bodies.SetLimit(h.bodyRoom(body))
 	h.table.Store(newTable(v, body))
 }
 
@@ -120,14 +128,19 @@
 	}
 	caller := platform.DecodeCaller(r.Header)
 	platform.SetRequestID(w.Header(), caller.ID)
-	q, err := h.admit(w, r, caller, arrived)
+	body := &upload{h: h}
+	defer body.end()
+	q, err := h.admit(w, r, caller, arrived, body)
 	if err == nil && h.leaving.Load() {
 		err = h.cut.check(q, h.Clock.Now())
 	}
 	if err == nil {
 		err = h.serve(r.Context(), w, q, caller, r.Host)
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, errNoBodyRoom):
+		h.refuseUnread(w, r, func() { h.refuse(w, r, caller, err, arrived) })
+	case err != nil:
 		h.refuse(w, r, caller, err, arrived)
 	}
 	h.Scope.Timer("request").Record(h.Clock.Now().Sub(arrived))
@@ -190,7 +203,7 @@
 }
 
 // admit determines the route and workspace of a request and reads its body.
-func (h *Host) admit(w http.ResponseWriter, r *http.Request, c platform.Caller, arrived tarragondeal.Instant) (*tdflow.Request, error) {
+func (h *Host) admit(w http.ResponseWriter, r *http.Request, c platform.Caller, arrived tarragondeal.Instant, body *upload) (*tdflow.Request, error) {
 	t := h.table.Load()
 	if t == nil {
 		return nil, notRunError(tarragondeal.ReasonNotReady, "no configuration is known yet")
@@ -216,8 +229,9 @@
 		}
 		q.Workspace = t.view.Workspaces[key.Workspace]
 	}
+	body.workspace = q.Workspace.Name
 	var err error
-	q.Body, err = h.readBody(w, r, t.maxBodyBytes)
+	q.Body, err = body.read(w, r, t.maxBodyBytes)
 	return q, err
 }
 
@@ -229,31 +243,6 @@
 	return r.URL.RequestURI() // The request line contains an absolute URL.
 }
 
-func (h *Host) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
-		return nil, notRunError(tarragondeal.ReasonTooLarge, "the body is too large")
-	}
-	body := http.MaxBytesReader(w, r.Body, limit)
-	var buf []byte
-	var err error
-	if r.ContentLength > 0 {
-		buf = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(body, buf)
-	} else {
-		buf, err = io.ReadAll(body)
-	}
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, notRunError(tarragondeal.ReasonTooLarge, "the body is too large")
-	case err != nil:
-		w.Header().Set("Connection", "close")
-		return nil, notRunError(tarragondeal.ReasonBadRequest, "the body can't be read")
-	}
-	return buf, nil
-}
-
 func notRunError(reason tarragondeal.Reason, detail string) error {
 	return &tarragondeal.RefusedError{Reason: reason, Ran: tarragondeal.RanNot, Detail: detail}
 }
@@ -273,6 +262,7 @@
 		Dur("retryAfter", after).Dur("after", elapsed).Msg("request refused")
 	h.Scope.Tagged(map[string]string{"status": http.StatusText(status)}).Counter("refusals").Inc(1)
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil {
 		h.Log.Debug().Err(err).Str("request", c.ID).Msg("writing the refusal to the caller failed")
--- /dev/null
+++ b/internal/entry/tdhost/slow_test.go
@@ -0,0 +1,139 @@
+package tdhost
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"tarragondeal"
+	"tarragondeal/platform"
+)
+
+// slowBody is the size of the bodies that are sent to a server which doesn't read.
+const slowBody = 1 << 20
+
+// newWorkspaceEntry returns an entry with a route /once/ of the workspaces a and b, whose
+// keys have the same names. It has room for 16 bodies of slowBody bytes.
+func newWorkspaceEntry(t *testing.T) *entry {
+	t.Helper()
+	e := newEntry(t)
+	e.host.MemoryBytes = 64 * slowBody
+	e.host.SetView(tarragondeal.NewView(1, &tarragondeal.Set{
+		DataCentres: []tarragondeal.DataCentre{{Name: "duluth"}}, ServerPools: []tarragondeal.ServerPool{{Name: "p"}},
+		RequestClasses: []tarragondeal.RequestClass{{Name: "c", Deadline: tarragondeal.Duration(time.Minute)}},
+		Workspaces:     []tarragondeal.Workspace{{Name: "a"}, {Name: "b"}},
+		Keys:           []tarragondeal.Key{{Name: platform.KeyName("a"), Workspace: "a"}, {Name: platform.KeyName("b"), Workspace: "b"}},
+		Routes:         []tarragondeal.Route{{Name: "once", Prefix: "/once/", Host: "x.example", Pools: []string{"p"}, Class: "c", MaxAttempts: 1, NonIdempotent: true}},
+	}), platform.CallerLimits{BodyBytes: slowBody})
+	return e
+}
+
+// upload sends a body of slowBody bytes for a workspace.
+func (e *entry) upload(workspace string, chunked bool) answered {
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.addr+"/once/1", strings.NewReader(strings.Repeat("x", slowBody)))
+	if err != nil {
+		return answered{err: err}
+	}
+	if chunked {
+		req.ContentLength = -1
+	}
+	req.Host = "x.example"
+	req.Header.Set("X-Request-Id", "q1")
+	req.Header.Set("Authorization", "Bearer "+workspace)
+	req.Header.Set("X-Deadline-Ms", "30000")
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		return answered{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return answered{status: res.StatusCode, body: string(body), header: res.Header, err: err}
+}
+
+// TestBodiesOfSlowServer guards against a node whose memory grows with the bodies for a
+// server that doesn't read them, and against a workspace whose bodies leave no room for
+// those of the others.
+func TestBodiesOfSlowServer(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		arrived, release := make(chan struct{}, 64), make(chan struct{})
+		slow := newEntry(t, func(_ http.ResponseWriter, r *http.Request) {
+			arrived <- struct{}{}
+			<-release
+			_, _ = io.Copy(io.Discard, r.Body)
+		})
+		open := sync.OnceFunc(func() { close(release) })
+		t.Cleanup(open)
+		e := newWorkspaceEntry(t)
+		e.reset(slices.Repeat(slow.addrs, 64))
+		ends := make(chan answered, 64)
+		served := 0
+		for _, workspace := range []string{"a", "b"} {
+			// While a body of unknown length is copied, both its buffers are taken.
+			n := 8
+			if chunked {
+				n = 7
+			}
+			for range n {
+				go func() { ends <- e.upload(workspace, chunked) }()
+				served++
+				select {
+				case <-arrived:
+				case got := <-ends:
+					t.Fatalf("chunked %t, request %d, of %s: %+v", chunked, served, workspace, got)
+				case <-time.After(10 * time.Second):
+					t.Fatalf("chunked %t, request %d, of %s: not sent", chunked, served, workspace)
+				}
+			}
+			began := time.Now()
+			for range 2 {
+				go func() { ends <- e.upload(workspace, chunked) }()
+				select {
+				case got := <-ends:
+					if got.err != nil || got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || !strings.Contains(got.body, `"overload"`) {
+						t.Errorf("chunked %t: more than half of the room, for %s: %+v, error %v", chunked, workspace, got, got.err)
+					}
+				case <-arrived:
+					t.Fatalf("chunked %t: %s has more than half of the room", chunked, workspace)
+				}
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("chunked %t: refused after %s", chunked, took)
+			}
+		}
+		open()
+		for range served {
+			if got := <-ends; got.err != nil || got.status != http.StatusOK {
+				t.Errorf("chunked %t: %+v", chunked, got)
+			}
+		}
+		// A request may end a little after its caller has the answer.
+		for until := time.Now().Add(2 * time.Second); e.host.bodies.Taken() != 0 && time.Now().Before(until); {
+			time.Sleep(time.Millisecond)
+		}
+		if n := e.host.bodies.Taken(); n != 0 {
+			t.Errorf("chunked %t: %d bytes are taken after all requests", chunked, n)
+		}
+	}
+}
+
+// TestBodyRoom guards against a room that is far above what a small VM has, or that the
+// largest body doesn't fit into.
+func TestBodyRoom(t *testing.T) {
+	for _, c := range []struct{ memory, body, want int64 }{
+		{112 << 20, 4 << 20, 28 << 20},
+		{8 << 30, 4 << 20, 2 << 30},
+		{0, 4 << 20, 128 << 20},
+		{112 << 20, 16 << 20, 64 << 20},
+	} {
+		h := &Host{Deps: Deps{MemoryBytes: c.memory}}
+		if got := h.bodyRoom(c.body); got != c.want {
+			t.Errorf("%d bytes of memory, bodies of %d: %d bytes, want %d", c.memory, c.body, got, c.want)
+		}
+	}
+}
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -252,6 +252,7 @@
 	n.host = tdhost.New(tdhost.Deps{
 		Flow: flow, Backend: backend,
 		Starts: n.begun, Notices: n.fit, Origins: n.origins, Clock: n.clock, Log: log, Scope: scope,
+		MemoryBytes: n.vm.MemoryBytes,
 	})
 }
 
