tdpass: leave room to buffer for other workspaces

Requests of one workspace could take all 8 MiB for incomplete answers, so that events of more than 16 KiB of other workspaces ended their attempts. One workspace may now take half of it.

TestBuffersOfWorkspaces fails without the share: an event of 200 KiB is refused.

--- a/internal/entry/tdpass/buffers.go
+++ b/internal/entry/tdpass/buffers.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
-	"sync/atomic"
+	"sync"
 
 	"tarragondeal"
 	"tarragondeal/internal/entry/tdrelay"
@@ -21,24 +21,21 @@
 )
 
 // Buffers bounds the memory that all requests of a node take for answers that are not
-// complete. It is safe for concurrent use; the zero value is ready for use.
-type Buffers struct{ taken atomic.Int64 }
-
-// take reports whether n more bytes may be buffered.
-func (b *Buffers) take(n int) bool {
-	if b.taken.Add(int64(n)) <= maxBuffered {
-		return true
-	}
-	b.taken.Add(-int64(n))
-	return false
+// complete. One workspace may take half of it, so that its slow callers leave room for the
+// answers of the others. It is safe for concurrent use; the zero value is ready for use.
+type Buffers struct {
+	once sync.Once
+	room *Room
 }
 
-// free returns n bytes.
-func (b *Buffers) free(n int) { b.taken.Add(-int64(n)) }
+func (b *Buffers) get() *Room {
+	b.once.Do(func() { b.room = NewRoom(maxBuffered) })
+	return b.room
+}
 
 // grow reports whether this request may buffer n more bytes. End returns them.
 func (x *Exchange) grow(n int) bool {
-	if !x.Buffers.take(n) {
+	if !x.Buffers.get().Take(x.workspace, int64(n)) {
 		return false
 	}
 	x.buffered += n
--- a/internal/entry/tdpass/buffers_test.go
+++ b/internal/entry/tdpass/buffers_test.go
@@ -55,7 +55,7 @@
 	for _, x := range all {
 		x.End()
 	}
-	if n := buffers.taken.Load(); n != 0 {
+	if n := buffers.get().Taken(); n != 0 {
 		t.Errorf("%d bytes are taken after the end of all requests", n)
 	}
 }
@@ -76,3 +76,27 @@
 		x.End()
 	}
 }
+
+// TestBuffersOfWorkspaces guards against a workspace whose callers read slowly, or whose
+// servers send without end, and that leaves no room for the events of another one.
+func TestBuffersOfWorkspaces(t *testing.T) {
+	var buffers Buffers
+	next := func(workspace string) *Exchange {
+		x := New(Deps{Buffers: &buffers, Log: zerolog.Nop()}, platform.Caller{}, "x.example")
+		x.workspace = workspace
+		return x
+	}
+	for range 64 {
+		x := next("a")
+		defer x.End()
+		if _, _, err := x.buffer(&tarragondeal.Answer{Body: io.NopCloser(endless{})}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	event := append(bytes.Repeat([]byte("x"), 200<<10), "\n\n"...)
+	x := next("b")
+	defer x.End()
+	if _, err := x.events(&tarragondeal.Answer{Body: io.NopCloser(bytes.NewReader(event))}).Next(); err != nil {
+		t.Errorf("another workspace: %v", err)
+	}
+}
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -74,6 +74,7 @@
 	order     order // Of the events sent to the caller.
 	counted   bool  // The request has been counted in starts.
 	buffered  int   // Bytes taken from Buffers.
+	workspace string
 }
 
 // New returns the Exchange of one request that was sent to host.
@@ -83,7 +84,7 @@
 
 // End must be called when the request has ended.
 func (x *Exchange) End() {
-	x.Buffers.free(x.buffered)
+	x.Buffers.get().Free(x.workspace, int64(x.buffered))
 	if x.ended != nil {
 		x.ended()
 	}
@@ -91,6 +92,7 @@
 
 // Do makes one attempt.
 func (x *Exchange) Do(ctx context.Context, t *tdflow.Attempt) tdflow.Result {
+	x.workspace = t.Request.Workspace.Name
 	continues := x.headSent
 	out := x.attempt(ctx, t)
 	out.Final = out.Final || x.headSent && !x.order.continuable()
