tdhost: bound the time of an upload

A body was read without a time limit, so a caller that stopped sending held its request and the room for its body without end. The body must now arrive before the deadline of the request; otherwise the answer is 408, not run.

TestSlowUpload: without the limit, no answer in 5 s.

--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -231,10 +231,31 @@
 	}
 	body.workspace = q.Workspace.Name
 	var err error
+	rc := http.NewResponseController(w)
+	// Setting the deadline fails only if the connection is closed.
+	_ = rc.SetReadDeadline(time.Now().Add(uploadTime(q)))
 	q.Body, err = body.read(w, r, t.maxBodyBytes)
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 	return q, err
 }
 
+// defaultUploadTime applies to requests without a deadline.
+const defaultUploadTime = 10 * time.Minute
+
+// uploadTime returns how long the body of a request may take: until its deadline.
+func uploadTime(q *tdflow.Request) time.Duration {
+	d := time.Duration(q.Class.Deadline)
+	if q.Deadline > 0 && (d <= 0 || q.Deadline < d) {
+		d = q.Deadline
+	}
+	if d <= 0 {
+		d = defaultUploadTime
+	}
+	return d
+}
+
 // rawTarget returns the path and query of the request line without decoding them.
 func rawTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/entry/tdhost/slow_test.go
+++ b/internal/entry/tdhost/slow_test.go
@@ -1,7 +1,9 @@
 package tdhost
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -137,3 +139,24 @@
 		}
 	}
 }
+
+// TestSlowUpload guards against a caller that sends its body slowly or not at all and so
+// holds a request, and the room for its body, without end.
+func TestSlowUpload(t *testing.T) {
+	e := newEntry(t)
+	c, err := net.Dial("tcp", e.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(c, "POST /short/1 HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: q1\r\nContent-Length: 9\r\n\r\n{")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusRequestTimeout || !strings.Contains(string(body), `"slowSender"`) {
+		t.Errorf("status %d, %s, %v", res.StatusCode, body, err)
+	}
+}
--- a/internal/entry/tdhost/upload.go
+++ b/internal/entry/tdhost/upload.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"tarragondeal"
@@ -86,6 +87,9 @@
 	case errors.Is(err, errNoBodyRoom):
 		w.Header().Set("Connection", "close")
 		return nil, err
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return nil, notRunError(tarragondeal.ReasonSlow, "the body was not received before the deadline")
 	case err != nil:
 		w.Header().Set("Connection", "close")
 		return nil, notRunError(tarragondeal.ReasonBadRequest, "the body can't be read")
