tdhost: bound the time of writing what is buffered

The write deadline was removed when a handler ended, and refusals had none, so that a caller which sends requests and doesn't read held its connection without end. What is buffered then must be written within 2 s, and the server's own answers within 10 s.

TestPipelinedAnswersUnread: before, the connection was open after 8 s.

--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -117,6 +117,8 @@
 // ServeHTTP implements http.Handler.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer tdrelay.ResetOnPanic(w, r)
+	// The deadline of the connection's previous request has passed.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	arrived := h.Clock.Now()
 	h.inFlight.Add(1)
 	defer func() {
@@ -198,7 +200,8 @@
 	bound := max(q.Deadline, time.Duration(q.Class.Deadline)) + writeMargin
 	// Setting the deadline fails only if the connection is closed.
 	_ = rc.SetWriteDeadline(time.Now().Add(bound))
-	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+	// What is still buffered is written after the handler has returned.
+	defer func() { _ = rc.SetWriteDeadline(time.Now().Add(writeMargin)) }()
 	return h.Flow.Run(ctx, w, q)
 }
 
@@ -270,6 +273,7 @@
 
 // refuse writes the error response for a request that failed with err.
 func (h *Host) refuse(w http.ResponseWriter, r *http.Request, c platform.Caller, err error, arrived tarragondeal.Instant) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeMargin))
 	status, body, after := tdrelay.ErrorJSON(err)
 	var e *tarragondeal.RefusedError
 	notRun := errors.As(err, &e) && e.Ran == tarragondeal.RanNot
--- a/internal/entry/tdhost/slow_test.go
+++ b/internal/entry/tdhost/slow_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -160,3 +162,24 @@
 		t.Errorf("status %d, %s, %v", res.StatusCode, body, err)
 	}
 }
+
+// TestPipelinedAnswersUnread guards against a connection that is held without end by a caller
+// that sends requests and doesn't read: what is buffered when a handler ends was written
+// without a deadline.
+func TestPipelinedAnswersUnread(t *testing.T) {
+	answer := status(http.StatusOK, "text/plain", strings.Repeat("x", 2<<10))
+	e := newEntry(t, answer)
+	e.reset(slices.Repeat(e.addrs, 1<<16))
+	c := e.raw(t, "/plain/1")
+	if err := c.SetReadBuffer(connBuffer); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(writeMargin + 6*time.Second))
+	var err error
+	for err == nil {
+		_, err = io.WriteString(c, "POST /plain/1 HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: q1\r\nContent-Length: 2\r\n\r\n{}")
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection stays open: %v", err)
+	}
+}
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -54,6 +54,9 @@
 	// configurations set.
 	readHeaderTimeout = 10 * time.Second
 	callerIdleTimeout = 90 * time.Second
+	// responseTimeout limits writing a response whose handler sets no limit, such as the
+	// server's own answer to a malformed request.
+	responseTimeout = 10 * time.Second
 	// maxListAge is the age up to which the list of servers is up to date. It is
 	// above the time between two answers of the store, over relays too.
 	maxListAge = 2 * time.Second
@@ -344,7 +347,7 @@
 // serve starts a task that serves h at ln until g is closed, also if the server that
 // it returns is shut down before that.
 func (n *Node) serve(g *tdtask.Group, name string, ln net.Listener, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: responseTimeout, MaxHeaderBytes: maxHeaderBytes}
 	g.Go(name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 		defer stop()
