--- a/internal/entry/tdhost/slow_test.go
+++ b/internal/entry/tdhost/slow_test.go
@@ -72,8 +72,8 @@
 			_, _ = io.Copy(io.Discard, r.Body)
 		})
 		open := sync.OnceFunc(func() { close(release) })
-		t.Cleanup(open)
 		e := newWorkspaceEntry(t)
+		t.Cleanup(open) // Before the servers are closed, which wait for their requests.
 		e.reset(slices.Repeat(slow.addrs, 64))
 		ends := make(chan answered, 64)
 		served := 0
