--- a/internal/entry/tdhost/host.go
+++ b/internal/entry/tdhost/host.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -40,12 +40,15 @@
 	Clock   tarragondeal.Clock
 	Log     zerolog.Logger
 	Scope   tally.Scope
+	// MemoryBytes is the size of the VM's memory; zero if it isn't known.
+	MemoryBytes int64
 }
 
 // Host serves callers' requests on a node.
 type Host struct {
 	Deps
 	buffers  tdpass.Buffers
+	bodies   *tdpass.Room // For the bodies of all requests.
 	table    atomic.Pointer[table]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -55,7 +58,11 @@
 
 // New returns a host without a configuration. It is not ready until SetView is
 // called.
-func New(d Deps) *Host { return &Host{Deps: d, cut: newCut()} }
+func New(d Deps) *Host {
+	h := &Host{Deps: d, cut: newCut()}
+	h.bodies = tdpass.NewRoom(h.bodyRoom(defaultMaxBodyBytes))
+	return h
+}
 
 // SetView sets the configuration in force.
 func (h *Host) SetView(v *tarragondeal.View, limits platform.CallerLimits) {
@@ -63,6 +70,7 @@
 	if body <= 0 {
 		body = defaultMaxBodyBytes
 	}
+	h.bodies.SetLimit(h.bodyRoom(body))
 	h.table.Store(newTable(v, body))
 }
 
@@ -109,6 +117,8 @@
 // ServeHTTP implements http.Handler.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer tdrelay.ResetOnPanic(w, r)
+	// The deadline of the connection's previous request has passed.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	arrived := h.Clock.Now()
 	h.inFlight.Add(1)
 	defer func() {
@@ -120,14 +130,19 @@
 	}
 	caller := platform.DecodeCaller(r.Header)
 	platform.SetRequestID(w.Header(), caller.ID)
-	q, err := h.admit(w, r, caller, arrived)
+	body := &upload{h: h}
+	defer body.end()
+	q, err := h.admit(w, r, caller, arrived, body)
 	if err == nil && h.leaving.Load() {
 		err = h.cut.check(q, h.Clock.Now())
 	}
 	if err == nil {
 		err = h.serve(r.Context(), w, q, caller, r.Host)
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, errNoBodyRoom):
+		h.refuseUnread(w, r, func() { h.refuse(w, r, caller, err, arrived) })
+	case err != nil:
 		h.refuse(w, r, caller, err, arrived)
 	}
 	h.Scope.Timer("request").Record(h.Clock.Now().Sub(arrived))
@@ -185,12 +200,13 @@
 	bound := max(q.Deadline, time.Duration(q.Class.Deadline)) + writeMargin
 	// Setting the deadline fails only if the connection is closed.
 	_ = rc.SetWriteDeadline(time.Now().Add(bound))
-	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+	// What is still buffered is written after the handler has returned.
+	defer func() { _ = rc.SetWriteDeadline(time.Now().Add(writeMargin)) }()
 	return h.Flow.Run(ctx, w, q)
 }
 
 // admit determines the route and workspace of a request and reads its body.
-func (h *Host) admit(w http.ResponseWriter, r *http.Request, c platform.Caller, arrived tarragondeal.Instant) (*tdflow.Request, error) {
+func (h *Host) admit(w http.ResponseWriter, r *http.Request, c platform.Caller, arrived tarragondeal.Instant, body *upload) (*tdflow.Request, error) {
 	t := h.table.Load()
 	if t == nil {
 		return nil, notRunError(tarragondeal.ReasonNotReady, "no configuration is known yet")
@@ -216,11 +232,33 @@
 		}
 		q.Workspace = t.view.Workspaces[key.Workspace]
 	}
+	body.workspace = q.Workspace.Name
 	var err error
-	q.Body, err = h.readBody(w, r, t.maxBodyBytes)
+	rc := http.NewResponseController(w)
+	// Setting the deadline fails only if the connection is closed.
+	_ = rc.SetReadDeadline(time.Now().Add(uploadTime(q)))
+	q.Body, err = body.read(w, r, t.maxBodyBytes)
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 	return q, err
 }
 
+// defaultUploadTime applies to requests without a deadline.
+const defaultUploadTime = 10 * time.Minute
+
+// uploadTime returns how long the body of a request may take: until its deadline.
+func uploadTime(q *tdflow.Request) time.Duration {
+	d := time.Duration(q.Class.Deadline)
+	if q.Deadline > 0 && (d <= 0 || q.Deadline < d) {
+		d = q.Deadline
+	}
+	if d <= 0 {
+		d = defaultUploadTime
+	}
+	return d
+}
+
 // rawTarget returns the path and query of the request line without decoding them.
 func rawTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -229,37 +267,13 @@
 	return r.URL.RequestURI() // The request line contains an absolute URL.
 }
 
-func (h *Host) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
-		return nil, notRunError(tarragondeal.ReasonTooLarge, "the body is too large")
-	}
-	body := http.MaxBytesReader(w, r.Body, limit)
-	var buf []byte
-	var err error
-	if r.ContentLength > 0 {
-		buf = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(body, buf)
-	} else {
-		buf, err = io.ReadAll(body)
-	}
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, notRunError(tarragondeal.ReasonTooLarge, "the body is too large")
-	case err != nil:
-		w.Header().Set("Connection", "close")
-		return nil, notRunError(tarragondeal.ReasonBadRequest, "the body can't be read")
-	}
-	return buf, nil
-}
-
 func notRunError(reason tarragondeal.Reason, detail string) error {
 	return &tarragondeal.RefusedError{Reason: reason, Ran: tarragondeal.RanNot, Detail: detail}
 }
 
 // refuse writes the error response for a request that failed with err.
 func (h *Host) refuse(w http.ResponseWriter, r *http.Request, c platform.Caller, err error, arrived tarragondeal.Instant) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeMargin))
 	status, body, after := tdrelay.ErrorJSON(err)
 	var e *tarragondeal.RefusedError
 	notRun := errors.As(err, &e) && e.Ran == tarragondeal.RanNot
@@ -273,6 +287,7 @@
 		Dur("retryAfter", after).Dur("after", elapsed).Msg("request refused")
 	h.Scope.Tagged(map[string]string{"status": http.StatusText(status)}).Counter("refusals").Inc(1)
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil {
 		h.Log.Debug().Err(err).Str("request", c.ID).Msg("writing the refusal to the caller failed")
