--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -21,7 +21,7 @@
 	// tightPackShare is the share of an engine's slots up to which tight streams are packed
 	// before another engine gets some. The rest is for those that other nodes send at the same
 	// time.
-	tightPackShare = 1.0 / 3
+	tightPackShare = 0.5
 	// maxTightServers bounds the engines that are compared because they run tight streams.
 	maxTightServers = 16
 )
--- a/internal/dispatch/tdfit/prefixindex.go
+++ b/internal/dispatch/tdfit/prefixindex.go
@@ -83,8 +83,9 @@
 	}
 	n := sampleSize
 	if f.isAdaptive(pool) {
-		n = adaptiveSampleSize
-		out = append(out, f.keptServers(pool)...)
+		used := f.keptServers(pool)
+		n = max(adaptiveSampleSize, sampleSize-len(used))
+		out = append(out, used...)
 		out = append(out, f.tightServers(r, pool)...)
 	}
 	for range n {
--- a/internal/entry/tdhost/early_test.go
+++ b/internal/entry/tdhost/early_test.go
@@ -58,9 +58,9 @@
 	time.Sleep(earlyHold)
 }
 
-// upload sends a request on a connection of its own, and returns the answer as an HTTP client
+// sendEarly sends a request on a connection of its own, and returns the answer as an HTTP client
 // reads it.
-func (e *entry) upload(t *testing.T, proto, path string, size int, chunked bool) answered {
+func (e *entry) sendEarly(t *testing.T, proto, path string, size int, chunked bool) answered {
 	t.Helper()
 	c, err := net.Dial("tcp", e.addr)
 	if err != nil {
@@ -103,7 +103,7 @@
 					for _, reset := range []bool{false, true} {
 						s := &earlyServer{answer: answer.text, kept: n >= 4, reset: reset}
 						got := s.answerEarly(t, path, func(e *entry, size int) answered {
-							return e.upload(t, caller.proto, path, size, caller.chunked)
+							return e.sendEarly(t, caller.proto, path, size, caller.chunked)
 						})
 						what := fmt.Sprintf("%s, %s, kept connection %t, reset %t", path, answer.name, s.kept, reset)
 						if got.err == nil && got.status < http.StatusMultipleChoices {
