--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -69,13 +69,18 @@
 	t := f.totalUse(s, now)
 	waited := now.Sub(start)
 	fresh, _ := f.uncached(r, s, &t)
+	yields := f.yields(r.ask, s.Pool, now)
+	backlog := s.backlog(now)
+	if yields { // Others would be held for the sake of a mean.
+		backlog += f.paceOf(s.Pool, s.engine).UnexpectedWait(now)
+	}
 	e := tdadmit.Estimate{
-		Backlog: s.backlog(now) + f.paceOf(s.Pool, s.engine).UnexpectedWait(now), Read: time.Duration(float64(s.prefillTime(fresh)) * s.pace.RelativeSlowdown(now)),
+		Backlog: backlog, Read: time.Duration(float64(s.prefillTime(fresh)) * s.pace.RelativeSlowdown(now)),
 		Busy: 2*t.running >= s.slots() || t.running > 0 && (s.backlog(now) > 0 || s.reported.Waiting > 0),
 	}
 	return tdadmit.Decide(tdadmit.Request{
 		Target: r.ask.Target, Left: r.ask.Deadline - waited, Waited: waited, Tight: r.tight,
-		Urgent: f.urgentTarget(r.ask, s.Pool), Yields: f.yields(r.ask, s.Pool, now),
+		Urgent: f.urgentTarget(r.ask, s.Pool), Yields: yields,
 	}, e), e
 }
 
