--- a/internal/dispatch/tdfit/admit.go
+++ b/internal/dispatch/tdfit/admit.go
@@ -1,12 +1,10 @@
 package tdfit
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
 	"tarragondeal"
-	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/dispatch/tdadmit"
 )
 
@@ -14,9 +12,6 @@
 // ones don't yield.
 const lowerTierTime = 30 * time.Second
 
-// rejectionLogTime is how long after a rejection by plain servers the next one is logged.
-const rejectionLogTime = 3 * time.Second
-
 // admit decides whether a request is sent to an engine of an adaptive pool, the best one for
 // it. It returns the server to send to, which is another one if only that may get it, or nil if
 // the request is held for a moment. The error is a *tarragondeal.RefusedError.
@@ -84,52 +79,6 @@
 	}, e), e
 }
 
-// spread holds a request to plain servers back for a short time while they reject requests. It
-// reports whether the request still wants a server.
-func (f *Fit) spread(ctx context.Context, a *tarragondeal.Ask) bool {
-	longest := f.spreadTime(a)
-	if longest <= 0 {
-		return true
-	}
-	f.Scope.Counter("spreadRequests").Inc(1)
-	return tdclock.Sleep(ctx, rand.N(longest))
-}
-
-// spreadTime returns the longest time for which a request is held back.
-func (f *Fit) spreadTime(a *tarragondeal.Ask) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Clock.Now()
-	var longest time.Duration
-	for _, pool := range a.Pools {
-		p := tdadmit.Plain{Rejected: -1, RoomAge: -1}
-		if at, ok := f.rejectedAt[pool]; ok {
-			p.Rejected = now.Sub(at)
-		}
-		for _, s := range f.pools[pool] {
-			if r := &s.reported; r.known && r.Waiting == 0 && r.Running < r.Slots && eligible(a, s) {
-				if age := now.Sub(r.at); p.RoomAge < 0 || age < p.RoomAge {
-					p.RoomAge = age
-				}
-			}
-		}
-		longest = max(longest, tdadmit.Spread(a.Target, p))
-	}
-	return longest
-}
-
-// recordPlainRejection records that a plain server rejected a request of this node.
-func (f *Fit) recordPlainRejection(s *server, now tarragondeal.Instant) {
-	if s.engine != nil {
-		return
-	}
-	if at, ok := f.rejectedAt[s.Pool]; !ok || now.Sub(at) > rejectionLogTime {
-		f.Log.Info().Str("server", string(s.ID)).Str("pool", s.Pool).Int("running", s.reported.Running).Int("waiting", s.reported.Waiting).
-			Int("slots", s.reported.Slots).Msg("plain servers reject requests; those of this node are spread over a part of their target")
-	}
-	f.rejectedAt[s.Pool] = now
-}
-
 // urgentTarget returns the shortest target of the more urgent classes of a pool whose streams
 // are not kept apart from long prompts, or zero.
 func (f *Fit) urgentTarget(a *tarragondeal.Ask, pool string) time.Duration {
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -102,7 +102,6 @@
 	waiting        map[string]map[int]int // Requests without a server, by pool and tier.
 	shared         map[string]bool        // Pools whose servers share their machines with other work.
 	paces          map[string]*tdpace.Pool
-	rejectedAt     map[string]tarragondeal.Instant  // When plain servers last rejected a request of this node, by pool.
 	coldFrom       tarragondeal.Instant             // When cold servers may get requests of this node.
 	evacuated      []string                         // Data centres, sorted.
 	used           map[string][]*server             // Servers that this node has used last, by pool; the latest first.
@@ -131,7 +130,7 @@
 		lastHeard: make(map[tarragondeal.NodeID]tarragondeal.Instant), prefill: make(map[string]*prefillMeter), prefixes: newPrefixIndex(),
 		lastStarts: make(map[string]tierStarts), lastSent: make(map[string]tierStarts), limits: newLimits(), brittle: newBrittle(), otherPauses: make(map[nodePause]int64), invalid: make(map[serverRun][]tarragondeal.NoticeKind),
 		leaving: make(map[serverRun]*leavingNotice), pauses: make(map[serverRun]tarragondeal.Instant), waiting: make(map[string]map[int]int),
-		shared: make(map[string]bool), paces: make(map[string]*tdpace.Pool), used: make(map[string][]*server), rejectedAt: make(map[string]tarragondeal.Instant),
+		shared: make(map[string]bool), paces: make(map[string]*tdpace.Pool), used: make(map[string][]*server),
 	}
 }
 
@@ -243,9 +242,6 @@
 	r := newRequest(&a)
 	start := f.Clock.Now()
 	until := start.Add(time.Duration(waitShare * float64(a.Target)))
-	if !f.spread(ctx, &a) {
-		return tarragondeal.Grant{}, refused(tarragondeal.ReasonNoServer, "the request ended before it was sent", noServerRetryAfter)
-	}
 	for first := true; ; first = false {
 		g, ok, err := f.choose(&r, start, first)
 		if ok || err != nil {
@@ -515,7 +511,6 @@
 		open.server.failures.add(now, 1)
 		if o.Rejected {
 			f.Poison.Alive(poisonRun(open.server))
-			f.recordPlainRejection(open.server, now)
 			f.recordRejection(open, now)
 			return // Peers that avoided a full server would fill the others.
 		}
