--- a/internal/dispatch/tdpace/pool.go
+++ b/internal/dispatch/tdpace/pool.go
@@ -12,8 +12,9 @@
 	// eventQuantile is the quantile of the times between events that is taken for the time of
 	// an event while the engine reads no prompt: reading makes the upper ones longer.
 	eventQuantile = 0.4
-	// readingQuantile is the quantile of the delays by reading that a stream must expect.
-	readingQuantile = 0.95
+	// readingQuantile is the quantile of the delays by reading that a stream must expect. A
+	// stream of some fifty events is late if one of them is.
+	readingQuantile = 0.995
 	// minEvents and minReadings are the numbers of samples from which a figure is used.
 	minEvents   = 20
 	minReadings = 40
