--- a/cmd/tarragondeal/explain.go
+++ b/cmd/tarragondeal/explain.go
@@ -17,6 +17,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/entry/tdhost"
+	"tarragondeal/platform"
 )
 
 // maxExplanationBytes is the maximum size of an explanation.
@@ -24,9 +25,8 @@
 
 // explained describes the request that is explained.
 type explained struct {
+	platform.Description
 	host, path, workspace string
-	tokens, prefix, hint  string
-	deadline              time.Duration
 	servers               int
 }
 
@@ -38,10 +38,10 @@
 	fs.StringVar(&e.host, "host", "", "host of the request")
 	fs.StringVar(&e.path, "path", "/", "path of the request")
 	fs.StringVar(&e.workspace, "workspace", "", "workspace of the request; empty on open routes")
-	fs.StringVar(&e.tokens, "tokens", "", "prompt tokens and maximum output tokens, as INPUT,OUTPUT")
-	fs.StringVar(&e.prefix, "prefix", "", "parts of the prompt, as ID:TOKENS,ID:TOKENS")
-	fs.StringVar(&e.hint, "hint", "", "estimate of the output tokens")
-	fs.DurationVar(&e.deadline, "deadline", 0, "time that the caller waits; 0: that of the route")
+	fs.StringVar(&e.Tokens, "tokens", "", "prompt tokens and maximum output tokens, as INPUT,OUTPUT")
+	fs.StringVar(&e.Prefix, "prefix", "", "parts of the prompt, as ID:TOKENS,ID:TOKENS")
+	fs.StringVar(&e.Hint, "hint", "", "estimate of the output tokens")
+	fs.DurationVar(&e.Deadline, "deadline", 0, "time that the caller waits; 0: that of the route")
 	fs.IntVar(&e.servers, "servers", 10, "number of servers to show; 0: all")
 	return &ffcli.Command{
 		Name: "explain", ShortUsage: "tarragondeal explain [flags]",
@@ -79,14 +79,7 @@
 	if err != nil {
 		return out, eris.Wrapf(err, "node %s", node)
 	}
-	for _, h := range []struct{ name, value string }{{"X-Token-Count", e.tokens}, {"X-Prompt-Prefix", e.prefix}, {"X-Length-Hint", e.hint}} {
-		if h.value != "" {
-			req.Header.Set(h.name, h.value)
-		}
-	}
-	if e.deadline > 0 {
-		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(e.deadline.Milliseconds(), 10))
-	}
+	e.Encode(req.Header)
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return out, err
--- a/internal/base/tddial/sent.go
+++ b/internal/base/tddial/sent.go
@@ -13,7 +13,7 @@
 const ackPollInterval = 5 * time.Millisecond
 
 // IsAcknowledged reports whether the peer has acknowledged all bytes written to a connection.
-// It waits for that until the deadline. It returns true if the connection doesn't tell.
+// It waits for that until the deadline. It returns true if that is not known of the connection.
 func IsAcknowledged(c net.Conn, deadline time.Time) bool {
 	for unacknowledged(c) > 0 {
 		left := time.Until(deadline)
@@ -26,7 +26,7 @@
 }
 
 // unacknowledged returns how many bytes written to a connection its peer has not acknowledged,
-// or zero if the connection doesn't tell.
+// or zero if that is not known.
 func unacknowledged(c net.Conn) int {
 	s, ok := c.(syscall.Conn)
 	if !ok {
--- a/internal/dispatch/tdfit/peers.go
+++ b/internal/dispatch/tdfit/peers.go
@@ -198,7 +198,7 @@
 	s.others[from] = u
 }
 
-// evictPeers removes what is known of peers that have not been heard from for long.
+// evictPeers removes what is known of peers whose load has not been received for long.
 func (f *Fit) evictPeers(now tarragondeal.Instant) {
 	for node, at := range f.lastHeard {
 		if now.Sub(at) <= peerRetention {
--- a/internal/entry/tdpass/exchange.go
+++ b/internal/entry/tdpass/exchange.go
@@ -240,7 +240,7 @@
 }
 
 // maxIdle returns how long a kept connection may have been idle that is used for a request
-// which may run once. Without an id, its answer can't be told from another one.
+// which may run once. Without an id, its answer could be that to another request.
 func (x *Exchange) maxIdle(t *tdflow.Attempt) time.Duration {
 	if x.caller.ID == "" {
 		return 0
--- a/internal/platform/tdbackend/backend.go
+++ b/internal/platform/tdbackend/backend.go
@@ -61,7 +61,7 @@
 	// Dial connects to a server. Nil means a dialer with the default timeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Idle time.Duration // How long an idle connection is kept; zero means the default.
-	// Clock tells for how long connections are idle; nil means the clock of the system. It
+	// Clock measures how long connections are idle; nil means the clock of the system. It
 	// must count the time for which the system is suspended.
 	Clock tarragondeal.Clock
 	// Verbatim sends the caller's path unchanged and adds no headers of the router.
