--- a/internal/dispatch/tdfit/reuse.go
+++ b/internal/dispatch/tdfit/reuse.go
@@ -17,13 +17,19 @@
 	// maxMissShare is the time to the first event, relative to that without a cached prefix, up
 	// to which it shows that the prefix was not cached.
 	maxMissShare = 1.3
+	// minRoomShare is the least share of an engine's memory that is taken for room. The tokens of
+	// running requests count the parts that they share with others, which stay cached.
+	minRoomShare = 0.5
 	// elsewhereShare is the share of the tokens expected at the best holder below which a
 	// request counts as sent elsewhere.
 	elsewhereShare = 0.5
 )
 
-// freeTokens returns the memory, in tokens, that the running requests of an engine leave.
-func (s *server) freeTokens(t *use) int { return s.engine.KVTokens - t.tokens }
+// freeTokens returns the memory, in tokens, that the running requests of an engine leave to
+// cached parts.
+func (s *server) freeTokens(t *use) int {
+	return max(s.engine.KVTokens-t.tokens, int(minRoomShare*float64(s.engine.KVTokens)))
+}
 
 // uncached returns how many tokens of the request an engine must be expected to read, and
 // what it is expected to have cached if its pool is shared.
