--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -15,9 +15,9 @@
 	// nominalRunning is the number of requests at an engine for which a pool's pauses are
 	// compared with the permitted ones.
 	nominalRunning = 8
-	// tightPromptShare is the longest time to read the prompt of a tight stream, as a share of
-	// its permitted pause.
-	tightPromptShare = 0.1
+	// heavyShare is the time to read a prompt, as a share of the shortest pause that the classes
+	// of its pool permit, from which it counts for tight streams.
+	heavyShare = 0.15
 	// tightPackShare is the share of an engine's slots up to which tight streams are packed
 	// before another engine gets some. The rest is for those that other nodes send at the same
 	// time.
@@ -58,8 +58,8 @@
 }
 
 // isTight reports whether a long prompt beside a stream would make its pauses longer than
-// permitted. In an adaptive pool its own prompt must be short: streams with long prompts
-// would delay one another.
+// permitted. In an adaptive pool only the streams that permit the shortest pauses are tight:
+// kept together with others, they would delay one another by their prompts.
 func (f *Fit) isTight(r *request, s *server) bool {
 	gap := r.ask.Gap
 	if gap <= 0 {
@@ -67,8 +67,7 @@
 	}
 	if f.isAdaptive(s.Pool) {
 		if pause, learnt := f.paceOf(s.Pool, s.engine).Pause(nominalRunning); learnt {
-			read := float64(r.input) / f.meanRate * float64(time.Millisecond)
-			return float64(pause) > gapMargin*float64(gap) && read <= tightPromptShare*float64(gap)
+			return gap == f.shortestGap[s.Pool] && float64(pause) > gapMargin*float64(gap)
 		}
 	}
 	return prefillAllowance(gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
@@ -103,7 +102,7 @@
 	if gap <= 0 || !f.isAdaptive(s.Pool) {
 		return fresh > f.heavyThreshold
 	}
-	return float64(s.prefillTime(fresh)) > tightPromptShare*float64(gap)
+	return float64(s.prefillTime(fresh)) > heavyShare*float64(gap)
 }
 
 // pauseCost returns the cost of the pauses that a request at an engine of an adaptive pool must
