--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -58,14 +58,16 @@
 }
 
 // isTight reports whether a long prompt beside a stream would make its pauses longer than
-// permitted. In an adaptive pool only the streams that permit the shortest pauses are tight:
-// kept together with others, they would delay one another by their prompts.
+// permitted. Where servers are scarce, it is judged by the pauses that are learnt, and only the
+// streams that permit the shortest ones are tight: kept together with others, they would
+// delay one another by their prompts. Elsewhere packing them by these pauses made more of
+// them late.
 func (f *Fit) isTight(r *request, s *server) bool {
 	gap := r.ask.Gap
 	if gap <= 0 {
 		return false
 	}
-	if f.isAdaptive(s.Pool) {
+	if f.opt.Scarce {
 		if pause, learnt := f.paceOf(s.Pool, s.engine).Pause(nominalRunning); learnt {
 			return gap == f.shortestGap[s.Pool] && float64(pause) > gapMargin*float64(gap)
 		}
--- a/internal/dispatch/tdfit/reuse.go
+++ b/internal/dispatch/tdfit/reuse.go
@@ -52,8 +52,8 @@
 	read := func(tokens int) time.Duration { return time.Duration(slowdown * float64(s.prefillTime(tokens))) }
 	ifHeld := firstTokenOverhead + read(open.request.input-h.Known)
 	ifNot := firstTokenOverhead + read(open.request.input)
-	if ifNot-ifHeld < minReuseSample {
-		return
+	if ifNot-ifHeld < minReuseSample || f.paceOf(s.Pool, s.engine).UnexpectedWait(f.Clock.Now()) > (ifNot-ifHeld)/4 {
+		return // The time of reading can't be told from that of waiting.
 	}
 	hit := took < (ifHeld+ifNot)/2
 	if !hit && took > time.Duration(maxMissShare*float64(ifNot)) {
--- a/internal/dispatch/tdreuse/cache.go
+++ b/internal/dispatch/tdreuse/cache.go
@@ -15,7 +15,7 @@
 	// initialTrust is the share of an engine's room that is assumed to hold cached parts until
 	// outcomes are known. minTrust and maxTrust bound it.
 	initialTrust       = 0.8
-	minTrust, maxTrust = 0.2, 1.5
+	minTrust, maxTrust = 0.4, 1.5
 	// missFactor and hitFactor change the share after a part that was expected was not
 	// cached, and after one that was in doubt was.
 	missFactor, hitFactor = 0.93, 1.03
