fit: serve live streams of adaptive pools as before

They were sent to the engines that the node used last, which read its own long prompts, and were packed by learnt pauses. They are compared over random engines again, with the separation from long prompts that was there before.

--- a/internal/dispatch/tdfit/estimate.go
+++ b/internal/dispatch/tdfit/estimate.go
@@ -113,11 +113,10 @@
 	r.mostHeld = max(r.mostHeld, held.Tokens)
 	read := s.prefillTime(fresh)
 	step := decodeStep
-	adaptive := f.isAdaptive(s.Pool)
-	if adaptive {
+	if f.isAdaptive(s.Pool) {
 		read = time.Duration(float64(read) * s.pace.RelativeSlowdown(now))
 		step = s.pace.Event(t.running, now) / time.Duration(max(1, s.engine.TokensPerEvent))
-		c.pauses = f.pauseCost(r, s, &t, read, now)
+		c.pauses = f.pauseCost(r, s, &t, now)
 	}
 	c.answer = f.engineCost(r, s, read, now)
 	if over := t.tokens + r.total - s.engine.KVTokens; over > 0 {
@@ -129,10 +128,8 @@
 		c.separation = time.Duration(heavyCost * s.heavyPrefill.now(now) * float64(time.Millisecond))
 		if t.tight == 0 {
 			c.separation += firstTightCost
-		} else if adaptive {
-			c.separation += time.Duration(float64(firstTightCost) * float64(t.running) / (tightPackShare * float64(s.slots())))
 		}
-	case !adaptive && fresh > f.heavyThreshold:
+	case fresh > f.heavyThreshold:
 		c.separation = time.Duration(t.tight) * tightCost
 	}
 	return c
--- a/internal/dispatch/tdfit/fit.go
+++ b/internal/dispatch/tdfit/fit.go
@@ -340,7 +340,7 @@
 		}
 		estimate := f.cost(r, s, now)
 		c := estimate.sum()
-		c += f.noise(s, c)
+		c += f.noise(r, s, c)
 		if best == nil || c < least {
 			best, least = s, c
 		}
@@ -354,11 +354,11 @@
 }
 
 // noise returns the random part of the estimate c for a server.
-func (f *Fit) noise(s *server, c time.Duration) time.Duration {
+func (f *Fit) noise(r *request, s *server, c time.Duration) time.Duration {
 	switch {
 	case s.engine == nil:
 		return time.Duration(rand.ExpFloat64() * float64(plainSpread))
-	case f.isAdaptive(s.Pool):
+	case f.isAdaptive(s.Pool) && !f.isLive(r, s.Pool):
 		return 0 // Each node compares other servers, and stays with its own ones.
 	}
 	return time.Duration(noiseShare * rand.Float64() * float64(c+firstTokenOverhead))
@@ -400,7 +400,7 @@
 	if most := s.engine.KVTokens; most > 0 && p.tokens() > most {
 		p = prompt{} // The engine rejects it, and reads nothing.
 	}
-	took := s.addPrompt(now, p, f.isHeavy(s, p.fresh))
+	took := s.addPrompt(now, p, p.fresh > f.heavyThreshold)
 	if f.isAdaptive(s.Pool) {
 		t := f.totalUse(s, now)
 		s.held.Add(p.prefixes, s.freeTokens(&t))
--- a/internal/dispatch/tdfit/pace.go
+++ b/internal/dispatch/tdfit/pace.go
@@ -1,30 +1,14 @@
 package tdfit
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"tarragondeal"
 	"tarragondeal/internal/dispatch/tdpace"
 )
 
-const (
-	// latePauseCost is added for a stream whose pauses an engine would make longer than
-	// permitted, as it is for the streams that a long prompt would make late.
-	latePauseCost = 250 * time.Millisecond
-	// nominalRunning is the number of requests at an engine for which a pool's pauses are
-	// compared with the permitted ones.
-	nominalRunning = 8
-	// heavyShare is the time to read a prompt, as a share of the shortest pause that the classes
-	// of its pool permit, from which it counts for tight streams.
-	heavyShare = 0.15
-	// tightPackShare is the share of an engine's slots up to which tight streams are packed
-	// before another engine gets some. The rest is for those that other nodes send at the same
-	// time.
-	tightPackShare = 0.5
-	// maxTightServers bounds the engines that are compared because they run tight streams.
-	maxTightServers = 16
-)
+// latePauseCost is added for a stream whose pauses an engine would make longer than permitted.
+const latePauseCost = 250 * time.Millisecond
 
 // paceOf returns what is known of the speed of the engines of a pool.
 func (f *Fit) paceOf(pool string, e *tarragondeal.Engine) *tdpace.Pool {
@@ -58,78 +42,26 @@
 }
 
 // isTight reports whether a long prompt beside a stream would make its pauses longer than
-// permitted. Where servers are scarce, it is judged by the pauses that are learnt, and only the
-// streams that permit the shortest ones are tight: kept together with others, they would
-// delay one another by their prompts. Elsewhere packing them by these pauses made more of
-// them late.
+// permitted.
 func (f *Fit) isTight(r *request, s *server) bool {
 	gap := r.ask.Gap
-	if gap <= 0 {
-		return false
-	}
-	if f.opt.Scarce {
-		if pause, learnt := f.paceOf(s.Pool, s.engine).Pause(nominalRunning); learnt {
-			return gap == f.shortestGap[s.Pool] && float64(pause) > gapMargin*float64(gap)
-		}
-	}
-	return prefillAllowance(gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
+	return gap > 0 && prefillAllowance(gap, s.engine.TokensPerEvent, f.meanRate) < chunkTokens
 }
 
-// tightServers returns the engines of an adaptive pool that run tight streams, if the request
-// is one. Few of them would be among the random ones of a large pool, and tight streams
-// would spread over the engines that read long prompts.
-func (f *Fit) tightServers(r *request, pool string) []*server {
-	if !f.isAdaptive(pool) || len(f.pools[pool]) == 0 || f.pools[pool][0].engine == nil || !f.isTight(r, f.pools[pool][0]) {
-		return nil
-	}
-	now := f.Clock.Now()
-	var out []*server
-	for _, s := range f.pools[pool] {
-		if f.totalUse(s, now).tight > 0 {
-			out = append(out, s)
-		}
-	}
-	if len(out) > maxTightServers {
-		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-		out = out[:maxTightServers]
-	}
-	return out
-}
-
-// isHeavy reports whether the time in which an engine reads a prompt counts for tight streams.
-// In an adaptive pool it does for all but the prompts of tight streams: several shorter ones
-// delay a stream as one long one does.
-func (f *Fit) isHeavy(s *server, fresh int) bool {
-	gap := f.shortestGap[s.Pool]
-	if gap <= 0 || !f.isAdaptive(s.Pool) {
-		return fresh > f.heavyThreshold
-	}
-	return float64(s.prefillTime(fresh)) > heavyShare*float64(gap)
-}
-
-// pauseCost returns the cost of the pauses that a request at an engine of an adaptive pool must
-// expect, and of those that it causes to the tight streams there.
-func (f *Fit) pauseCost(r *request, s *server, t *use, read time.Duration, now tarragondeal.Instant) time.Duration {
-	var c time.Duration
-	backlog := s.backlog(now)
-	if gap := r.ask.Gap; gap > 0 && float64(s.pace.Pause(t.running+1, backlog, now)) > gapMargin*float64(gap) {
-		c += latePauseCost
-	}
-	if t.tight > 0 && f.delaysTight(s, t, backlog, read, now) {
-		c += time.Duration(t.tight) * latePauseCost
-	}
-	return c
+// isLive reports whether a request is a stream of the class that permits the shortest pauses at
+// a pool. Such streams spread over the engines: sent to those that the node has used last, they
+// would run beside the long prompts of the same node.
+func (f *Fit) isLive(r *request, pool string) bool {
+	return r.ask.Gap > 0 && r.ask.Gap == f.shortestGap[pool]
 }
 
-// delaysTight reports whether reading a prompt would make the pauses of the tight streams at an
-// engine longer than permitted. A pool of which no class limits the pauses has no shortest one: its
-// prompts are judged by their length alone.
-func (f *Fit) delaysTight(s *server, t *use, backlog, read time.Duration, now tarragondeal.Instant) bool {
-	gap := f.shortestGap[s.Pool]
-	if gap <= 0 {
-		return read > s.prefillTime(f.heavyThreshold)
+// pauseCost returns the cost of the pauses that a stream at an engine of an adaptive pool must
+// expect.
+func (f *Fit) pauseCost(r *request, s *server, t *use, now tarragondeal.Instant) time.Duration {
+	if gap := r.ask.Gap; gap > 0 && float64(s.pace.Pause(t.running+1, s.backlog(now), now)) > gapMargin*float64(gap) {
+		return latePauseCost
 	}
-	return float64(s.pace.Pause(t.running+1, backlog+read, now)) > gapMargin*float64(gap)
+	return 0
 }
 
 // setPoolClasses determines the shortest pause that the classes of each pool permit, their
--- a/internal/dispatch/tdfit/prefixindex.go
+++ b/internal/dispatch/tdfit/prefixindex.go
@@ -82,11 +82,10 @@
 		}
 	}
 	n := sampleSize
-	if f.isAdaptive(pool) {
+	if f.isAdaptive(pool) && !f.isLive(r, pool) {
 		used := f.keptServers(pool)
 		n = max(adaptiveSampleSize, sampleSize-len(used))
 		out = append(out, used...)
-		out = append(out, f.tightServers(r, pool)...)
 	}
 	for range n {
 		out = append(out, all[rand.IntN(len(all))])
--- a/internal/dispatch/tdpace/pool.go
+++ b/internal/dispatch/tdpace/pool.go
@@ -77,12 +77,4 @@
 	return seconds(p.reading.value), p.reading.count >= minReadings
 }
 
-// Pause returns the longest pause between two events that a stream must expect at an engine of
-// average speed that always has prompts to read. Learnt is false while too few samples are
-// known.
-func (p *Pool) Pause(running int) (d time.Duration, learnt bool) {
-	d, learnt = p.Reading()
-	return p.Event(running) + d, learnt
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
