--- a/internal/dispatch/tdfit/reuse.go
+++ b/internal/dispatch/tdfit/reuse.go
@@ -53,7 +53,7 @@
 	ifHeld := firstTokenOverhead + read(open.request.input-h.Known)
 	ifNot := firstTokenOverhead + read(open.request.input)
 	if ifNot-ifHeld < minReuseSample || f.paceOf(s.Pool, s.engine).UnexpectedWait(f.Clock.Now()) > (ifNot-ifHeld)/4 {
-		return // The time of reading can't be told from that of waiting.
+		return // Prefill and queueing time cannot be distinguished.
 	}
 	hit := took < (ifHeld+ifNot)/2
 	if !hit && took > time.Duration(maxMissShare*float64(ifNot)) {
