test/vm: a store that comes back from a copy, failing

Callers and the platform saw a withdrawn key served, one fencing token of two holders, a lower one after a higher one, and windows with two counts.

Cause, as far as this shows: revisions of the store go back and are given again. The stand-in plays it in each form in which a watch from a revision that the store lacks may be answered. It also records the holder of each duty call, for usage reports and orders, and the soak checks all of them.

--- a/test/vm/limit_test.go
+++ b/test/vm/limit_test.go
@@ -56,6 +56,11 @@
 }
 
 func (f *fleet) startLoad(target string, interval time.Duration) *load {
+	return f.startLoadWith("key-a", target, interval)
+}
+
+// startLoadWith is startLoad with another key.
+func (f *fleet) startLoadWith(key, target string, interval time.Duration) *load {
 	l := &load{done: make(chan struct{}), statuses: make(map[int]int)}
 	l.wg.Go(func() {
 		tick := time.NewTicker(interval)
@@ -68,7 +73,7 @@
 			}
 			n := f.nodes[k%len(f.nodes)]
 			l.wg.Go(func() {
-				r := n.get(target+strconv.Itoa(k), "key-a")
+				r := n.get(target+strconv.Itoa(k), key)
 				l.mu.Lock()
 				defer l.mu.Unlock()
 				l.statuses[r.status]++
--- a/test/vm/soak_test.go
+++ b/test/vm/soak_test.go
@@ -408,19 +408,8 @@
 			s.log = append(s.log, fmt.Sprintf("VIOLATION: %s ran %d times", target, n))
 		}
 	}
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
-	for window, reports := range s.store.reports {
-		for _, r := range reports {
-			if fmt.Sprint(r) != fmt.Sprint(reports[0]) {
-				s.log = append(s.log, fmt.Sprintf("VIOLATION: window %d was reported as %v and %v", window, reports[0], r))
-			}
-		}
-	}
-	for n := 1; n < len(s.store.fences); n++ {
-		if s.store.fences[n] < s.store.fences[n-1] {
-			s.log = append(s.log, fmt.Sprintf("VIOLATION: fence %d after %d", s.store.fences[n], s.store.fences[n-1]))
-		}
+	for _, violation := range s.store.dutyViolations() {
+		s.log = append(s.log, "VIOLATION: "+violation)
 	}
 	var out []string
 	for _, line := range s.log {
--- a/test/vm/store_test.go
+++ b/test/vm/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -36,13 +37,32 @@
 	unavailable bool
 	holdsBack   bool                         // Watches give no events, and the latest revision.
 	forgets     bool                         // No watch is answered: the history is gone.
+	ahead       aheadAnswer                  // How watches from a later revision than the store's are answered.
 	dropped     uint64                       // The history up to this revision is gone.
 	calls       int                          // Watches and listings.
 	reports     map[int64][]map[string]int64 // By window: the counts per workspace of each report, in order.
-	fences      []uint64                     // Fencing tokens of the usage reports, in order.
+	duties      []dutyCall                   // In order.
 	srv         *httptest.Server
 }
 
+// dutyCall is a usage report or an order of servers.
+type dutyCall struct {
+	subject, holder string
+	fence           uint64
+	at              time.Time
+}
+
+// aheadAnswer is how a store answers a watch from a revision that it has not reached, as it
+// can have lost it.
+type aheadAnswer int
+
+const (
+	aheadGone    aheadAnswer = iota // 410.
+	aheadWaits                      // After the whole wait, without events.
+	aheadAnswers                    // At once, without events.
+	aheadEchoes                     // At once, without events, and with the revision that was asked for.
+)
+
 func newStore() *store {
 	s := &store{
 		rev: 1, items: map[string]item{}, changed: make(chan struct{}), leases: map[uint64]time.Time{},
@@ -57,7 +77,7 @@
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.renewLease)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.endLease)
 	mux.HandleFunc("POST /usage", s.usage)
-	mux.HandleFunc("POST /scale", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("POST /scale", s.scale)
 	s.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		unavailable := s.unavailable
@@ -99,14 +119,32 @@
 	return maps.Clone(s.items), s.rev
 }
 
-// restore replaces the store by an earlier copy. Revisions after it are given again.
+// restore replaces the store by an earlier copy. Revisions after it are given again, and with
+// them the ids of leases. Of its leases those go on that have keys in the copy.
 func (s *store) restore(items map[string]item, rev uint64) {
 	s.setHistory(func() {
-		s.items, s.rev, s.dropped = items, rev, rev
+		s.items, s.rev, s.dropped = make(map[string]item), rev, rev
+		maps.Copy(s.items, items)
 		s.events = nil
+		leases := map[uint64]time.Time{}
+		for _, i := range s.items {
+			if i.Lease != 0 {
+				leases[i.Lease] = time.Now().Add(s.ttls[i.Lease])
+			}
+		}
+		s.leases = leases
 	})
 }
 
+// failWith makes the store fail for a time, breaks its connections, and then restores a copy.
+func (s *store) failWith(items map[string]item, rev uint64, away time.Duration) {
+	s.setUnavailable(true)
+	s.srv.CloseClientConnections()
+	time.Sleep(away)
+	s.restore(items, rev)
+	s.setUnavailable(false)
+}
+
 // notify wakes all pending watches.
 func (s *store) notify() {
 	close(s.changed)
@@ -173,7 +211,10 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, i)
+	writeJSON(w, http.StatusOK, struct {
+		item
+		Revision uint64 `json:"storeRevision"`
+	}{i, s.rev})
 }
 
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
@@ -209,8 +250,11 @@
 				out = append(out, e)
 			}
 		}
-		rev, changed, unavailable, gone := s.rev, s.changed, s.unavailable, s.forgets || after < s.dropped || after > s.rev
+		rev, changed, unavailable, gone := s.rev, s.changed, s.unavailable, s.forgets || after < s.dropped
+		ahead := after > s.rev
+		how := s.ahead
 		s.mu.Unlock()
+		gone = gone && (!ahead || how == aheadGone) || ahead && how == aheadGone
 		if unavailable {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -219,7 +263,10 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		if len(out) > 0 {
+		if ahead && how == aheadEchoes {
+			rev = after
+		}
+		if len(out) > 0 || ahead && how >= aheadAnswers {
 			writeJSON(w, http.StatusOK, map[string]any{"events": out, "storeRevision": rev})
 			return
 		}
@@ -309,11 +356,68 @@
 		Counts map[string]int64 `json:"counts"`
 	}
 	_ = json.NewDecoder(r.Body).Decode(&in)
-	fence, _ := strconv.ParseUint(r.Header.Get("X-Fence-Token"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reports[in.Window] = append(s.reports[in.Window], in.Counts)
-	s.fences = append(s.fences, fence)
+	s.recordDuty(r, "usage")
+}
+
+func (s *store) scale(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Service string `json:"service"`
+		Zone    string `json:"zone"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&in)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordDuty(r, in.Service+"/"+in.Zone)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *store) recordDuty(r *http.Request, subject string) {
+	fence, _ := strconv.ParseUint(r.Header.Get("X-Fence-Token"), 10, 64)
+	s.duties = append(s.duties, dutyCall{subject: subject, holder: r.Header.Get("X-Duty-Holder"), fence: fence, at: time.Now()})
+}
+
+// dutyViolations returns what the platform must never see: a fencing token lower than one before,
+// one token of two holders, and a window with two counts.
+func (s *store) dutyViolations() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	highest := make(map[string]dutyCall)
+	holders := make(map[string]string)
+	for _, d := range s.duties {
+		token := fmt.Sprint(d.subject, " ", d.fence)
+		if other, ok := holders[token]; ok && other != d.holder {
+			out = append(out, fmt.Sprintf("%s: token %d of %s and of %s", d.subject, d.fence, other, d.holder))
+		}
+		holders[token] = d.holder
+		if before := highest[d.subject]; d.fence < before.fence {
+			out = append(out, fmt.Sprintf("%s: token %d of %s after %d of %s", d.subject, d.fence, d.holder, before.fence, before.holder))
+		} else {
+			highest[d.subject] = d
+		}
+	}
+	for window, reports := range s.reports {
+		for _, r := range reports[1:] {
+			if !maps.Equal(r, reports[0]) {
+				out = append(out, fmt.Sprintf("window %d: %v after %v", window, r, reports[0]))
+			}
+		}
+	}
+	return out
+}
+
+// dutyHolder returns the holder that acted last, and when; empty if none has.
+func (s *store) dutyHolder() (holder string, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.duties) == 0 {
+		return "", time.Time{}
+	}
+	last := s.duties[len(s.duties)-1]
+	return last.holder, last.at
 }
 
 // reported returns the number of requests reported for a workspace, summed over
