--- a/error.go
+++ b/error.go
@@ -157,3 +157,17 @@
 func (e *AnswerSizeError) Error() string {
 	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
 }
+
+// EraError reports an answer of the key-value service that belongs to another history than the
+// one that this node knows: the service was restored from an earlier copy since, or the answer
+// is from before that. The call may have had an effect.
+type EraError struct {
+	Op       string
+	Key      string
+	Reported Revision // By the answer.
+	Known    Position // When the call began.
+}
+
+func (e *EraError) Error() string {
+	return fmt.Sprintf("store: %s %s: the answer is at revision %d, after revision %d of era %d", e.Op, e.Key, e.Reported, e.Known.Revision, e.Known.Era)
+}
--- a/internal/fleet/tdlisting/decoding_test.go
+++ b/internal/fleet/tdlisting/decoding_test.go
@@ -28,18 +28,18 @@
 	servers := NewServers("s/", decode, &fakeClock{}, zerolog.Nop(), func(list []tarragondeal.Server) { lists <- list })
 	m.Subscribe(config.Follow)
 	m.Subscribe(servers.Follow)
-	m.Apply([]tarragondeal.Entry{{Key: "s/1", Value: []byte("live"), Revision: 1}}, 1, true)
+	m.Apply([]tarragondeal.Entry{{Key: "s/1", Value: []byte("live"), Revision: 1}}, tarragondeal.Position{Revision: 1}, true)
 	<-lists
 
 	go func() { _ = config.Run(t.Context()) }()
 	defer close(decoded)
-	go m.Apply([]tarragondeal.Entry{{Key: "config", Value: []byte("2"), Revision: 2}}, 2, false)
+	go m.Apply([]tarragondeal.Entry{{Key: "config", Value: []byte("2"), Revision: 2}}, tarragondeal.Position{Revision: 2}, false)
 	<-decoding
 	held := make(chan tarragondeal.Revision, 1)
 	go func() {
-		m.ApplyAhead([]tarragondeal.Entry{{Key: "s/1", Value: []byte("leaving"), Revision: 3}})
-		m.Apply([]tarragondeal.Entry{{Key: "s/1", Value: []byte("leaving"), Revision: 3}}, 3, false)
-		held <- m.Revision()
+		m.ApplyAhead([]tarragondeal.Entry{{Key: "s/1", Value: []byte("leaving"), Revision: 3}}, 0)
+		m.Apply([]tarragondeal.Entry{{Key: "s/1", Value: []byte("leaving"), Revision: 3}}, tarragondeal.Position{Revision: 3}, false)
+		held <- m.Position().Revision
 	}()
 	select {
 	case rev := <-held:
--- a/internal/fleet/tdlisting/order_test.go
+++ b/internal/fleet/tdlisting/order_test.go
@@ -79,10 +79,10 @@
 		var log storeLog
 		var copies []sentCopy
 		send := func(rev tarragondeal.Revision) {
-			c := sentCopy{rev: rev, whole: mirror.Revision() == 0 || rapid.Bool().Draw(t, "whole")}
+			c := sentCopy{rev: rev, whole: mirror.Position().Revision == 0 || rapid.Bool().Draw(t, "whole")}
 			if c.whole {
 				c.entries = slices.Collect(maps.Values(log.at(rev)))
-			} else if after := mirror.Revision(); after < rev {
+			} else if after := mirror.Position().Revision; after < rev {
 				c.entries = log[after:rev]
 			}
 			copies = append(copies, c)
@@ -103,7 +103,7 @@
 			case 7:
 				if len(copies) > 0 {
 					c := rapid.SampledFrom(copies).Draw(t, "copy")
-					mirror.Apply(c.entries, c.rev, c.whole)
+					mirror.Apply(c.entries, tarragondeal.Position{Revision: c.rev}, c.whole)
 				}
 			case 8:
 				config.applyPending()
@@ -111,7 +111,7 @@
 		}
 		send(tarragondeal.Revision(len(log)))
 		last := copies[len(copies)-1]
-		mirror.Apply(last.entries, last.rev, last.whole)
+		mirror.Apply(last.entries, tarragondeal.Position{Revision: last.rev}, last.whole)
 		config.applyPending()
 		held := log.at(tarragondeal.Revision(len(log)))
 		if n, err := strconv.ParseUint(string(held["config"].Value), 10, 64); err == nil && config.Version() < tarragondeal.Version(n) {
--- a/internal/fleet/tdmesh/copies.go
+++ b/internal/fleet/tdmesh/copies.go
@@ -12,25 +12,29 @@
 
 // copy returns the changes of the store that the peer lacks, or nil if there are
 // none or this node is not the peer's source.
-func (w *stateWriter) copy(revision tarragondeal.Revision) *Copy {
+func (w *stateWriter) copy(at tarragondeal.Position) *Copy {
 	m := w.m
 	now := m.Clock.Now()
 	m.mu.Lock()
 	p := m.peers[w.peer]
 	wants := p != nil && p.source == m.self.Name
 	if wants {
-		w.recordReported(p.revision, now)
+		reported := p.position
+		if !p.readsEras {
+			reported.Era = at.Era // It compares revisions only.
+		}
+		w.recordReported(reported, now)
 	}
 	m.mu.Unlock()
-	if !wants || w.sentRevision >= revision {
+	if !wants || w.sent.Compare(at) >= 0 {
 		return nil
 	}
-	after := w.sentRevision
-	entries, rev, whole := m.Mirror.Since(after)
-	w.sentRevision = rev
-	out := &Copy{Revision: uint64(rev), Whole: whole}
+	after := w.sent
+	entries, at, whole := m.Mirror.Since(after)
+	w.sent = at
+	out := &Copy{Revision: uint64(at.Revision), Era: uint64(at.Era), Whole: whole}
 	if !whole {
-		out.After = uint64(after)
+		out.After = uint64(after.Revision)
 	}
 	for _, e := range entries {
 		out.Items = append(out.Items, newItem(e))
@@ -52,25 +56,25 @@
 	return out
 }
 
-// recordReported records the revision that the peer has reported. If it has not
+// recordReported records the position that the peer has reported. If it has not
 // advanced for copyResendAfter since a copy was sent, what was sent is sent again: the
 // peer may have ignored a state.
-func (w *stateWriter) recordReported(revision tarragondeal.Revision, now tarragondeal.Instant) {
+func (w *stateWriter) recordReported(at tarragondeal.Position, now tarragondeal.Instant) {
 	switch {
-	case revision >= w.sentRevision || now.Sub(w.reportedAt) > copyResendAfter:
-		w.sentRevision, w.reportedAt = revision, now
-	case revision > w.reportedRevision:
+	case at.Compare(w.sent) >= 0 || now.Sub(w.reportedAt) > copyResendAfter:
+		w.sent, w.reportedAt = at, now
+	case at.Compare(w.reported) > 0:
 		w.reportedAt = now
 	}
-	w.reportedRevision = revision
+	w.reported = at
 }
 
 // applyCopy applies the changes of the store in a state of another node.
 func (m *Mesh) applyCopy(s *State, w *stateWriter) {
 	if ahead := entriesOf(s.GetAhead()); len(ahead) > 0 {
-		m.Log.Info().Str("peer", s.GetNode()).Uint64("held", uint64(m.Mirror.Revision())).Int("changes", len(ahead)).
+		m.Log.Info().Str("peer", s.GetNode()).Uint64("held", uint64(m.Mirror.Position().Revision)).Int("changes", len(ahead)).
 			Uint64("newest", uint64(ahead[len(ahead)-1].Revision)).Msg("applying store changes ahead of a copy in parts")
-		m.Mirror.ApplyAhead(ahead)
+		m.Mirror.ApplyAhead(ahead, tarragondeal.Era(s.GetEra()))
 	}
 	c := s.GetCopy()
 	if part := s.GetPart(); part != nil {
@@ -83,15 +87,18 @@
 	if c == nil {
 		return
 	}
-	if held := m.Mirror.Revision(); uint64(held) < c.GetAfter() {
-		m.Log.Info().Str("peer", s.GetNode()).Uint64("revision", uint64(held)).Uint64("after", c.GetAfter()).
+	at := tarragondeal.Position{Era: tarragondeal.Era(c.GetEra()), Revision: tarragondeal.Revision(c.GetRevision())}
+	held := m.Mirror.Position()
+	if !c.GetWhole() && (held.Era != at.Era || uint64(held.Revision) < c.GetAfter()) {
+		m.Log.Info().Str("peer", s.GetNode()).Uint64("era", uint64(held.Era)).Uint64("revision", uint64(held.Revision)).
+			Uint64("copyEra", c.GetEra()).Uint64("after", c.GetAfter()).
 			Msg("changes before a copy are missing, waiting for them")
 		return
 	}
 	entries := entriesOf(c.GetItems())
 	if len(entries) > 0 {
 		line := m.Log.Info().Str("peer", s.GetNode()).Uint64("revision", c.GetRevision()).Int("changes", len(entries)).
-			Bool("whole", c.GetWhole())
+			Uint64("era", c.GetEra()).Bool("whole", c.GetWhole())
 		if s.CopyAgeMillis != nil {
 			line.Uint32("copyAgeMillis", s.GetCopyAgeMillis())
 		}
@@ -100,7 +107,7 @@
 		}
 		line.Msg("applying store changes from another node")
 	}
-	m.Mirror.Apply(entries, tarragondeal.Revision(c.GetRevision()), c.GetWhole())
+	m.Mirror.Apply(entries, at, c.GetWhole())
 }
 
 // CopyAge returns how long ago the store confirmed this node's copy, whether to this
@@ -113,12 +120,12 @@
 // which takes no copies from it: an age passed around a circle of nodes would lose
 // the time on the way.
 func (m *Mesh) copyAge(follows bool) (time.Duration, bool) {
-	at, revision := m.Mirror.ConfirmedAt(), m.Mirror.Revision()
+	at, position := m.Mirror.ConfirmedAt(), m.Mirror.Position()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !follows {
 		for _, p := range m.peers {
-			if (p.followsStore || p.node.Name == m.source) && p.revision <= revision && m.isDirect(p) {
+			if (p.followsStore || p.node.Name == m.source) && p.position.Era == position.Era && p.position.Revision <= position.Revision && m.isDirect(p) {
 				m.copyAt = max(m.copyAt, p.copyAt)
 			}
 		}
--- a/internal/fleet/tdmesh/copies_test.go
+++ b/internal/fleet/tdmesh/copies_test.go
@@ -19,17 +19,17 @@
 	const missed = 3
 	for rev := tarragondeal.Revision(1); rev <= 30; rev++ {
 		clock.now = clock.now.Add(100 * time.Millisecond)
-		a.Mirror.Apply([]tarragondeal.Entry{{Key: fmt.Sprintf("%sx%d", nodePrefix, rev), Revision: rev}}, rev, rev == 1)
-		a.recordState(&State{Node: "b", Incarnation: 1, Revision: uint64(b.Mirror.Revision()), Source: "a"}, toB)
-		s := &State{Node: "a", Incarnation: 1, Revision: uint64(rev), Copy: toB.copy(rev)}
+		a.Mirror.Apply([]tarragondeal.Entry{{Key: fmt.Sprintf("%sx%d", nodePrefix, rev), Revision: rev}}, tarragondeal.Position{Revision: rev}, rev == 1)
+		a.recordState(&State{Node: "b", Incarnation: 1, Revision: uint64(b.Mirror.Position().Revision), Source: "a"}, toB)
+		s := &State{Node: "a", Incarnation: 1, Revision: uint64(rev), Copy: toB.copy(tarragondeal.Position{Revision: rev})}
 		if rev == missed {
 			delete(b.peers, "a")
 		}
 		b.handleState(s, toA)
 		b.addListed(a.self)
 	}
-	held, rev, _ := b.Mirror.Since(0)
-	if want := int(rev); len(held) != want {
-		t.Errorf("at revision %d the copy holds %d entries, want %d", rev, len(held), want)
+	held, rev, _ := b.Mirror.Since(tarragondeal.Position{})
+	if want := int(rev.Revision); len(held) != want {
+		t.Errorf("at revision %d the copy holds %d entries, want %d", rev.Revision, len(held), want)
 	}
 }
--- a/internal/fleet/tdmesh/follow.go
+++ b/internal/fleet/tdmesh/follow.go
@@ -31,12 +31,13 @@
 // Follows reports whether this node should follow the store itself. In a large
 // fleet only a few relays do, and nodes that have no source of copies.
 func (m *Mesh) Follows() bool {
-	revision := m.Mirror.Revision()
+	at := m.Mirror.Position()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.era = at.Era
 	reason := m.reasonToFollow()
 	if reason != m.followReason {
-		m.Log.Info().Str("reason", string(reason)).Str("before", string(m.followReason)).Uint64("revision", uint64(revision)).
+		m.Log.Info().Str("reason", string(reason)).Str("before", string(m.followReason)).Uint64("revision", uint64(at.Revision)).
 			Msg("reason to follow the store changed")
 		m.followReason = reason
 	}
@@ -126,15 +127,16 @@
 
 // chooseSource returns the node that this node receives copies of the store from.
 // It is empty if this node needs no copies or no node can provide them.
-func (m *Mesh) chooseSource(follows bool, revision tarragondeal.Revision) tarragondeal.NodeID {
+func (m *Mesh) chooseSource(follows bool, at tarragondeal.Position) tarragondeal.NodeID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.source
-	m.updateSource(follows, revision)
+	m.era = at.Era
+	m.updateSource(follows, at)
 	if m.source != before {
-		line := m.Log.Info().Str("peer", string(m.source)).Str("before", string(before)).Uint64("revision", uint64(revision))
+		line := m.Log.Info().Str("peer", string(m.source)).Str("before", string(before)).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision))
 		if p := m.peers[m.source]; p != nil {
-			line.Uint64("newest", uint64(p.revision))
+			line.Uint64("newest", uint64(p.position.Revision)).Uint64("newestEra", uint64(p.position.Era))
 			if p.copyAt != 0 {
 				line.Dur("copyAge", m.Clock.Now().Sub(p.copyAt))
 			}
@@ -144,33 +146,33 @@
 	return m.source
 }
 
-func (m *Mesh) updateSource(follows bool, revision tarragondeal.Revision) {
+func (m *Mesh) updateSource(follows bool, at tarragondeal.Position) {
 	best := m.newestSource()
-	if best == nil || follows && !m.isBehind(best, revision) {
+	if best == nil || follows && !m.isBehind(best, at) {
 		m.source = ""
 		return
 	}
 	now := m.Clock.Now()
 	p := m.peers[m.source]
 	switch {
-	case p == nil || !m.isSource(p) || best.revision >= p.revision && m.isRelay(best.node.Name) && !m.isRelay(p.node.Name):
+	case p == nil || !m.isSource(p) || best.position.Compare(p.position) >= 0 && m.isRelay(best.node.Name) && !m.isRelay(p.node.Name):
 		m.source, m.sourceBehindSince = best.node.Name, 0
-	case p.revision >= best.revision:
+	case p.position.Compare(best.position) >= 0:
 		m.sourceBehindSince = 0
 	case m.sourceBehindSince == 0:
 		m.sourceBehindSince = now
 	case now.Sub(m.sourceBehindSince) > maxSourceLag:
-		m.Log.Info().Str("peer", string(m.source)).Uint64("revision", uint64(p.revision)).
-			Str("instead", string(best.node.Name)).Uint64("newest", uint64(best.revision)).Msg("source is behind, switching to another node")
+		m.Log.Info().Str("peer", string(m.source)).Uint64("revision", uint64(p.position.Revision)).
+			Str("instead", string(best.node.Name)).Uint64("newest", uint64(best.position.Revision)).Msg("source is behind, switching to another node")
 		m.source, m.sourceBehindSince = best.node.Name, 0
 	}
 }
 
 // isBehind reports whether this node has been behind another one for longer than
 // maxSourceLag although it follows the store: its watch may have stalled.
-func (m *Mesh) isBehind(best *peer, revision tarragondeal.Revision) bool {
+func (m *Mesh) isBehind(best *peer, at tarragondeal.Position) bool {
 	now := m.Clock.Now()
-	if revision >= best.revision {
+	if at.Compare(best.position) >= 0 {
 		m.selfBehindSince = 0
 		return false
 	}
@@ -191,16 +193,16 @@
 
 // isSource reports whether a peer can provide copies to this node. It must follow
 // the store itself, or be this node's relay and receive copies from a follower. A
-// peer that receives its copies from this node is no source, nor is one whose stream has
-// ended, though it still counts as alive.
+// peer that receives its copies from this node is no source, nor is one whose copy is of an
+// earlier era, nor one whose stream has ended, though it still counts as alive.
 func (m *Mesh) isSource(p *peer) bool {
-	if p.source == m.self.Name || p.writer == nil {
+	if p.source == m.self.Name || p.writer == nil || p.position.Era < m.era {
 		return false
 	}
 	return m.isFollower(p) || m.isDirect(p) && p.hasCopies && p.node.Name == m.parent
 }
 
-// newestSource returns the source with the latest revision of the store, or nil if
+// newestSource returns the source with the latest position in the store, or nil if
 // there is no source. Of several it is a relay.
 func (m *Mesh) newestSource() *peer {
 	var best *peer
@@ -208,7 +210,7 @@
 		if !m.isSource(p) {
 			continue
 		}
-		if best == nil || p.revision > best.revision || p.revision == best.revision && m.isRelay(p.node.Name) && !m.isRelay(best.node.Name) {
+		if best == nil || p.position.Compare(best.position) > 0 || p.position == best.position && m.isRelay(p.node.Name) && !m.isRelay(best.node.Name) {
 			best = p
 		}
 	}
--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -79,6 +79,15 @@
 	return s.revision
 }
 
+// entries returns the last change of each key.
+func (s *liveStore) entries() []tarragondeal.Entry {
+	last := make(map[string]tarragondeal.Entry)
+	for _, e := range s.events {
+		last[e.Key] = e
+	}
+	return slices.Collect(maps.Values(last))
+}
+
 // latest returns the revision of the last change.
 func (s *liveStore) latest() tarragondeal.Revision {
 	s.mu.Lock()
@@ -164,7 +173,7 @@
 	a.mu.Lock()
 	a.calls[a.node]++
 	cut, resets, delay := a.cut[a.node], a.resets, a.delay
-	page := tarragondeal.Page{Entries: a.events, Revision: a.revision}
+	page := tarragondeal.Page{Entries: a.entries(), Revision: a.revision}
 	a.mu.Unlock()
 	if cut && resets {
 		return tarragondeal.Page{}, errReset
@@ -531,7 +540,7 @@
 	cut := maps.Clone(f.store.cut)
 	f.store.mu.Unlock()
 	for name, m := range f.nodes {
-		if !cut[name] && m.Mirror.Revision() < revision {
+		if !cut[name] && m.Mirror.Position().Revision < revision {
 			n++
 			example = name
 		}
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -19,6 +19,7 @@
 	"tarragondeal"
 	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/base/tdtask"
+	"tarragondeal/internal/fleet/tdera"
 	"tarragondeal/internal/fleet/tdlease"
 	"tarragondeal/internal/fleet/tdmirror"
 )
@@ -59,6 +60,7 @@
 type Deps struct {
 	Store  tarragondeal.Store
 	Mirror *tdmirror.Mirror
+	Eras   *tdera.Tracker // Nil means that the store never goes back.
 	Clock  tarragondeal.Clock
 	Dialer *net.Dialer
 	TTL    time.Duration // Of a node's entry in the store.
@@ -84,6 +86,7 @@
 	parentSince       tarragondeal.Instant              // When the parent was chosen.
 	source            tarragondeal.NodeID               // The node that sends copies of the store; empty for none.
 	sourceBehindSince tarragondeal.Instant              // Zero while the source is up to date.
+	era               tarragondeal.Era                  // Of this node's copy of the store, when it was read last.
 	selfBehindSince   tarragondeal.Instant              // Zero while no other node has a newer revision.
 	checkedAt         tarragondeal.Instant              // When the streams were checked last; zero before the first time.
 	resumedAt         tarragondeal.Instant              // When this node last ran again after it stood still; zero before.
@@ -134,10 +137,11 @@
 
 	// Received on a direct stream between the two nodes.
 	presence
-	lastState    tarragondeal.Instant // When the last state was received; zero before the first.
-	writer       *stateWriter         // Of the stream to the peer; nil without one.
-	leaf         bool                 // The peer is a leaf of this node.
-	revision     tarragondeal.Revision
+	lastState    tarragondeal.Instant  // When the last state was received; zero before the first.
+	writer       *stateWriter          // Of the stream to the peer; nil without one.
+	leaf         bool                  // The peer is a leaf of this node.
+	position     tarragondeal.Position // Of its copy of the store.
+	readsEras    bool
 	followsStore bool
 	hasCopies    bool
 	source       tarragondeal.NodeID
@@ -153,6 +157,9 @@
 
 // New returns a mesh that knows only its own node.
 func New(d Deps, self Node) *Mesh {
+	if d.Eras == nil {
+		d.Eras = tdera.New(d.Clock, d.Log, d.Scope)
+	}
 	m := &Mesh{
 		Deps: d, self: self, counter: newStateCounter(d.Scope), receivers: make(map[string]receiver),
 		peers: make(map[tarragondeal.NodeID]*peer), forwarded: make(map[tarragondeal.NodeID]presences), noSourceSince: d.Clock.Now(),
--- a/internal/fleet/tdmesh/mesh_test.go
+++ b/internal/fleet/tdmesh/mesh_test.go
@@ -39,7 +39,7 @@
 
 // currentSource returns the node from which the mesh receives copies.
 func (m *Mesh) currentSource(unavailable bool) tarragondeal.NodeID {
-	return m.chooseSource(!unavailable && m.Follows(), 0)
+	return m.chooseSource(!unavailable && m.Follows(), tarragondeal.Position{})
 }
 
 func TestOneWrongClock(t *testing.T) {
@@ -83,7 +83,7 @@
 	m := newMesh("z", clock)
 	report := func(name string, rev tarragondeal.Revision) {
 		m.receiveFrom(name, true, 0)
-		m.peers[tarragondeal.NodeID(name)].revision = rev
+		m.peers[tarragondeal.NodeID(name)].position.Revision = rev
 	}
 	report("a", 5)
 	if got := m.currentSource(true); got != "a" {
@@ -106,16 +106,16 @@
 	clock := &fakeClock{now: tarragondeal.Instant(time.Hour)}
 	m := newMesh("a", clock)
 	m.receiveFrom("b", true, 0)
-	m.peers["b"].revision = 6
-	if got := m.chooseSource(true, 5); got != "" {
+	m.peers["b"].position.Revision = 6
+	if got := m.chooseSource(true, tarragondeal.Position{Revision: 5}); got != "" {
 		t.Errorf("takes copies from %q immediately", got)
 	}
 	clock.now = clock.now.Add(maxSourceLag + time.Millisecond)
 	m.peers["b"].lastState = clock.now
-	if got := m.chooseSource(true, 5); got != "b" {
+	if got := m.chooseSource(true, tarragondeal.Position{Revision: 5}); got != "b" {
 		t.Errorf("takes copies from %q", got)
 	}
-	if got := m.chooseSource(true, 6); got != "" {
+	if got := m.chooseSource(true, tarragondeal.Position{Revision: 6}); got != "" {
 		t.Errorf("takes copies from %q though it has caught up", got)
 	}
 }
--- a/internal/fleet/tdmesh/parts.go
+++ b/internal/fleet/tdmesh/parts.go
@@ -40,6 +40,7 @@
 // packedCopy is a copy of the store in the form in which it is sent in parts.
 type packedCopy struct {
 	after, revision uint64
+	era             uint64
 	whole           bool
 	data            []byte
 }
@@ -48,28 +49,28 @@
 type outgoingCopy struct {
 	data  []byte
 	sent  int
-	after tarragondeal.Revision // Changes up to it need not be sent ahead.
-	ahead tarragondeal.Revision // Small changes up to it have been sent ahead.
+	after tarragondeal.Position // Changes up to it need not be sent ahead.
+	ahead tarragondeal.Position // Small changes up to it have been sent ahead.
 }
 
 func newOutgoingCopy(c *Copy, packed []byte) *outgoingCopy {
-	after := tarragondeal.Revision(c.GetAfter())
+	after := tarragondeal.Position{Era: tarragondeal.Era(c.GetEra()), Revision: tarragondeal.Revision(c.GetAfter())}
 	if c.GetWhole() {
-		after = tarragondeal.Revision(c.GetRevision())
+		after.Revision = tarragondeal.Revision(c.GetRevision())
 	}
 	return &outgoingCopy{data: packed, after: after, ahead: after}
 }
 
 // addCopy adds to a state what the peer lacks of the store: a copy, or the next part of
 // one that is too large for a state.
-func (w *stateWriter) addCopy(s *State, revision tarragondeal.Revision) {
+func (w *stateWriter) addCopy(s *State, at tarragondeal.Position) {
 	switch {
 	case w.outgoing != nil:
 		w.continueCopy(s)
 	case w.withholdsCopies():
 		s.Follows, s.Fed = false, false
 	default:
-		if c := w.copy(revision); c != nil {
+		if c := w.copy(at); c != nil {
 			w.beginCopy(s, c)
 		}
 	}
@@ -112,7 +113,7 @@
 	}
 	w.m.mu.Lock()
 	defer w.m.mu.Unlock()
-	if p := w.m.peers[w.peer]; p == nil || p.revision >= w.withheld {
+	if p := w.m.peers[w.peer]; p == nil || p.position.Revision >= w.withheld {
 		w.withheld = 0
 	}
 	return w.withheld != 0
@@ -127,7 +128,7 @@
 	wants := p != nil && p.source == w.m.self.Name
 	w.m.mu.Unlock()
 	if !wants {
-		w.outgoing, w.sentRevision = nil, 0
+		w.outgoing, w.sent = nil, tarragondeal.Position{}
 		return
 	}
 	o := w.outgoing
@@ -143,7 +144,7 @@
 
 // itemsAhead returns the small changes since those that were sent ahead last.
 func (m *Mesh) itemsAhead(o *outgoingCopy) []*Item {
-	entries, rev, whole := m.Mirror.Since(o.ahead)
+	entries, at, whole := m.Mirror.Since(o.ahead)
 	if whole {
 		return nil // Too many; they are sent in the next copy.
 	}
@@ -157,9 +158,9 @@
 			return out
 		}
 		out = append(out, newItem(e))
-		o.ahead = e.Revision
+		o.ahead.Revision = e.Revision
 	}
-	o.ahead = rev
+	o.ahead = at
 	return out
 }
 
@@ -169,7 +170,7 @@
 	m.packMu.Lock()
 	defer m.packMu.Unlock()
 	for _, p := range m.packed {
-		if p.after == c.GetAfter() && p.revision == c.GetRevision() && p.whole == c.GetWhole() {
+		if p.after == c.GetAfter() && p.revision == c.GetRevision() && p.era == c.GetEra() && p.whole == c.GetWhole() {
 			return p.data
 		}
 	}
@@ -178,7 +179,7 @@
 		m.Log.Warn().Err(err).Uint64("revision", c.GetRevision()).Msg("failed to compress a copy, sending it whole")
 		return nil
 	}
-	m.packed = append(m.packed, packedCopy{after: c.GetAfter(), revision: c.GetRevision(), whole: c.GetWhole(), data: data})
+	m.packed = append(m.packed, packedCopy{after: c.GetAfter(), revision: c.GetRevision(), era: c.GetEra(), whole: c.GetWhole(), data: data})
 	if len(m.packed) > maxPackedCopies {
 		m.packed = slices.Delete(m.packed, 0, 1)
 	}
--- a/internal/fleet/tdmesh/parts_test.go
+++ b/internal/fleet/tdmesh/parts_test.go
@@ -261,10 +261,10 @@
 	ended := make(chan error, 1)
 	go func() { ended <- m.Run(ctx, listen(t)) }()
 	deadline := time.Now().Add(versionBound + 2*time.Second)
-	for mirror.Revision() < 2 && time.Now().Before(deadline) {
+	for mirror.Position().Revision < 2 && time.Now().Before(deadline) {
 		time.Sleep(10 * time.Millisecond)
 	}
-	if rev := mirror.Revision(); rev != 2 {
+	if rev := mirror.Position().Revision; rev != 2 {
 		t.Errorf("holds revision %d", rev)
 	}
 	cancel()
--- a/internal/fleet/tdmesh/quiet.go
+++ b/internal/fleet/tdmesh/quiet.go
@@ -39,7 +39,7 @@
 	if changes > 0 || x.GetCopy() != nil || x.GetPart() != nil || x.GetWhole() || x.GetMissed() {
 		return false
 	}
-	return x.GetReady() == earlier.GetReady() && x.GetRevision() == earlier.GetRevision() && x.GetFollows() == earlier.GetFollows() &&
+	return x.GetReady() == earlier.GetReady() && x.GetRevision() == earlier.GetRevision() && x.GetEra() == earlier.GetEra() && x.GetFence() == earlier.GetFence() && x.GetFollows() == earlier.GetFollows() &&
 		x.GetSource() == earlier.GetSource() && x.GetLeaf() == earlier.GetLeaf() && x.GetFed() == earlier.GetFed() &&
 		(x.CopyAgeMillis == nil) == (earlier.CopyAgeMillis == nil)
 }
--- a/internal/fleet/tdmesh/relay_test.go
+++ b/internal/fleet/tdmesh/relay_test.go
@@ -299,7 +299,7 @@
 		for _, m := range f.nodes {
 			if m.Follows() {
 				followers++
-			} else if m.chooseSource(false, 0) != "" {
+			} else if m.chooseSource(false, tarragondeal.Position{}) != "" {
 				copying++
 			}
 		}
@@ -368,19 +368,19 @@
 func TestCopyThatWasLost(t *testing.T) {
 	clock := &fakeClock{now: tarragondeal.Instant(time.Hour)}
 	m := newMesh("a", clock)
-	m.Mirror.Apply([]tarragondeal.Entry{{Key: nodePrefix + "x", Revision: 5}}, 5, false)
+	m.Mirror.Apply([]tarragondeal.Entry{{Key: nodePrefix + "x", Revision: 5}}, tarragondeal.Position{Revision: 5}, false)
 	m.addListed(Node{Name: "b", Incarnation: 1})
 	w := m.newStateWriter("")
 	m.recordState(&State{Node: "b", Incarnation: 1, Revision: 3, Source: "a"}, w)
-	if c := w.copy(5); c == nil {
+	if c := w.copy(tarragondeal.Position{Revision: 5}); c == nil {
 		t.Fatal("no copy is sent")
 	}
 	clock.now = clock.now.Add(copyResendAfter / 2)
-	if c := w.copy(5); c != nil {
+	if c := w.copy(tarragondeal.Position{Revision: 5}); c != nil {
 		t.Error("the copy is sent again immediately")
 	}
 	clock.now = clock.now.Add(copyResendAfter)
-	if c := w.copy(5); c == nil || len(c.Items) != 1 {
+	if c := w.copy(tarragondeal.Position{Revision: 5}); c == nil || len(c.Items) != 1 {
 		t.Errorf("the copy is not sent again: %v", c)
 	}
 }
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -185,6 +185,7 @@
 		age := time.Duration(state.GetCopyAgeMillis()) * time.Millisecond
 		m.Mirror.RecordOtherAnswer(m.Clock.Now().Add(-age))
 	}
+	m.Eras.Receive(tarragondeal.Position{Era: tarragondeal.Era(state.GetEra()), Revision: tarragondeal.Revision(state.GetRevision())})
 	m.applyCopy(state, w)
 	for _, section := range state.GetSections() {
 		if r := m.receivers[section.GetTopic()]; r.onSection != nil {
@@ -234,7 +235,8 @@
 	if p.received != nil {
 		p.bytesAtState = p.received.bytes.Load()
 	}
-	p.revision, p.source = tarragondeal.Revision(s.GetRevision()), tarragondeal.NodeID(s.GetSource())
+	p.position = tarragondeal.Position{Era: tarragondeal.Era(s.GetEra()), Revision: tarragondeal.Revision(s.GetRevision())}
+	p.readsEras, p.source = s.GetReadsEras(), tarragondeal.NodeID(s.GetSource())
 	p.followsStore, p.hasCopies = s.GetFollows(), s.GetFed()
 	p.copyAt = 0
 	if s.CopyAgeMillis != nil {
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -14,19 +14,19 @@
 
 // stateWriter builds the states that are sent on one stream.
 type stateWriter struct {
-	m                *Mesh
-	openedTo         tarragondeal.NodeID // The node to which this one opened the stream; empty if it accepted it.
-	writers          []Writer
-	sentRevision     tarragondeal.Revision // The store's revision in the last copy that was sent.
-	reportedRevision tarragondeal.Revision // The revision that the peer reported last.
-	reportedAt       tarragondeal.Instant  // When the peer had all that was sent, or advanced.
-	sent             map[tarragondeal.NodeID]presence
-	sentWhole        bool // A complete list of presences has been sent.
-	quiet            quietState
-	outgoing         *outgoingCopy         // The copy that is being sent in parts; nil for none.
-	withheld         tarragondeal.Revision // Of a copy that is too large for the peer; zero for none.
-	incoming         []byte                // The parts received so far of a copy; used by the receiver of states only.
-	incomingSince    tarragondeal.Instant  // When the first of them was received.
+	m             *Mesh
+	openedTo      tarragondeal.NodeID // The node to which this one opened the stream; empty if it accepted it.
+	writers       []Writer
+	sent          tarragondeal.Position            // The position of the last copy that was sent.
+	reported      tarragondeal.Position            // The position that the peer reported last.
+	reportedAt    tarragondeal.Instant             // When the peer had all that was sent, or advanced.
+	presences     map[tarragondeal.NodeID]presence // That were sent.
+	sentWhole     bool                             // A complete list of presences has been sent.
+	quiet         quietState
+	outgoing      *outgoingCopy         // The copy that is being sent in parts; nil for none.
+	withheld      tarragondeal.Revision // Of a copy that is too large for the peer; zero for none.
+	incoming      []byte                // The parts received so far of a copy; used by the receiver of states only.
+	incomingSince tarragondeal.Instant  // When the first of them was received.
 
 	// Guarded by the mutex of the mesh.
 	peer           tarragondeal.NodeID // Empty until the peer's first state.
@@ -59,7 +59,7 @@
 	for _, p := range w.m.publishers {
 		w.writers = append(w.writers, p.open())
 	}
-	w.sent, w.sentWhole = make(map[tarragondeal.NodeID]presence), false
+	w.presences, w.sentWhole = make(map[tarragondeal.NodeID]presence), false
 	if w.outgoing != nil {
 		w.outgoing.sent, w.outgoing.ahead = 0, w.outgoing.after
 	}
@@ -81,14 +81,14 @@
 // nextState returns the next state to send.
 func (w *stateWriter) nextState() *State {
 	m := w.m
-	revision := m.Mirror.Revision()
+	at := m.Mirror.Position()
 	follows := m.Follows() && m.reachesStore()
-	source := m.chooseSource(follows, revision)
+	source := m.chooseSource(follows, at)
 	wall := m.Clock.Wall().UnixNano()
 	s := &State{
-		Node: string(m.self.Name), Incarnation: m.self.Incarnation, Ready: m.Ready(), Revision: uint64(revision),
+		Node: string(m.self.Name), Incarnation: m.self.Incarnation, Ready: m.Ready(), Revision: uint64(at.Revision), Era: uint64(at.Era),
 		WallNanos: wall, Follows: follows, Fed: m.canProvideCopies(follows, source), Source: string(source),
-		Missed: w.takeMissed(), ReadsParts: true,
+		Missed: w.takeMissed(), ReadsParts: true, ReadsEras: true,
 	}
 	if age, ok := m.copyAge(follows); ok {
 		millis := uint32(min(max(age, 0)/time.Millisecond, math.MaxUint32))
@@ -103,7 +103,7 @@
 			s.Sections = append(s.Sections, &Section{Topic: m.publishers[n].topic, Payload: payload})
 		}
 	}
-	w.addCopy(s, revision)
+	w.addCopy(s, at)
 	return s
 }
 
@@ -123,19 +123,19 @@
 	for name := range included {
 		current, ok := fleet.live[name]
 		current.wallOffset -= ownOffset
-		if name == to || !ok || !current.differs(w.sent[name]) {
+		if name == to || !ok || !current.differs(w.presences[name]) {
 			continue
 		}
-		w.sent[name] = current
+		w.presences[name] = current
 		s.Behind = append(s.Behind, &Presence{
 			Node: string(name), Incarnation: current.incarnation, Ready: current.ready, AheadNanos: int64(current.wallOffset),
 		})
 	}
-	for name := range w.sent {
+	for name := range w.presences {
 		if _, ok := fleet.live[name]; ok && included[name] {
 			continue
 		}
-		delete(w.sent, name)
+		delete(w.presences, name)
 		s.Behind = append(s.Behind, &Presence{Node: string(name), Gone: true})
 	}
 	s.Whole, w.sentWhole = !w.sentWhole, true
--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -9,28 +9,29 @@
 	"tarragondeal"
 )
 
-// Apply applies changes up to revision rev that another node has copied. If whole
-// is set, entries is that node's full copy. Changes that are not newer than this
-// copy are ignored.
-func (m *Mirror) Apply(entries []tarragondeal.Entry, rev tarragondeal.Revision, whole bool) {
+// Apply applies changes up to a position that another node has copied. If whole is set,
+// entries is that node's full copy. Changes that are not newer than this copy are ignored, as
+// are those of a later era that are not the full copy.
+func (m *Mirror) Apply(entries []tarragondeal.Entry, at tarragondeal.Position, whole bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case rev <= m.rev:
+	case at.Compare(m.position()) <= 0 || at.Era != m.era && !whole:
 	case whole:
-		m.replace([]listing{{entries: entries, rev: rev}}, false)
+		m.startEra(at, "copy of another node")
+		m.replace([]listing{{entries: entries, rev: at.Revision}}, false)
 	default:
-		m.add(entries, rev)
+		m.add(entries, at.Revision)
 	}
 }
 
-// ApplyAhead applies changes that another node has sent ahead of earlier ones. The copy
-// stays complete up to its revision only. An earlier change of the same key that is
+// ApplyAhead applies changes of an era that another node has sent ahead of earlier ones. The
+// copy stays complete up to its revision only. An earlier change of the same key that is
 // applied later has no effect.
-func (m *Mirror) ApplyAhead(entries []tarragondeal.Entry) {
+func (m *Mirror) ApplyAhead(entries []tarragondeal.Entry, era tarragondeal.Era) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.listed {
+	if !m.listed || era != m.era {
 		return
 	}
 	entries = byRevision(entries)
@@ -42,17 +43,21 @@
 	m.merge(entries, m.rev, m.rev)
 }
 
-// applyWatched applies the changes after revision rev that a watch returned. The copy is
+// applyWatched applies the changes after a position that a watch returned. The copy is
 // complete up to the last of them: the service may have reported a later revision while it
 // held changes back.
-func (m *Mirror) applyWatched(entries []tarragondeal.Entry, rev, reported tarragondeal.Revision) {
+func (m *Mirror) applyWatched(entries []tarragondeal.Entry, at tarragondeal.Position, reported tarragondeal.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if at.Era != m.era {
+		return
+	}
+	rev := at.Revision
 	for _, e := range entries {
 		rev = max(rev, e.Revision)
 	}
-	m.relists, m.expired = 0, 0
-	m.reported = max(m.reported, reported)
+	m.relists, m.reported = 0, reported
+	m.opt.Eras.Receive(tarragondeal.Position{Era: m.era, Revision: rev})
 	m.add(entries, rev)
 }
 
@@ -100,6 +105,9 @@
 	if m.answersOthers() {
 		c.AfterOutage, c.OutageEnd = false, 0
 	}
+	if m.eraSince != 0 && m.clock.Now().Sub(m.eraSince) < outageGrace {
+		c.AfterOutage, c.OutageEnd = true, m.eraSince
+	}
 	start := m.clock.Now()
 	for _, receive := range m.subscribers {
 		receive(c)
@@ -150,21 +158,21 @@
 	}
 }
 
-// Since returns the changes after a revision, and the revision up to which they are
-// complete. If after is zero or older than the history, it returns the full copy.
-func (m *Mirror) Since(after tarragondeal.Revision) (entries []tarragondeal.Entry, rev tarragondeal.Revision, whole bool) {
+// Since returns the changes after a position, and the position up to which they are
+// complete. If after is of another era or older than the history, it returns the full copy.
+func (m *Mirror) Since(after tarragondeal.Position) (entries []tarragondeal.Entry, at tarragondeal.Position, whole bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if after == 0 || after < m.historyStart {
+	if after.Era != m.era || after.Revision == 0 || after.Revision < m.historyStart {
 		for _, e := range m.items {
 			entries = append(entries, e)
 		}
-		return entries, m.rev, true
+		return entries, m.position(), true
 	}
 	for _, e := range m.history {
-		if e.Revision > after {
+		if e.Revision > after.Revision {
 			entries = append(entries, e)
 		}
 	}
-	return entries, m.rev, false
+	return entries, m.position(), false
 }
--- a/internal/fleet/tdmirror/confirm.go
+++ b/internal/fleet/tdmirror/confirm.go
@@ -65,18 +65,21 @@
 
 func (m *Mirror) confirm(ctx context.Context) error {
 	m.mu.Lock()
-	listed, rev := m.listed, m.rev
+	listed, at := m.listed, m.position()
 	m.mu.Unlock()
-	if !listed {
+	if !listed || m.isSuspected() {
 		return eris.New("the store is not listed")
 	}
 	ctx, timer := newAnswerTimer(ctx, m.clock, confirmTimeout)
 	defer timer.stop()
-	entries, _, err := m.source.Watch(ctx, m.opt.Confirmed, rev, confirmCallWait)
+	entries, reported, err := m.source.Watch(ctx, m.opt.Confirmed, at.Revision, confirmCallWait)
 	m.opt.Scope.Counter("confirmations").Inc(1)
 	if err != nil {
 		return err
 	}
-	m.ApplyAhead(entries)
+	if m.suspectWatched(entries, at.Revision, reported) || m.opt.Eras.Known().Era != at.Era {
+		return &tarragondeal.EraError{Op: "watch", Key: m.opt.Confirmed, Reported: reported, Known: at}
+	}
+	m.ApplyAhead(entries, at.Era)
 	return nil
 }
--- /dev/null
+++ b/internal/fleet/tdmirror/era.go
@@ -0,0 +1,279 @@
+package tdmirror
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tarragondeal"
+	"tarragondeal/internal/fleet/tdera"
+)
+
+const (
+	// verifyDelay bounds the random delay after an outage before the copy is verified by a
+	// listing: the service may have come back from an earlier copy and have passed the
+	// revision of this one since.
+	verifyDelay = 300 * time.Millisecond
+	// verifyTimeout bounds such a listing: meanwhile no watch is waiting.
+	verifyTimeout = 300 * time.Millisecond
+	// minVerifyInterval is the least time between two such listings. It doubles with each one
+	// that failed, up to maxVerifyInterval.
+	minVerifyInterval = 2 * time.Second
+	maxVerifyInterval = 32 * time.Second
+	// maxVerifyDelay is how late a service may answer that is listed to verify the copy.
+	maxVerifyDelay = 50 * time.Millisecond
+	// leafExamineDelay is how long a node that does not follow the service leaves it to others
+	// to examine a suspicion.
+	leafExamineDelay = 1500 * time.Millisecond
+	// recordTimeout bounds one write of the record of the era.
+	recordTimeout = time.Second
+)
+
+// planVerification makes this node verify its copy soon, since calls have failed.
+func (m *Mirror) planVerification() {
+	at := m.clock.Now().Add(rand.N(verifyDelay))
+	if m.verifiedAt != 0 {
+		at = max(at, m.verifiedAt.Add(m.verifyPause))
+	}
+	m.verifyAt = at
+}
+
+// verify lists the keys, and compares them with the copy. It is no failure of the service if
+// that takes too long.
+func (m *Mirror) verify(ctx context.Context) {
+	m.mu.Lock()
+	pause := min(2*max(m.verifyPause, minVerifyInterval/2), maxVerifyInterval)
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	if err := m.list(ctx); err != nil {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.verifyPause = pause
+		m.planVerification()
+		m.opt.Log.Info().Err(err).Dur("pause", pause).Msg("the copy of the store could not be verified")
+	}
+}
+
+// mustVerify reports whether the copy is to be verified now.
+func (m *Mirror) mustVerify() bool {
+	m.mu.Lock()
+	due := m.verifyAt != 0 && m.clock.Now() >= m.verifyAt && m.delay <= maxVerifyDelay
+	m.mu.Unlock()
+	return due && m.follows()
+}
+
+// isSuspected reports whether the service may have gone back.
+func (m *Mirror) isSuspected() bool {
+	_, ok := m.opt.Eras.Suspicion()
+	return ok
+}
+
+// endOnSuspicion ends the call that a timer bounds as soon as the service may have gone back.
+// The returned function stops that.
+func (m *Mirror) endOnSuspicion(t *answerTimer) (stop func()) {
+	suspected, done := m.opt.Eras.Suspected(), make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		select {
+		case <-suspected:
+			t.end(context.Canceled)
+		case <-done:
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+	}
+}
+
+// suspectWatched reports whether the answer to a watch from revision rev gives rise to a
+// suspicion: the service is at an earlier revision, or another node has recorded an era.
+func (m *Mirror) suspectWatched(entries []tarragondeal.Entry, rev, reported tarragondeal.Revision) bool {
+	if reported < rev {
+		m.opt.Eras.Suspect(tdera.Suspicion{Found: "watch", Reported: reported})
+		return true
+	}
+	for _, e := range entries {
+		if e.Key == tdera.Key && !e.Deleted && m.recordedEra(e).Era > m.Position().Era {
+			m.opt.Eras.Suspect(tdera.Suspicion{Found: "record of the era", Reported: reported})
+			return true
+		}
+	}
+	return false
+}
+
+// suspectListed reports whether listings that were begun at a known position give rise to a
+// suspicion.
+func (m *Mirror) suspectListed(all []listing, begun tarragondeal.Position) bool {
+	lowest := all[0].rev
+	for _, l := range all {
+		lowest = min(lowest, l.rev)
+	}
+	if lowest < begun.Revision {
+		m.opt.Eras.Suspect(tdera.Suspicion{Found: "listing", Reported: lowest})
+		return true
+	}
+	if m.contradicts(all, begun) {
+		m.opt.Eras.Suspect(tdera.Suspicion{Found: "contents of a listing", Reported: lowest})
+		return true
+	}
+	return false
+}
+
+// contradicts reports whether listings at a known position or later can't be of its history:
+// an entry is at an earlier revision than in this copy, or at the same one with another value,
+// or the record of the era is gone. Entries that this copy has from later answers are left out.
+func (m *Mirror) contradicts(all []listing, begun tarragondeal.Position) bool {
+	for _, l := range all {
+		if l.rev < begun.Revision {
+			return false // The listings may be old.
+		}
+	}
+	if m.recordedIn(all).Era < begun.Era {
+		return true
+	}
+	known := begun.Revision
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range all {
+		for _, e := range l.entries {
+			held, ok := m.items[e.Key]
+			if !ok || held.Revision > known {
+				continue
+			}
+			if e.Revision < held.Revision || e.Revision == held.Revision && !bytes.Equal(e.Value, held.Value) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// recordIn returns the entry of the era's record in listings, or one at revision zero.
+func recordIn(all []listing) tarragondeal.Entry {
+	for _, l := range all {
+		for _, e := range l.entries {
+			if e.Key == tdera.Key {
+				return e
+			}
+		}
+	}
+	return tarragondeal.Entry{Key: tdera.Key}
+}
+
+func (m *Mirror) recordedIn(all []listing) tdera.Record { return m.recordedEra(recordIn(all)) }
+
+// recordedEra returns the record of the era. One that can't be decoded counts as that of the
+// first era.
+func (m *Mirror) recordedEra(e tarragondeal.Entry) tdera.Record {
+	r, err := tdera.DecodeRecord(e.Value)
+	if err != nil {
+		m.opt.Log.Warn().Err(err).Uint64("revision", uint64(e.Revision)).Msg("invalid record of the era")
+		return tdera.Record{}
+	}
+	return r
+}
+
+// mayExamine reports whether this node examines a suspicion now. A node that does not follow
+// the service receives the copy of the new era from others, unless that takes long.
+func (m *Mirror) mayExamine(s *tdera.Suspicion) bool {
+	return m.follows() || m.clock.Now().Sub(s.At) > leafExamineDelay
+}
+
+// examine finds out whether the service has gone back, and if so starts the copy anew. Either
+// another node has recorded a later era, or the contents are older than before, or a write gets
+// an earlier revision than was known. A listing alone does not prove it, since it may be old.
+func (m *Mirror) examine(ctx context.Context, s *tdera.Suspicion) error {
+	all, start, err := m.listAll(ctx)
+	if err != nil {
+		return err
+	}
+	entry, record := recordIn(all), m.recordedIn(all)
+	switch {
+	case record.Era > s.Known.Era:
+		m.adopt(all, record.Era, s.Found, start)
+		return nil
+	case m.contradicts(all, s.Known):
+	default:
+		entry.Revision, err = m.writeRecord(ctx, record, entry.Revision)
+		if err != nil || entry.Revision > s.Known.Revision {
+			return m.dismiss(s, err)
+		}
+	}
+	_, err = m.writeRecord(ctx, tdera.Next(s.Known, m.clock.Wall(), m.opt.Self), entry.Revision)
+	return ignoreConflict(err) // The next examination finds the record.
+}
+
+// dismiss drops a suspicion, unless the call to refute it failed.
+func (m *Mirror) dismiss(s *tdera.Suspicion, err error) error {
+	if err == nil {
+		m.opt.Log.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
+			Msg("the store has not gone back")
+		m.opt.Eras.Dismiss(s.Era)
+	}
+	return ignoreConflict(err)
+}
+
+// ignoreConflict returns nil if another node has written the record meanwhile.
+func ignoreConflict(err error) error {
+	if _, ok := errors.AsType[*tarragondeal.ConflictError](err); ok {
+		return nil
+	}
+	return err
+}
+
+func (m *Mirror) writeRecord(ctx context.Context, r tdera.Record, prev tarragondeal.Revision) (tarragondeal.Revision, error) {
+	if m.opt.Recorder == nil {
+		return 0, eris.New("no recorder of the era")
+	}
+	value, err := json.Marshal(r)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	e, err := m.opt.Recorder.Swap(ctx, tdera.Key, value, prev)
+	if err == nil {
+		m.opt.Log.Info().Uint64("era", uint64(r.Era)).Uint64("revision", uint64(e.Revision)).Msg("record of the era written")
+	}
+	return e.Revision, err
+}
+
+// adopt starts the copy anew from listings of a later era.
+func (m *Mirror) adopt(all []listing, era tarragondeal.Era, found string, start tarragondeal.Instant) {
+	latest := tarragondeal.Revision(0)
+	for _, l := range all {
+		latest = max(latest, l.rev)
+	}
+	m.mu.Lock()
+	if era > m.era {
+		m.startEra(tarragondeal.Position{Era: era, Revision: latest}, found)
+		m.applyListings(all)
+	}
+	m.mu.Unlock()
+	m.recordAnswer(start)
+}
+
+// startEra forgets the revisions of this copy if at is of a later era. What is applied next
+// replaces the entries, which would otherwise pass for later ones. Some may be written again
+// soon, as after an outage.
+func (m *Mirror) startEra(at tarragondeal.Position, found string) {
+	if at.Era <= m.era {
+		return
+	}
+	for key, e := range m.items {
+		e.Revision = 0
+		m.items[key] = e
+	}
+	clear(m.ahead)
+	m.era, m.rev, m.history, m.historyStart, m.listings = at.Era, 0, nil, 0, nil
+	m.relists, m.reported, m.eraSince = 0, at.Revision, m.clock.Now()
+	m.opt.Eras.Start(at, found)
+}
--- a/internal/fleet/tdmirror/listing.go
+++ b/internal/fleet/tdmirror/listing.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 
 	"tarragondeal"
+	"tarragondeal/internal/fleet/tdera"
 )
 
 // listing is a full copy of the keys with some prefix. An entry that is not in it
@@ -18,18 +20,47 @@
 // list reads all keys and removes the entries that are missing from the listings,
 // unless they are newer than these.
 func (m *Mirror) list(ctx context.Context) error {
-	start := m.clock.Now()
-	all := make([]listing, 0, len(m.opt.Prefixes))
-	for _, prefix := range m.opt.Prefixes {
+	begun := m.opt.Eras.Known()
+	all, start, err := m.listAll(ctx)
+	if err != nil {
+		return err
+	}
+	if r := m.recordedIn(all); r.Era > begun.Era {
+		m.adopt(all, r.Era, "listing", start)
+		return nil
+	}
+	if m.suspectListed(all, begun) {
+		return nil
+	}
+	m.mu.Lock()
+	if begun.Era == m.era {
+		m.applyListings(all)
+	}
+	m.mu.Unlock()
+	m.recordAnswer(start)
+	return nil
+}
+
+// listAll reads all keys. It begins with the record of the era, so that what follows is of
+// that era or a later one.
+func (m *Mirror) listAll(ctx context.Context) (all []listing, start tarragondeal.Instant, err error) {
+	start = m.clock.Now()
+	m.mu.Lock()
+	m.verifyAt, m.verifiedAt, m.verifyPause = 0, start, minVerifyInterval
+	m.mu.Unlock()
+	prefixes := slices.Clone(m.opt.Prefixes)
+	slices.SortStableFunc(prefixes, func(a, b string) int {
+		hasRecord := func(prefix string) int { return len(tdera.Key) - len(strings.TrimPrefix(tdera.Key, prefix)) }
+		return hasRecord(b) - hasRecord(a)
+	})
+	for _, prefix := range prefixes {
 		l, err := m.listPrefix(ctx, prefix)
 		if err != nil {
-			return err
+			return nil, start, err
 		}
 		all = append(all, l)
 	}
-	m.applyListings(all)
-	m.recordAnswer(start)
-	return nil
+	return all, start, nil
 }
 
 func (m *Mirror) listPrefix(ctx context.Context, prefix string) (listing, error) {
@@ -61,10 +92,12 @@
 
 // applyListings applies listings of all keys.
 func (m *Mirror) applyListings(all []listing) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.listings = nil // Superseded, and not to be compared with the new ones.
-	m.reset(all)
+	m.reported = all[0].rev
+	for _, l := range all {
+		m.reported = max(m.reported, l.rev)
+	}
+	m.opt.Eras.Receive(tarragondeal.Position{Era: m.era, Revision: m.reported})
 	m.replace(all, true)
 	m.listings = all
 	for n := range all {
@@ -72,30 +105,6 @@
 	}
 }
 
-// reset forgets the revisions of this copy if the service has lost them: it had no history
-// after one of them, and is at an earlier one in listings that were begun later. The
-// listings then replace the copy, whose entries would otherwise pass for later ones. Some
-// entries may be written again soon, as after an outage.
-func (m *Mirror) reset(all []listing) {
-	latest := tarragondeal.Revision(0)
-	for _, l := range all {
-		latest = max(latest, l.rev)
-	}
-	m.reported = latest
-	if latest >= m.expired {
-		return
-	}
-	m.opt.Log.Warn().Uint64("revision", uint64(m.rev)).Uint64("expired", uint64(m.expired)).Uint64("reported", uint64(latest)).
-		Msg("the store is at an earlier revision than this copy, starting the copy anew")
-	for key, e := range m.items {
-		e.Revision = 0
-		m.items[key] = e
-	}
-	clear(m.ahead)
-	m.rev, m.history, m.historyStart, m.expired = 0, nil, 0, 0
-	m.availableSince = m.clock.Now()
-}
-
 // replace applies listings, which together are a full copy. It is complete at the
 // earliest of their revisions. All their entries are applied if they are not older
 // than this copy, and either come from the service itself or this copy is not known
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -25,6 +25,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/fleet/tdera"
 )
 
 const (
@@ -86,8 +87,19 @@
 	// history of its watch has expired: others may list them first and send copies. Nil means
 	// not at all.
 	RelistDelay func() time.Duration
-	Log         zerolog.Logger
-	Scope       tally.Scope
+	// Eras tracks the era of the service. Nil means that the service never goes back.
+	Eras *tdera.Tracker
+	// Recorder writes the record of the era. It must not check revisions, as the source must not.
+	Recorder Recorder
+	Self     tarragondeal.NodeID
+	Log      zerolog.Logger
+	Scope    tally.Scope
+}
+
+// Recorder writes keys of the service.
+type Recorder interface {
+	// Swap writes value if the key is still at revision prev.
+	Swap(ctx context.Context, key string, value []byte, prev tarragondeal.Revision) (tarragondeal.Entry, error)
 }
 
 // Changes are entries that were applied together.
@@ -113,15 +125,19 @@
 
 	mu             sync.Mutex
 	items          map[string]tarragondeal.Entry
+	era            tarragondeal.Era
 	rev            tarragondeal.Revision
+	eraSince       tarragondeal.Instant             // When the era began here; zero in the first one.
 	ahead          map[string]tarragondeal.Revision // Of the changes after rev that were applied, by key.
 	history        []tarragondeal.Entry
 	historyStart   tarragondeal.Revision // The history holds all changes after this revision.
 	listed         bool
 	relistAt       tarragondeal.Instant  // When the keys may be listed again; zero before the first time.
 	relists        int                   // Listings since the last watch that was answered.
-	expired        tarragondeal.Revision // The service has not the changes after it; zero if it has, or that is not known.
-	reported       tarragondeal.Revision // The latest revision of the service that it has reported.
+	reported       tarragondeal.Revision // By the service at last.
+	verifyAt       tarragondeal.Instant  // When the copy is verified by a listing; zero if it need not be.
+	verifiedAt     tarragondeal.Instant  // When the keys were listed last; zero before the first time.
+	verifyPause    time.Duration         // The least time until they are listed again to verify the copy.
 	listings       []listing             // The last listings, without their entries.
 	unavailable    bool
 	failures       int                  // Calls that failed since the last one that did not.
@@ -148,6 +164,9 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
+	if o.Eras == nil {
+		o.Eras = tdera.New(c, o.Log, o.Scope)
+	}
 	return &Mirror{
 		source: s, clock: c, opt: o, items: make(map[string]tarragondeal.Entry), ahead: make(map[string]tarragondeal.Revision),
 		confirmation: newConfirmation(),
@@ -160,11 +179,15 @@
 	m.subscribers = append(m.subscribers, receive)
 }
 
-// Revision returns the revision up to which the copy is complete.
-func (m *Mirror) Revision() tarragondeal.Revision {
+// Position returns the position up to which the copy is complete.
+func (m *Mirror) Position() tarragondeal.Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.rev
+	return m.position()
+}
+
+func (m *Mirror) position() tarragondeal.Position {
+	return tarragondeal.Position{Era: m.era, Revision: m.rev}
 }
 
 // Unavailable reports whether the last call to the service failed.
@@ -242,22 +265,40 @@
 // the watch history, and watches otherwise. It reports whether a watch returned
 // changes.
 func (m *Mirror) step(ctx context.Context) (changed bool, err error) {
+	if s, ok := m.opt.Eras.Suspicion(); ok && m.mayExamine(&s) {
+		return false, m.examine(ctx, &s)
+	}
 	m.mu.Lock()
-	listed, rev := m.listed, m.rev
+	listed := m.listed
 	m.mu.Unlock()
 	if !listed && !m.leavesListing(ctx) {
 		return false, m.list(ctx)
 	}
-	if m.opt.Follows != nil && !m.opt.Follows() {
+	if m.mustVerify() {
+		m.verify(ctx)
+		return false, nil
+	}
+	if !m.follows() {
 		m.endOutage()
 		tdclock.Sleep(ctx, followCheckInterval)
 		return false, nil
 	}
+	return m.watch(ctx)
+}
+
+// watch waits for changes and applies them. It reports whether there were any.
+func (m *Mirror) watch(ctx context.Context) (changed bool, err error) {
+	at := m.Position()
+	rev := at.Revision
 	wait, timeout := m.watchTimes()
 	ctx, timer := newAnswerTimer(ctx, m.clock, timeout)
 	defer timer.stop()
+	defer m.endOnSuspicion(timer)()
 	start := m.clock.Now()
 	entries, next, err := m.source.Watch(ctx, "", rev, wait)
+	if m.opt.Eras.Known().Era != at.Era || m.isSuspected() {
+		return false, nil // The answer may be from before the service went back.
+	}
 	m.logLarge(entries, next, timer)
 	if _, ok := errors.AsType[*tarragondeal.HistoryError](err); ok {
 		m.recordSuccess()
@@ -272,7 +313,10 @@
 	if err != nil {
 		return false, err
 	}
-	m.applyWatched(entries, rev, next)
+	if m.suspectWatched(entries, rev, next) {
+		return false, nil
+	}
+	m.applyWatched(entries, at, next)
 	now := m.clock.Now()
 	if len(entries) == 0 {
 		m.recordDelay(now.Sub(start) - wait)
@@ -281,6 +325,9 @@
 	return len(entries) > 0, nil
 }
 
+// follows reports whether this node should follow the service itself.
+func (m *Mirror) follows() bool { return m.opt.Follows == nil || m.opt.Follows() }
+
 // expireHistory makes this node list the keys again, since the service has not the changes
 // after revision rev.
 func (m *Mirror) expireHistory(rev tarragondeal.Revision) {
@@ -291,7 +338,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delay = m.relist(delay)
-	m.expired = rev
 	m.opt.Log.Info().Uint64("revision", uint64(rev)).Uint64("reported", uint64(m.reported)).Int("listings", m.relists).Dur("delay", delay).
 		Msg("watch history expired, listing again")
 }
@@ -324,7 +370,7 @@
 	at := m.relistAt
 	m.mu.Unlock()
 	for m.clock.Now() < at && ctx.Err() == nil {
-		if m.opt.Follows != nil && !m.opt.Follows() {
+		if !m.follows() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.listed = true
@@ -376,7 +422,8 @@
 		return
 	}
 	m.unavailable, m.availableSince = false, m.clock.Now()
-	m.opt.Log.Info().Uint64("revision", uint64(m.rev)).Msg("store is available again")
+	m.planVerification()
+	m.opt.Log.Info().Uint64("era", uint64(m.era)).Uint64("revision", uint64(m.rev)).Msg("store is available again")
 }
 
 // endOutage ends the outage of a node that no longer calls the service. Whether the
--- a/internal/fleet/tdmirror/mirror_test.go
+++ b/internal/fleet/tdmirror/mirror_test.go
@@ -35,6 +35,9 @@
 	onAnswer     func() // Called when a call has its answer, before it returns. May be nil.
 }
 
+// at returns a position of the first era.
+func at(rev tarragondeal.Revision) tarragondeal.Position { return tarragondeal.Position{Revision: rev} }
+
 func newFakeSource() *fakeSource {
 	return &fakeSource{rev: 1, items: make(map[string]tarragondeal.Entry)}
 }
@@ -136,7 +139,7 @@
 type sentCopy struct {
 	to      *testMirror
 	entries []tarragondeal.Entry
-	rev     tarragondeal.Revision
+	rev     tarragondeal.Position
 	whole   bool
 }
 
@@ -200,7 +203,7 @@
 		s.unavailable = !s.unavailable
 	case 5:
 		from := rapid.SampledFrom(f.mirrors).Draw(f.T, "from")
-		entries, rev, whole := from.Since(m.Revision())
+		entries, rev, whole := from.Since(m.Position())
 		f.copies = append(f.copies, sentCopy{m, entries, rev, whole})
 	case 6, 7:
 		if len(f.copies) == 0 {
@@ -229,11 +232,11 @@
 // sendAhead sends some changes to a mirror that lacks earlier ones.
 func (f *fleet) sendAhead(m *testMirror) {
 	from := rapid.SampledFrom(f.mirrors).Draw(f.T, "ahead from")
-	entries, _, whole := from.Since(m.Revision())
+	entries, at, whole := from.Since(m.Position())
 	if whole {
 		return
 	}
-	m.ApplyAhead(entries[min(rapid.IntRange(0, 5).Draw(f.T, "passed over"), len(entries)):])
+	m.ApplyAhead(entries[min(rapid.IntRange(0, 5).Draw(f.T, "passed over"), len(entries)):], at.Era)
 }
 
 // check compares each mirror with what the service held at the mirror's revision or
@@ -303,7 +306,7 @@
 			}
 		}
 		for n, m := range f.mirrors {
-			m.Apply(f.mirrors[n%2].Since(m.Revision()))
+			m.Apply(f.mirrors[n%2].Since(m.Position()))
 			if !maps.Equal(m.values(), s.values()) {
 				t.Fatalf("mirror %d holds %v, the service %v", n, m.values(), s.values())
 			}
@@ -320,7 +323,7 @@
 	if _, err := m.step(context.Background()); err != nil {
 		t.Fatal(err)
 	}
-	m.Apply([]tarragondeal.Entry{{Key: "a/1", Value: []byte("old"), Revision: 1}}, 1, true)
+	m.Apply([]tarragondeal.Entry{{Key: "a/1", Value: []byte("old"), Revision: 1}}, at(1), true)
 	if got := m.values()["a/1"]; got != "new" {
 		t.Errorf("holds %q", got)
 	}
@@ -415,7 +418,7 @@
 			m.RecordOtherAnswer(failed.Add(at))
 		}
 		clock.now = failed.Add(c.at)
-		m.Apply([]tarragondeal.Entry{{Key: "a/1", Revision: 9, Deleted: true}}, 9, false)
+		m.Apply([]tarragondeal.Entry{{Key: "a/1", Revision: 9, Deleted: true}}, at(9), false)
 		if !called || afterOutage != c.want {
 			t.Errorf("%s: called %t, after outage %t", c.name, called, afterOutage)
 		}
@@ -521,12 +524,12 @@
 		s.put(fmt.Sprintf("a/%d", n), fmt.Sprint(n))
 		_, _ = m.step(context.Background())
 	}
-	if _, _, whole := m.Since(2); !whole {
+	if _, _, whole := m.Since(at(2)); !whole {
 		t.Error("changes are returned that are no longer kept")
 	}
-	entries, rev, whole := m.Since(s.rev - 5)
-	if whole || len(entries) != 5 || rev != s.rev {
-		t.Errorf("%d entries up to %d, whole %t", len(entries), rev, whole)
+	entries, rev, whole := m.Since(at(s.rev - 5))
+	if whole || len(entries) != 5 || rev != at(s.rev) {
+		t.Errorf("%d entries up to %v, whole %t", len(entries), rev, whole)
 	}
 }
 
@@ -565,7 +568,7 @@
 			s.onAnswer = nil
 			s.remove("a/2")
 			steps(t, other, 1)
-			m.Apply(other.Since(m.Revision()))
+			m.Apply(other.Since(m.Position()))
 		}
 		steps(t, m, 2)
 		if !maps.Equal(m.values(), s.values()) {
@@ -585,7 +588,7 @@
 	steps(t, receiver, 1)
 	s.put("a/000", "new")
 	steps(t, m, 1)
-	receiver.Apply(m.Since(receiver.Revision()))
+	receiver.Apply(m.Since(receiver.Position()))
 	if !maps.Equal(receiver.values(), s.values()) {
 		t.Errorf("a/000 is %q", receiver.values()["a/000"])
 	}
@@ -612,9 +615,9 @@
 		s.remove("a/2")
 		s.historyStart = s.rev
 		steps(t, m, 2)
-		receiver.Apply(m.Since(receiver.Revision()))
-		if receiver.Revision() != s.rev || !maps.Equal(receiver.values(), s.values()) {
-			t.Errorf("%s: the receiver at %d holds %v, the service %v", c.name, receiver.Revision(), receiver.values(), s.values())
+		receiver.Apply(m.Since(receiver.Position()))
+		if receiver.Position().Revision != s.rev || !maps.Equal(receiver.values(), s.values()) {
+			t.Errorf("%s: the receiver at %d holds %v, the service %v", c.name, receiver.Position().Revision, receiver.values(), s.values())
 		}
 	}
 }
@@ -637,9 +640,9 @@
 		s.remove("b/1")
 	}
 	steps(t, m, 2)
-	receiver.Apply(m.Since(receiver.Revision()))
-	if receiver.Revision() != s.rev || !maps.Equal(receiver.values(), s.values()) {
-		t.Errorf("the receiver at %d holds %v, the service %v", receiver.Revision(), receiver.values(), s.values())
+	receiver.Apply(m.Since(receiver.Position()))
+	if receiver.Position().Revision != s.rev || !maps.Equal(receiver.values(), s.values()) {
+		t.Errorf("the receiver at %d holds %v, the service %v", receiver.Position().Revision, receiver.values(), s.values())
 	}
 }
 
@@ -661,7 +664,7 @@
 		s.remove("b/1")
 	}
 	steps(t, m, 1)
-	m.Apply(other.Since(0))
+	m.Apply(other.Since(at(0)))
 	if _, ok := m.values()["b/1"]; ok {
 		t.Error("an entry that was missing from the listing was restored by an older copy")
 	}
@@ -704,11 +707,11 @@
 		s.remove("b/1")
 	}
 	steps(t, m, 1)
-	receiver.Apply(m.Since(receiver.Revision()))
+	receiver.Apply(m.Since(receiver.Position()))
 	if _, ok := receiver.values()["b/1"]; ok {
 		t.Fatal("the first copy has the entry")
 	}
-	receiver.Apply(other.Since(0))
+	receiver.Apply(other.Since(at(0)))
 	if _, ok := receiver.values()["b/1"]; ok {
 		t.Error("an entry was restored that an earlier full copy lacked")
 	}
@@ -723,10 +726,10 @@
 	steps(t, m, 1)
 	s.put("a/2", "x")
 	steps(t, m, 1)
-	receiver.Apply(m.Since(2))
+	receiver.Apply(m.Since(at(2)))
 	s.put("a/3", "x")
 	steps(t, m, 1)
-	receiver.Apply(m.Since(0))
+	receiver.Apply(m.Since(at(0)))
 	if !maps.Equal(receiver.values(), s.values()) {
 		t.Errorf("the receiver holds %v, the service %v", receiver.values(), s.values())
 	}
@@ -740,7 +743,7 @@
 	if _, err := m.step(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	behind := m.Revision()
+	behind := m.Position()
 	for n := range 5 {
 		source.put("a/large", fmt.Sprint(n))
 		source.put("b/"+fmt.Sprint(n), "small")
@@ -778,7 +781,7 @@
 	m, other := newMirror(s, clock), newMirror(s, clock)
 	steps(t, m, 1)
 	steps(t, other, 1)
-	before := m.Revision()
+	before := m.Position()
 	s.put("a/changed", "live")
 	s.put("a/removed", "live")
 	steps(t, other, 1)
@@ -789,13 +792,13 @@
 	ahead, _, _ := other.Since(rev)
 
 	want := map[string]string{"a/changed": "leaving"}
-	m.ApplyAhead(ahead)
-	if got := m.values(); !maps.Equal(got, want) || m.Revision() != before {
-		t.Errorf("at revision %d the mirror holds %v", m.Revision(), got)
+	m.ApplyAhead(ahead, 0)
+	if got := m.values(); !maps.Equal(got, want) || m.Position() != before {
+		t.Errorf("at revision %d the mirror holds %v", m.Position().Revision, got)
 	}
 	m.Apply(entries, rev, whole)
-	if got := m.values(); !maps.Equal(got, want) || m.Revision() != rev {
-		t.Errorf("at revision %d the mirror holds %v", m.Revision(), got)
+	if got := m.values(); !maps.Equal(got, want) || m.Position() != rev {
+		t.Errorf("at revision %d the mirror holds %v", m.Position().Revision, got)
 	}
 	m.Apply(other.Since(rev))
 	if got := m.values(); !maps.Equal(got, want) || len(m.ahead) != 0 {
--- a/internal/fleet/tdmirror/relist_test.go
+++ b/internal/fleet/tdmirror/relist_test.go
@@ -57,7 +57,7 @@
 			if revised := m.values()["a/1"] == "y"; revised != c.revised {
 				t.Errorf("%s: holds %q", c.name, m.values()["a/1"])
 			}
-			m.Apply([]tarragondeal.Entry{{Key: "a/1", Value: []byte("z"), Revision: s.rev + 1}}, s.rev+1, false)
+			m.Apply([]tarragondeal.Entry{{Key: "a/1", Value: []byte("z"), Revision: s.rev + 1}}, at(s.rev+1), false)
 			if got := m.values()["a/1"]; got != "z" {
 				t.Errorf("%s: holds %q after a copy", c.name, got)
 			}
--- a/internal/fleet/tdmirror/timeout_test.go
+++ b/internal/fleet/tdmirror/timeout_test.go
@@ -71,7 +71,7 @@
 	done := make(chan error, 1)
 	go func() { done <- m.Run(ctx) }()
 	time.Sleep(2 * time.Second)
-	if rev := m.Revision(); rev != 2 {
+	if rev := m.Position().Revision; rev != 2 {
 		t.Errorf("holds revision %d", rev)
 	}
 	cancel()
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -25,6 +25,7 @@
 	"tarragondeal/internal/entry/tdflow"
 	"tarragondeal/internal/entry/tdhost"
 	"tarragondeal/internal/entry/tdorigin"
+	"tarragondeal/internal/fleet/tdera"
 	"tarragondeal/internal/fleet/tdlease"
 	"tarragondeal/internal/fleet/tdlisting"
 	"tarragondeal/internal/fleet/tdmesh"
@@ -78,6 +79,7 @@
 	incarnation uint64
 
 	store      *platform.Store
+	eras       *tdera.Tracker
 	mirror     *tdmirror.Mirror
 	mesh       *tdmesh.Mesh
 	config     *tdlisting.Config
@@ -147,15 +149,19 @@
 }
 
 func (n *Node) buildFleet() {
-	n.store = platform.NewStore(n.vm.Store, n.httpClient(storeMaxIdleConns), n.clock)
-	n.mirror = tdmirror.New(n.store, n.clock, tdmirror.Options{
+	client := n.httpClient(storeMaxIdleConns)
+	n.eras = tdera.New(n.clock, tdlog.Part(n.log, "era"), n.metrics.Scope.SubScope("era"))
+	n.store = platform.NewStore(n.vm.Store, client, n.clock, n.eras)
+	unchecked := platform.NewStore(n.vm.Store, client, n.clock, nil)
+	n.mirror = tdmirror.New(unchecked, n.clock, tdmirror.Options{
 		Prefixes:  []string{platform.OperatorPrefix, platform.ServersPrefix, tdlease.KeyPrefix},
 		Confirmed: platform.ServersPrefix,
 		Follows:   func() bool { return n.mesh.Follows() }, RelistDelay: func() time.Duration { return n.mesh.RelistDelay() },
+		Eras: n.eras, Recorder: unchecked, Self: n.vm.Node,
 		Log: tdlog.Part(n.log, "mirror"), Scope: n.metrics.Scope.SubScope("mirror"),
 	})
 	n.mesh = tdmesh.New(tdmesh.Deps{
-		Store: n.store, Mirror: n.mirror, Clock: n.clock, Dialer: tddial.New(), TTL: nodeTTL,
+		Store: n.store, Mirror: n.mirror, Eras: n.eras, Clock: n.clock, Dialer: tddial.New(), TTL: nodeTTL,
 		Ready: func() bool { return n.host.Ready() },
 		Log:   tdlog.Part(n.log, "mesh"), Scope: n.metrics.Scope.SubScope("mesh"),
 	}, tdmesh.Node{
--- a/test/vm/store_test.go
+++ b/test/vm/store_test.go
@@ -136,15 +136,6 @@
 	})
 }
 
-// failWith makes the store fail for a time, breaks its connections, and then restores a copy.
-func (s *store) failWith(items map[string]item, rev uint64, away time.Duration) {
-	s.setUnavailable(true)
-	s.srv.CloseClientConnections()
-	time.Sleep(away)
-	s.restore(items, rev)
-	s.setUnavailable(false)
-}
-
 // notify wakes all pending watches.
 func (s *store) notify() {
 	close(s.changed)
