lease, mesh: fencing tokens that rise also if the store goes back

The platform saw one fencing token of two nodes, and a lower one after a higher one, of another holder and of the same.

Cause: a token is the store's revision at which the holder was written. A store that comes back from an earlier copy gives revisions again, and ids of leases: a holder may renew the lease of the next one.

Change: a token is still the revision, which builds before compare, as long as that is known to rise: in the first era, above each token that any node knows of, and while some node remembers the time before. Else it is a time above all revisions, with bits of the holder. Nodes tell each other the highest one and since when they remember. A holder does not act before another node knows of its token. A term ends when an era begins, or when the store names another holder; such a lease is not released. The next holder waits for the time of a lease if the store was away or an era began. Nodes write their entries again, and a key that outlived its lease is written with another one.

--- a/internal/fleet/tdera/record.go
+++ b/internal/fleet/tdera/record.go
@@ -7,11 +7,11 @@
 	"github.com/rotisserie/eris"
 
 	"tarragondeal"
-	"tarragondeal/internal/fleet/tdlease"
 )
 
-// Key is the key of the record of the era. Nodes of all builds copy the keys with its prefix.
-const Key = tdlease.KeyPrefix + "era"
+// Key is the key of the record of the era. It has the prefix of leases, whose keys nodes of all
+// builds copy.
+const Key = "held/era"
 
 // Record is the record of the era in the store. A store without one is in the first era.
 type Record struct {
--- a/internal/fleet/tdlease/lease.go
+++ b/internal/fleet/tdlease/lease.go
@@ -41,6 +41,9 @@
 type Options struct {
 	TTL    time.Duration
 	Margin time.Duration // Safety margin before the expiry of a lease.
+	// Fences assigns fencing tokens. Nil means that they are those of the store, which then
+	// must never go back.
+	Fences *Fences
 	Log    zerolog.Logger
 	Scope  tally.Scope
 }
@@ -54,6 +57,7 @@
 	opt       Options
 	mu        sync.Mutex
 	available map[string]chan struct{} // By lease name.
+	terms     map[string]*term         // The current ones, by lease name.
 }
 
 // New returns Leases whose holder is the process of members.Self().
@@ -67,7 +71,40 @@
 	if opt.Scope == nil {
 		opt.Scope = tally.NoopScope
 	}
-	return &Leases{store: store, clock: clock, members: members, opt: opt, holder: Holder(members.Self()), available: make(map[string]chan struct{})}
+	l := &Leases{
+		store: store, clock: clock, members: members, opt: opt, holder: Holder(members.Self()),
+		available: make(map[string]chan struct{}), terms: make(map[string]*term),
+	}
+	if opt.Fences != nil {
+		opt.Fences.eras.Subscribe(l.endTerms)
+	}
+	return l
+}
+
+// endTerms ends the terms of this process when an era begins: the store may have forgotten its
+// leases, and given their ids to others.
+func (l *Leases) endTerms(era tarragondeal.Era) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, t := range l.terms {
+		l.opt.Log.Info().Str("lease", name).Uint64("fence", t.Fence()).Uint64("era", uint64(era)).Msg("lease lost: the store came back from an earlier copy")
+		t.end()
+	}
+}
+
+// Observe ends this process's term of a lease if a later entry of its key names another holder,
+// or the key was deleted. Renewals may go on to succeed, since the store can give the id of a
+// lease again.
+func (l *Leases) Observe(name string, e tarragondeal.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.terms[name]
+	if t == nil || uint64(e.Revision) <= t.current().Fence || !e.Deleted && string(e.Value) == l.holder {
+		return
+	}
+	l.opt.Log.Info().Str("lease", name).Uint64("fence", t.Fence()).Uint64("revision", uint64(e.Revision)).
+		Str("holder", string(e.Value)).Msg("lease lost: the store names another holder")
+	t.end()
 }
 
 // Holder returns the name under which the process of m holds leases. It
@@ -103,7 +140,8 @@
 			l.waitForRetry(ctx, name, l.retryDelay(name, err))
 			continue
 		}
-		l.opt.Log.Info().Str("lease", name).Uint64("fence", t.Fence()).Strs("predecessors", t.predecessors).Msg("lease acquired")
+		l.opt.Log.Info().Str("lease", name).Uint64("fence", t.Fence()).Uint64("before", t.fenceBefore).
+			Uint64("era", uint64(l.era())).Uint64("revision", t.current().Fence).Strs("predecessors", t.predecessors).Msg("lease acquired")
 		l.runDuty(ctx, t, duty)
 		sleep(ctx, jitter(reacquireDelay))
 	}
@@ -162,6 +200,18 @@
 	// because this holder has not acted (no Check has succeeded) and so has not
 	// ruled that out.
 	Predecessors []string `json:"predecessors,omitempty"`
+	// Era and Revision are those at which the holder was written, if Fence is not the
+	// revision.
+	Era      tarragondeal.Era `json:"era,omitempty"`
+	Revision uint64           `json:"revision,omitempty"`
+}
+
+// acquisition returns that of the holder in the record.
+func (r *record) acquisition() acquisition {
+	if r.Revision == 0 {
+		return acquisition{era: r.Era, rev: r.Fence}
+	}
+	return acquisition{era: r.Era, rev: r.Revision}
 }
 
 // maxPredecessors is the maximum number of predecessors in a record. The list
@@ -175,15 +225,25 @@
 func (l *Leases) acquire(ctx context.Context, name string) (*term, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.opt.TTL)
 	defer cancel()
+	era := l.era()
 	lease, err := l.store.Acquire(ctx, name, l.holder, l.opt.TTL)
 	if err != nil {
 		return nil, err
 	}
-	t := &term{clock: l.clock, margin: l.opt.Margin, lease: lease}
+	t := &term{clock: l.clock, margin: l.opt.Margin, lease: lease, era: era}
 	if t.predecessors, err = l.registerHolder(ctx, t); err != nil {
 		return nil, err
 	}
-	return t, t.check(0)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.era() != era {
+		return nil, &tarragondeal.EraError{Op: "acquire", Key: name, Reported: tarragondeal.Revision(lease.Fence), Known: tarragondeal.Position{Era: era}}
+	}
+	if err := t.check(0); err != nil {
+		return nil, err
+	}
+	l.terms[name] = t
+	return t, nil
 }
 
 // registerHolder replaces the record next to the lease and returns the
@@ -194,16 +254,38 @@
 	if err != nil {
 		return nil, err
 	}
-	if last.Fence > t.lease.Fence {
+	own, before := acquisition{era: t.era, rev: t.lease.Fence}, last.acquisition()
+	if before.era == own.era && before.rev > own.rev {
 		return nil, &tarragondeal.ConflictError{Op: "acquire", Key: t.lease.Name, Current: e, Holder: last.Holder}
 	}
-	if last.Holder == l.holder && last.Fence == t.lease.Fence {
+	t.fenceBefore = last.Fence
+	if last.Holder == l.holder && before == own && l.isHighest(last.Fence) {
+		t.fence = last.Fence
 		return last.Predecessors, nil
 	}
-	next := record{Holder: l.holder, Fence: t.lease.Fence, Predecessors: nextPredecessors(last, l.holder)}
+	t.fence = l.nextFence(last.Fence, t.lease.Fence)
+	next := record{Holder: l.holder, Fence: t.fence, Predecessors: nextPredecessors(last, l.holder)}
+	if t.fence != t.lease.Fence {
+		next.Era, next.Revision = t.era, t.lease.Fence
+	}
 	return next.Predecessors, l.writeRecord(ctx, key, next, e.Revision)
 }
 
+// isHighest reports whether no token above the given one is known.
+func (l *Leases) isHighest(token uint64) bool {
+	return l.opt.Fences == nil || l.opt.Fences.Highest() <= token
+}
+
+// nextFence returns the token of a holder that was written at a revision, after a holder with
+// the token before.
+func (l *Leases) nextFence(before, rev uint64) uint64 {
+	if l.opt.Fences == nil {
+		return rev
+	}
+	l.opt.Fences.Raise(before)
+	return l.opt.Fences.next(rev)
+}
+
 // nextPredecessors returns the predecessors of the holder that replaces last.
 // It leaves out the holder itself: a process acquires again only after its own
 // duty has ended.
@@ -227,7 +309,8 @@
 	if last.Holder != l.holder || last.Fence != t.Fence() {
 		return &tarragondeal.ConflictError{Op: "clear predecessors", Key: t.current().Name, Current: e, Holder: last.Holder}
 	}
-	return l.writeRecord(ctx, key, record{Holder: l.holder, Fence: last.Fence}, e.Revision)
+	last.Predecessors = nil
+	return l.writeRecord(ctx, key, last, e.Revision)
 }
 
 func (l *Leases) readRecord(ctx context.Context, key string) (tarragondeal.Entry, record, error) {
@@ -253,6 +336,7 @@
 func (l *Leases) runDuty(ctx context.Context, t *term, duty func(context.Context, tarragondeal.Held) error) {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
+	stop := t.onEnd(cancel)
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		defer cancel()
@@ -260,6 +344,10 @@
 	})
 	err := duty(inner, t)
 	held := t.check(0) == nil
+	l.mu.Lock()
+	delete(l.terms, t.lease.Name)
+	l.mu.Unlock()
+	stop()
 	t.end()
 	cancel()
 	wg.Wait()
@@ -324,8 +412,14 @@
 	lease := t.current()
 	key := recordKey(lease.Name)
 	e, last, err := l.readRecord(ctx, key)
-	if err == nil && last.Holder == l.holder && last.Fence == lease.Fence {
-		next := record{Fence: lease.Fence}
+	if err == nil && (last.Holder != l.holder || last.Fence != t.Fence()) {
+		// The id may be that of another holder's lease by now.
+		l.opt.Log.Info().Str("lease", lease.Name).Str("holder", last.Holder).Msg("lease not released: another holder is on record")
+		return
+	}
+	if err == nil {
+		next := last
+		next.Holder, next.Predecessors = "", nil
 		if !t.acted.Load() {
 			next.Predecessors = t.predecessors
 		}
--- a/internal/fleet/tdlease/term.go
+++ b/internal/fleet/tdlease/term.go
@@ -15,20 +15,20 @@
 	clock        tarragondeal.Clock
 	margin       time.Duration
 	predecessors []string
-	acted        atomic.Bool // Whether Check has ever succeeded.
-	cleared      bool        // The stored predecessors are cleared; used only by renewUntilLost.
+	era          tarragondeal.Era // In which the lease was acquired.
+	fence        uint64           // The fencing token.
+	fenceBefore  uint64           // That of the holder before; zero for none.
+	acted        atomic.Bool      // Whether Check has ever succeeded.
+	cleared      bool             // The stored predecessors are cleared; used only by renewUntilLost.
 
-	mu    sync.Mutex
-	lease tarragondeal.Lease
-	ended bool
+	mu      sync.Mutex
+	lease   tarragondeal.Lease
+	ended   bool
+	whenEnd func() // Called when the term ends; may be nil.
 }
 
 // Fence returns the fencing token of this acquisition.
-func (t *term) Fence() uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.lease.Fence
-}
+func (t *term) Fence() uint64 { return t.fence }
 
 // Predecessor returns the latest earlier holder that may still act, or "".
 func (t *term) Predecessor() string {
@@ -96,6 +96,26 @@
 // end makes every later check fail.
 func (t *term) end() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.ended = true
+	do := t.whenEnd
+	t.mu.Unlock()
+	if do != nil {
+		do()
+	}
+}
+
+// onEnd calls do when the term ends, or at once if it has. The returned function stops that.
+func (t *term) onEnd(do func()) (stop func()) {
+	t.mu.Lock()
+	t.whenEnd = do
+	ended := t.ended
+	t.mu.Unlock()
+	if ended {
+		do()
+	}
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.whenEnd = nil
+	}
 }
--- a/internal/fleet/tdmesh/entry.go
+++ b/internal/fleet/tdmesh/entry.go
@@ -20,6 +20,9 @@
 	renewalsPerTTL = 3
 	// storeTimeout bounds one call to the store for this node's entry.
 	storeTimeout = time.Second
+	// reenterDelay is how long, for each node of the fleet, the nodes take to write their
+	// entries again after the store came back from an earlier copy.
+	reenterDelay = 10 * time.Millisecond
 	// minStoreRetryDelay is the minimum delay after a failed call.
 	minStoreRetryDelay = 150 * time.Millisecond
 )
@@ -79,11 +82,29 @@
 			m.Log.Debug().Err(err).Msg("failed to acquire or renew this node's entry")
 			wait = minStoreRetryDelay + rand.N(m.TTL/renewalsPerTTL)
 		}
-		tdclock.Sleep(ctx, wait)
+		if m.waitToRenew(ctx, wait) {
+			lease = nil // Its id may be that of another lease by now.
+		}
 	}
 	return m.releaseEntry(ctx, lease)
 }
 
+// waitToRenew waits until the lease of this node's entry is to be renewed. It reports whether
+// the entry must be written again, since an era has begun.
+func (m *Mesh) waitToRenew(ctx context.Context, wait time.Duration) bool {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return false
+	case <-ctx.Done():
+		return false
+	case <-m.reenter:
+		tdclock.Sleep(ctx, rand.N(min(time.Duration(m.Size())*reenterDelay, m.TTL/2)))
+		return true
+	}
+}
+
 func (m *Mesh) acquireOrRenew(ctx context.Context, held *tarragondeal.Lease, name, value string) (tarragondeal.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -61,12 +61,23 @@
 	Store  tarragondeal.Store
 	Mirror *tdmirror.Mirror
 	Eras   *tdera.Tracker // Nil means that the store never goes back.
-	Clock  tarragondeal.Clock
-	Dialer *net.Dialer
-	TTL    time.Duration // Of a node's entry in the store.
-	Ready  func() bool   // Whether callers may be sent to this node.
-	Log    zerolog.Logger
-	Scope  tally.Scope
+	// Fences are the fencing tokens that this node knows of, which the nodes exchange. Nil
+	// means that there are none.
+	Fences Fences
+	// FirstStart is set if no node of the deployment has run before.
+	FirstStart bool
+	Clock      tarragondeal.Clock
+	Dialer     *net.Dialer
+	TTL        time.Duration // Of a node's entry in the store.
+	Ready      func() bool   // Whether callers may be sent to this node.
+	Log        zerolog.Logger
+	Scope      tally.Scope
+}
+
+// Fences keeps the highest fencing token that this node knows of.
+type Fences interface {
+	Highest() uint64
+	Raise(token uint64)
 }
 
 // Mesh is one node's view of the others. It is safe for concurrent use.
@@ -90,9 +101,11 @@
 	selfBehindSince   tarragondeal.Instant              // Zero while no other node has a newer revision.
 	checkedAt         tarragondeal.Instant              // When the streams were checked last; zero before the first time.
 	resumedAt         tarragondeal.Instant              // When this node last ran again after it stood still; zero before.
+	remembersSince    int64                             // Since when this node was told all, in milliseconds since 1970; zero means always.
 	noSourceSince     tarragondeal.Instant              // Since when no source of copies is available; zero while one is.
 	noSourceTimeout   time.Duration                     // How long this node waits without a source before it follows the store.
 	followReason      followReason                      // At the last check.
+	reenter           chan struct{}                     // Holds a token while this node's entry must be written again.
 	copyAt            tarragondeal.Instant              // When the store confirmed this node's copy at the latest; zero if not known.
 	group             *tdtask.Group
 	survey            *survey // The latest; nil if it no longer holds.
@@ -142,6 +155,7 @@
 	leaf         bool                  // The peer is a leaf of this node.
 	position     tarragondeal.Position // Of its copy of the store.
 	readsEras    bool
+	fence        uint64 // The highest fencing token that it knows of.
 	followsStore bool
 	hasCopies    bool
 	source       tarragondeal.NodeID
@@ -163,13 +177,52 @@
 	m := &Mesh{
 		Deps: d, self: self, counter: newStateCounter(d.Scope), receivers: make(map[string]receiver),
 		peers: make(map[tarragondeal.NodeID]*peer), forwarded: make(map[tarragondeal.NodeID]presences), noSourceSince: d.Clock.Now(),
+		reenter:         make(chan struct{}, 1),
 		noSourceTimeout: minNoSourceTimeout + rand.N(noSourceTimeout-minNoSourceTimeout),
 	}
+	if !d.FirstStart {
+		m.remembersSince = d.Clock.Wall().UnixMilli()
+	}
 	m.assignRelays()
 	d.Mirror.Subscribe(m.applyChanges)
+	m.Eras.Subscribe(func(tarragondeal.Era) {
+		select {
+		case m.reenter <- struct{}{}:
+		default:
+		}
+	})
 	return m
 }
 
+// RemembersSince returns since when this node was told what the nodes before it knew. It is the
+// zero time if that goes back to the first start of the deployment.
+func (m *Mesh) RemembersSince() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.remembersSince == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(m.remembersSince)
+}
+
+// IsKnown reports whether a live peer knows of a fencing token, or of the position in the store
+// that it is. It is true if there is no live peer.
+func (m *Mesh) IsKnown(token uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	alone := true
+	for _, p := range m.peers {
+		if !m.isDirect(p) {
+			continue
+		}
+		alone = false
+		if p.fence >= token || p.position.Era == 0 && uint64(p.position.Revision) >= token {
+			return true
+		}
+	}
+	return alone
+}
+
 // Publish adds a section to the states that this node sends. Open is called once
 // for each stream, and the Writer it returns once for each state. A stream loses
 // no state until it ends, so a Writer need only write what has changed. Publish
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -186,6 +186,9 @@
 		m.Mirror.RecordOtherAnswer(m.Clock.Now().Add(-age))
 	}
 	m.Eras.Receive(tarragondeal.Position{Era: tarragondeal.Era(state.GetEra()), Revision: tarragondeal.Revision(state.GetRevision())})
+	if m.Fences != nil {
+		m.Fences.Raise(state.GetFence())
+	}
 	m.applyCopy(state, w)
 	for _, section := range state.GetSections() {
 		if r := m.receivers[section.GetTopic()]; r.onSection != nil {
@@ -236,7 +239,8 @@
 		p.bytesAtState = p.received.bytes.Load()
 	}
 	p.position = tarragondeal.Position{Era: tarragondeal.Era(s.GetEra()), Revision: tarragondeal.Revision(s.GetRevision())}
-	p.readsEras, p.source = s.GetReadsEras(), tarragondeal.NodeID(s.GetSource())
+	p.readsEras, p.fence, p.source = s.GetReadsEras(), s.GetFence(), tarragondeal.NodeID(s.GetSource())
+	m.remembersSince = min(m.remembersSince, s.GetRemembersSince())
 	p.followsStore, p.hasCopies = s.GetFollows(), s.GetFed()
 	p.copyAt = 0
 	if s.CopyAgeMillis != nil {
--- a/internal/fleet/tdmesh/writer.go
+++ b/internal/fleet/tdmesh/writer.go
@@ -90,6 +90,12 @@
 		WallNanos: wall, Follows: follows, Fed: m.canProvideCopies(follows, source), Source: string(source),
 		Missed: w.takeMissed(), ReadsParts: true, ReadsEras: true,
 	}
+	if since := m.RemembersSince(); !since.IsZero() {
+		s.RemembersSince = since.UnixMilli()
+	}
+	if m.Fences != nil {
+		s.Fence = m.Fences.Highest()
+	}
 	if age, ok := m.copyAge(follows); ok {
 		millis := uint32(min(max(age, 0)/time.Millisecond, math.MaxUint32))
 		s.CopyAgeMillis = &millis
--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -34,6 +34,15 @@
 	recordTimeout = time.Second
 )
 
+// IsSteady reports whether the service was available to this node, and in the same era, for at
+// least d. A node that does not follow the service knows of outages from eras only.
+func (m *Mirror) IsSteady(d time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since := max(m.availableSince, m.eraSince)
+	return !m.unavailable && (since == 0 || m.clock.Now().Sub(since) >= d)
+}
+
 // planVerification makes this node verify its copy soon, since calls have failed.
 func (m *Mirror) planVerification() {
 	at := m.clock.Now().Add(rand.N(verifyDelay))
--- a/internal/node/tdvm/duties.go
+++ b/internal/node/tdvm/duties.go
@@ -25,6 +25,10 @@
 	minLeaseTTL = 3 * time.Second
 	// leaseMargin is the safety margin before the lease expires.
 	leaseMargin = 300 * time.Millisecond
+	// knownTimeout is how long a holder waits until another node knows of its fencing token,
+	// and knownInterval how often it checks that.
+	knownTimeout  = 600 * time.Millisecond
+	knownInterval = 50 * time.Millisecond
 	// ordersMaxIdleConns is the number of idle connections kept for orders and
 	// usage reports.
 	ordersMaxIdleConns = 1
@@ -41,12 +45,16 @@
 		Log: tdlog.Part(n.log, "scale"), Scope: n.metrics.Scope.SubScope("scale"),
 	}, tdscale.Options{Self: n.vm.Node, Start: n.clock.Now()})
 	leases := tdlease.New(n.store, n.clock, n.mesh, tdlease.Options{
-		TTL: max(n.vm.Bounds.LeaseTTL, n.vm.Bounds.MinLease, minLeaseTTL), Margin: leaseMargin,
+		TTL: n.leaseTTL(), Margin: leaseMargin, Fences: n.fences,
 		Log: tdlog.Part(n.log, "lease"), Scope: n.metrics.Scope.SubScope("lease"),
 	})
 	n.mirror.Subscribe(func(c tdmirror.Changes) {
 		for _, e := range c.Entries {
-			if e.Deleted && e.Key == tdlease.KeyPrefix+dutyLease {
+			if e.Key != tdlease.KeyPrefix+dutyLease {
+				continue
+			}
+			leases.Observe(dutyLease, e)
+			if e.Deleted {
 				leases.NotifyAvailable(dutyLease)
 			}
 		}
@@ -58,19 +66,35 @@
 	})
 }
 
+// leaseTTL returns the TTL of the lease.
+func (n *Node) leaseTTL() time.Duration {
+	return max(n.vm.Bounds.LeaseTTL, n.vm.Bounds.MinLease, minLeaseTTL)
+}
+
 // runDuties performs the duties while the lease is held. The platform must not
 // see two holders act alternately within one Bounds.LeaseTTL. A previous holder
 // whose lease expired has not acted for that long. If the previous holder
-// released the lease, the new one waits for that time first. It need not wait
-// if no node can have held the lease before, on the first start of the
-// deployment.
+// released the lease, or the store may have forgotten it, the new one waits for
+// that time first. It need not wait if no node can have held the lease before, on
+// the first start of the deployment. It does not act before another node knows of
+// its fencing token.
 func (n *Node) runDuties(ctx context.Context, held tarragondeal.Held, r *tdbegun.Reporter, s *tdscale.Duty) error {
 	first := n.vm.FirstStart && !n.heldBefore
-	expired := held.Predecessor() != ""
+	steady := n.mirror.IsSteady(n.leaseTTL())
+	expired := held.Predecessor() != "" && steady
 	n.heldBefore = true
-	if !first && !expired && !tdclock.Sleep(ctx, n.vm.Bounds.LeaseTTL) {
+	wait := n.vm.Bounds.LeaseTTL
+	if !steady {
+		wait = n.leaseTTL() // The previous holder may go on for as long.
+	}
+	if !first && !expired && !tdclock.Sleep(ctx, wait) {
 		return nil
 	}
+	for end := n.clock.Now().Add(knownTimeout); !n.mesh.IsKnown(held.Fence()) && n.clock.Now() < end; {
+		if !tdclock.Sleep(ctx, knownInterval) {
+			return nil
+		}
+	}
 	g := tdtask.New(ctx)
 	g.Go("report usage", func(ctx context.Context) error { return r.Duty(ctx, held) })
 	g.Go("order servers", func(ctx context.Context) error { return s.Run(ctx, held) })
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -81,6 +81,7 @@
 	store      *platform.Store
 	eras       *tdera.Tracker
 	mirror     *tdmirror.Mirror
+	fences     *tdlease.Fences
 	mesh       *tdmesh.Mesh
 	config     *tdlisting.Config
 	servers    *tdlisting.Servers
@@ -160,8 +161,11 @@
 		Eras: n.eras, Recorder: unchecked, Self: n.vm.Node,
 		Log: tdlog.Part(n.log, "mirror"), Scope: n.metrics.Scope.SubScope("mirror"),
 	})
+	self := tarragondeal.Member{Node: n.vm.Node, Incarnation: n.incarnation}
+	n.fences = tdlease.NewFences(tdlease.Holder(self), n.eras, func() time.Time { return n.mesh.Wall() },
+		func() bool { return n.mesh.RemembersSince().IsZero() })
 	n.mesh = tdmesh.New(tdmesh.Deps{
-		Store: n.store, Mirror: n.mirror, Eras: n.eras, Clock: n.clock, Dialer: tddial.New(), TTL: nodeTTL,
+		Store: n.store, Mirror: n.mirror, Eras: n.eras, Fences: n.fences, FirstStart: n.vm.FirstStart, Clock: n.clock, Dialer: tddial.New(), TTL: nodeTTL,
 		Ready: func() bool { return n.host.Ready() },
 		Log:   tdlog.Part(n.log, "mesh"), Scope: n.metrics.Scope.SubScope("mesh"),
 	}, tdmesh.Node{
