mirror: apply each page of a listing as it arrives

Callers were served with a withdrawn key for 2 s after the change, while the pages of large entries of another writer arrived slowly.

Cause: a listing was applied as a whole, the configuration with it.

Change: what a page says is applied like changes sent ahead, unless it is at an earlier revision than was known. What is missing is removed once the listing is complete, as before.

--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -31,7 +31,7 @@
 func (m *Mirror) ApplyAhead(entries []tarragondeal.Entry, era tarragondeal.Era) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.listed || era != m.era {
+	if m.rev == 0 || era != m.era {
 		return
 	}
 	entries = byRevision(entries)
--- a/internal/fleet/tdmirror/listing.go
+++ b/internal/fleet/tdmirror/listing.go
@@ -45,6 +45,7 @@
 // that era or a later one.
 func (m *Mirror) listAll(ctx context.Context) (all []listing, start tarragondeal.Instant, err error) {
 	start = m.clock.Now()
+	begun := m.opt.Eras.Known()
 	m.mu.Lock()
 	m.verifyAt, m.verifiedAt, m.verifyPause = 0, start, minVerifyInterval
 	m.mu.Unlock()
@@ -54,7 +55,7 @@
 		return hasRecord(b) - hasRecord(a)
 	})
 	for _, prefix := range prefixes {
-		l, err := m.listPrefix(ctx, prefix)
+		l, err := m.listPrefix(ctx, prefix, begun)
 		if err != nil {
 			return nil, start, err
 		}
@@ -63,7 +64,7 @@
 	return all, start, nil
 }
 
-func (m *Mirror) listPrefix(ctx context.Context, prefix string) (listing, error) {
+func (m *Mirror) listPrefix(ctx context.Context, prefix string, begun tarragondeal.Position) (listing, error) {
 	l := listing{prefix: prefix}
 	after := ""
 	for first := true; ; first = false {
@@ -74,6 +75,7 @@
 		if first {
 			l.rev = page.Revision
 		}
+		m.applyPage(&page, begun)
 		l.entries = append(l.entries, page.Entries...)
 		if !page.More || len(page.Entries) == 0 {
 			return l, nil
@@ -82,6 +84,16 @@
 	}
 }
 
+// applyPage applies what a page of a listing says before the other pages have arrived, which
+// may take long. A page at an earlier revision than was known is left to the whole listing, as
+// is the first listing of all.
+func (m *Mirror) applyPage(p *tarragondeal.Page, begun tarragondeal.Position) {
+	if p.Revision < begun.Revision || m.isSuspected() {
+		return
+	}
+	m.ApplyAhead(p.Entries, begun.Era)
+}
+
 func (m *Mirror) page(ctx context.Context, prefix, after string) (tarragondeal.Page, error) {
 	ctx, timer := newAnswerTimer(ctx, m.clock, pageTimeout)
 	defer timer.stop()
--- a/internal/fleet/tdmirror/relist_test.go
+++ b/internal/fleet/tdmirror/relist_test.go
@@ -64,3 +64,32 @@
 		})
 	}
 }
+
+// TestPagesAreAppliedBeforeTheLast guards against a withdrawn key that is accepted for as long as
+// other pages of a listing take.
+func TestPagesAreAppliedBeforeTheLast(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		rev     tarragondeal.Revision // Of the page.
+		applied bool
+	}{
+		{"new", 9, true},
+		{"older than what is known", 2, false},
+	} {
+		s := newFakeSource()
+		m := newMirror(s, &fakeClock{now: 1})
+		steps(t, m, 1)
+		m.Apply([]tarragondeal.Entry{{Key: "a/1", Value: []byte("before"), Revision: 3}}, at(3), false)
+		m.opt.Eras.Receive(at(3))
+		s.items["a/1"] = tarragondeal.Entry{Key: "a/1", Value: []byte("after"), Revision: c.rev}
+		s.rev = c.rev
+		s.onAnswer = func() { s.unavailable = true } // No further page arrives.
+		m.listed = false
+		if err := m.list(t.Context()); err == nil {
+			t.Fatal("the listing is complete")
+		}
+		if got := m.values()["a/1"] == "after"; got != c.applied {
+			t.Errorf("%s: applied %t", c.name, got)
+		}
+	}
+}
