mirror: end a watch on a suspicion without a goroutine of its own

Cause: each watch started a goroutine that waited for a suspicion.

Change: the tracker gives a context that ends when a suspicion arises.

--- a/internal/fleet/tdera/tracker.go
+++ b/internal/fleet/tdera/tracker.go
@@ -1,6 +1,7 @@
 package tdera
 
 import (
+	"context"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -30,7 +31,8 @@
 	startedAt   tarragondeal.Instant // When this node learned of the era; zero for the first one.
 	suspicion   *Suspicion
 	dismissed   tarragondeal.Era // Of another node, without a record in the store.
-	suspected   chan struct{}    // Closed while there is a suspicion.
+	suspected   context.Context  // Done while there is a suspicion.
+	endCalls    context.CancelFunc
 	subscribers []func(tarragondeal.Era)
 }
 
@@ -39,7 +41,9 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &Tracker{clock: clock, log: log, scope: scope, suspected: make(chan struct{})}
+	t := &Tracker{clock: clock, log: log, scope: scope}
+	t.suspected, t.endCalls = context.WithCancel(context.Background())
+	return t
 }
 
 // Subscribe calls receive with each later era, before anything of it is applied. Receive must not
@@ -96,7 +100,7 @@
 	}
 	s.Known, s.At = t.known, t.clock.Now()
 	t.suspicion = &s
-	close(t.suspected)
+	t.endCalls()
 	t.log.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
 		Uint64("era", uint64(s.Known.Era)).Msg("the store may have come back from an earlier copy")
 	t.scope.Counter("suspicions").Inc(1)
@@ -125,8 +129,8 @@
 	return *t.suspicion, true
 }
 
-// Suspected returns a channel that is closed when a suspicion arises.
-func (t *Tracker) Suspected() <-chan struct{} {
+// Suspected returns a context that ends when a suspicion arises.
+func (t *Tracker) Suspected() context.Context {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.suspected
@@ -144,7 +148,7 @@
 func (t *Tracker) clear() {
 	if t.suspicion != nil {
 		t.suspicion = nil
-		t.suspected = make(chan struct{})
+		t.suspected, t.endCalls = context.WithCancel(context.Background())
 	}
 }
 
--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -83,25 +83,6 @@
 	return ok
 }
 
-// endOnSuspicion ends the call that a timer bounds as soon as the service may have gone back.
-// The returned function stops that.
-func (m *Mirror) endOnSuspicion(t *answerTimer) (stop func()) {
-	suspected, done := m.opt.Eras.Suspected(), make(chan struct{})
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		select {
-		case <-suspected:
-			t.end(context.Canceled)
-		case <-done:
-		}
-	}()
-	return func() {
-		close(done)
-		<-ended
-	}
-}
-
 // suspectWatched reports whether the answer to a watch from revision rev gives rise to a
 // suspicion: the service is at an earlier revision, or another node has recorded an era.
 func (m *Mirror) suspectWatched(entries []tarragondeal.Entry, rev, reported tarragondeal.Revision) bool {
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -293,7 +293,8 @@
 	wait, timeout := m.watchTimes()
 	ctx, timer := newAnswerTimer(ctx, m.clock, timeout)
 	defer timer.stop()
-	defer m.endOnSuspicion(timer)()
+	stop := context.AfterFunc(m.opt.Eras.Suspected(), func() { timer.end(context.Canceled) })
+	defer stop()
 	start := m.clock.Now()
 	entries, next, err := m.source.Watch(ctx, "", rev, wait)
 	if m.opt.Eras.Known().Era != at.Era || m.isSuspected() {
