mirror: list the keys again after a suspicion is refuted

A suspicion is refuted by a write at a revision above the one that was known. A busy store that went back can have passed that revision by the time of the write: the suspicion was dropped, the listing of the examination too, and the watch went on from the old revision. What was written in the new history below it was never received, and what was lost stayed.

The keys are listed again then: contents that can't be of the same history raise another suspicion, others are applied. TestRevisionPassedDuringExamination failed before: one entry missing, two kept that the store lacked.

--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -220,9 +220,14 @@
 	return ignoreConflict(err) // The next examination finds the record.
 }
 
-// dismiss drops a suspicion, unless the call to refute it failed.
+// dismiss drops a suspicion, unless the call to refute it failed. The keys are listed again then: a
+// service that has gone back can have passed the known revision before the write, and the contents
+// tell so.
 func (m *Mirror) dismiss(s *tdera.Suspicion, err error) error {
 	if err == nil {
+		m.mu.Lock()
+		m.listed, m.relistAt = false, 0
+		m.mu.Unlock()
 		m.opt.Log.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
 			Msg("the store has not gone back")
 		m.opt.Eras.Dismiss(s.Era)
--- /dev/null
+++ b/internal/fleet/tdmirror/examine_test.go
@@ -0,0 +1,104 @@
+package tdmirror
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragondeal"
+	"tarragondeal/internal/fleet/tdera"
+)
+
+// callTime is how long a call takes of a service in a bubble.
+const callTime = time.Millisecond
+
+// restoredSource is a service that can go back, and of which some answers are old.
+type restoredSource struct {
+	*fakeSource
+	oldWatches bool // Watches report the revision before the one that they were asked for.
+	oldRest    bool // Pages after the first are older than the others.
+	beforeSwap func()
+	calls      int
+	writes     int
+}
+
+func (s *restoredSource) Page(ctx context.Context, prefix, after string) (tarragondeal.Page, error) {
+	s.calls++
+	time.Sleep(callTime)
+	p, err := s.fakeSource.Page(ctx, prefix, after)
+	if s.oldRest && after != "" {
+		p.Revision -= 2
+		for n := range p.Entries {
+			p.Entries[n].Revision--
+		}
+	}
+	return p, err
+}
+
+func (s *restoredSource) Watch(ctx context.Context, prefix string, after tarragondeal.Revision, wait time.Duration) ([]tarragondeal.Entry, tarragondeal.Revision, error) {
+	s.calls++
+	time.Sleep(callTime)
+	if s.oldWatches {
+		return nil, after - 1, nil
+	}
+	entries, rev, err := s.fakeSource.Watch(ctx, prefix, after, wait)
+	if len(entries) == 0 {
+		time.Sleep(wait)
+	}
+	return entries, rev, err
+}
+
+func (s *restoredSource) Swap(_ context.Context, key string, value []byte, prev tarragondeal.Revision) (tarragondeal.Entry, error) {
+	s.calls++
+	s.writes++
+	time.Sleep(callTime)
+	if s.beforeSwap != nil {
+		s.beforeSwap()
+	}
+	if current := s.items[key]; current.Revision != prev {
+		return tarragondeal.Entry{}, &tarragondeal.ConflictError{Op: "swap", Key: key, Current: current}
+	}
+	s.put(key, string(value))
+	return s.items[key], nil
+}
+
+func newRestoredMirror(s *restoredSource) *Mirror {
+	c := bubbleClock{start: time.Now()}
+	return New(s, c, Options{
+		Prefixes: []string{"a/", "held/"}, Eras: tdera.New(c, zerolog.Nop(), nil), Recorder: s, Self: "n", Log: zerolog.Nop(),
+	})
+}
+
+// TestRevisionPassedDuringExamination guards against a copy that keeps what a restored service
+// lacks, and lacks what it has, since the service had passed the copy's revision when the
+// suspicion was examined.
+func TestRevisionPassedDuringExamination(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &restoredSource{fakeSource: newFakeSource()}
+		s.put("a/kept", "x")
+		before, rev := s.items["a/kept"], s.rev
+		m := newRestoredMirror(s)
+		steps(t, m, 1)
+		s.put("a/lost", "x")
+		s.put("a/other", "x")
+		steps(t, m, 1)
+		s.events, s.rev = nil, rev
+		clear(s.items)
+		s.items["a/kept"] = before
+		s.put("a/new", "y") // At the revision of what was lost.
+		s.beforeSwap = func() { s.put("a/busy", "y"); s.put("a/busy", "z") }
+		for n := range 6 {
+			if _, err := m.step(t.Context()); err != nil {
+				t.Fatal(n, err)
+			}
+		}
+		for key, want := range map[string]string{"a/kept": "x", "a/new": "y", "a/lost": "", "a/other": ""} {
+			if got := m.values()[key]; got != want {
+				t.Errorf("%s is %q, not %q", key, got, want)
+			}
+		}
+	})
+}
