vm: wait for the lease's time after a return also on the first start

A node of the deployment's first start acts at once when it holds the lease for the first time, since nobody can have held it before. That was also so hours later and after the store came back without the lease of another node, which may go on for the lease's time: two holders, the later one's tokens first.

It acts at once only if the store was available, and in the same era, for the time of a lease.

--- a/internal/node/tdvm/duties.go
+++ b/internal/node/tdvm/duties.go
@@ -79,8 +79,8 @@
 // the first start of the deployment. It does not act before another node knows of
 // its fencing token.
 func (n *Node) runDuties(ctx context.Context, held tarragondeal.Held, r *tdbegun.Reporter, s *tdscale.Duty) error {
-	first := n.vm.FirstStart && !n.heldBefore
 	steady := n.mirror.IsSteady(n.leaseTTL())
+	first := n.vm.FirstStart && !n.heldBefore && steady
 	expired := held.Predecessor() != "" && steady
 	n.heldBefore = true
 	wait := n.vm.Bounds.LeaseTTL
--- a/test/vm/restore_test.go
+++ b/test/vm/restore_test.go
@@ -15,6 +15,8 @@
 	// dutyTime is how long a new holder may take until it acts: the lease of the one before
 	// expires, others try for it, and the next window is due.
 	dutyTime = 20 * time.Second
+	// leaseTime is the least time of the lease of the duties.
+	leaseTime = 3 * time.Second
 	// heartbeat is how often servers write their entries.
 	heartbeat = time.Second
 )
@@ -135,6 +137,28 @@
 	}
 })
 
+// Guards against a holder that acts at once, since it did not hold the lease before, although the
+// store may have forgotten the lease of another one that goes on.
+var _ = Describe("the next holder after the store came back without anything", func() {
+	It("waits for the time of a lease", func() {
+		f := newFleet(3)
+		f.waitReady()
+		f.keepServers()
+		first := f.waitDuty(time.Time{})
+		f.store.setUnavailable(true)
+		f.store.srv.CloseClientConnections()
+		time.Sleep(awayTime / 2)
+		f.store.restore(nil, 1)
+		first.kill()
+		returned := time.Now()
+		f.store.setUnavailable(false)
+		f.rewriteConfig()
+		f.waitDuty(returned)
+		_, at := f.store.dutyHolder()
+		Expect(at).To(BeTemporally(">", returned.Add(leaseTime)))
+	})
+})
+
 // killHolder kills the holder of the duties, which starts again.
 func killHolder(_ *fleet, holder *node) {
 	holder.kill()
