mirror: pause between examinations in a row

A service that answers watches with an old revision, again and again, had each of them examined at once: the keys listed and the record written. With calls of 1 ms a node made 5000 writes and 20002 calls in 20 s, and two services behind one address would have begun an era with each answer.

From a result to the next examination pass 100 ms, doubled with each further one within 10 s, up to 1.6 s: 17 writes and 102 calls in the same test. The first examination is not delayed, and one that failed is repeated as any call.

--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdclock"
 	"tarragondeal/internal/fleet/tdera"
 )
 
@@ -32,6 +33,12 @@
 	leafExamineDelay = 1500 * time.Millisecond
 	// recordTimeout bounds one write of the record of the era.
 	recordTimeout = time.Second
+	// minExaminePause is the least time from the result of an examination to the next one. It
+	// doubles with each further one in a row, up to maxExaminePause.
+	minExaminePause = 100 * time.Millisecond
+	maxExaminePause = 1600 * time.Millisecond
+	// examinationsEnd is how long after an examination the next one is not in a row with it.
+	examinationsEnd = 10 * time.Second
 )
 
 // IsSteady reports whether the service was available to this node, and in the same era, for at
@@ -196,6 +203,25 @@
 	return m.follows() || m.clock.Now().Sub(s.At) > leafExamineDelay
 }
 
+// waitToExamine waits until this node may examine a suspicion. Old answers may give rise to one
+// again and again, and each examination lists the keys and writes.
+func (m *Mirror) waitToExamine(ctx context.Context) {
+	m.mu.Lock()
+	pause := m.examinedAt.Add(m.examinePause).Sub(m.clock.Now())
+	m.mu.Unlock()
+	tdclock.Sleep(ctx, pause)
+}
+
+// endExamination records that an examination has had a result.
+func (m *Mirror) endExamination() {
+	now := m.clock.Now()
+	if now.Sub(m.examinedAt) > examinationsEnd {
+		m.examinePause = 0
+	}
+	m.examinePause = min(max(2*m.examinePause, minExaminePause), maxExaminePause)
+	m.examinedAt = now
+}
+
 // examine finds out whether the service has gone back, and if so starts the copy anew. Either
 // another node has recorded a later era, or the contents are older than before, or a write gets
 // an earlier revision than was known. A listing alone does not prove it, since it may be old.
@@ -227,6 +253,7 @@
 	if err == nil {
 		m.mu.Lock()
 		m.listed, m.relistAt = false, 0
+		m.endExamination()
 		m.mu.Unlock()
 		m.opt.Log.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
 			Msg("the store has not gone back")
@@ -271,6 +298,7 @@
 		m.startEra(tarragondeal.Position{Era: era, Revision: latest}, found)
 		m.applyListings(all)
 	}
+	m.endExamination()
 	m.mu.Unlock()
 	m.recordAnswer(start)
 }
--- a/internal/fleet/tdmirror/examine_test.go
+++ b/internal/fleet/tdmirror/examine_test.go
@@ -102,3 +102,34 @@
 		}
 	})
 }
+
+// TestExaminationsAreBounded guards against a node that lists and writes without a pause while
+// the service answers its watches with old revisions.
+func TestExaminationsAreBounded(t *testing.T) {
+	const (
+		runTime   = 20 * time.Second
+		maxWrites = 20
+		maxCalls  = 200
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := &restoredSource{fakeSource: newFakeSource()}
+		s.put("a/1", "x")
+		m := newRestoredMirror(s)
+		steps(t, m, 1)
+		s.oldWatches = true
+		for start := time.Now(); time.Since(start) < runTime; {
+			if _, err := m.step(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if s.writes > maxWrites || s.calls > maxCalls {
+			t.Errorf("%d writes and %d calls in %s", s.writes, s.calls, runTime)
+		}
+		s.oldWatches = false
+		s.put("a/1", "y")
+		steps(t, m, 6)
+		if got := m.values()["a/1"]; got != "y" {
+			t.Errorf("the copy holds %q", got)
+		}
+	})
+}
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -138,6 +138,8 @@
 	verifyAt       tarragondeal.Instant  // When the copy is verified by a listing; zero if it need not be.
 	verifiedAt     tarragondeal.Instant  // When the keys were listed last; zero before the first time.
 	verifyPause    time.Duration         // The least time until they are listed again to verify the copy.
+	examinedAt     tarragondeal.Instant  // When an examination of a suspicion last had a result; zero before the first.
+	examinePause   time.Duration         // The least time until the next one.
 	listings       []listing             // The last listings, without their entries.
 	unavailable    bool
 	failures       int                  // Calls that failed since the last one that did not.
@@ -266,6 +268,10 @@
 // changes.
 func (m *Mirror) step(ctx context.Context) (changed bool, err error) {
 	if s, ok := m.opt.Eras.Suspicion(); ok && m.mayExamine(&s) {
+		m.waitToExamine(ctx)
+		if s, ok = m.opt.Eras.Suspicion(); !ok {
+			return false, nil // Another node has sent the copy of the era.
+		}
 		return false, m.examine(ctx, &s)
 	}
 	m.mu.Lock()
