mirror: do not take an old page of a listing for proof of a return

Pages are answered one by one. A listing counted as of the revision of its first page: a later page from before that had entries at earlier revisions than the copy, which proved that the service had gone back, without a write, and an era began.

A listing is of the earliest revision of its pages. One that is older than what is known is examined by a write, as before. TestOldPageIsNoProof failed before: era.

--- a/internal/fleet/tdmirror/examine_test.go
+++ b/internal/fleet/tdmirror/examine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,3 +134,26 @@
 		}
 	})
 }
+
+// TestOldPageIsNoProof guards against an era that begins although the service has not gone back,
+// since a page after the first was old.
+func TestOldPageIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &restoredSource{fakeSource: newFakeSource()}
+		for n := range 5 {
+			s.put(fmt.Sprint("a/", n), "x")
+		}
+		m := newRestoredMirror(s)
+		steps(t, m, 2)
+		s.oldRest = true
+		m.listed = false
+		for range 4 {
+			if _, err := m.step(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if era := m.Position().Era; era != 0 {
+			t.Errorf("in era %d", era)
+		}
+	})
+}
--- a/internal/fleet/tdmirror/listing.go
+++ b/internal/fleet/tdmirror/listing.go
@@ -72,8 +72,8 @@
 		if err != nil {
 			return l, err
 		}
-		if first {
-			l.rev = page.Revision
+		if first || page.Revision < l.rev {
+			l.rev = page.Revision // A later page of an earlier revision may be old.
 		}
 		m.applyPage(&page, begun)
 		l.entries = append(l.entries, page.Entries...)
