mirror: a start after a return is no outage

A node that starts in a later era begins that era with its first listing, and took that for the end of an outage: for 2 s removals of servers counted as entries that had expired, and requests could go to servers that had left. That is so at each start for as long as the deployment lasts.

Changes are marked only if an era replaced entries of the copy. TestStartAfterReturnIsNoOutage failed before.

--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -105,8 +105,8 @@
 	if m.answersOthers() {
 		c.AfterOutage, c.OutageEnd = false, 0
 	}
-	if m.eraSince != 0 && m.clock.Now().Sub(m.eraSince) < outageGrace {
-		c.AfterOutage, c.OutageEnd = true, m.eraSince
+	if m.replacedSince != 0 && m.clock.Now().Sub(m.replacedSince) < outageGrace {
+		c.AfterOutage, c.OutageEnd = true, m.replacedSince
 	}
 	start := m.clock.Now()
 	for _, receive := range m.subscribers {
--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -310,6 +310,9 @@
 	if at.Era <= m.era {
 		return
 	}
+	if m.rev > 0 {
+		m.replacedSince = m.clock.Now()
+	}
 	for key, e := range m.items {
 		e.Revision = 0
 		m.items[key] = e
--- a/internal/fleet/tdmirror/examine_test.go
+++ b/internal/fleet/tdmirror/examine_test.go
@@ -157,3 +157,27 @@
 		}
 	})
 }
+
+// TestStartAfterReturnIsNoOutage guards against removals that a node ignores after its start for
+// as long as if they were entries that expired in an outage, since the service once went back.
+func TestStartAfterReturnIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &restoredSource{fakeSource: newFakeSource()}
+		s.put(tdera.Key, `{"era":5}`)
+		s.put("a/1", "x")
+		m := newRestoredMirror(s)
+		var got []Changes
+		m.Subscribe(func(c Changes) { got = append(got, c) })
+		steps(t, m, 1)
+		s.remove("a/1")
+		steps(t, m, 1)
+		if m.Position().Era != 5 {
+			t.Fatalf("in era %d", m.Position().Era)
+		}
+		for _, c := range got {
+			if c.AfterOutage {
+				t.Errorf("after an outage: %v", c.Entries)
+			}
+		}
+	})
+}
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -128,6 +128,7 @@
 	era            tarragondeal.Era
 	rev            tarragondeal.Revision
 	eraSince       tarragondeal.Instant             // When the era began here; zero in the first one.
+	replacedSince  tarragondeal.Instant             // When an era replaced entries of this copy; zero before.
 	ahead          map[string]tarragondeal.Revision // Of the changes after rev that were applied, by key.
 	history        []tarragondeal.Entry
 	historyStart   tarragondeal.Revision // The history holds all changes after this revision.
