lease: keep the fencing token of an acquisition whose record was not written

The token is assigned before the holder's record is written. If that write was rejected or timed out, the next attempt for the same acquisition found its own token to be the highest and took a time in its place: in the first era, after one rejected call. Nodes of builds before then never act again, and a rollback to one has no holder of the duties at all.

An acquisition whose token is not on record gets it again, unless one above it is known.

--- a/internal/fleet/tdlease/fence.go
+++ b/internal/fleet/tdlease/fence.go
@@ -23,8 +23,10 @@
 	complete func() bool
 	suffix   uint64
 
-	mu      sync.Mutex
-	highest uint64 // That this node knows of.
+	mu       sync.Mutex
+	highest  uint64      // That this node knows of.
+	assigned acquisition // For which a token was assigned here, and is not on record yet.
+	token    uint64      // That token; zero for none.
 }
 
 // NewFences returns Fences for a holder. The function wall returns the time that most nodes agree
@@ -50,20 +52,34 @@
 
 // next returns a token above all others for a holder that was written to the store at a
 // revision. It is that revision if no token can be above it. Builds before use revisions only.
+// An acquisition whose record could not be written gets the same token again, unless one above
+// it is known.
 func (f *Fences) next(rev uint64) uint64 {
 	complete, millis := f.complete(), uint64(max(f.wall().UnixMilli(), 0))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.eras.Known().Era == 0 && complete && rev > f.highest {
-		f.highest = rev
-		return rev
+	own := acquisition{era: f.eras.Known().Era, rev: rev}
+	if f.token != 0 && f.assigned == own && f.token == f.highest {
+		return f.token
 	}
-	token := millis<<holderBits | f.suffix
-	if token <= f.highest {
-		token = (f.highest>>holderBits+1)<<holderBits | f.suffix
+	f.assigned, f.token = own, f.above(own, complete, millis)
+	f.highest = f.token
+	return f.token
+}
+
+// setRecorded records that the token that was assigned last is on record.
+func (f *Fences) setRecorded() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.token = 0
+}
+
+// above returns a token for an acquisition above the highest one.
+func (f *Fences) above(own acquisition, complete bool, millis uint64) uint64 {
+	if own.era == 0 && complete && own.rev > f.highest {
+		return own.rev
 	}
-	f.highest = token
-	return token
+	return max(millis, f.highest>>holderBits+1)<<holderBits | f.suffix
 }
 
 // acquisition identifies one acquisition of a lease in the store.
--- a/internal/fleet/tdlease/lease.go
+++ b/internal/fleet/tdlease/lease.go
@@ -268,7 +268,13 @@
 	if t.fence != t.lease.Fence {
 		next.Era, next.Revision = t.era, t.lease.Fence
 	}
-	return next.Predecessors, l.writeRecord(ctx, key, next, e.Revision)
+	if err := l.writeRecord(ctx, key, next, e.Revision); err != nil {
+		return nil, err
+	}
+	if l.opt.Fences != nil {
+		l.opt.Fences.setRecorded()
+	}
+	return next.Predecessors, nil
 }
 
 // isHighest reports whether no token above the given one is known.
