listing: order configurations by arrival, since a restored store has lower revisions

What callers saw: after the store had come back from an earlier copy, a node that was still decoding a configuration could drop the one that operators had written next: 404 and 401 for routes and keys of an acknowledged version. The version in force, written again by the operator, gave an error line at each node.

Cause: pending configurations were tried by revision, the highest first, and the rest dropped. In a later era the newest one has a lower revision. Versions that are equal and those that are earlier were one kind of error.

Change: pending configurations are tried by arrival, the newest first, era by era, so that neither the later version of an era nor that of the one before is lost. VersionError tells the version in force from earlier ones, and gives an info line.

--- a/error.go
+++ b/error.go
@@ -158,6 +158,16 @@
 	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
 }
 
+// VersionError reports a configuration whose version is not later than the one in force.
+type VersionError struct {
+	Version Version
+	InForce Version
+}
+
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("version %d is not later than the version in force, %d", e.Version, e.InForce)
+}
+
 // EraError reports an answer of the key-value service that belongs to another history than the
 // one that this node knows: the service was restored from an earlier copy since, or the answer
 // is from before that. The call may have had an effect.
--- a/internal/fleet/tdlisting/config.go
+++ b/internal/fleet/tdlisting/config.go
@@ -1,8 +1,8 @@
 package tdlisting
 
 import (
-	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 
@@ -18,8 +18,8 @@
 const maxPending = 4
 
 // Apply activates a configuration as a whole and returns its version. It returns an
-// error, and changes nothing, if the value is invalid or its version is not higher
-// than active. Calls do not overlap.
+// error, and changes nothing, if the value is invalid, and a *tarragondeal.VersionError
+// if its version is not higher than active. Calls do not overlap.
 type Apply func(value []byte, active tarragondeal.Version) (tarragondeal.Version, error)
 
 // Config tracks the active configuration. Its methods but Run are safe for concurrent use.
@@ -32,12 +32,14 @@
 
 	mu      sync.Mutex
 	version tarragondeal.Version
+	era     tarragondeal.Era
 	pending []pendingConfig // In the order in which they were received.
 }
 
 // pendingConfig is a configuration that has not been decoded.
 type pendingConfig struct {
 	tarragondeal.Entry
+	era        tarragondeal.Era
 	receivedAt tarragondeal.Instant
 }
 
@@ -53,6 +55,13 @@
 	return c.version
 }
 
+// StartEra begins a later era of the store, to which what is received next belongs.
+func (c *Config) StartEra(era tarragondeal.Era) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era = era
+}
+
 // Follow receives changes of the copy of the store. Run applies them: decoding a large
 // configuration takes long, and must not delay other changes.
 func (c *Config) Follow(changes tdmirror.Changes) {
@@ -62,7 +71,7 @@
 		if e.Key != c.key || e.Deleted {
 			continue
 		}
-		c.pending = append(c.pending, pendingConfig{Entry: e, receivedAt: c.clock.Now()})
+		c.pending = append(c.pending, pendingConfig{Entry: e, era: c.era, receivedAt: c.clock.Now()})
 		if over := len(c.pending) - maxPending; over > 0 {
 			c.pending = slices.Delete(c.pending, 0, over)
 		}
@@ -85,27 +94,45 @@
 	}
 }
 
-// applyPending applies the newest valid configuration of those that are pending.
+// applyPending applies the newest valid configuration of those that are pending, in each era
+// in which some were received: an entry that is received later in a later era may have an
+// earlier version.
 func (c *Config) applyPending() {
 	c.mu.Lock()
 	pending := c.pending
 	c.pending = nil
 	c.mu.Unlock()
-	slices.SortFunc(pending, func(a, b pendingConfig) int { return cmp.Compare(b.Revision, a.Revision) })
-	for n := range pending {
-		if c.applyEntry(&pending[n]) {
+	for len(pending) > 0 {
+		n := 1
+		for n < len(pending) && pending[n].era == pending[0].era {
+			n++
+		}
+		c.applyNewest(pending[:n])
+		pending = pending[n:]
+	}
+}
+
+// applyNewest applies the newest valid configuration of one era. The copy of the store does
+// not deliver an earlier entry after a later one.
+func (c *Config) applyNewest(received []pendingConfig) {
+	for n := range slices.Backward(received) {
+		if c.applyEntry(&received[n]) {
 			return
 		}
 	}
 }
 
-// applyEntry reports whether p is applied.
+// applyEntry reports whether p is applied, or has the version in force.
 func (c *Config) applyEntry(p *pendingConfig) bool {
 	c.mu.Lock()
 	active := c.version
 	c.mu.Unlock()
 	start := c.clock.Now()
 	version, err := c.apply(p.Value, active)
+	if old, ok := errors.AsType[*tarragondeal.VersionError](err); ok && old.Version == old.InForce {
+		c.log.Info().Uint64("version", uint64(active)).Uint64("revision", uint64(p.Revision)).Msg("configuration in force was written again")
+		return true
+	}
 	if err != nil {
 		c.log.Error().Err(tdlog.Bounded(err)).Uint64("revision", uint64(p.Revision)).Uint64("inForce", uint64(active)).
 			Msg("configuration rejected, keeping the previous one")
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -276,6 +276,7 @@
 	n.servers = tdlisting.NewServers(platform.ServersPrefix, platform.DecodeServer, n.clock, tdlog.Part(n.log, "servers"), n.setServers)
 	evacuations := tdlisting.NewEvacuations(tdlisting.Names{Decode: platform.DecodeEvacuation, IsKnown: n.hasDataCentre},
 		tdlog.Part(n.log, "servers"), n.fit.SetEvacuated)
+	n.eras.Subscribe(n.config.StartEra)
 	n.mirror.Subscribe(evacuations.Follow)
 	n.mirror.Subscribe(n.config.Follow)
 	n.mirror.Subscribe(n.servers.Follow)
@@ -303,15 +304,14 @@
 	return ok && age <= maxListAge
 }
 
-// applyConfig applies a configuration and returns its version. It returns an
-// error if the version is not later than inForce.
+// applyConfig implements tdlisting.Apply.
 func (n *Node) applyConfig(value []byte, inForce tarragondeal.Version) (tarragondeal.Version, error) {
 	view, limits, err := platform.DecodeConfig(value, n.vm.Regions)
 	if err != nil {
 		return 0, err
 	}
 	if view.Version <= inForce {
-		return 0, eris.Errorf("version %d is not later than the version in force, %d", view.Version, inForce)
+		return 0, &tarragondeal.VersionError{Version: view.Version, InForce: inForce}
 	}
 	n.fit.SetView(view)
 	n.host.SetView(view, limits)
