listing: compare what an entry says too, before it counts as read again

A server that turned cold while the store came back from an earlier copy could count as warm, and get more requests than a cold server bears.

Cause: an entry at the revision of the one before was taken for the same entry. A restored store gives revisions again.

Change: it is the same entry only if it says the same too.

Measured: the new step of TestServerWrittenAgain fails on the code before and passes.

--- a/internal/fleet/tdlisting/listing_test.go
+++ b/internal/fleet/tdlisting/listing_test.go
@@ -181,8 +181,9 @@
 }
 
 // TestServerWrittenAgain guards against a server that turns cold again for as long as before
-// and passes for one whose entry is unchanged, and against entries that a listing gives once
-// more at the same revision and count as written again.
+// and passes for one whose entry is unchanged, also if the store was restored and gave the
+// revision again, and against entries that a listing gives once more at the same revision and
+// count as written again.
 func TestServerWrittenAgain(t *testing.T) {
 	l := newServerList()
 	l.put("s/1", "live")
@@ -199,6 +200,11 @@
 	if l.current[0].ListedAt != first {
 		t.Error("an entry of the same revision counts as written again")
 	}
+	l.Follow(tdmirror.Changes{Entries: []tarragondeal.Entry{{Key: "s/1", Value: []byte("leaving"), Revision: 1}}})
+	if l.current[0].ListedAt != l.clock.now {
+		t.Error("another entry of the same revision, in a later era of the store, counts as read again")
+	}
+	l.clock.now = l.clock.now.Add(time.Second)
 	l.put("s/1", "live")
 	if l.current[0].ListedAt != l.clock.now {
 		t.Error("an entry that was written again counts as the one before")
--- a/internal/fleet/tdlisting/servers.go
+++ b/internal/fleet/tdlisting/servers.go
@@ -92,9 +92,10 @@
 		s.log.Warn().Err(err).Str("key", e.Key).Uint64("revision", uint64(e.Revision)).Msg("invalid server entry")
 		return s.removeServer(e.Key, uint64(e.Revision))
 	}
-	server.ListedAt = s.clock.Now()
-	if before, ok := s.known[e.Key]; ok && before.revision == e.Revision {
-		server.ListedAt = before.ListedAt // The entry was read again, not written again.
+	before := s.known[e.Key]
+	server.ListedAt = before.ListedAt
+	if before.revision != e.Revision || server != before.Server { // Another one may have the revision in a later era.
+		server.ListedAt = s.clock.Now()
 	}
 	s.known[e.Key] = listedServer{Server: server, revision: e.Revision}
 	s.log.Info().Str("server", string(server.ID)).Str("pool", server.Pool).Str("dataCentre", server.DataCentre).
