listing: leave out entries of servers that an earlier copy of the store brings back

What callers saw: after the store had come back from an earlier copy, requests went to servers that had left, and servers that were leaving got new ones.

Cause: whatever the copy said was taken. The entry of a server that had left since the copy says ready there, until three of its heartbeats are missing.

Change: an entry is compared with the last one of the same server, if that is of an earlier era: by the start of the server, then by the count of its writes, which is decoded now. An earlier entry is not taken: a leaving server stays leaving, and one that is gone stays gone. If it was not leaving when it went, its entry is withheld for 6 s and taken if it is still there: a live server's next write may say the same, which the store need not report. Up to 4,096 servers are remembered for ten minutes after they are gone. Within an era, and without a start or a count, entries are taken as before.

--- a/internal/fleet/tdlisting/era_test.go
+++ b/internal/fleet/tdlisting/era_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -58,3 +60,93 @@
 		}
 	}
 }
+
+// decodeStatement decodes "STARTED STATEMENT STATE".
+func decodeStatement(key string, value []byte) (tarragondeal.Server, error) {
+	s := tarragondeal.Server{ID: tarragondeal.ServerID(key)}
+	var started int64
+	_, err := fmt.Sscan(string(value), &started, &s.Statement, &s.State)
+	if started > 0 {
+		s.StartedAt = time.UnixMilli(started)
+	}
+	return s, err
+}
+
+// TestServersOfLaterEra guards against servers that left and are listed again since the store
+// came back from an earlier copy, against servers that are not listed though they have written
+// since, and against earlier entries that are ignored within an era.
+func TestServersOfLaterEra(t *testing.T) {
+	const gone = "gone"
+	type step struct {
+		era   tarragondeal.Era
+		value string // Or gone.
+		after time.Duration
+		want  string // What is listed then, or nothing.
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"leaving", []step{
+			{0, "5 9 leaving", 0, "5 9 leaving"}, {7, "5 3 live", 0, "5 9 leaving"}, {7, "5 4 live", goneTTL, "5 9 leaving"},
+			{8, "5 2 live", 0, "5 9 leaving"}, {8, gone, 0, ""}, {9, "5 3 live", withholdTime, ""}, {9, "5 10 leaving", 0, "5 10 leaving"},
+		}},
+		{"gone after it was leaving", []step{
+			{0, "5 9 leaving", 0, "5 9 leaving"}, {0, gone, 0, ""}, {7, "5 3 live", withholdTime, ""}, {8, "5 9 leaving", withholdTime, ""},
+			{8, "5 10 live", 0, "5 10 live"}, {8, "5 3 live", 0, "5 3 live"},
+		}},
+		{"started again", []step{
+			{0, "5 9 leaving", 0, "5 9 leaving"}, {0, gone, 0, ""}, {7, "6 1 live", 0, "6 1 live"}, {8, "5 20 live", 0, "6 1 live"},
+		}},
+		{"gone without leaving", []step{
+			{0, "5 9 live", 0, "5 9 live"}, {0, gone, 0, ""}, {7, "5 9 live", withholdTime - 1, ""}, {7, gone, withholdTime, ""},
+			{8, "5 9 live", withholdTime, "5 9 live"},
+		}},
+		{"the copy has less, or the same", []step{
+			{0, "5 9 live", 0, "5 9 live"}, {7, "5 3 leaving", 0, "5 9 live"}, {8, "5 9 live", 0, "5 9 live"}, {8, "5 3 live", 0, "5 3 live"},
+		}},
+		{"remembered for a bounded time", []step{
+			{0, "5 9 leaving", 0, "5 9 leaving"}, {0, gone, goneTTL, ""}, {7, "5 3 live", 0, "5 3 live"},
+		}},
+		{"within an era", []step{
+			{0, "5 9 leaving", 0, "5 9 leaving"}, {0, "5 3 live", 0, "5 3 live"}, {0, gone, 0, ""}, {0, "4 1 live", 0, "4 1 live"},
+		}},
+		{"without a start", []step{{0, "0 9 leaving", 0, "0 9 leaving"}, {7, "0 3 live", 0, "0 3 live"}}},
+		{"without a count", []step{{0, "5 0 leaving", 0, "5 0 leaving"}, {7, "5 0 live", 0, "5 0 live"}, {8, "4 1 live", 0, "4 1 live"}}},
+	} {
+		l := newServerList()
+		l.decode = decodeStatement
+		for n, step := range c.steps {
+			l.StartEra(step.era)
+			if step.value == gone {
+				l.remove("s/1", false)
+			} else {
+				l.put("s/1", step.value)
+			}
+			l.clock.now = l.clock.now.Add(step.after)
+			l.listWithheld()
+			listed := ""
+			for _, s := range l.current {
+				listed = fmt.Sprint(max(0, s.StartedAt.UnixMilli()), s.Statement, " ", s.State)
+			}
+			if listed != step.want {
+				t.Errorf("%s: after step %d %q is listed, not %q", c.name, n, listed, step.want)
+			}
+		}
+	}
+}
+
+// TestGoneServersAreBounded guards against memory that grows with each server that was there.
+func TestGoneServersAreBounded(t *testing.T) {
+	l := newServerList()
+	l.decode = decodeStatement
+	for n := range maxGone + 10 {
+		key := fmt.Sprint("s/", n)
+		l.clock.now++
+		l.put(key, "5 9 leaving")
+		l.remove(key, false)
+	}
+	if _, ok := l.gone[fmt.Sprint("s/", maxGone+9)]; len(l.gone) != maxGone || !ok {
+		t.Errorf("%d servers are remembered, the last one: %t", len(l.gone), ok)
+	}
+}
--- a/internal/fleet/tdlisting/servers.go
+++ b/internal/fleet/tdlisting/servers.go
@@ -37,15 +37,19 @@
 	log    zerolog.Logger
 	apply  func([]tarragondeal.Server)
 
-	mu      sync.Mutex
-	known   map[string]listedServer
-	expired map[string]tarragondeal.Instant // When to remove each server, by key.
+	mu       sync.Mutex
+	era      tarragondeal.Era
+	known    map[string]listedServer
+	expired  map[string]tarragondeal.Instant // When to remove each server, by key.
+	gone     map[string]goneServer
+	withheld map[string]withheldEntry
 }
 
-// listedServer is a server with the revision of its entry.
+// listedServer is a server with the position of its entry.
 type listedServer struct {
 	tarragondeal.Server
 	revision tarragondeal.Revision
+	era      tarragondeal.Era
 }
 
 // NewServers returns an empty list of the servers under prefix. Apply is called
@@ -54,6 +58,7 @@
 	return &Servers{
 		prefix: prefix, decode: d, clock: c, log: log, apply: apply,
 		known: make(map[string]listedServer), expired: make(map[string]tarragondeal.Instant),
+		gone: make(map[string]goneServer), withheld: make(map[string]withheldEntry),
 	}
 }
 
@@ -73,6 +78,7 @@
 }
 
 func (s *Servers) applyEntry(e tarragondeal.Entry, c tdmirror.Changes) bool {
+	delete(s.withheld, e.Key)
 	if e.Deleted {
 		if c.AfterOutage {
 			until := s.clock.Now().Add(expiryGrace)
@@ -92,15 +98,24 @@
 		s.log.Warn().Err(err).Str("key", e.Key).Uint64("revision", uint64(e.Revision)).Msg("invalid server entry")
 		return s.removeServer(e.Key, uint64(e.Revision))
 	}
+	if s.isOutdated(&e, &server) {
+		return false
+	}
+	s.putServer(&e, server)
+	return true
+}
+
+// putServer lists a server.
+func (s *Servers) putServer(e *tarragondeal.Entry, server tarragondeal.Server) {
 	before := s.known[e.Key]
 	server.ListedAt = before.ListedAt
 	if before.revision != e.Revision || server != before.Server { // Another one may have the revision in a later era.
 		server.ListedAt = s.clock.Now()
 	}
-	s.known[e.Key] = listedServer{Server: server, revision: e.Revision}
+	s.known[e.Key] = listedServer{Server: server, revision: e.Revision, era: s.era}
+	delete(s.gone, e.Key)
 	s.log.Info().Str("server", string(server.ID)).Str("pool", server.Pool).Str("dataCentre", server.DataCentre).
 		Str("state", string(server.State)).Str("version", server.SoftwareVersion).Uint64("revision", uint64(e.Revision)).Msg("server listed")
-	return true
 }
 
 func (s *Servers) removeServer(key string, revision uint64) bool {
@@ -110,6 +125,7 @@
 	}
 	delete(s.known, key)
 	delete(s.expired, key)
+	s.remember(key, server)
 	s.log.Info().Str("server", string(server.ID)).Uint64("revision", revision).Msg("server gone")
 	return true
 }
@@ -123,10 +139,12 @@
 	return out
 }
 
-// Run removes expired servers that were not listed again, until ctx ends.
+// Run removes expired servers that were not listed again, and lists those whose entries were
+// withheld and are still there, until ctx ends.
 func (s *Servers) Run(ctx context.Context) error {
 	for tdclock.Sleep(ctx, expiryCheckInterval) {
 		s.removeExpired()
+		s.listWithheld()
 	}
 	return nil
 }
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -277,6 +277,7 @@
 	evacuations := tdlisting.NewEvacuations(tdlisting.Names{Decode: platform.DecodeEvacuation, IsKnown: n.hasDataCentre},
 		tdlog.Part(n.log, "servers"), n.fit.SetEvacuated)
 	n.eras.Subscribe(n.config.StartEra)
+	n.eras.Subscribe(n.servers.StartEra)
 	n.mirror.Subscribe(evacuations.Follow)
 	n.mirror.Subscribe(n.config.Follow)
 	n.mirror.Subscribe(n.servers.Follow)
--- a/platform.go
+++ b/platform.go
@@ -27,6 +27,7 @@
 	WarmUpLeft time.Duration // Rest of the warm-up, during which it is slow, at ListedAt.
 	ListedAt   Instant       // When this node received the entry; zero if unknown.
 	StartedAt  time.Time     // Start of this incarnation; zero if unknown.
+	Statement  uint64        // Number of the entry among those of this incarnation, from 1; zero if unknown.
 	// SoftwareVersion is the version of the server's software, not of a model's
 	// weights; empty if unknown.
 	SoftwareVersion string
