listing: keep evacuations whose keys are missing since the store came back

What callers saw: after the store had come back from an earlier copy, or empty, requests went to the servers of a data centre that was evacuated, until operators had written its key again.

Cause: a key that is missing in the listing of the later era ended the evacuation at once.

Keys that are removed within an era end it at once, as before.

--- a/internal/fleet/tdlisting/era_test.go
+++ b/internal/fleet/tdlisting/era_test.go
@@ -150,3 +150,41 @@
 		t.Errorf("%d servers are remembered, the last one: %t", len(l.gone), ok)
 	}
 }
+
+// TestEvacuationsOfLaterEra guards against requests to an evacuated data centre since the store
+// came back without its key, against an evacuation that outlasts a missing key for long, and
+// against one that is kept though its key was removed.
+func TestEvacuationsOfLaterEra(t *testing.T) {
+	type step struct {
+		era   tarragondeal.Era
+		gone  bool
+		after time.Duration
+		want  bool
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"missing in a later era", []step{{7, true, evacuationGrace - 1, true}}},
+		{"missing for long", []step{{7, true, evacuationGrace, false}}},
+		{"written again in time", []step{{7, true, time.Second, true}, {7, false, evacuationGrace, true}, {7, true, 0, false}}},
+		{"in the copy, and then removed", []step{{7, false, 0, true}, {7, true, 0, false}}},
+		{"two eras", []step{{7, true, time.Second, true}, {8, false, evacuationGrace, true}, {9, true, 0, true}}},
+		{"within an era", []step{{0, true, 0, false}}},
+	} {
+		evacuated := false
+		clock := &fakeClock{now: 1}
+		e := NewEvacuations(Names{
+			Decode: func(key string) (string, bool) { return key, true }, IsKnown: func(string) bool { return true },
+		}, clock, zerolog.Nop(), func(list []string) { evacuated = len(list) > 0 })
+		for n, step := range append([]step{{0, false, 0, true}}, c.steps...) {
+			e.StartEra(step.era)
+			e.Follow(tdmirror.Changes{Entries: []tarragondeal.Entry{{Key: "oslo", Deleted: step.gone, Revision: 3}}, AfterOutage: true})
+			clock.now = clock.now.Add(step.after)
+			e.removeExpired()
+			if evacuated != step.want {
+				t.Errorf("%s: after step %d evacuated is %t", c.name, n, evacuated)
+			}
+		}
+	}
+}
--- a/internal/fleet/tdlisting/evacuations_test.go
+++ b/internal/fleet/tdlisting/evacuations_test.go
@@ -20,7 +20,7 @@
 	e := NewEvacuations(Names{
 		Decode:  func(key string) (string, bool) { return strings.CutPrefix(key, "e/") },
 		IsKnown: func(string) bool { return false },
-	}, zerolog.Nop(), func(list []string) {
+	}, &fakeClock{}, zerolog.Nop(), func(list []string) {
 		current = list
 		applied++
 	})
@@ -58,7 +58,7 @@
 	var current []string
 	e := NewEvacuations(Names{
 		Decode: func(key string) (string, bool) { return strings.CutPrefix(key, "e/") }, IsKnown: func(name string) bool { return name == "oslo" },
-	}, zerolog.Nop(), func(list []string) { current = list })
+	}, &fakeClock{}, zerolog.Nop(), func(list []string) { current = list })
 	rev := tarragondeal.Revision(0)
 	write := func(key string, deleted bool) {
 		rev++
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -275,14 +275,16 @@
 	n.config = tdlisting.NewConfig(platform.ConfigKey, n.clock, tdlog.Part(n.log, "config"), n.applyConfig)
 	n.servers = tdlisting.NewServers(platform.ServersPrefix, platform.DecodeServer, n.clock, tdlog.Part(n.log, "servers"), n.setServers)
 	evacuations := tdlisting.NewEvacuations(tdlisting.Names{Decode: platform.DecodeEvacuation, IsKnown: n.hasDataCentre},
-		tdlog.Part(n.log, "servers"), n.fit.SetEvacuated)
+		n.clock, tdlog.Part(n.log, "servers"), n.fit.SetEvacuated)
 	n.eras.Subscribe(n.config.StartEra)
 	n.eras.Subscribe(n.servers.StartEra)
+	n.eras.Subscribe(evacuations.StartEra)
 	n.mirror.Subscribe(evacuations.Follow)
 	n.mirror.Subscribe(n.config.Follow)
 	n.mirror.Subscribe(n.servers.Follow)
 	n.addTask("apply configurations", n.config.Run)
 	n.addTask("follow servers", n.servers.Run)
+	n.addTask("follow evacuations", evacuations.Run)
 }
 
 // hasDataCentre reports whether the settings have a data centre.
