origin: do not take a record of an earlier era for complete

After the store had come back from an earlier copy, a node that started then could let a stream go on at a version that had not begun it.

Cause: the record of the software that was listed says since when it is complete, up to the present. A copy of it lacks what was listed after the copy was taken.

Change: the record has the era in which it was written. One of an earlier era adds what it lists and is not complete, so that a node writes it again. Records without an era are of the first one, and builds before ignore the field.

Measured: TestRecordOfEarlierEra fails without the comparison (3 of 3 nodes name v1) and passes; go test -race of tdorigin passes.

--- a/internal/entry/tdorigin/keep.go
+++ b/internal/entry/tdorigin/keep.go
@@ -44,6 +44,9 @@
 	// always.
 	Complete int64          `json:"complete"`
 	Software []keptSoftware `json:"software"`
+	// Era is the era in which it was written. In a later one it lacks what was listed before
+	// the store came back from an earlier copy.
+	Era tarragondeal.Era `json:"era,omitempty"`
 }
 
 // keptSoftware is software that was listed.
@@ -57,7 +60,7 @@
 type kept struct {
 	rev     tarragondeal.Revision // Zero if there is no record.
 	present map[tarragondeal.Software]bool
-	from    tarragondeal.Instant // Since when it is complete.
+	from    tarragondeal.Instant // Since when it is complete; farFuture if it isn't.
 }
 
 // keeping is the state of a record that must be written.
@@ -87,8 +90,13 @@
 		return
 	}
 	instant := func(millis int64) tarragondeal.Instant { return now.Add(-max(0, wall.Sub(time.UnixMilli(millis)))) }
-	o.kept.from = farPast
-	if k.Complete != 0 {
+	switch era := o.Era(); {
+	case k.Era < era:
+		o.Log.Info().Uint64("revision", uint64(e.Revision)).Uint64("era", uint64(k.Era)).Uint64("storeEra", uint64(era)).
+			Msg("the kept software is of an earlier era of the store; other software may have been listed since")
+	case k.Complete == 0:
+		o.kept.from = farPast
+	default:
 		o.kept.from = instant(k.Complete)
 	}
 	o.kept.present = make(map[tarragondeal.Software]bool)
@@ -194,7 +202,7 @@
 	wall := o.Wall()
 	millis := func(at tarragondeal.Instant) int64 { return wall.Add(at.Sub(now)).UnixMilli() }
 	h := &o.history
-	k := keptHistory{}
+	k := keptHistory{Era: o.Era()}
 	if h.from != farPast {
 		k.Complete = millis(h.from)
 	}
--- a/internal/entry/tdorigin/keep_test.go
+++ b/internal/entry/tdorigin/keep_test.go
@@ -39,6 +39,7 @@
 	store  keptStore
 	listed []tarragondeal.Software
 	seen   tarragondeal.Revision
+	era    tarragondeal.Era
 }
 
 func newKeptFleet(size int, firstStart bool, listed ...tarragondeal.Software) *keptFleet {
@@ -67,6 +68,7 @@
 			}
 			return out
 		},
+		Era: func() tarragondeal.Era { return w.era },
 	}, Options{FirstStart: firstStart})
 	w.nodes = append(w.nodes, o)
 	if w.store.entry.Revision > 0 {
@@ -164,6 +166,23 @@
 	w.expectAll(t, "rolled back long ago", "r", v1)
 }
 
+// TestRecordOfEarlierEra guards against a stream that goes on at another version than the one
+// that began it, which the record lacks since the store came back from an earlier copy.
+func TestRecordOfEarlierEra(t *testing.T) {
+	w := newKeptFleet(3, true, v1)
+	w.run(5 * time.Second)
+	earlier := w.store.entry
+	w.list(v1, v2)
+	w.run(8 * time.Second)
+	w.list(v1)
+	w.era, w.store.entry = 7, earlier
+	w.startAll(3, false)
+	w.expectAll(t, "the record is of an earlier era", "r", unknown)
+	w.run(testAge)
+	w.startAll(3, false)
+	w.expectAll(t, "the record was written again", "r", v1)
+}
+
 // TestOldListOfPeer guards against a node that has just started and takes the list of a
 // peer that is cut off from the store for all that there was.
 func TestOldListOfPeer(t *testing.T) {
--- a/internal/entry/tdorigin/origin.go
+++ b/internal/entry/tdorigin/origin.go
@@ -72,6 +72,7 @@
 	Self    tarragondeal.NodeID
 	Nodes   func() []tarragondeal.NodeID // All nodes in the fleet, including Self.
 	Wall    func() time.Time             // A clock on which the nodes agree.
+	Era     func() tarragondeal.Era      // The era of the store. Nil means the first one.
 	Log     zerolog.Logger
 	Scope   tally.Scope
 }
@@ -105,6 +106,9 @@
 
 // New returns an Origins without records.
 func New(d Deps, o Options) *Origins {
+	if d.Era == nil {
+		d.Era = func() tarragondeal.Era { return 0 }
+	}
 	return &Origins{
 		Deps: d, records: make(map[key]record), open: make(map[key]tarragondeal.Instant),
 		known: make(map[tarragondeal.Software]*tarragondeal.Software), history: newHistory(o.FirstStart),
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -243,6 +243,7 @@
 	n.mesh.Receive(tdfit.Topic, n.fit.Receive, n.fit.Lost)
 	n.origins = tdorigin.New(tdorigin.Deps{
 		Clock: n.clock, Current: n.listIsCurrent, Confirm: n.mirror.Confirm, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall,
+		Era: func() tarragondeal.Era { return n.eras.Known().Era },
 		Log: tdlog.Part(n.log, "origin"), Scope: n.metrics.Scope.SubScope("origin"),
 	}, tdorigin.Options{FirstStart: n.vm.FirstStart})
 	n.mirror.Subscribe(func(c tdmirror.Changes) {
