origin: expect no revision of an earlier era when the record is written

A record that another node had written after the store came back could be overwritten by a node that had not read it.

Cause: the record is swapped at the revision at which this node read it, also if the store came back from an earlier copy since, which gives the revision again; and an answer that arrived after the new era began was taken for one of that era.

Change: what is known of the record ends with the era in which it was read: without a later one the swap expects no record, and its conflict says what is there. Answers that arrive in another era than the one in which the call began are not used.

Measured: TestRevisionOfEarlierEra fails in both of its cases on the code before (the record of the later era was replaced) and passes; go test -race of tdorigin passes.

--- a/internal/entry/tdorigin/keep.go
+++ b/internal/entry/tdorigin/keep.go
@@ -58,6 +58,7 @@
 
 // kept is what this node knows of the record in the store.
 type kept struct {
+	era     tarragondeal.Era      // In which this was known.
 	rev     tarragondeal.Revision // Zero if there is no record.
 	present map[tarragondeal.Software]bool
 	from    tarragondeal.Instant // Since when it is complete; farFuture if it isn't.
@@ -74,8 +75,9 @@
 func (o *Origins) Load(e tarragondeal.Entry) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	era := o.Era()
 	if e.Deleted {
-		o.kept = kept{}
+		o.kept = kept{era: era}
 		return
 	}
 	now, wall := o.Clock.Now(), o.Wall()
@@ -83,14 +85,14 @@
 		o.firstStart = false
 		o.history.forgetBefore(now)
 	}
-	o.kept = kept{rev: e.Revision, from: farFuture}
+	o.kept = kept{era: era, rev: e.Revision, from: farFuture}
 	var k keptHistory
 	if err := json.Unmarshal(e.Value, &k); err != nil {
 		o.Log.Warn().Err(tdlog.Bounded(err)).Uint64("revision", uint64(e.Revision)).Msg("can't decode the kept software")
 		return
 	}
 	instant := func(millis int64) tarragondeal.Instant { return now.Add(-max(0, wall.Sub(time.UnixMilli(millis)))) }
-	switch era := o.Era(); {
+	switch {
 	case k.Era < era:
 		o.Log.Info().Uint64("revision", uint64(e.Revision)).Uint64("era", uint64(k.Era)).Uint64("storeEra", uint64(era)).
 			Msg("the kept software is of an earlier era of the store; other software may have been listed since")
@@ -133,6 +135,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock.Now()
+	if era := o.Era(); o.kept.era != era {
+		o.kept = kept{era: era} // The store may give its revision again.
+	}
 	if !current || !o.outdated(now) {
 		o.keeping.wantedAt = time.Time{}
 		return nil, 0, false
@@ -232,9 +237,16 @@
 func (o *Origins) write(ctx context.Context, store tarragondeal.Store, key string, value []byte, prev tarragondeal.Revision) {
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
+	o.mu.Lock()
+	era := o.kept.era
+	o.mu.Unlock()
 	entry, err := store.Swap(ctx, key, value, prev)
 	var conflict *tarragondeal.ConflictError
 	switch {
+	case era != o.Era():
+		o.Log.Info().AnErr("error", err).Uint64("previous", uint64(prev)).Uint64("era", uint64(era)).
+			Msg("the era of the store changed while the listed software was written")
+		return
 	case err == nil:
 		o.Log.Info().Uint64("revision", uint64(entry.Revision)).Uint64("previous", uint64(prev)).
 			Int("bytes", len(value)).Str("record", string(value[:min(len(value), maxLogged)])).Msg("listed software kept in the store")
--- a/internal/entry/tdorigin/keep_test.go
+++ b/internal/entry/tdorigin/keep_test.go
@@ -19,10 +19,15 @@
 	entry tarragondeal.Entry
 	calls int
 	err   error
+	// answered is called before an answer arrives, unless it is nil.
+	answered func()
 }
 
 func (s *keptStore) Swap(_ context.Context, key string, value []byte, prev tarragondeal.Revision) (tarragondeal.Entry, error) {
 	s.calls++
+	if s.answered != nil {
+		defer s.answered()
+	}
 	if s.err != nil {
 		return tarragondeal.Entry{}, s.err
 	}
@@ -183,6 +188,38 @@
 	w.expectAll(t, "the record was written again", "r", v1)
 }
 
+// TestRevisionOfEarlierEra guards against a record of another node that is overwritten since it
+// has the revision that the record had before the store came back from an earlier copy.
+func TestRevisionOfEarlierEra(t *testing.T) {
+	for _, during := range []bool{false, true} {
+		w := newKeptFleet(1, true, v1)
+		restore := func() {
+			w.era, w.store.answered = 7, nil
+			w.store.entry.Value = []byte(`{"era":7,"software":[{"pool":"m","version":"v2"}]}`)
+		}
+		if during {
+			w.store.answered = restore
+		}
+		value, prev, ok := w.nodes[0].due(true)
+		if !ok {
+			t.Fatal("no record is due")
+		}
+		w.nodes[0].write(t.Context(), &w.store, "k", value, prev)
+		if !during {
+			restore()
+		}
+		w.list(v1, v2)
+		value, prev, ok = w.nodes[0].due(true)
+		if !ok {
+			t.Fatal("no record is due in the later era")
+		}
+		w.nodes[0].write(t.Context(), &w.store, "k", value, prev)
+		if w.store.entry.Revision != 1 || prev != 0 {
+			t.Errorf("era changes during a call: %t: the record of the later era was replaced, expecting revision %d", during, prev)
+		}
+	}
+}
+
 // TestOldListOfPeer guards against a node that has just started and takes the list of a
 // peer that is cut off from the store for all that there was.
 func TestOldListOfPeer(t *testing.T) {
