--- a/internal/entry/tdorigin/keep_test.go
+++ b/internal/entry/tdorigin/keep_test.go
@@ -19,10 +19,15 @@
 	entry tarragondeal.Entry
 	calls int
 	err   error
+	// answered is called before an answer arrives, unless it is nil.
+	answered func()
 }
 
 func (s *keptStore) Swap(_ context.Context, key string, value []byte, prev tarragondeal.Revision) (tarragondeal.Entry, error) {
 	s.calls++
+	if s.answered != nil {
+		defer s.answered()
+	}
 	if s.err != nil {
 		return tarragondeal.Entry{}, s.err
 	}
@@ -39,6 +44,7 @@
 	store  keptStore
 	listed []tarragondeal.Software
 	seen   tarragondeal.Revision
+	era    tarragondeal.Era
 }
 
 func newKeptFleet(size int, firstStart bool, listed ...tarragondeal.Software) *keptFleet {
@@ -67,6 +73,7 @@
 			}
 			return out
 		},
+		Era: func() tarragondeal.Era { return w.era },
 	}, Options{FirstStart: firstStart})
 	w.nodes = append(w.nodes, o)
 	if w.store.entry.Revision > 0 {
@@ -164,6 +171,55 @@
 	w.expectAll(t, "rolled back long ago", "r", v1)
 }
 
+// TestRecordOfEarlierEra guards against a stream that goes on at another version than the one
+// that began it, which the record lacks since the store came back from an earlier copy.
+func TestRecordOfEarlierEra(t *testing.T) {
+	w := newKeptFleet(3, true, v1)
+	w.run(5 * time.Second)
+	earlier := w.store.entry
+	w.list(v1, v2)
+	w.run(8 * time.Second)
+	w.list(v1)
+	w.era, w.store.entry = 7, earlier
+	w.startAll(3, false)
+	w.expectAll(t, "the record is of an earlier era", "r", unknown)
+	w.run(testAge)
+	w.startAll(3, false)
+	w.expectAll(t, "the record was written again", "r", v1)
+}
+
+// TestRevisionOfEarlierEra guards against a record of another node that is overwritten since it
+// has the revision that the record had before the store came back from an earlier copy.
+func TestRevisionOfEarlierEra(t *testing.T) {
+	for _, during := range []bool{false, true} {
+		w := newKeptFleet(1, true, v1)
+		restore := func() {
+			w.era, w.store.answered = 7, nil
+			w.store.entry.Value = []byte(`{"era":7,"software":[{"pool":"m","version":"v2"}]}`)
+		}
+		if during {
+			w.store.answered = restore
+		}
+		value, prev, ok := w.nodes[0].due(true)
+		if !ok {
+			t.Fatal("no record is due")
+		}
+		w.nodes[0].write(t.Context(), &w.store, "k", value, prev)
+		if !during {
+			restore()
+		}
+		w.list(v1, v2)
+		value, prev, ok = w.nodes[0].due(true)
+		if !ok {
+			t.Fatal("no record is due in the later era")
+		}
+		w.nodes[0].write(t.Context(), &w.store, "k", value, prev)
+		if w.store.entry.Revision != 1 || prev != 0 {
+			t.Errorf("era changes during a call: %t: the record of the later era was replaced, expecting revision %d", during, prev)
+		}
+	}
+}
+
 // TestOldListOfPeer guards against a node that has just started and takes the list of a
 // peer that is cut off from the store for all that there was.
 func TestOldListOfPeer(t *testing.T) {
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -243,6 +243,7 @@
 	n.mesh.Receive(tdfit.Topic, n.fit.Receive, n.fit.Lost)
 	n.origins = tdorigin.New(tdorigin.Deps{
 		Clock: n.clock, Current: n.listIsCurrent, Confirm: n.mirror.Confirm, Self: n.vm.Node, Nodes: n.mesh.Nodes, Wall: n.mesh.Wall,
+		Era: func() tarragondeal.Era { return n.eras.Known().Era },
 		Log: tdlog.Part(n.log, "origin"), Scope: n.metrics.Scope.SubScope("origin"),
 	}, tdorigin.Options{FirstStart: n.vm.FirstStart})
 	n.mirror.Subscribe(func(c tdmirror.Changes) {
@@ -275,12 +276,16 @@
 	n.config = tdlisting.NewConfig(platform.ConfigKey, n.clock, tdlog.Part(n.log, "config"), n.applyConfig)
 	n.servers = tdlisting.NewServers(platform.ServersPrefix, platform.DecodeServer, n.clock, tdlog.Part(n.log, "servers"), n.setServers)
 	evacuations := tdlisting.NewEvacuations(tdlisting.Names{Decode: platform.DecodeEvacuation, IsKnown: n.hasDataCentre},
-		tdlog.Part(n.log, "servers"), n.fit.SetEvacuated)
+		n.clock, tdlog.Part(n.log, "servers"), n.fit.SetEvacuated)
+	n.eras.Subscribe(n.config.StartEra)
+	n.eras.Subscribe(n.servers.StartEra)
+	n.eras.Subscribe(evacuations.StartEra)
 	n.mirror.Subscribe(evacuations.Follow)
 	n.mirror.Subscribe(n.config.Follow)
 	n.mirror.Subscribe(n.servers.Follow)
 	n.addTask("apply configurations", n.config.Run)
 	n.addTask("follow servers", n.servers.Run)
+	n.addTask("follow evacuations", evacuations.Run)
 }
 
 // hasDataCentre reports whether the settings have a data centre.
@@ -303,15 +308,14 @@
 	return ok && age <= maxListAge
 }
 
-// applyConfig applies a configuration and returns its version. It returns an
-// error if the version is not later than inForce.
+// applyConfig implements tdlisting.Apply.
 func (n *Node) applyConfig(value []byte, inForce tarragondeal.Version) (tarragondeal.Version, error) {
 	view, limits, err := platform.DecodeConfig(value, n.vm.Regions)
 	if err != nil {
 		return 0, err
 	}
 	if view.Version <= inForce {
-		return 0, eris.Errorf("version %d is not later than the version in force, %d", view.Version, inForce)
+		return 0, &tarragondeal.VersionError{Version: view.Version, InForce: inForce}
 	}
 	n.fit.SetView(view)
 	n.host.SetView(view, limits)
