tdbegun: drop old counts of others at nodes without requests

What operators see: the memory of a node that begins no requests grows with those of all others.

Cause: old windows are dropped when a request begins, and only then.

Change: they are also dropped when counts arrive in another window.

Measured: TestNodeWithoutRequestsDropsOldCounts fails without the change.

--- a/internal/account/tdbegun/begun_test.go
+++ b/internal/account/tdbegun/begun_test.go
@@ -131,6 +131,22 @@
 	}
 }
 
+// TestNodeWithoutRequestsDropsOldCounts guards against counts of others that are kept for ever
+// at a node that itself begins no requests.
+func TestNodeWithoutRequestsDropsOldCounts(t *testing.T) {
+	clock := &fakeClock{now: tarragondeal.Instant(100 * length)}
+	a, b := newCounter("a", clock, &deadProcess{}), newCounter("b", clock, &deadProcess{})
+	ab, window := a.Writer(), a.Window()
+	for range keepWindows + 2 {
+		a.Began("acme")
+		b.Receive("a", ab(forwardNone))
+		clock.now = clock.now.Add(length)
+	}
+	if got := b.Sum(window); len(got) != 0 {
+		t.Errorf("counts %v of an old window", got)
+	}
+}
+
 func TestWriterSendsOnlyChanges(t *testing.T) {
 	clock := &fakeClock{now: tarragondeal.Instant(100 * length)}
 	a := newCounter("a", clock, &deadProcess{})
--- a/internal/account/tdbegun/counter.go
+++ b/internal/account/tdbegun/counter.go
@@ -46,6 +46,7 @@
 	byProcess    map[Process]*counts
 	receivedFrom map[Process]tarragondeal.NodeID // The node that last sent a process's counts.
 	changes      uint64
+	dropped      int64 // The window that was current when old ones were last dropped.
 }
 
 // NewCounter returns a counter for windows of the given length. The function
@@ -92,6 +93,7 @@
 // dropOld drops the windows that are too old to be reported, and processes
 // without any windows left.
 func (c *Counter) dropOld(now int64) {
+	c.dropped = now
 	for p, counted := range c.byProcess {
 		for number := range counted.windows {
 			if number < now-keepWindows {
@@ -214,6 +216,7 @@
 	if err := proto.Unmarshal(payload, &m); err != nil {
 		return false
 	}
+	now := c.Window()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range m.GetSources() {
@@ -231,5 +234,8 @@
 			}
 		}
 	}
+	if now != c.dropped {
+		c.dropOld(now)
+	}
 	return true
 }
