tdbegun: nodes tell each other the sums of closed windows

Cause: the sums that every report must have stood in the store only. A store that comes back from an earlier copy, or without anything, lacks them, and the next holder sums the window up again, with the counts that it knows then.

Change: a holder that has written the sums to the store tells them to all nodes, in an optional field of the message with the counts, once a stream and on the way that counts take; a new stream carries all that are known. A holder whose record lacks a window that nodes know, or has other sums, writes those of the nodes into the record first and reports these.

What nodes know decides, since in one history of the store the two never differ: a record that differs was written in a later one, by a holder that did not know of the closing. If nodes know of two closings, that one is used whose report the platform has accepted; else the one that this process has sent; else the one of the lower fencing token, whose holder had more time to send it. What was sent is kept across the terms of a process, so that it does not send other counts itself.

Nodes are also told that the platform has accepted a report.

Builds before ignore the field, and their relays don't pass it on: the record decides then, as before. Existing tests: a new term reads the record in one pass and reports in the next, so TestClockThatStepsBackReportsNoWindowTwice makes two passes for the second holder; its check is the same.

--- a/internal/account/tdbegun/begun_test.go
+++ b/internal/account/tdbegun/begun_test.go
@@ -165,8 +165,10 @@
 	value     []byte
 	rev       tarragondeal.Revision
 	loseReply bool // The reply to the next write is lost.
-	held      bool
-	reported  map[int64][]map[string]int64
+	// loseReport makes the replies to reports be lost.
+	loseReport bool
+	held       bool
+	reported   map[int64][]map[string]int64
 }
 
 func (d *fakePlatform) Get(context.Context, string) (tarragondeal.Entry, error) {
@@ -187,6 +189,9 @@
 
 func (d *fakePlatform) ReportUsage(_ context.Context, r tarragondeal.BegunReport) error {
 	d.reported[r.Window] = append(d.reported[r.Window], r.Begun)
+	if d.loseReport {
+		return errors.New("lost")
+	}
 	return nil
 }
 
@@ -218,7 +223,7 @@
 		Store: fakeStore{fakePlatform: d}, Sink: d, Counter: c, AllAlive: func() bool { return allAlive }, Clock: clock,
 		Log: zerolog.Nop(), Scope: tally.NoopScope,
 	}, Options{Window: length, Due: 10 * time.Second})
-	return &term{r: r, held: d, sent: make(map[int64]bool)}
+	return r.newTerm(d)
 }
 
 // TestWindowIsReportedWithTheSameSums checks that successive holders of the duty
@@ -324,7 +329,9 @@
 		term.reportDue(ctx)
 	}
 	clock.now = trueTime
-	newTerm(b, clock, d, true).reportDue(ctx)
+	next := newTerm(b, clock, d, true)
+	next.reportDue(ctx) // Reads the record.
+	next.reportDue(ctx)
 	for _, r := range d.reported[window] {
 		if !maps.Equal(r, d.reported[window][0]) {
 			t.Errorf("reported %v and %v", d.reported[window][0], r)
--- a/internal/account/tdbegun/counter.go
+++ b/internal/account/tdbegun/counter.go
@@ -1,6 +1,7 @@
 package tdbegun
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -46,6 +47,7 @@
 	byProcess    map[Process]*counts
 	receivedFrom map[Process]tarragondeal.NodeID // The node that last sent a process's counts.
 	changes      uint64
+	closed       map[closing]*closedWindow
 	dropped      int64 // The window that was current when old ones were last dropped.
 }
 
@@ -56,6 +58,7 @@
 	return &Counter{
 		self: self, length: length, wall: wall, alive: alive,
 		byProcess: map[Process]*counts{self: newCounts()}, receivedFrom: make(map[Process]tarragondeal.NodeID),
+		closed: make(map[closing]*closedWindow),
 	}
 }
 
@@ -105,6 +108,7 @@
 			delete(c.receivedFrom, p)
 		}
 	}
+	maps.DeleteFunc(c.closed, func(k closing, _ *closedWindow) bool { return k.number < now-keepWindows })
 }
 
 // Sum returns the counts of a window by workspace, summed over all processes.
@@ -130,10 +134,12 @@
 // Writer returns a function for the stream to one other node. It returns the
 // encoded counts that have changed since its last call: this process's own, those
 // received from nodes for which forwards returns true, and those of processes
-// that are no longer alive.
+// that are no longer alive. Closed windows are sent in the same way, and all that
+// are known with the first call.
 func (c *Counter) Writer() func(forwards func(tarragondeal.NodeID) bool) []byte {
 	sent := make(map[countKey]int64)
 	taken := make(map[Process]uint64) // The last change of each process when its counts were taken.
+	var sentClosed map[closing]stage  // Nil before the first call.
 	var before int64
 	return func(forwards func(tarragondeal.NodeID) bool) []byte {
 		now := c.Window()
@@ -149,11 +155,12 @@
 				m.Sources = append(m.Sources, s)
 			}
 		}
+		m.Closed, sentClosed = c.takeClosed(sentClosed, forwards)
 		if now != before {
 			before = now
 			c.forget(sent, taken, now)
 		}
-		if len(m.Sources) == 0 {
+		if len(m.Sources) == 0 && len(m.Closed) == 0 {
 			return nil
 		}
 		out, err := proto.Marshal(m)
@@ -234,6 +241,9 @@
 			}
 		}
 	}
+	for _, w := range m.GetClosed() {
+		c.receiveClosed(from, w)
+	}
 	if now != c.dropped {
 		c.dropOld(now)
 	}
--- a/internal/account/tdbegun/doc.go
+++ b/internal/account/tdbegun/doc.go
@@ -5,9 +5,11 @@
 // Each process sends its own counts to the other nodes, so that the counts
 // survive it. Counts only increase: of two counts of the same process, the
 // larger is used. Some time after the end of a window the holder of the duty adds
-// the counts up and writes the sums to the platform's store before it first
-// reports them. Every report of that window, also by later holders, has the sums
-// in the store.
+// the counts up, writes the sums to the platform's store and sends them to the
+// other nodes, before it first reports them. Every report of that window, also by
+// later holders, has these sums. Holders use those that nodes know if the store
+// comes back without them. A window that the platform has accepted is not sent
+// again by holders that know so.
 //
 // # Usage
 //
--- a/internal/account/tdbegun/order_test.go
+++ b/internal/account/tdbegun/order_test.go
@@ -62,7 +62,8 @@
 
 // TestOneReportForEachWindow checks that no window is reported with two different
 // counts, whichever nodes hold the duty, at the same time too, with different counts,
-// clocks that step, and writes whose replies are lost or which are applied late.
+// clocks that step, and writes whose replies are lost or which are applied late. It also
+// guards against windows with two counts, since the store came back from an earlier copy.
 func TestOneReportForEachWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := tarragondeal.Instant(100 * length)
@@ -77,9 +78,20 @@
 			counters[n] = newCounter(fmt.Sprint(n), clocks[n], &deadProcess{})
 			begin(n)
 		}
+		// If the store goes back, clocks don't step, and the nodes receive each other's states.
+		copies, links, goesBack := []fakePlatform{*d.fakePlatform}, []*link{}, rapid.Bool().Draw(t, "the store goes back")
+		for n := range 9 {
+			if goesBack && n/3 != n%3 {
+				links = append(links, newLink(counters[n/3], counters[n%3], forwardNone, false))
+			}
+		}
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			n := rapid.IntRange(0, 2).Draw(t, "node")
-			switch rapid.IntRange(0, 10).Draw(t, "what") {
+			what := rapid.IntRange(0, 11).Draw(t, "what")
+			if steps := what == 5 || what == 10; steps && goesBack || what == 11 && !goesBack {
+				continue
+			}
+			switch what {
 			case 0, 1, 2:
 				counters[n].Began(rapid.SampledFrom([]string{"acme", "other"}).Draw(t, "workspace"))
 			case 3, 4:
@@ -93,6 +105,12 @@
 				begin(n)
 			case 7, 8:
 				terms[n].reportDue(context.Background())
+				for _, l := range links {
+					if l.from == counters[n] {
+						l.carry()
+					}
+				}
+				copies = append(copies, *d.fakePlatform)
 			case 9:
 				if len(d.late) > 0 {
 					d.late[0]()
@@ -106,6 +124,12 @@
 					terms[n].reportDue(context.Background())
 				}
 				clocks[n].now = before
+			case 11:
+				back := rapid.SampledFrom(copies).Draw(t, "copy")
+				d.value, d.rev = back.value, back.rev
+				for n := range terms {
+					begin(n)
+				}
 			}
 		}
 		for window, reports := range d.reported {
--- a/internal/account/tdbegun/reporter.go
+++ b/internal/account/tdbegun/reporter.go
@@ -65,7 +65,8 @@
 func NewReporter(d Deps, o Options) *Reporter { return &Reporter{Deps: d, opt: o} }
 
 // record is the value at recordKey. Once a window is in it, its sums never
-// change, and a window that may have been dropped from it is not summed up again.
+// change while the store keeps it, and a window that may have been dropped from it
+// is not summed up again.
 type record struct {
 	Windows map[int64]map[string]int64 `json:"windows"`
 	Dropped int64                      `json:"dropped,omitempty"` // The latest window that was dropped.
@@ -78,13 +79,17 @@
 	record record
 	rev    tarragondeal.Revision
 	loaded bool
-	sent   map[int64]bool
+	empty  map[int64]bool // Windows in which no request began.
+}
+
+func (r *Reporter) newTerm(held tarragondeal.Held) *term {
+	return &term{r: r, held: held, empty: make(map[int64]bool)}
 }
 
 // Duty reports windows until ctx ends, which it does when the duty is lost. It
 // always returns nil.
 func (r *Reporter) Duty(ctx context.Context, held tarragondeal.Held) error {
-	t := &term{r: r, held: held, sent: make(map[int64]bool)}
+	t := r.newTerm(held)
 	for {
 		t.reportDue(ctx)
 		if !tdclock.Sleep(ctx, pollInterval) {
@@ -93,40 +98,55 @@
 	}
 }
 
-// reportDue reports all windows that are due. Failures are retried at the next
-// call.
+// reportDue reports all windows that are due and known as closed, and closes those
+// that are not. These are reported by a later call, when other nodes know of them
+// too. Failures are retried at the next call.
 func (t *term) reportDue(ctx context.Context) {
 	if !t.loaded {
 		t.loadRecord(ctx)
 	}
-	if !t.loaded {
-		return
-	}
 	now := t.r.Counter.wall()
 	open := now.UnixNano() / int64(t.r.opt.Window)
+	if !t.loaded || !t.reconcile(ctx, open) {
+		return
+	}
 	for number := open - keepWindows; number < open; number++ {
-		if t.sent[number] || !t.ready(number, now) {
-			continue
+		if _, ok := t.record.Windows[number]; ok {
+			t.send(ctx, number)
+		} else if number > t.record.Dropped && !t.empty[number] && t.ready(number, now) {
+			t.closeWindow(ctx, number)
 		}
-		sums, ok := t.record.Windows[number]
-		if !ok && number <= t.record.Dropped {
-			continue
-		}
-		if !ok {
-			if sums = t.closeWindow(ctx, number); sums == nil {
-				continue
-			}
+	}
+}
+
+// reconcile makes the record and what the nodes know agree. What the nodes know
+// decides: in one history of the store they never differ, and a record of a later one
+// was written by a holder that did not know of the closing before. It reports whether
+// windows may be reported.
+func (t *term) reconcile(ctx context.Context, open int64) bool {
+	next, changed, learned := maps.Clone(t.record.Windows), false, false
+	for number := open - keepWindows; number < open; number++ {
+		recorded, ok := t.record.Windows[number]
+		sums := t.r.Counter.Closed(number)
+		switch {
+		case sums == nil && ok:
+			t.r.Counter.Close(number, recorded, t.held.Fence())
+			learned = true
+		case sums != nil && number > t.record.Dropped && !maps.Equal(sums, recorded):
+			t.r.Log.Warn().Int64("window", number).Bool("recorded", ok).Uint64("fence", t.held.Fence()).
+				Msg("the record lacks the sums of a window that nodes know, and gets them again")
+			next[number], changed = sums, true
 		}
-		t.send(ctx, number, sums)
 	}
+	if changed {
+		t.writeRecord(ctx, next)
+	}
+	return !changed && !learned
 }
 
-// ready reports whether a window can be reported: its sums are in the store, or
-// its counts have arrived or can't be waited for any longer.
+// ready reports whether a window can be summed up: its counts have arrived or can't
+// be waited for any longer.
 func (t *term) ready(number int64, now time.Time) bool {
-	if _, ok := t.record.Windows[number]; ok {
-		return true
-	}
 	since := now.Sub(time.Unix(0, (number+1)*int64(t.r.opt.Window)))
 	due := float64(t.r.opt.Due)
 	switch {
@@ -158,16 +178,26 @@
 	t.rev, t.loaded = e.Revision, true
 }
 
-// closeWindow writes a window's sums to the store and returns them. It returns
-// nil if the window is empty or the write is not known to have succeeded.
-func (t *term) closeWindow(ctx context.Context, number int64) map[string]int64 {
+// closeWindow writes a window's sums to the store and makes them known to other nodes.
+func (t *term) closeWindow(ctx context.Context, number int64) {
 	sums := t.r.Counter.Sum(number)
 	if len(sums) == 0 {
-		t.sent[number] = true // No request began, so there is nothing to report.
-		return nil
+		t.empty[number] = true // There is nothing to report.
+		return
+	}
+	next := maps.Clone(t.record.Windows)
+	next[number] = sums
+	if !t.writeRecord(ctx, next) {
+		return
 	}
-	next := record{Windows: maps.Clone(t.record.Windows), Dropped: t.record.Dropped}
-	next.Windows[number] = sums
+	t.r.Counter.Close(number, sums, t.held.Fence())
+	t.r.Log.Info().Int64("window", number).Int("workspaces", len(sums)).Uint64("fence", t.held.Fence()).Msg("window closed")
+}
+
+// writeRecord replaces the windows in the record, without the earliest if they are too
+// many. It reports whether the write is known to have succeeded.
+func (t *term) writeRecord(ctx context.Context, windows map[int64]map[string]int64) bool {
+	next := record{Windows: windows, Dropped: t.record.Dropped}
 	numbers := slices.Sorted(maps.Keys(next.Windows))
 	for _, old := range numbers[:max(0, len(numbers)-maxRecordWindows)] {
 		delete(next.Windows, old)
@@ -176,7 +206,7 @@
 	value, err := json.Marshal(next)
 	if err != nil {
 		t.r.Log.Error().Err(err).Msg("can't encode the record of reported windows")
-		return nil
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -185,21 +215,28 @@
 		// The write may have been applied, or another holder may have written:
 		// load the record again.
 		t.loaded = false
-		t.r.Log.Warn().Err(err).Int64("window", number).Msg("window not written to the store")
-		return nil
+		t.r.Log.Warn().Err(err).Msg("record of reported windows not written to the store")
+		return false
 	}
 	t.record, t.rev = next, e.Revision
-	t.r.Log.Info().Int64("window", number).Int("workspaces", len(sums)).Uint64("fence", t.held.Fence()).Msg("window closed")
-	return sums
+	return true
 }
 
-// send reports a window. If the lease may end before the call does, it leaves the
-// window for a later call, by which time the lease is renewed or the duty lost.
-func (t *term) send(ctx context.Context, number int64, sums map[string]int64) {
+// send reports a closed window unless the platform has accepted it. If the lease may
+// end before the call does, it leaves the window for a later call, by which time the
+// lease is renewed or the duty lost.
+func (t *term) send(ctx context.Context, number int64) {
+	if t.r.Counter.isReported(number) {
+		return
+	}
 	if err := t.held.Check(callTimeout); err != nil {
 		t.r.Log.Info().Err(err).Int64("window", number).Msg("report postponed: the lease may end before the call does")
 		return
 	}
+	sums := t.record.Windows[number]
+	if !t.r.Counter.startReport(number, sums) {
+		return // What other nodes know since is written to the store first.
+	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := t.r.Sink.ReportUsage(call, tarragondeal.BegunReport{
@@ -208,7 +245,7 @@
 	var refused *tarragondeal.PlatformError
 	switch {
 	case err == nil:
-		t.sent[number] = true
+		t.r.Counter.endReport(number, t.held.Fence())
 		t.r.Scope.Counter("reported").Inc(1)
 		t.r.Log.Info().Int64("window", number).Uint64("fence", t.held.Fence()).Msg("window reported")
 	case errors.As(err, &refused) && refused.Status != 0:
