tdbegun: load the record of windows again when an era begins

A holder could replace the record of windows of another one, seen in a test only.

Cause: a term keeps the record and its revision until a write fails. A store that came back may give that revision again, to the record of another holder; the write then succeeds.

Change: the record is loaded again when another era has begun since it was loaded. It is not written in another era; a write during which an era begins counts as failed.

Measured: TestRecordOfAnEarlierEraIsNotWritten fails without the change: the record of the other holder is gone, and its window is not reported.

--- a/internal/account/tdbegun/begun_test.go
+++ b/internal/account/tdbegun/begun_test.go
@@ -167,6 +167,7 @@
 	loseReply bool // The reply to the next write is lost.
 	// loseReport makes the replies to reports be lost.
 	loseReport bool
+	era        tarragondeal.Era
 	held       bool
 	reported   map[int64][]map[string]int64
 }
@@ -221,6 +222,7 @@
 func newTerm(c *Counter, clock *fakeClock, d *fakePlatform, allAlive bool) *term {
 	r := NewReporter(Deps{
 		Store: fakeStore{fakePlatform: d}, Sink: d, Counter: c, AllAlive: func() bool { return allAlive }, Clock: clock,
+		Era: func() tarragondeal.Era { return d.era },
 		Log: zerolog.Nop(), Scope: tally.NoopScope,
 	}, Options{Window: length, Due: 10 * time.Second})
 	return r.newTerm(d)
--- a/internal/account/tdbegun/closed_test.go
+++ b/internal/account/tdbegun/closed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -124,6 +125,30 @@
 	}
 }
 
+// TestRecordOfAnEarlierEraIsNotWritten guards against a write that replaces the record of another
+// holder, since the store came back and gave its revision again.
+func TestRecordOfAnEarlierEraIsNotWritten(t *testing.T) {
+	clock, ctx := &fakeClock{now: tarragondeal.Instant(100 * length)}, context.Background()
+	d := &fakePlatform{held: true, rev: 1, reported: make(map[int64][]map[string]int64)}
+	a := newCounter("a", clock, &deadProcess{})
+	a.Began("acme")
+	window := a.Window()
+	term := newTerm(a, clock, d, true)
+	term.reportDue(ctx) // Loads the record.
+	clock.now = clock.now.Add(length + 3*time.Second)
+	d.value, d.era = fmt.Appendf(nil, `{"windows":{"%d":{"acme":9}}}`, window-1), 5
+	for range 3 {
+		term.reportDue(ctx)
+	}
+	var kept record
+	if err := json.Unmarshal(d.value, &kept); err != nil || len(kept.Windows) != 2 {
+		t.Errorf("record %v, %v", kept, err)
+	}
+	if len(d.reported[window]) != 1 || len(d.reported[window-1]) != 1 {
+		t.Errorf("reported %v", d.reported)
+	}
+}
+
 // TestClosingOfTheWindowThatIsUsed checks which sums are used after two holders that did not
 // know of each other have closed a window.
 func TestClosingOfTheWindowThatIsUsed(t *testing.T) {
--- a/internal/account/tdbegun/reporter.go
+++ b/internal/account/tdbegun/reporter.go
@@ -43,9 +43,11 @@
 	Counter *Counter
 	// AllAlive reports whether all known nodes are alive.
 	AllAlive func() bool
-	Clock    tarragondeal.Clock
-	Log      zerolog.Logger
-	Scope    tally.Scope
+	// Era returns the era of the store.
+	Era   func() tarragondeal.Era
+	Clock tarragondeal.Clock
+	Log   zerolog.Logger
+	Scope tally.Scope
 }
 
 // Options holds the settings of a Reporter.
@@ -78,6 +80,7 @@
 	held   tarragondeal.Held
 	record record
 	rev    tarragondeal.Revision
+	era    tarragondeal.Era // In which the record was loaded.
 	loaded bool
 	empty  map[int64]bool // Windows in which no request began.
 }
@@ -102,7 +105,7 @@
 // that are not. These are reported by a later call, when other nodes know of them
 // too. Failures are retried at the next call.
 func (t *term) reportDue(ctx context.Context) {
-	if !t.loaded {
+	if !t.loaded || t.era != t.r.Era() {
 		t.loadRecord(ctx)
 	}
 	now := t.r.Counter.wall()
@@ -161,6 +164,7 @@
 func (t *term) loadRecord(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	t.loaded, t.era = false, t.r.Era()
 	e, err := t.r.Store.Get(ctx, recordKey)
 	if err != nil {
 		t.r.Log.Warn().Err(err).Msg("can't read the record of reported windows")
@@ -210,10 +214,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	e, err := t.r.Store.Swap(ctx, recordKey, value, t.rev)
+	e, err := t.swap(ctx, value)
 	if err != nil {
-		// The write may have been applied, or another holder may have written:
-		// load the record again.
+		// The write may have been applied, or another holder may have written, or the
+		// revision is of an earlier era: load the record again.
 		t.loaded = false
 		t.r.Log.Warn().Err(err).Msg("record of reported windows not written to the store")
 		return false
@@ -222,6 +226,20 @@
 	return true
 }
 
+// swap replaces the record if it is at the revision at which it was loaded, in the same
+// era. If the era ends during the call, the revision may be given again.
+func (t *term) swap(ctx context.Context, value []byte) (tarragondeal.Entry, error) {
+	var e tarragondeal.Entry
+	var err error
+	if t.era == t.r.Era() {
+		e, err = t.r.Store.Swap(ctx, recordKey, value, t.rev)
+	}
+	if err == nil && t.era != t.r.Era() {
+		err = &tarragondeal.EraError{Op: "swap", Key: recordKey, Reported: e.Revision, Known: tarragondeal.Position{Era: t.era, Revision: t.rev}}
+	}
+	return e, err
+}
+
 // send reports a closed window unless the platform has accepted it. If the lease may
 // end before the call does, it leaves the window for a later call, by which time the
 // lease is renewed or the duty lost.
