tdbegun: don't report windows that forgotten nodes may have reported

The platform may get a window with two counts after all nodes were killed at one moment while the store came back without the record of windows.

Cause: a window that is not in the record is summed up from the counts that nodes still have or get, though nodes that are gone may have reported it.

Change: a window that ended before the time since which the nodes remember (mesh.RemembersSince), and that neither the record nor a node knows as closed, is not reported. That is logged once a window and term.

Measured: the row "all nodes began after its end" of TestWindowWaitsForCounts fails without the change.

--- a/internal/account/tdbegun/begun_test.go
+++ b/internal/account/tdbegun/begun_test.go
@@ -168,8 +168,10 @@
 	// loseReport makes the replies to reports be lost.
 	loseReport bool
 	era        tarragondeal.Era
-	held       bool
-	reported   map[int64][]map[string]int64
+	// remembersSince is since when the nodes remember; zero for always.
+	remembersSince time.Time
+	held           bool
+	reported       map[int64][]map[string]int64
 }
 
 func (d *fakePlatform) Get(context.Context, string) (tarragondeal.Entry, error) {
@@ -222,7 +224,7 @@
 func newTerm(c *Counter, clock *fakeClock, d *fakePlatform, allAlive bool) *term {
 	r := NewReporter(Deps{
 		Store: fakeStore{fakePlatform: d}, Sink: d, Counter: c, AllAlive: func() bool { return allAlive }, Clock: clock,
-		Era: func() tarragondeal.Era { return d.era },
+		Era: func() tarragondeal.Era { return d.era }, RemembersSince: func() time.Time { return d.remembersSince },
 		Log: zerolog.Nop(), Scope: tally.NoopScope,
 	}, Options{Window: length, Due: 10 * time.Second})
 	return r.newTerm(d)
@@ -263,29 +265,44 @@
 	}
 }
 
+// TestWindowWaitsForCounts checks when a window is reported. It also guards against windows that are
+// reported with other counts, since no node knows of the nodes before.
 func TestWindowWaitsForCounts(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		since    time.Duration
 		allAlive bool
 		held     bool
+		started  time.Duration // After the window's end, when all nodes did; zero if some are older.
+		closed   bool          // A node knows the window as closed.
 		want     int
 	}{
-		{"just ended", time.Second, true, true, 0},
-		{"settled", 3 * time.Second, true, true, 1},
-		{"a node is unreachable", 3 * time.Second, false, true, 0},
-		{"a node has been unreachable for long", 7 * time.Second, false, true, 0},
-		{"nearly due", 9 * time.Second, false, true, 1},
-		{"the lease is not held", 6 * time.Second, true, false, 0},
+		{"just ended", time.Second, true, true, 0, false, 0},
+		{"settled", 3 * time.Second, true, true, 0, false, 1},
+		{"a node is unreachable", 3 * time.Second, false, true, 0, false, 0},
+		{"a node has been unreachable for long", 7 * time.Second, false, true, 0, false, 0},
+		{"nearly due", 9 * time.Second, false, true, 0, false, 1},
+		{"the lease is not held", 6 * time.Second, true, false, 0, false, 0},
+		{"all nodes began before its end", 3 * time.Second, true, true, -time.Second, false, 1},
+		{"all nodes began after its end", 9 * time.Second, true, true, time.Second, false, 0},
+		{"all nodes began after its end and know it", 9 * time.Second, true, true, time.Second, true, 1},
 	} {
 		clock := &fakeClock{now: tarragondeal.Instant(100 * length)}
 		counter := newCounter("a", clock, &deadProcess{})
 		counter.Began("acme")
 		d := &fakePlatform{held: c.held, reported: make(map[int64][]map[string]int64)}
-		clock.now = clock.now.Add(length + c.since)
+		clock.now = clock.now.Add(length)
+		if c.started != 0 {
+			d.remembersSince = clock.Wall().Add(c.started)
+		}
+		if c.closed {
+			counter.Close(counter.Window()-1, map[string]int64{"acme": 1}, 5)
+		}
+		clock.now = clock.now.Add(c.since)
 		term := newTerm(counter, clock, d, c.allAlive)
-		term.reportDue(context.Background())
-		term.reportDue(context.Background())
+		for range 3 {
+			term.reportDue(context.Background())
+		}
 		if got := len(d.reported); got != c.want {
 			t.Errorf("%s: %d windows reported", c.name, got)
 		}
--- a/internal/account/tdbegun/reporter.go
+++ b/internal/account/tdbegun/reporter.go
@@ -43,6 +43,9 @@
 	Counter *Counter
 	// AllAlive reports whether all known nodes are alive.
 	AllAlive func() bool
+	// RemembersSince returns since when the nodes tell each other which windows are
+	// closed, or the zero time if that goes back to the first start of the deployment.
+	RemembersSince func() time.Time
 	// Era returns the era of the store.
 	Era   func() tarragondeal.Era
 	Clock tarragondeal.Clock
@@ -83,10 +86,11 @@
 	era    tarragondeal.Era // In which the record was loaded.
 	loaded bool
 	empty  map[int64]bool // Windows in which no request began.
+	logged map[int64]bool // Windows that are not reported.
 }
 
 func (r *Reporter) newTerm(held tarragondeal.Held) *term {
-	return &term{r: r, held: held, empty: make(map[int64]bool)}
+	return &term{r: r, held: held, empty: make(map[int64]bool), logged: make(map[int64]bool)}
 }
 
 // Duty reports windows until ctx ends, which it does when the duty is lost. It
@@ -116,7 +120,7 @@
 	for number := open - keepWindows; number < open; number++ {
 		if _, ok := t.record.Windows[number]; ok {
 			t.send(ctx, number)
-		} else if number > t.record.Dropped && !t.empty[number] && t.ready(number, now) {
+		} else if number > t.record.Dropped && !t.empty[number] && t.ready(number, now) && !t.isForgotten(number) {
 			t.closeWindow(ctx, number)
 		}
 	}
@@ -182,6 +186,21 @@
 	t.rev, t.loaded = e.Revision, true
 }
 
+// isForgotten reports whether a window may have been reported by a node that no other
+// one knows of any more: it ended before what the nodes remember.
+func (t *term) isForgotten(number int64) bool {
+	since := t.r.RemembersSince()
+	if end := time.Unix(0, (number+1)*int64(t.r.opt.Window)); !end.Before(since) {
+		return false
+	}
+	if !t.logged[number] {
+		t.logged[number] = true
+		t.r.Log.Warn().Int64("window", number).Time("remembersSince", since).Uint64("fence", t.held.Fence()).
+			Msg("window not reported: it may have been reported by a node that nobody knows of any more")
+	}
+	return true
+}
+
 // closeWindow writes a window's sums to the store and makes them known to other nodes.
 func (t *term) closeWindow(ctx context.Context, number int64) {
 	sums := t.r.Counter.Sum(number)
--- a/internal/node/tdvm/duties.go
+++ b/internal/node/tdvm/duties.go
@@ -38,7 +38,7 @@
 	orders := platform.NewOrders(n.vm.Orders, n.httpClient(ordersMaxIdleConns))
 	reporter := tdbegun.NewReporter(tdbegun.Deps{
 		Store: n.store, Sink: orders, Counter: n.begun, AllAlive: n.mesh.AllAlive, Clock: n.clock,
-		Era: func() tarragondeal.Era { return n.eras.Known().Era },
+		RemembersSince: n.mesh.RemembersSince, Era: func() tarragondeal.Era { return n.eras.Known().Era },
 		Log: tdlog.Part(n.log, "usage"), Scope: n.metrics.Scope.SubScope("usage"),
 	}, tdbegun.Options{Self: n.vm.Node, Window: n.vm.Bounds.Window, Due: n.vm.Bounds.UsageDue})
 	scale := tdscale.New(tdscale.Deps{
