era: bound the lines and writes of a store that reports earlier revisions again and again

The store got up to a hundred writes a second of each node that follows it, and the log three lines with each, while watches reported earlier revisions than were known, as from a replica that is behind.

Cause: each such answer is a suspicion that is examined at once by a write.

Change: from the second suspicion on that was dismissed within a minute, further ones are ignored for 0.5 to 2 s, unless they name a later era.

--- a/internal/base/tdlog/log.go
+++ b/internal/base/tdlog/log.go
@@ -12,6 +12,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -42,6 +43,12 @@
 // Unwrap returns the whole error.
 func (e *boundedError) Unwrap() error { return e.err }
 
+// Sampled returns a logger of at most n lines a period, for events that may go on without end.
+// Those that it leaves out should be counted in a metric.
+func Sampled(l zerolog.Logger, n uint32, period time.Duration) zerolog.Logger {
+	return l.Sample(&zerolog.BurstSampler{Burst: n, Period: period})
+}
+
 // Part returns the logger of one component, whose lines have the component's
 // name in the field "part".
 func Part(base zerolog.Logger, part string) zerolog.Logger {
--- a/internal/fleet/tdera/tracker.go
+++ b/internal/fleet/tdera/tracker.go
@@ -3,11 +3,26 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdlog"
+)
+
+const (
+	// MaxLines is how many lines of one kind are logged in LinesPeriod: a service may go back
+	// again and again.
+	MaxLines    = 10
+	LinesPeriod = 10 * time.Minute
+	// minPause is how long suspicions are ignored after the second one that was dismissed
+	// within pauseReset. It doubles with each further one, up to maxPause: examining them takes
+	// a write, and a service may report earlier revisions all the time.
+	minPause   = 500 * time.Millisecond
+	maxPause   = 2 * time.Second
+	pauseReset = time.Minute
 )
 
 // Suspicion is a reason to believe that the service was restored from an earlier copy.
@@ -15,7 +30,7 @@
 	Found    string                // How it was found.
 	Reported tarragondeal.Revision // By the service; zero if another node or the contents gave rise to it.
 	Known    tarragondeal.Position // Of this node at that time.
-	Era      tarragondeal.Era      // Of the other node that gave rise to it; zero for none.
+	Era      tarragondeal.Era      // Later one that another node is in or has recorded; zero for none.
 	At       tarragondeal.Instant
 }
 
@@ -23,15 +38,18 @@
 // to others. It is safe for concurrent use.
 type Tracker struct {
 	clock tarragondeal.Clock
-	log   zerolog.Logger
+	log   zerolog.Logger // Of eras.
+	info  zerolog.Logger // Of suspicions.
 	scope tally.Scope
 
 	mu          sync.Mutex
 	known       tarragondeal.Position
 	startedAt   tarragondeal.Instant // When this node learned of the era; zero for the first one.
 	suspicion   *Suspicion
-	dismissed   tarragondeal.Era // Of another node, without a record in the store.
-	suspected   context.Context  // Done while there is a suspicion.
+	dismissed   tarragondeal.Era     // Of another node, without a record in the store.
+	dismissedAt tarragondeal.Instant // When a suspicion was dismissed last; zero before the first time.
+	pause       time.Duration        // For which suspicions are ignored from then on.
+	suspected   context.Context      // Done while there is a suspicion.
 	endCalls    context.CancelFunc
 	subscribers []func(tarragondeal.Era)
 }
@@ -41,7 +59,9 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	t := &Tracker{clock: clock, log: log, scope: scope}
+	t := &Tracker{
+		clock: clock, log: tdlog.Sampled(log, MaxLines, LinesPeriod), info: tdlog.Sampled(log, MaxLines, LinesPeriod), scope: scope,
+	}
 	t.suspected, t.endCalls = context.WithCancel(context.Background())
 	return t
 }
@@ -87,7 +107,8 @@
 	return nil
 }
 
-// Suspect records a suspicion, unless there is one already.
+// Suspect records a suspicion, unless there is one already, or others were dismissed a short
+// time ago and it names no later era.
 func (t *Tracker) Suspect(s Suspicion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -95,13 +116,13 @@
 }
 
 func (t *Tracker) suspect(s Suspicion) {
-	if t.suspicion != nil {
+	if t.suspicion != nil || s.Era == 0 && t.dismissedAt != 0 && t.clock.Now().Sub(t.dismissedAt) < t.pause {
 		return
 	}
 	s.Known, s.At = t.known, t.clock.Now()
 	t.suspicion = &s
 	t.endCalls()
-	t.log.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
+	t.info.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
 		Uint64("era", uint64(s.Known.Era)).Msg("the store may have come back from an earlier copy")
 	t.scope.Counter("suspicions").Inc(1)
 }
@@ -142,6 +163,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dismissed = max(t.dismissed, later)
+	now := t.clock.Now()
+	if t.dismissedAt == 0 || now.Sub(t.dismissedAt) > pauseReset {
+		t.pause = 0
+	} else {
+		t.pause = min(max(2*t.pause, minPause), maxPause)
+	}
+	t.dismissedAt = now
+	t.scope.Counter("dismissals").Inc(1)
 	t.clear()
 }
 
--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -65,7 +65,7 @@
 		defer m.mu.Unlock()
 		m.verifyPause = pause
 		m.planVerification()
-		m.opt.Log.Info().Err(err).Dur("pause", pause).Msg("the copy of the store could not be verified")
+		m.eraLog.Info().Err(err).Dur("pause", pause).Msg("the copy of the store could not be verified")
 	}
 }
 
@@ -91,8 +91,11 @@
 		return true
 	}
 	for _, e := range entries {
-		if e.Key == tdera.Key && !e.Deleted && m.recordedEra(e).Era > m.Position().Era {
-			m.opt.Eras.Suspect(tdera.Suspicion{Found: "record of the era", Reported: reported})
+		if e.Key != tdera.Key || e.Deleted {
+			continue
+		}
+		if era := m.recordedEra(e).Era; era > m.Position().Era {
+			m.opt.Eras.Suspect(tdera.Suspicion{Found: "record of the era", Reported: reported, Era: era})
 			return true
 		}
 	}
@@ -204,7 +207,7 @@
 // dismiss drops a suspicion, unless the call to refute it failed.
 func (m *Mirror) dismiss(s *tdera.Suspicion, err error) error {
 	if err == nil {
-		m.opt.Log.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
+		m.eraLog.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
 			Msg("the store has not gone back")
 		m.opt.Eras.Dismiss(s.Era)
 	}
@@ -231,7 +234,7 @@
 	defer cancel()
 	e, err := m.opt.Recorder.Swap(ctx, tdera.Key, value, prev)
 	if err == nil {
-		m.opt.Log.Info().Uint64("era", uint64(r.Era)).Uint64("revision", uint64(e.Revision)).Msg("record of the era written")
+		m.eraLog.Info().Uint64("era", uint64(r.Era)).Uint64("revision", uint64(e.Revision)).Msg("record of the era written")
 	}
 	return e.Revision, err
 }
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -25,6 +25,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/fleet/tdera"
 )
 
@@ -122,6 +123,7 @@
 	source tarragondeal.Source
 	clock  tarragondeal.Clock
 	opt    Options
+	eraLog zerolog.Logger // Of eras and what leads to them.
 
 	mu             sync.Mutex
 	items          map[string]tarragondeal.Entry
@@ -168,7 +170,7 @@
 		o.Eras = tdera.New(c, o.Log, o.Scope)
 	}
 	return &Mirror{
-		source: s, clock: c, opt: o, items: make(map[string]tarragondeal.Entry), ahead: make(map[string]tarragondeal.Revision),
+		source: s, clock: c, opt: o, eraLog: tdlog.Sampled(o.Log, 4*tdera.MaxLines, tdera.LinesPeriod), items: make(map[string]tarragondeal.Entry), ahead: make(map[string]tarragondeal.Revision),
 		confirmation: newConfirmation(),
 	}
 }
@@ -315,6 +317,9 @@
 		return false, err
 	}
 	if m.suspectWatched(entries, rev, next) {
+		if !m.isSuspected() { // Others were dismissed a short time ago.
+			tdclock.Sleep(ctx, minRetryDelay)
+		}
 		return false, nil
 	}
 	m.applyWatched(entries, at, next)
