mirror: lines that tell a store that went back from one that held changes back

Operators could not tell from the log of one node whether the store had gone back or a watch had said nothing of changes: there were lines for the era and none for what became of the copy.

Change: when an era begins, a line says how many entries of the copy were kept, replaced, dropped and added, and another one when the first changes or answer of the era were applied, with the time since. When a listing has a change that the last watch left out though it had reported a later revision, a line names it. Counters mirror.dropped, mirror.upToDate and mirror.heldBack.

--- a/internal/fleet/tdera/tracker.go
+++ b/internal/fleet/tdera/tracker.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// MaxLines is how many lines of one kind are logged in LinesPeriod: a service may go back
+	// MaxLines is how many lines of one kind are logged in a LinesPeriod: a service may go back
 	// again and again.
-	MaxLines    = 10
+	MaxLines = 10
+	// LinesPeriod is the period that MaxLines refers to.
 	LinesPeriod = 10 * time.Minute
 	// minPause is how long suspicions are ignored after the second one that was dismissed
 	// within pauseReset. It doubles with each further one, up to maxPause: examining them takes
--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -18,8 +18,9 @@
 	switch {
 	case at.Compare(m.position()) <= 0 || at.Era != m.era && !whole:
 	case whole:
-		m.startEra(at, "copy of another node")
-		m.replace([]listing{{entries: entries, rev: at.Revision}}, false)
+		all := []listing{{entries: entries, rev: at.Revision}}
+		m.startEra(at, "copy of another node", all)
+		m.replace(all, false)
 	default:
 		m.add(entries, at.Revision)
 	}
@@ -56,7 +57,7 @@
 	for _, e := range entries {
 		rev = max(rev, e.Revision)
 	}
-	m.relists, m.reported = 0, reported
+	m.relists, m.reported, m.watched = 0, reported, reported
 	m.opt.Eras.Receive(tarragondeal.Position{Era: m.era, Revision: rev})
 	m.add(entries, rev)
 }
@@ -67,6 +68,7 @@
 	entries = byRevision(entries)
 	known := m.rev
 	m.merge(entries, rev, known)
+	m.logUpToDate()
 	for _, e := range entries {
 		if m.isMirrored(e.Key) && e.Revision > known {
 			m.record(e)
--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -247,20 +247,21 @@
 	}
 	m.mu.Lock()
 	if era > m.era {
-		m.startEra(tarragondeal.Position{Era: era, Revision: latest}, found)
+		m.startEra(tarragondeal.Position{Era: era, Revision: latest}, found, all)
 		m.applyListings(all)
 	}
 	m.mu.Unlock()
 	m.recordAnswer(start)
 }
 
-// startEra forgets the revisions of this copy if at is of a later era. What is applied next
-// replaces the entries, which would otherwise pass for later ones. Some may be written again
-// soon, as after an outage.
-func (m *Mirror) startEra(at tarragondeal.Position, found string) {
+// startEra forgets the revisions of this copy if at is of a later era. The listings that are
+// applied next replace the entries, which would otherwise pass for later ones. Some may be
+// written again soon, as after an outage.
+func (m *Mirror) startEra(at tarragondeal.Position, found string, all []listing) {
 	if at.Era <= m.era {
 		return
 	}
+	c := m.compare(all)
 	for key, e := range m.items {
 		e.Revision = 0
 		m.items[key] = e
@@ -268,5 +269,66 @@
 	clear(m.ahead)
 	m.era, m.rev, m.history, m.historyStart, m.listings = at.Era, 0, nil, 0, nil
 	m.relists, m.reported, m.eraSince = 0, at.Revision, m.clock.Now()
+	m.watched, m.upToDate = 0, false
 	m.opt.Eras.Start(at, found)
+	m.opt.Scope.Counter("dropped").Inc(int64(c.dropped))
+	m.eraLog.Info().Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).Str("found", found).Int("kept", c.kept).
+		Int("replaced", c.replaced).Int("dropped", c.dropped).Int("added", c.added).Msg("copy of the store starts anew")
+}
+
+// comparison counts the entries of a copy and of listings that replace it.
+type comparison struct {
+	kept     int // With the same value.
+	replaced int // With another one.
+	dropped  int // Only in the copy.
+	added    int // Only in the listings.
+}
+
+func (m *Mirror) compare(all []listing) comparison {
+	var c comparison
+	for _, l := range all {
+		for _, e := range l.entries {
+			held, ok := m.items[e.Key]
+			switch {
+			case !m.isMirrored(e.Key):
+			case !ok:
+				c.added++
+			case bytes.Equal(held.Value, e.Value):
+				c.kept++
+			default:
+				c.replaced++
+			}
+		}
+	}
+	c.dropped = len(m.items) - c.kept - c.replaced
+	return c
+}
+
+// logUpToDate logs the first changes, or the first answer to a watch without any, that are
+// applied in a later era.
+func (m *Mirror) logUpToDate() {
+	if m.eraSince == 0 || m.upToDate {
+		return
+	}
+	m.upToDate = true
+	m.opt.Scope.Counter("upToDate").Inc(1)
+	m.eraLog.Info().Uint64("era", uint64(m.era)).Uint64("revision", uint64(m.rev)).Dur("after", m.clock.Now().Sub(m.eraSince)).
+		Msg("copy of the store is up to date in its era")
+}
+
+// logHeldBack logs the first change on a page of a listing that the last watch should have had,
+// since it reported a later revision. There is one line until the next watch is answered.
+func (m *Mirror) logHeldBack(entries []tarragondeal.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range entries {
+		if !m.isMirrored(e.Key) || e.Revision > m.watched || e.Revision <= max(m.items[e.Key].Revision, m.ahead[e.Key]) {
+			continue
+		}
+		m.opt.Scope.Counter("heldBack").Inc(1)
+		m.eraLog.Warn().Str("key", e.Key).Uint64("first", uint64(e.Revision)).Uint64("revision", uint64(m.rev)).
+			Uint64("reported", uint64(m.watched)).Msg("the store had held changes back from a watch")
+		m.watched = 0
+		return
+	}
 }
--- a/internal/fleet/tdmirror/listing.go
+++ b/internal/fleet/tdmirror/listing.go
@@ -91,6 +91,7 @@
 	if p.Revision < begun.Revision || m.isSuspected() {
 		return
 	}
+	m.logHeldBack(p.Entries)
 	m.ApplyAhead(p.Entries, begun.Era)
 }
 
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -137,6 +137,8 @@
 	relistAt       tarragondeal.Instant  // When the keys may be listed again; zero before the first time.
 	relists        int                   // Listings since the last watch that was answered.
 	reported       tarragondeal.Revision // By the service at last.
+	watched        tarragondeal.Revision // Reported by the last watch, which should have had all changes up to it; zero if none.
+	upToDate       bool                  // Whether changes or an answer of the era have been applied since it began.
 	verifyAt       tarragondeal.Instant  // When the copy is verified by a listing; zero if it need not be.
 	verifiedAt     tarragondeal.Instant  // When the keys were listed last; zero before the first time.
 	verifyPause    time.Duration         // The least time until they are listed again to verify the copy.
