usage: the fencing token in the lines of reports that were refused or not answered

A report that arrives late, with a lower token than one before, could not be told from the sender's log: only reports that succeeded named their token.

Change: the lines of reports that were postponed, refused or not answered name it too.

Measured: go test -race ./internal/account/tdbegun passes. No test of its own.

--- a/internal/account/tdbegun/reporter.go
+++ b/internal/account/tdbegun/reporter.go
@@ -197,7 +197,7 @@
 // window for a later call, by which time the lease is renewed or the duty lost.
 func (t *term) send(ctx context.Context, number int64, sums map[string]int64) {
 	if err := t.held.Check(callTimeout); err != nil {
-		t.r.Log.Info().Err(err).Int64("window", number).Msg("report postponed: the lease may end before the call does")
+		t.r.Log.Info().Err(err).Int64("window", number).Uint64("fence", t.held.Fence()).Msg("report postponed: the lease may end before the call does")
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -212,8 +212,8 @@
 		t.r.Scope.Counter("reported").Inc(1)
 		t.r.Log.Info().Int64("window", number).Uint64("fence", t.held.Fence()).Msg("window reported")
 	case errors.As(err, &refused) && refused.Status != 0:
-		t.r.Log.Warn().Err(err).Int64("window", number).Msg("report refused, will be sent again")
+		t.r.Log.Warn().Err(err).Int64("window", number).Uint64("fence", t.held.Fence()).Msg("report refused, will be sent again")
 	default:
-		t.r.Log.Warn().Err(err).Int64("window", number).Msg("report not answered, will be sent again")
+		t.r.Log.Warn().Err(err).Int64("window", number).Uint64("fence", t.held.Fence()).Msg("report not answered, will be sent again")
 	}
 }
