--- a/internal/fleet/tdera/tracker.go
+++ b/internal/fleet/tdera/tracker.go
@@ -3,11 +3,21 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdlog"
+)
+
+const (
+	// MaxLines is how many lines of one kind are logged in a LinesPeriod: a service may go back
+	// again and again.
+	MaxLines = 10
+	// LinesPeriod is the period that MaxLines refers to.
+	LinesPeriod = 10 * time.Minute
 )
 
 // Suspicion is a reason to believe that the service was restored from an earlier copy.
@@ -15,7 +25,7 @@
 	Found    string                // How it was found.
 	Reported tarragondeal.Revision // By the service; zero if another node or the contents gave rise to it.
 	Known    tarragondeal.Position // Of this node at that time.
-	Era      tarragondeal.Era      // Of the other node that gave rise to it; zero for none.
+	Era      tarragondeal.Era      // Later one that another node is in or has recorded; zero for none.
 	At       tarragondeal.Instant
 }
 
@@ -23,7 +33,8 @@
 // to others. It is safe for concurrent use.
 type Tracker struct {
 	clock tarragondeal.Clock
-	log   zerolog.Logger
+	log   zerolog.Logger // Of eras.
+	info  zerolog.Logger // Of suspicions.
 	scope tally.Scope
 
 	mu          sync.Mutex
@@ -41,7 +52,9 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	t := &Tracker{clock: clock, log: log, scope: scope}
+	t := &Tracker{
+		clock: clock, log: tdlog.Sampled(log, MaxLines, LinesPeriod), info: tdlog.Sampled(log, MaxLines, LinesPeriod), scope: scope,
+	}
 	t.suspected, t.endCalls = context.WithCancel(context.Background())
 	return t
 }
@@ -101,7 +114,7 @@
 	s.Known, s.At = t.known, t.clock.Now()
 	t.suspicion = &s
 	t.endCalls()
-	t.log.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
+	t.info.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
 		Uint64("era", uint64(s.Known.Era)).Msg("the store may have come back from an earlier copy")
 	t.scope.Counter("suspicions").Inc(1)
 }
@@ -142,6 +155,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dismissed = max(t.dismissed, later)
+	t.scope.Counter("dismissals").Inc(1)
 	t.clear()
 }
 
--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -72,7 +72,7 @@
 		defer m.mu.Unlock()
 		m.verifyPause = pause
 		m.planVerification()
-		m.opt.Log.Info().Err(err).Dur("pause", pause).Msg("the copy of the store could not be verified")
+		m.eraLog.Info().Err(err).Dur("pause", pause).Msg("the copy of the store could not be verified")
 	}
 }
 
@@ -98,8 +98,11 @@
 		return true
 	}
 	for _, e := range entries {
-		if e.Key == tdera.Key && !e.Deleted && m.recordedEra(e).Era > m.Position().Era {
-			m.opt.Eras.Suspect(tdera.Suspicion{Found: "record of the era", Reported: reported})
+		if e.Key != tdera.Key || e.Deleted {
+			continue
+		}
+		if era := m.recordedEra(e).Era; era > m.Position().Era {
+			m.opt.Eras.Suspect(tdera.Suspicion{Found: "record of the era", Reported: reported, Era: era})
 			return true
 		}
 	}
@@ -236,7 +239,7 @@
 		m.listed, m.relistAt = false, 0
 		m.endExamination()
 		m.mu.Unlock()
-		m.opt.Log.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
+		m.eraLog.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
 			Msg("the store has not gone back")
 		m.opt.Eras.Dismiss(s.Era)
 	}
@@ -263,7 +266,7 @@
 	defer cancel()
 	e, err := m.opt.Recorder.Swap(ctx, tdera.Key, value, prev)
 	if err == nil {
-		m.opt.Log.Info().Uint64("era", uint64(r.Era)).Uint64("revision", uint64(e.Revision)).Msg("record of the era written")
+		m.eraLog.Info().Uint64("era", uint64(r.Era)).Uint64("revision", uint64(e.Revision)).Msg("record of the era written")
 	}
 	return e.Revision, err
 }
@@ -276,7 +279,7 @@
 	}
 	m.mu.Lock()
 	if era > m.era {
-		m.startEra(tarragondeal.Position{Era: era, Revision: latest}, found)
+		m.startEra(tarragondeal.Position{Era: era, Revision: latest}, found, all)
 		m.applyListings(all)
 	}
 	m.endExamination()
@@ -284,16 +287,17 @@
 	m.recordAnswer(start)
 }
 
-// startEra forgets the revisions of this copy if at is of a later era. What is applied next
-// replaces the entries, which would otherwise pass for later ones. Some may be written again
-// soon, as after an outage.
-func (m *Mirror) startEra(at tarragondeal.Position, found string) {
+// startEra forgets the revisions of this copy if at is of a later era. The listings that are
+// applied next replace the entries, which would otherwise pass for later ones. Some may be
+// written again soon, as after an outage.
+func (m *Mirror) startEra(at tarragondeal.Position, found string, all []listing) {
 	if at.Era <= m.era {
 		return
 	}
 	if m.rev > 0 {
 		m.replacedSince = m.clock.Now()
 	}
+	c := m.compare(all)
 	for key, e := range m.items {
 		e.Revision = 0
 		m.items[key] = e
@@ -301,5 +305,66 @@
 	clear(m.ahead)
 	m.era, m.rev, m.history, m.historyStart, m.listings = at.Era, 0, nil, 0, nil
 	m.relists, m.reported, m.eraSince = 0, at.Revision, m.clock.Now()
+	m.watched, m.upToDate = 0, false
 	m.opt.Eras.Start(at, found)
+	m.opt.Scope.Counter("dropped").Inc(int64(c.dropped))
+	m.eraLog.Info().Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).Str("found", found).Int("kept", c.kept).
+		Int("replaced", c.replaced).Int("dropped", c.dropped).Int("added", c.added).Msg("copy of the store starts anew")
+}
+
+// comparison counts the entries of a copy and of listings that replace it.
+type comparison struct {
+	kept     int // With the same value.
+	replaced int // With another one.
+	dropped  int // Only in the copy.
+	added    int // Only in the listings.
+}
+
+func (m *Mirror) compare(all []listing) comparison {
+	var c comparison
+	for _, l := range all {
+		for _, e := range l.entries {
+			held, ok := m.items[e.Key]
+			switch {
+			case !m.isMirrored(e.Key):
+			case !ok:
+				c.added++
+			case bytes.Equal(held.Value, e.Value):
+				c.kept++
+			default:
+				c.replaced++
+			}
+		}
+	}
+	c.dropped = len(m.items) - c.kept - c.replaced
+	return c
+}
+
+// logUpToDate logs the first changes, or the first answer to a watch without any, that are
+// applied in a later era.
+func (m *Mirror) logUpToDate() {
+	if m.eraSince == 0 || m.upToDate {
+		return
+	}
+	m.upToDate = true
+	m.opt.Scope.Counter("upToDate").Inc(1)
+	m.eraLog.Info().Uint64("era", uint64(m.era)).Uint64("revision", uint64(m.rev)).Dur("after", m.clock.Now().Sub(m.eraSince)).
+		Msg("copy of the store is up to date in its era")
+}
+
+// logHeldBack logs the first change on a page of a listing that the last watch should have had,
+// since it reported a later revision. There is one line until the next watch is answered.
+func (m *Mirror) logHeldBack(entries []tarragondeal.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range entries {
+		if !m.isMirrored(e.Key) || e.Revision > m.watched || e.Revision <= max(m.items[e.Key].Revision, m.ahead[e.Key]) {
+			continue
+		}
+		m.opt.Scope.Counter("heldBack").Inc(1)
+		m.eraLog.Warn().Str("key", e.Key).Uint64("first", uint64(e.Revision)).Uint64("revision", uint64(m.rev)).
+			Uint64("reported", uint64(m.watched)).Msg("the store had held changes back from a watch")
+		m.watched = 0
+		return
+	}
 }
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -25,6 +25,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/fleet/tdera"
 )
 
@@ -122,6 +123,7 @@
 	source tarragondeal.Source
 	clock  tarragondeal.Clock
 	opt    Options
+	eraLog zerolog.Logger // Of eras and what leads to them.
 
 	mu             sync.Mutex
 	items          map[string]tarragondeal.Entry
@@ -136,6 +138,8 @@
 	relistAt       tarragondeal.Instant  // When the keys may be listed again; zero before the first time.
 	relists        int                   // Listings since the last watch that was answered.
 	reported       tarragondeal.Revision // By the service at last.
+	watched        tarragondeal.Revision // Reported by the last watch, which should have had all changes up to it; zero if none.
+	upToDate       bool                  // Whether changes or an answer of the era have been applied since it began.
 	verifyAt       tarragondeal.Instant  // When the copy is verified by a listing; zero if it need not be.
 	verifiedAt     tarragondeal.Instant  // When the keys were listed last; zero before the first time.
 	verifyPause    time.Duration         // The least time until they are listed again to verify the copy.
@@ -171,7 +175,7 @@
 		o.Eras = tdera.New(c, o.Log, o.Scope)
 	}
 	return &Mirror{
-		source: s, clock: c, opt: o, items: make(map[string]tarragondeal.Entry), ahead: make(map[string]tarragondeal.Revision),
+		source: s, clock: c, opt: o, eraLog: tdlog.Sampled(o.Log, 4*tdera.MaxLines, tdera.LinesPeriod), items: make(map[string]tarragondeal.Entry), ahead: make(map[string]tarragondeal.Revision),
 		confirmation: newConfirmation(),
 	}
 }
