listing: nodes that start after a return get the configuration in force

Callers of a node that started after the store had come back from an earlier copy, and before the operator wrote the newest configuration again, were served with a key that had been withdrawn.

Cause: such a node knows only what the store has.

--- a/internal/fleet/tdlisting/config.go
+++ b/internal/fleet/tdlisting/config.go
@@ -34,6 +34,9 @@
 	version tarragondeal.Version
 	era     tarragondeal.Era
 	pending []pendingConfig // In the order in which they were received.
+	inForce []byte
+	lost    bool     // The store has an earlier configuration, or none, since it came back from a copy.
+	offered [][]byte // Configurations of other nodes that have not been decoded.
 }
 
 // pendingConfig is a configuration that has not been decoded.
@@ -68,17 +71,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, e := range changes.Entries {
-		if e.Key != c.key || e.Deleted {
+		if e.Key != c.key {
+			continue
+		}
+		if e.Deleted {
+			c.lost = c.era != 0
 			continue
 		}
 		c.pending = append(c.pending, pendingConfig{Entry: e, era: c.era, receivedAt: c.clock.Now()})
 		if over := len(c.pending) - maxPending; over > 0 {
 			c.pending = slices.Delete(c.pending, 0, over)
 		}
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		c.notify()
+	}
+}
+
+func (c *Config) notify() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -99,8 +110,8 @@
 // earlier version.
 func (c *Config) applyPending() {
 	c.mu.Lock()
-	pending := c.pending
-	c.pending = nil
+	pending, offered := c.pending, c.offered
+	c.pending, c.offered = nil, nil
 	c.mu.Unlock()
 	for len(pending) > 0 {
 		n := 1
@@ -110,6 +121,9 @@
 		c.applyNewest(pending[:n])
 		pending = pending[n:]
 	}
+	for _, value := range offered {
+		c.applyOffered(value)
+	}
 }
 
 // applyNewest applies the newest valid configuration of one era. The copy of the store does
@@ -129,7 +143,11 @@
 	c.mu.Unlock()
 	start := c.clock.Now()
 	version, err := c.apply(p.Value, active)
-	if old, ok := errors.AsType[*tarragondeal.VersionError](err); ok && old.Version == old.InForce {
+	old, isOld := errors.AsType[*tarragondeal.VersionError](err)
+	if isOld {
+		c.setLost(p.era, old.Version < old.InForce)
+	}
+	if isOld && old.Version == old.InForce {
 		c.log.Info().Uint64("version", uint64(active)).Uint64("revision", uint64(p.Revision)).Msg("configuration in force was written again")
 		return true
 	}
@@ -142,6 +160,6 @@
 		Dur("waited", start.Sub(p.receivedAt)).Dur("took", c.clock.Now().Sub(start)).Msg("configuration in force")
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.version = version
+	c.version, c.inForce, c.lost = version, p.Value, false
 	return true
 }
--- a/internal/node/tdvm/node.go
+++ b/internal/node/tdvm/node.go
@@ -278,6 +278,8 @@
 	evacuations := tdlisting.NewEvacuations(tdlisting.Names{Decode: platform.DecodeEvacuation, IsKnown: n.hasDataCentre},
 		n.clock, tdlog.Part(n.log, "servers"), n.fit.SetEvacuated)
 	n.eras.Subscribe(n.config.StartEra)
+	n.mesh.Publish(tdlisting.Topic, func() tdmesh.Writer { return n.config.Writer() })
+	n.mesh.Receive(tdlisting.Topic, n.config.Receive, nil)
 	n.eras.Subscribe(n.servers.StartEra)
 	n.eras.Subscribe(evacuations.StartEra)
 	n.mirror.Subscribe(evacuations.Follow)
--- a/test/vm/restore_test.go
+++ b/test/vm/restore_test.go
@@ -157,6 +157,28 @@
 		_, at := f.store.dutyHolder()
 		Expect(at).To(BeTemporally(">", returned.Add(leaseTime)))
 	})
+
+	// Guards against a node that starts with the older configuration of the copy, before the
+	// operator writes the newest one again.
+	It("leaves the newest configuration in force at a node that starts before it is written again", func() {
+		f := newFleet(3)
+		f.waitReady()
+		items, rev := f.store.copyOf()
+		withdrawn := f.keys[0]
+		for range 5 {
+			f.withdraw(0)
+		}
+		f.withdraw(configTime)
+		f.store.restore(items, rev)
+		n := f.nodes[0]
+		killHolder(nil, n)
+		Eventually(n.isReady, "10s", "20ms").Should(BeTrue())
+		time.Sleep(contactTime)
+		Expect(n.get("/look/1", withdrawn).status).To(Equal(http.StatusUnauthorized))
+		Expect(n.get("/look/1", f.keys[0]).status).To(Equal(http.StatusOK))
+		f.rewriteConfig()
+		f.withdraw(configTime)
+	})
 })
 
 // killHolder kills the holder of the duties, which starts again.
