mesh: write this node's entry again when the store has forgotten it

A node whose entry the store forgot renews its lease, and that succeeds if the id was given again. When an era begins the entry is written again; when none does, since the revision had passed the copy's and nothing in it contradicts, it never was, and nodes that start later don't find this one.

The removal of the own entry from the copy makes the node write it again, as an era does.

--- a/internal/fleet/tdmesh/entry.go
+++ b/internal/fleet/tdmesh/entry.go
@@ -90,7 +90,7 @@
 }
 
 // waitToRenew waits until the lease of this node's entry is to be renewed. It reports whether
-// the entry must be written again, since an era has begun.
+// the entry must be written again, since an era has begun or the entry is gone.
 func (m *Mesh) waitToRenew(ctx context.Context, wait time.Duration) bool {
 	t := time.NewTimer(wait)
 	defer t.Stop()
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -185,15 +185,18 @@
 	}
 	m.assignRelays()
 	d.Mirror.Subscribe(m.applyChanges)
-	m.Eras.Subscribe(func(tarragondeal.Era) {
-		select {
-		case m.reenter <- struct{}{}:
-		default:
-		}
-	})
+	m.Eras.Subscribe(func(tarragondeal.Era) { m.writeEntryAgain() })
 	return m
 }
 
+// writeEntryAgain makes this node write its entry in the store again soon.
+func (m *Mesh) writeEntryAgain() {
+	select {
+	case m.reenter <- struct{}{}:
+	default:
+	}
+}
+
 // RemembersSince returns since when this node was told what the nodes before it knew. It is the
 // zero time if that goes back to the first start of the deployment.
 func (m *Mesh) RemembersSince() time.Time {
@@ -366,7 +369,13 @@
 func (m *Mesh) applyChanges(c tdmirror.Changes) {
 	for _, e := range c.Entries {
 		name, ok := strings.CutPrefix(e.Key, nodePrefix)
-		if !ok || name == string(m.self.Name) {
+		if !ok {
+			continue
+		}
+		if name == string(m.self.Name) {
+			if e.Deleted {
+				m.writeEntryAgain() // Renewals may go on to succeed, with the id of another lease.
+			}
 			continue
 		}
 		if e.Deleted {
