mirror: leave the verification after an outage to others for a while

In a large fleet all nodes follow the store during an outage, for lack of a source, and each listed all keys within 0.3 s after it, though a few relays do and send copies. The listing after the loss of the watch history waits 0.3 s for a source, and the verification does now. TestVerificationIsLeftToOthers failed before.

--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -52,7 +52,10 @@
 
 // planVerification makes this node verify its copy soon, since calls have failed.
 func (m *Mirror) planVerification() {
-	at := m.clock.Now().Add(rand.N(verifyDelay))
+	delay := m.relistDelay() + rand.N(verifyDelay)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := m.clock.Now().Add(delay)
 	if m.verifiedAt != 0 {
 		at = max(at, m.verifiedAt.Add(m.verifyPause))
 	}
@@ -69,8 +72,8 @@
 	defer cancel()
 	if err := m.list(ctx); err != nil {
 		m.mu.Lock()
-		defer m.mu.Unlock()
 		m.verifyPause = pause
+		m.mu.Unlock()
 		m.planVerification()
 		m.opt.Log.Info().Err(err).Dur("pause", pause).Msg("the copy of the store could not be verified")
 	}
--- a/internal/fleet/tdmirror/examine_test.go
+++ b/internal/fleet/tdmirror/examine_test.go
@@ -23,11 +23,13 @@
 	oldRest    bool // Pages after the first are older than the others.
 	beforeSwap func()
 	calls      int
+	pages      int
 	writes     int
 }
 
 func (s *restoredSource) Page(ctx context.Context, prefix, after string) (tarragondeal.Page, error) {
 	s.calls++
+	s.pages++
 	time.Sleep(callTime)
 	p, err := s.fakeSource.Page(ctx, prefix, after)
 	if s.oldRest && after != "" {
@@ -181,3 +183,39 @@
 		}
 	})
 }
+
+// TestVerificationIsLeftToOthers guards against a listing by each node of a large fleet after an
+// outage, although others list the keys and send copies.
+func TestVerificationIsLeftToOthers(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		stops  time.Duration // After that it need not follow; zero means never.
+		listed bool
+	}{
+		{"others have copies in time", delay / 2, false},
+		{"no other has copies", 0, true},
+	} {
+		for range 20 { // Delays are random.
+			synctest.Test(t, func(t *testing.T) {
+				s := &restoredSource{fakeSource: newFakeSource()}
+				s.put("a/1", "x")
+				m := newRestoredMirror(s)
+				steps(t, m, 2)
+				time.Sleep(minVerifyInterval)
+				m.recordFailure(errUnavailable)
+				returned := time.Now()
+				m.opt.RelistDelay = func() time.Duration { return delay }
+				m.opt.Follows = func() bool { return c.stops == 0 || time.Since(returned) < c.stops }
+				pages := s.pages
+				for time.Since(returned) < 3*time.Second {
+					s.put("a/1", "y") // Watches return.
+					steps(t, m, 1)
+				}
+				if listed := s.pages > pages; listed != c.listed {
+					t.Fatalf("%s: listed %t", c.name, listed)
+				}
+			})
+		}
+	}
+}
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -84,7 +84,7 @@
 	// the first listing. Nil means always.
 	Follows func() bool
 	// RelistDelay returns how long this node waits before it lists the keys again when the
-	// history of its watch has expired: others may list them first and send copies. Nil means
+	// history of its watch has expired, or the service has been unavailable: others may list them first and send copies. Nil means
 	// not at all.
 	RelistDelay func() time.Duration
 	// Eras tracks the era of the service. Nil means that the service never goes back.
@@ -338,10 +338,7 @@
 // expireHistory makes this node list the keys again, since the service has not the changes
 // after revision rev.
 func (m *Mirror) expireHistory(rev tarragondeal.Revision) {
-	delay := time.Duration(0)
-	if m.opt.RelistDelay != nil {
-		delay = m.opt.RelistDelay()
-	}
+	delay := m.relistDelay()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delay = m.relist(delay)
@@ -349,6 +346,14 @@
 		Msg("watch history expired, listing again")
 }
 
+// relistDelay returns how long this node leaves it to others to list the keys.
+func (m *Mirror) relistDelay() time.Duration {
+	if m.opt.RelistDelay == nil {
+		return 0
+	}
+	return m.opt.RelistDelay()
+}
+
 // skipChanges makes this node list the keys again, since the changes after revision rev are
 // too large for one answer. Listings have pages.
 func (m *Mirror) skipChanges(err error, rev tarragondeal.Revision) {
@@ -411,8 +416,8 @@
 	if m.unavailable || m.clock.Now().Sub(m.confirmedAt) > MaxAnswerAge {
 		return confirmWait, min(minConfirmTimeout<<min(max(m.failures-1, 0), 2), maxConfirmTimeout)
 	}
-	excess := max(0, 2*m.delay-watchGrace)
-	return max(confirmWait, watchTimeout-excess), watchTimeout + watchGrace
+	wait = watchTimeout - max(0, 2*m.delay-watchGrace)
+	return max(confirmWait, wait), watchTimeout + watchGrace
 }
 
 func (m *Mirror) recordDelay(d time.Duration) {
@@ -423,14 +428,16 @@
 
 func (m *Mirror) recordSuccess() {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	ended := m.unavailable
 	m.failures = 0
-	if !m.unavailable {
-		return
+	if ended {
+		m.unavailable, m.availableSince = false, m.clock.Now()
+		m.opt.Log.Info().Uint64("era", uint64(m.era)).Uint64("revision", uint64(m.rev)).Msg("store is available again")
+	}
+	m.mu.Unlock()
+	if ended {
+		m.planVerification()
 	}
-	m.unavailable, m.availableSince = false, m.clock.Now()
-	m.planVerification()
-	m.opt.Log.Info().Uint64("era", uint64(m.era)).Uint64("revision", uint64(m.rev)).Msg("store is available again")
 }
 
 // endOutage ends the outage of a node that no longer calls the service. Whether the
