mirror: end a watch when the copy is to be verified

The first watch after an outage waits up to 1 s without changes, and only then were the keys listed: 1.05 s after the store was available again, where the design says 0.3 s. Until then a copy of another history stays in force.

The watch ends when the listing is due. TestVerificationIsInTime failed before.

--- a/internal/fleet/tdmirror/examine_test.go
+++ b/internal/fleet/tdmirror/examine_test.go
@@ -219,3 +219,26 @@
 		}
 	}
 }
+
+// TestVerificationIsInTime guards against a copy that is verified only when a watch without changes
+// ends.
+func TestVerificationIsInTime(t *testing.T) {
+	const maxTime = verifyDelay + 200*time.Millisecond // With calls and the pauses of short watches.
+	for range 20 {                                     // Delays are random.
+		synctest.Test(t, func(t *testing.T) {
+			s := &restoredSource{fakeSource: newFakeSource()}
+			s.put("a/1", "x")
+			m := newRestoredMirror(s)
+			steps(t, m, 2)
+			time.Sleep(minVerifyInterval)
+			m.recordFailure(errUnavailable)
+			returned, pages := time.Now(), s.pages
+			for s.pages == pages {
+				steps(t, m, 1)
+			}
+			if took := time.Since(returned); took > maxTime {
+				t.Fatalf("after %s", took)
+			}
+		})
+	}
+}
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -417,6 +417,9 @@
 		return confirmWait, min(minConfirmTimeout<<min(max(m.failures-1, 0), 2), maxConfirmTimeout)
 	}
 	wait = watchTimeout - max(0, 2*m.delay-watchGrace)
+	if m.verifyAt != 0 && m.delay <= maxVerifyDelay {
+		wait = min(wait, m.verifyAt.Sub(m.clock.Now()))
+	}
 	return max(confirmWait, wait), watchTimeout + watchGrace
 }
 
