mesh: give up a copy in parts when an era begins

A copy that was being sent in parts when the store came back was sent to its end first, and ignored by the receiver if that was in the later era: 65 more states for 1 MiB before the copy of the era began. TestCopyOfEarlierEraIsGivenUp failed before.

--- a/internal/fleet/tdmesh/parts.go
+++ b/internal/fleet/tdmesh/parts.go
@@ -120,18 +120,18 @@
 }
 
 // continueCopy adds the next part of a copy to a state, unless the peer now receives
-// copies from another node.
+// copies from another node, or an era has begun.
 func (w *stateWriter) continueCopy(s *State) {
 	now := w.m.Clock.Now()
 	w.m.mu.Lock()
 	p := w.m.peers[w.peer]
 	wants := p != nil && p.source == w.m.self.Name
 	w.m.mu.Unlock()
-	if !wants {
+	o := w.outgoing
+	if !wants || o.after.Era != w.m.Mirror.Position().Era {
 		w.outgoing, w.sent = nil, tarragondeal.Position{}
 		return
 	}
-	o := w.outgoing
 	s.Ahead = w.m.itemsAhead(o)
 	n := min(maxPart, len(o.data)-o.sent)
 	s.Part = &Part{Offset: uint64(o.sent), Size: uint64(len(o.data)), Data: o.data[o.sent : o.sent+n]}
