mesh: record fencing tokens of a peer before its memory

A node takes revisions for tokens only if some node remembers the time before. It recorded that a peer does before it recorded the token in the same state: a holder that acquired in between could take a revision below that token. The memory is recorded last. TestTokensAreKnownBeforeMemoryIsComplete failed before.

--- a/internal/fleet/tdmesh/return_test.go
+++ b/internal/fleet/tdmesh/return_test.go
@@ -44,3 +44,28 @@
 		t.Errorf("after %d states", states)
 	}
 }
+
+// tokenRecorder is called with each fencing token of another node.
+type tokenRecorder func()
+
+func (r tokenRecorder) Highest() uint64 { return 0 }
+func (r tokenRecorder) Raise(uint64)    { r() }
+
+// TestTokensAreKnownBeforeMemoryIsComplete guards against a node that takes itself for one that knows
+// all fencing tokens before it has recorded that of the node that told it.
+func TestTokensAreKnownBeforeMemoryIsComplete(t *testing.T) {
+	clock := &fakeClock{now: tarragondeal.Instant(time.Hour)}
+	a := newMesh("a", clock)
+	a.addListed(Node{Name: "b", Incarnation: 1})
+	raised := false
+	a.Fences = tokenRecorder(func() {
+		raised = true
+		if a.RemembersSince().IsZero() {
+			t.Error("the memory is complete before the token is known")
+		}
+	})
+	a.handleState(&State{Node: "b", Incarnation: 1, Fence: 9}, a.newStateWriter(""))
+	if !raised || !a.RemembersSince().IsZero() {
+		t.Errorf("raised %t, remembers since %s", raised, a.RemembersSince())
+	}
+}
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -189,6 +189,7 @@
 	if m.Fences != nil {
 		m.Fences.Raise(state.GetFence())
 	}
+	m.recordMemory(state.GetRemembersSince()) // What the peer remembers is recorded by now.
 	m.applyCopy(state, w)
 	for _, section := range state.GetSections() {
 		if r := m.receivers[section.GetTopic()]; r.onSection != nil {
@@ -197,6 +198,13 @@
 	}
 }
 
+// recordMemory records since when a peer was told what the nodes before it knew.
+func (m *Mesh) recordMemory(since int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.remembersSince = min(m.remembersSince, since)
+}
+
 // recordState updates a peer from its state. It reports false if the state is
 // ignored: the peer is unknown, the stream is closed, a later incarnation of the
 // peer is alive, or another stream to the peer takes precedence. On a stream that
@@ -240,7 +248,6 @@
 	}
 	p.position = tarragondeal.Position{Era: tarragondeal.Era(s.GetEra()), Revision: tarragondeal.Revision(s.GetRevision())}
 	p.readsEras, p.fence, p.source = s.GetReadsEras(), s.GetFence(), tarragondeal.NodeID(s.GetSource())
-	m.remembersSince = min(m.remembersSince, s.GetRemembersSince())
 	p.followsStore, p.hasCopies = s.GetFollows(), s.GetFed()
 	p.copyAt = 0
 	if s.CopyAgeMillis != nil {
