mirror: count revisions of changes that are applied ahead as known

Pages of a listing and changes from other nodes are applied ahead of the copy's revision. That revision was not counted as known: if the listing was not completed and the service went back to between the two, nothing was suspected, and an entry above the listing's revision stayed for good.

TestPageBeforeReturn failed before.

--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -40,6 +40,9 @@
 			m.ahead[e.Key] = max(m.ahead[e.Key], e.Revision)
 		}
 	}
+	if n := len(entries); n > 0 { // The service has been at that revision, though the copy is not.
+		m.opt.Eras.Receive(tarragondeal.Position{Era: era, Revision: entries[n-1].Revision})
+	}
 	m.merge(entries, m.rev, m.rev)
 }
 
--- a/internal/fleet/tdmirror/examine_test.go
+++ b/internal/fleet/tdmirror/examine_test.go
@@ -242,3 +242,32 @@
 		})
 	}
 }
+
+// TestPageBeforeReturn guards against an entry that stays for good, since a page had it that
+// arrived before the service went back, and the listing was not complete.
+func TestPageBeforeReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &restoredSource{fakeSource: newFakeSource()}
+		s.put("a/1", "x")
+		before, rev := s.items["a/1"], s.rev
+		m := newRestoredMirror(s)
+		steps(t, m, 1)
+		s.put("a/3", "x")
+		s.put("a/2", "x")
+		pages := s.pages
+		s.onAnswer = func() { s.unavailable = s.pages == pages+2 } // After the first of the keys in a.
+		m.listed = false
+		if err := m.list(t.Context()); err == nil {
+			t.Fatal("the listing is complete")
+		}
+		s.onAnswer, s.unavailable = nil, false
+		s.rev, s.events = rev, nil
+		clear(s.items)
+		s.items["a/1"] = before
+		s.put("a/1", "y")
+		steps(t, m, 6)
+		if got := m.values(); got["a/2"] != "" || got["a/1"] != "y" {
+			t.Errorf("the copy holds %v", got)
+		}
+	})
+}
