mirror: verify the first copy from another node

A node that starts while others have not noticed a return yet may get its first copy from one of them. It knows of no outage, so it did not list the keys, and watched from a revision that the service had passed: what was lost stayed and what was written again at lower revisions was missing for good.

A copy that comes first from another node is verified like one after an outage, if this node follows the service.

--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -18,6 +19,9 @@
 	switch {
 	case at.Compare(m.position()) <= 0 || at.Era != m.era && !whole:
 	case whole:
+		if m.rev == 0 { // This node knows of no outage that the other one may not have noticed yet.
+			m.verifyAt = m.clock.Now().Add(rand.N(verifyDelay))
+		}
 		m.startEra(at, "copy of another node")
 		m.replace([]listing{{entries: entries, rev: at.Revision}}, false)
 	default:
--- a/internal/fleet/tdmirror/examine_test.go
+++ b/internal/fleet/tdmirror/examine_test.go
@@ -271,3 +271,23 @@
 		}
 	})
 }
+
+// TestFirstCopyIsVerified guards against a node that starts with the copy of another one from before
+// the service went back, and never notices: it knows of no outage, and the service has passed the
+// revision of the copy.
+func TestFirstCopyIsVerified(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &restoredSource{fakeSource: newFakeSource()}
+		m := newRestoredMirror(s)
+		m.Apply([]tarragondeal.Entry{{Key: "a/lost", Value: []byte("x"), Revision: 3}}, at(3), true)
+		s.put("a/new", "y")
+		s.put("a/busy", "y")
+		s.put("a/busy", "z")
+		for start := time.Now(); time.Since(start) < 2*verifyDelay; {
+			steps(t, m, 1)
+		}
+		if got := m.values(); got["a/lost"] != "" || got["a/new"] != "y" {
+			t.Errorf("the copy holds %v", got)
+		}
+	})
+}
--- a/internal/fleet/tdmirror/explore_test.go
+++ b/internal/fleet/tdmirror/explore_test.go
@@ -53,7 +53,7 @@
 
 // TestCopiesAgreeAfterReturns guards against a copy that differs from the service for good, or a
 // node in another era than the others, after the service has come back from earlier copies: one
-// after the other, while it is written to, and while nodes exchange copies.
+// after the other, while it is written to, and while nodes exchange copies and start again.
 func TestCopiesAgreeAfterReturns(t *testing.T) {
 	const (
 		runs      = 600
@@ -67,10 +67,14 @@
 			s := &restoredSource{fakeSource: newFakeSource()}
 			var mirrors []*Mirror
 			var sources []*cutSource
-			for range nodes {
+			start := func() (*Mirror, *cutSource) {
 				source := &cutSource{restoredSource: s}
 				m := newRestoredMirror(s)
 				m.source, m.opt.Recorder = source, source
+				return m, source
+			}
+			for range nodes {
+				m, source := start()
 				mirrors, sources = append(mirrors, m), append(sources, source)
 			}
 			change := func() {
@@ -95,7 +99,7 @@
 			}
 			copies := []saved{{items: maps.Clone(s.items), rev: s.rev}}
 			for range actions {
-				switch r.IntN(12) {
+				switch r.IntN(14) {
 				case 0:
 					copies = append(copies, saved{maps.Clone(s.items), s.rev})
 				case 1:
@@ -113,6 +117,11 @@
 					exchange(mirrors[r.IntN(nodes)], mirrors[r.IntN(nodes)])
 				case 6:
 					time.Sleep(time.Duration(r.IntN(3000)) * time.Millisecond)
+				case 7:
+					if r.IntN(3) == 0 {
+						n := r.IntN(nodes)
+						mirrors[n], sources[n] = start()
+					}
 				default:
 					step(mirrors[r.IntN(nodes)])
 				}
