--- a/internal/fleet/tdmirror/apply.go
+++ b/internal/fleet/tdmirror/apply.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -18,6 +19,9 @@
 	switch {
 	case at.Compare(m.position()) <= 0 || at.Era != m.era && !whole:
 	case whole:
+		if m.rev == 0 { // This node knows of no outage that the other one may not have noticed yet.
+			m.verifyAt = m.clock.Now().Add(rand.N(verifyDelay))
+		}
 		all := []listing{{entries: entries, rev: at.Revision}}
 		m.startEra(at, "copy of another node", all)
 		m.replace(all, false)
@@ -41,6 +45,9 @@
 			m.ahead[e.Key] = max(m.ahead[e.Key], e.Revision)
 		}
 	}
+	if n := len(entries); n > 0 { // The service has been at that revision, though the copy is not.
+		m.opt.Eras.Receive(tarragondeal.Position{Era: era, Revision: entries[n-1].Revision})
+	}
 	m.merge(entries, m.rev, m.rev)
 }
 
--- a/internal/fleet/tdmirror/examine_test.go
+++ b/internal/fleet/tdmirror/examine_test.go
@@ -23,11 +23,13 @@
 	oldRest    bool // Pages after the first are older than the others.
 	beforeSwap func()
 	calls      int
+	pages      int
 	writes     int
 }
 
 func (s *restoredSource) Page(ctx context.Context, prefix, after string) (tarragondeal.Page, error) {
 	s.calls++
+	s.pages++
 	time.Sleep(callTime)
 	p, err := s.fakeSource.Page(ctx, prefix, after)
 	if s.oldRest && after != "" {
@@ -181,3 +183,111 @@
 		}
 	})
 }
+
+// TestVerificationIsLeftToOthers guards against a listing by each node of a large fleet after an
+// outage, although others list the keys and send copies.
+func TestVerificationIsLeftToOthers(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		stops  time.Duration // After that it need not follow; zero means never.
+		listed bool
+	}{
+		{"others have copies in time", delay / 2, false},
+		{"no other has copies", 0, true},
+	} {
+		for range 20 { // Delays are random.
+			synctest.Test(t, func(t *testing.T) {
+				s := &restoredSource{fakeSource: newFakeSource()}
+				s.put("a/1", "x")
+				m := newRestoredMirror(s)
+				steps(t, m, 2)
+				time.Sleep(minVerifyInterval)
+				m.recordFailure(errUnavailable)
+				returned := time.Now()
+				m.opt.RelistDelay = func() time.Duration { return delay }
+				m.opt.Follows = func() bool { return c.stops == 0 || time.Since(returned) < c.stops }
+				pages := s.pages
+				for time.Since(returned) < 3*time.Second {
+					s.put("a/1", "y") // Watches return.
+					steps(t, m, 1)
+				}
+				if listed := s.pages > pages; listed != c.listed {
+					t.Fatalf("%s: listed %t", c.name, listed)
+				}
+			})
+		}
+	}
+}
+
+// TestVerificationIsInTime guards against a copy that is verified only when a watch without changes
+// ends.
+func TestVerificationIsInTime(t *testing.T) {
+	const maxTime = verifyDelay + 200*time.Millisecond // With calls and the pauses of short watches.
+	for range 20 {                                     // Delays are random.
+		synctest.Test(t, func(t *testing.T) {
+			s := &restoredSource{fakeSource: newFakeSource()}
+			s.put("a/1", "x")
+			m := newRestoredMirror(s)
+			steps(t, m, 2)
+			time.Sleep(minVerifyInterval)
+			m.recordFailure(errUnavailable)
+			returned, pages := time.Now(), s.pages
+			for s.pages == pages {
+				steps(t, m, 1)
+			}
+			if took := time.Since(returned); took > maxTime {
+				t.Fatalf("after %s", took)
+			}
+		})
+	}
+}
+
+// TestPageBeforeReturn guards against an entry that stays for good, since a page had it that
+// arrived before the service went back, and the listing was not complete.
+func TestPageBeforeReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &restoredSource{fakeSource: newFakeSource()}
+		s.put("a/1", "x")
+		before, rev := s.items["a/1"], s.rev
+		m := newRestoredMirror(s)
+		steps(t, m, 1)
+		s.put("a/3", "x")
+		s.put("a/2", "x")
+		pages := s.pages
+		s.onAnswer = func() { s.unavailable = s.pages == pages+2 } // After the first of the keys in a.
+		m.listed = false
+		if err := m.list(t.Context()); err == nil {
+			t.Fatal("the listing is complete")
+		}
+		s.onAnswer, s.unavailable = nil, false
+		s.rev, s.events = rev, nil
+		clear(s.items)
+		s.items["a/1"] = before
+		s.put("a/1", "y")
+		steps(t, m, 6)
+		if got := m.values(); got["a/2"] != "" || got["a/1"] != "y" {
+			t.Errorf("the copy holds %v", got)
+		}
+	})
+}
+
+// TestFirstCopyIsVerified guards against a node that starts with the copy of another one from before
+// the service went back, and never notices: it knows of no outage, and the service has passed the
+// revision of the copy.
+func TestFirstCopyIsVerified(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &restoredSource{fakeSource: newFakeSource()}
+		m := newRestoredMirror(s)
+		m.Apply([]tarragondeal.Entry{{Key: "a/lost", Value: []byte("x"), Revision: 3}}, at(3), true)
+		s.put("a/new", "y")
+		s.put("a/busy", "y")
+		s.put("a/busy", "z")
+		for start := time.Now(); time.Since(start) < 2*verifyDelay; {
+			steps(t, m, 1)
+		}
+		if got := m.values(); got["a/lost"] != "" || got["a/new"] != "y" {
+			t.Errorf("the copy holds %v", got)
+		}
+	})
+}
