tdbegun: send the counts of windows that nobody could close

Usage that was not reported yet was lost, seen in a test only: after the store or the duty was away for longer, a node that had started meanwhile and then held the duty did not report the windows before.

Cause: a stream carries the counts of the three latest windows, whether earlier ones are closed or not; eight can still be reported.

Change: the counts of the five before are sent too while no closing of the window is known. While the store and the duty are available, windows are closed earlier than that by the constants; the bytes were not measured.

Measured: the row "an old window" of TestNewNodeReceivesCountsOfWindowsNotClosed fails without the change.

--- a/internal/account/tdbegun/begun_test.go
+++ b/internal/account/tdbegun/begun_test.go
@@ -147,6 +147,40 @@
 	}
 }
 
+// TestNewNodeReceivesCountsOfWindowsNotClosed guards against usage that is lost, since a node
+// that starts later and holds the duty has no counts of windows that nobody could close.
+func TestNewNodeReceivesCountsOfWindowsNotClosed(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		after  int64 // Windows.
+		closed bool
+		want   int64
+	}{
+		{"a late window", 2, false, 1},
+		{"an old window", keepWindows - 1, false, 1},
+		{"an old window that was closed", keepWindows - 1, true, 0},
+		{"a window too old to be reported", keepWindows + 1, false, 0},
+	} {
+		clock := &fakeClock{now: tarragondeal.Instant(100 * length)}
+		a, b := newCounter("a", clock, &deadProcess{}), newCounter("b", clock, &deadProcess{})
+		a.Began("acme")
+		window := a.Window()
+		if c.closed {
+			a.Close(window, map[string]int64{"acme": 1}, 5)
+		}
+		clock.now = clock.now.Add(time.Duration(c.after) * length)
+		write := a.Writer()
+		b.Receive("a", write(forwardNone))
+		if got := b.Sum(window)["acme"]; got != c.want {
+			t.Errorf("%s: %d counts", c.name, got)
+		}
+		a.Began("other")
+		if b.Receive("a", write(forwardNone)); len(b.Sum(window)) > 1 || len(write(forwardNone)) > 0 {
+			t.Errorf("%s: sent again", c.name)
+		}
+	}
+}
+
 func TestWriterSendsOnlyChanges(t *testing.T) {
 	clock := &fakeClock{now: tarragondeal.Instant(100 * length)}
 	a := newCounter("a", clock, &deadProcess{})
--- a/internal/account/tdbegun/closed.go
+++ b/internal/account/tdbegun/closed.go
@@ -43,10 +43,17 @@
 func (c *Counter) Close(number int64, sums map[string]int64, fence uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k := closing{process: c.self, number: number}
-	if c.closed[k] == nil {
-		c.closed[k] = &closedWindow{sums: sums, fence: fence}
+	c.addClosed(closing{process: c.self, number: number}, &closedWindow{sums: sums, fence: fence})
+}
+
+// addClosed adds a closing unless it is known, and returns the one that is known then.
+func (c *Counter) addClosed(k closing, w *closedWindow) *closedWindow {
+	if known := c.closed[k]; known != nil {
+		return known
 	}
+	c.closed[k] = w
+	c.closedNumbers[k.number] = true
+	return w
 }
 
 // Closed returns the sums with which a window must be reported, or nil if this node
@@ -128,9 +135,8 @@
 		return // Dropped meanwhile.
 	}
 	w.reported = true
-	own := closing{process: c.self, number: number}
-	if k != own && c.closed[own] == nil {
-		c.closed[own] = &closedWindow{sums: w.sums, fence: fence, reported: true}
+	if k.process != c.self {
+		c.addClosed(closing{process: c.self, number: number}, &closedWindow{sums: w.sums, fence: fence, reported: true})
 	}
 }
 
@@ -166,14 +172,11 @@
 // receiveClosed records a closed window that another node sent.
 func (c *Counter) receiveClosed(from tarragondeal.NodeID, m *Closed) {
 	k := closing{process: Process{Node: tarragondeal.NodeID(m.GetNode()), Incarnation: m.GetIncarnation()}, number: m.GetNumber()}
-	w := c.closed[k]
-	switch {
-	case k.process == c.self || w == nil && len(m.GetSums()) == 0:
+	if k.process == c.self || c.closed[k] == nil && len(m.GetSums()) == 0 {
 		return
-	case w == nil:
-		w = &closedWindow{sums: m.GetSums(), fence: m.GetFence(), from: from}
-		c.closed[k] = w
-	case from == k.process.Node:
+	}
+	w := c.addClosed(k, &closedWindow{sums: m.GetSums(), fence: m.GetFence(), from: from})
+	if from == k.process.Node {
 		w.from = from // Others send it when their streams begin, also to its relay.
 	}
 	w.reported = w.reported || m.GetReported()
--- a/internal/account/tdbegun/counter.go
+++ b/internal/account/tdbegun/counter.go
@@ -17,7 +17,8 @@
 	// keepWindows is the number of windows kept. Windows are reported long
 	// before they are dropped.
 	keepWindows = 8
-	// sendWindows is the number of latest windows sent to other nodes.
+	// sendWindows is the number of latest windows sent to other nodes. Earlier
+	// ones are sent unless they are closed.
 	sendWindows = 3
 )
 
@@ -48,7 +49,9 @@
 	receivedFrom map[Process]tarragondeal.NodeID // The node that last sent a process's counts.
 	changes      uint64
 	closed       map[closing]*closedWindow
-	dropped      int64 // The window that was current when old ones were last dropped.
+	// closedNumbers holds the windows in closed.
+	closedNumbers map[int64]bool
+	dropped       int64 // The window that was current when old ones were last dropped.
 }
 
 // NewCounter returns a counter for windows of the given length. The function
@@ -58,7 +61,7 @@
 	return &Counter{
 		self: self, length: length, wall: wall, alive: alive,
 		byProcess: map[Process]*counts{self: newCounts()}, receivedFrom: make(map[Process]tarragondeal.NodeID),
-		closed: make(map[closing]*closedWindow),
+		closed: make(map[closing]*closedWindow), closedNumbers: make(map[int64]bool),
 	}
 }
 
@@ -109,6 +112,7 @@
 		}
 	}
 	maps.DeleteFunc(c.closed, func(k closing, _ *closedWindow) bool { return k.number < now-keepWindows })
+	maps.DeleteFunc(c.closedNumbers, func(number int64, _ bool) bool { return number < now-keepWindows })
 }
 
 // Sum returns the counts of a window by workspace, summed over all processes.
@@ -151,7 +155,7 @@
 				continue
 			}
 			taken[p] = counted.changedAt
-			if s := takeChanged(p, counted.windows, now, sent); s != nil {
+			if s := c.takeChanged(p, counted.windows, now, sent); s != nil {
 				m.Sources = append(m.Sources, s)
 			}
 		}
@@ -171,10 +175,15 @@
 	}
 }
 
+// isSent reports whether the counts of a window are sent to other nodes.
+func (c *Counter) isSent(number, now int64) bool {
+	return number > now-sendWindows || number >= now-keepWindows && !c.closedNumbers[number]
+}
+
 // forget deletes what is not needed any more of the state of one stream.
 func (c *Counter) forget(sent map[countKey]int64, taken map[Process]uint64, now int64) {
 	for e := range sent {
-		if e.window <= now-sendWindows {
+		if !c.isSent(e.window, now) {
 			delete(sent, e)
 		}
 	}
@@ -187,10 +196,10 @@
 
 // takeChanged returns the counts of a process that differ from those sent, and
 // records them as sent. It returns nil if there are none.
-func takeChanged(p Process, windows map[int64]map[string]int64, now int64, sent map[countKey]int64) *Source {
+func (c *Counter) takeChanged(p Process, windows map[int64]map[string]int64, now int64, sent map[countKey]int64) *Source {
 	var out *Source
 	for number, counts := range windows {
-		if number <= now-sendWindows {
+		if !c.isSent(number, now) {
 			continue
 		}
 		var w *Window
