tdbegun: test closed windows on the way over two relays

The rows of TestWindowKeepsItsSumsWithoutTheRecord covered what a stream carries when it begins only. They now have streams that began before, a leaf of another relay, and a holder that was killed. No fault was found.

--- a/internal/account/tdbegun/closed_test.go
+++ b/internal/account/tdbegun/closed_test.go
@@ -23,14 +23,14 @@
 
 func (l *link) carry() (bytes int) {
 	payload := l.write(l.forwards)
-	if l.before {
+	if bytes = len(payload); l.before {
 		var m Begun
 		_ = proto.Unmarshal(payload, &m)
 		m.Closed = nil
 		payload, _ = proto.Marshal(&m)
 	}
 	l.to.Receive(l.name, payload)
-	return len(payload)
+	return bytes
 }
 
 func newLink(from, to *Counter, forwards func(tarragondeal.NodeID) bool, before bool) *link {
@@ -40,10 +40,15 @@
 // TestWindowKeepsItsSumsWithoutTheRecord guards against a window that is reported with other
 // counts, since the record of reported windows was lost or is older.
 func TestWindowKeepsItsSumsWithoutTheRecord(t *testing.T) {
-	const gone, older = "gone", "older"
+	const (
+		gone, older = "gone", "older" // What the store has of the record afterwards.
+		direct      = "direct"        // From the holder to the next one.
+		relays      = "relays"        // From a leaf to a leaf of another relay.
+		peer        = "peer"          // To a node that does not forward it to the next holder.
+	)
 	for _, c := range []struct {
 		name     string
-		leaf     bool // The holder is a leaf of a relay.
+		path     string
 		before   bool // The relay is of a build before.
 		ended    bool // The holder ends before it reports.
 		refused  bool // The report is not answered.
@@ -52,23 +57,30 @@
 		other    int64 // The sum in the record that comes back, which another holder wrote; zero for none.
 		reported int
 	}{
-		{"record gone", false, false, false, false, false, gone, 0, 1},
-		{"record gone, report not answered", false, false, false, true, false, gone, 0, 2},
-		{"record older", false, false, false, true, false, older, 0, 2},
-		{"record gone, holder ended before it reported", false, false, true, false, false, gone, 0, 1},
-		{"record gone, leaf through a relay", true, false, false, true, false, gone, 0, 2},
-		{"record kept, relay of a build before", true, true, false, false, false, "", 0, 2},
-		{"record gone, the same process", false, false, false, true, true, gone, 0, 2},
-		{"record with other sums", false, false, false, true, false, "", 9, 2},
-		{"record with other sums, the same process", false, false, false, true, true, "", 9, 2},
+		{"record gone", direct, false, false, false, false, gone, 0, 1},
+		{"record gone, report not answered", direct, false, false, true, false, gone, 0, 2},
+		{"record older", direct, false, false, true, false, older, 0, 2},
+		{"record gone, holder ended before it reported", direct, false, true, false, false, gone, 0, 1},
+		{"record gone, leaf through a relay", relays, false, false, true, false, gone, 0, 2},
+		{"record kept, relay of a build before", relays, true, false, false, false, "", 0, 2},
+		{"record gone, the same process", direct, false, false, true, true, gone, 0, 2},
+		{"record with other sums", direct, false, false, true, false, "", 9, 2},
+		{"record with other sums, the same process", direct, false, false, true, true, "", 9, 2},
+		{"record gone, holder killed, only a node that does not forward knows", peer, false, true, false, false, gone, 0, 1},
 	} {
 		clock, dead, ctx := &fakeClock{now: tarragondeal.Instant(100 * length)}, &deadProcess{}, context.Background()
-		a, relay, b := newCounter("a", clock, dead), newCounter("relay", clock, dead), newCounter("b", clock, dead)
-		links := []*link{newLink(a, b, forwardNone, false)}
-		if c.leaf {
-			all := func(tarragondeal.NodeID) bool { return true }
-			links = []*link{newLink(a, relay, forwardNone, c.before), newLink(relay, b, all, c.before)}
-		}
+		a, b := newCounter("a", clock, dead), newCounter("b", clock, dead)
+		relay, other := newCounter("relay", clock, dead), newCounter("other", clock, dead)
+		all := func(tarragondeal.NodeID) bool { return true }
+		fromLeaf := func(n tarragondeal.NodeID) bool { return n == "a" }
+		links := map[string][]*link{
+			direct: {newLink(a, b, forwardNone, false)},
+			relays: {
+				newLink(a, relay, forwardNone, c.before), newLink(relay, other, fromLeaf, c.before),
+				newLink(other, relay, forwardNone, false), newLink(other, b, all, false), newLink(b, other, forwardNone, false),
+			},
+			peer: {newLink(a, relay, forwardNone, false), newLink(relay, b, forwardNone, false)},
+		}[c.path]
 		carry := func() {
 			for _, l := range links {
 				l.carry()
@@ -79,6 +91,7 @@
 		clock.now = clock.now.Add(length + 3*time.Second)
 		d := &fakePlatform{held: true, reported: make(map[int64][]map[string]int64)}
 		first := newTerm(a, clock, d, true)
+		carry() // Streams have begun.
 		first.reportDue(ctx)
 		if len(d.reported) > 0 {
 			t.Errorf("%s: reported before other nodes can know", c.name)
@@ -89,6 +102,9 @@
 			first.reportDue(ctx)
 		}
 		d.loseReport = false
+		if c.path == peer {
+			dead.Process = a.self
+		}
 		carry()
 		b.raise(b.byProcess[b.self], window, "acme", 5) // Arrived late.
 		a.raise(a.byProcess[a.self], window, "acme", 5)
@@ -118,7 +134,7 @@
 			}
 		}
 		for n, l := range links {
-			if l.carry(); l.carry() != 0 && !c.before {
+			if l.carry(); l.carry() != 0 {
 				t.Errorf("%s: link %d sends windows again", c.name, n)
 			}
 		}
