--- a/internal/fleet/tdera/tracker.go
+++ b/internal/fleet/tdera/tracker.go
@@ -1,12 +1,23 @@
 package tdera
 
 import (
+	"context"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"tarragondeal"
+	"tarragondeal/internal/base/tdlog"
+)
+
+const (
+	// MaxLines is how many lines of one kind are logged in a LinesPeriod: a service may go back
+	// again and again.
+	MaxLines = 10
+	// LinesPeriod is the period that MaxLines refers to.
+	LinesPeriod = 10 * time.Minute
 )
 
 // Suspicion is a reason to believe that the service was restored from an earlier copy.
@@ -14,7 +25,7 @@
 	Found    string                // How it was found.
 	Reported tarragondeal.Revision // By the service; zero if another node or the contents gave rise to it.
 	Known    tarragondeal.Position // Of this node at that time.
-	Era      tarragondeal.Era      // Of the other node that gave rise to it; zero for none.
+	Era      tarragondeal.Era      // Later one that another node is in or has recorded; zero for none.
 	At       tarragondeal.Instant
 }
 
@@ -22,7 +33,8 @@
 // to others. It is safe for concurrent use.
 type Tracker struct {
 	clock tarragondeal.Clock
-	log   zerolog.Logger
+	log   zerolog.Logger // Of eras.
+	info  zerolog.Logger // Of suspicions.
 	scope tally.Scope
 
 	mu          sync.Mutex
@@ -30,7 +42,8 @@
 	startedAt   tarragondeal.Instant // When this node learned of the era; zero for the first one.
 	suspicion   *Suspicion
 	dismissed   tarragondeal.Era // Of another node, without a record in the store.
-	suspected   chan struct{}    // Closed while there is a suspicion.
+	suspected   context.Context  // Done while there is a suspicion.
+	endCalls    context.CancelFunc
 	subscribers []func(tarragondeal.Era)
 }
 
@@ -39,7 +52,11 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &Tracker{clock: clock, log: log, scope: scope, suspected: make(chan struct{})}
+	t := &Tracker{
+		clock: clock, log: tdlog.Sampled(log, MaxLines, LinesPeriod), info: tdlog.Sampled(log, MaxLines, LinesPeriod), scope: scope,
+	}
+	t.suspected, t.endCalls = context.WithCancel(context.Background())
+	return t
 }
 
 // Subscribe calls receive with each later era, before anything of it is applied. Receive must not
@@ -96,8 +113,8 @@
 	}
 	s.Known, s.At = t.known, t.clock.Now()
 	t.suspicion = &s
-	close(t.suspected)
-	t.log.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
+	t.endCalls()
+	t.info.Info().Str("found", s.Found).Uint64("reported", uint64(s.Reported)).Uint64("known", uint64(s.Known.Revision)).
 		Uint64("era", uint64(s.Known.Era)).Msg("the store may have come back from an earlier copy")
 	t.scope.Counter("suspicions").Inc(1)
 }
@@ -125,8 +142,8 @@
 	return *t.suspicion, true
 }
 
-// Suspected returns a channel that is closed when a suspicion arises.
-func (t *Tracker) Suspected() <-chan struct{} {
+// Suspected returns a context that ends when a suspicion arises.
+func (t *Tracker) Suspected() context.Context {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.suspected
@@ -138,13 +155,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dismissed = max(t.dismissed, later)
+	t.scope.Counter("dismissals").Inc(1)
 	t.clear()
 }
 
 func (t *Tracker) clear() {
 	if t.suspicion != nil {
 		t.suspicion = nil
-		t.suspected = make(chan struct{})
+		t.suspected, t.endCalls = context.WithCancel(context.Background())
 	}
 }
 
--- a/internal/fleet/tdlisting/config.go
+++ b/internal/fleet/tdlisting/config.go
@@ -1,8 +1,8 @@
 package tdlisting
 
 import (
-	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 
@@ -18,8 +18,8 @@
 const maxPending = 4
 
 // Apply activates a configuration as a whole and returns its version. It returns an
-// error, and changes nothing, if the value is invalid or its version is not higher
-// than active. Calls do not overlap.
+// error, and changes nothing, if the value is invalid, and a *tarragondeal.VersionError
+// if its version is not higher than active. Calls do not overlap.
 type Apply func(value []byte, active tarragondeal.Version) (tarragondeal.Version, error)
 
 // Config tracks the active configuration. Its methods but Run are safe for concurrent use.
@@ -32,12 +32,17 @@
 
 	mu      sync.Mutex
 	version tarragondeal.Version
+	era     tarragondeal.Era
 	pending []pendingConfig // In the order in which they were received.
+	inForce []byte
+	lost    bool     // The store has an earlier configuration, or none, since it came back from a copy.
+	offered [][]byte // Configurations of other nodes that have not been decoded.
 }
 
 // pendingConfig is a configuration that has not been decoded.
 type pendingConfig struct {
 	tarragondeal.Entry
+	era        tarragondeal.Era
 	receivedAt tarragondeal.Instant
 }
 
@@ -53,23 +58,38 @@
 	return c.version
 }
 
+// StartEra begins a later era of the store, to which what is received next belongs.
+func (c *Config) StartEra(era tarragondeal.Era) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era = era
+}
+
 // Follow receives changes of the copy of the store. Run applies them: decoding a large
 // configuration takes long, and must not delay other changes.
 func (c *Config) Follow(changes tdmirror.Changes) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, e := range changes.Entries {
-		if e.Key != c.key || e.Deleted {
+		if e.Key != c.key {
 			continue
 		}
-		c.pending = append(c.pending, pendingConfig{Entry: e, receivedAt: c.clock.Now()})
+		if e.Deleted {
+			c.lost = c.era != 0
+			continue
+		}
+		c.pending = append(c.pending, pendingConfig{Entry: e, era: c.era, receivedAt: c.clock.Now()})
 		if over := len(c.pending) - maxPending; over > 0 {
 			c.pending = slices.Delete(c.pending, 0, over)
 		}
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		c.notify()
+	}
+}
+
+func (c *Config) notify() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -85,27 +105,52 @@
 	}
 }
 
-// applyPending applies the newest valid configuration of those that are pending.
+// applyPending applies the newest valid configuration of those that are pending, in each era
+// in which some were received: an entry that is received later in a later era may have an
+// earlier version.
 func (c *Config) applyPending() {
 	c.mu.Lock()
-	pending := c.pending
-	c.pending = nil
+	pending, offered := c.pending, c.offered
+	c.pending, c.offered = nil, nil
 	c.mu.Unlock()
-	slices.SortFunc(pending, func(a, b pendingConfig) int { return cmp.Compare(b.Revision, a.Revision) })
-	for n := range pending {
-		if c.applyEntry(&pending[n]) {
+	for len(pending) > 0 {
+		n := 1
+		for n < len(pending) && pending[n].era == pending[0].era {
+			n++
+		}
+		c.applyNewest(pending[:n])
+		pending = pending[n:]
+	}
+	for _, value := range offered {
+		c.applyOffered(value)
+	}
+}
+
+// applyNewest applies the newest valid configuration of one era. The copy of the store does
+// not deliver an earlier entry after a later one.
+func (c *Config) applyNewest(received []pendingConfig) {
+	for n := range slices.Backward(received) {
+		if c.applyEntry(&received[n]) {
 			return
 		}
 	}
 }
 
-// applyEntry reports whether p is applied.
+// applyEntry reports whether p is applied, or has the version in force.
 func (c *Config) applyEntry(p *pendingConfig) bool {
 	c.mu.Lock()
 	active := c.version
 	c.mu.Unlock()
 	start := c.clock.Now()
 	version, err := c.apply(p.Value, active)
+	old, isOld := errors.AsType[*tarragondeal.VersionError](err)
+	if isOld {
+		c.setLost(p.era, old.Version < old.InForce)
+	}
+	if isOld && old.Version == old.InForce {
+		c.log.Info().Uint64("version", uint64(active)).Uint64("revision", uint64(p.Revision)).Msg("configuration in force was written again")
+		return true
+	}
 	if err != nil {
 		c.log.Error().Err(tdlog.Bounded(err)).Uint64("revision", uint64(p.Revision)).Uint64("inForce", uint64(active)).
 			Msg("configuration rejected, keeping the previous one")
@@ -115,6 +160,6 @@
 		Dur("waited", start.Sub(p.receivedAt)).Dur("took", c.clock.Now().Sub(start)).Msg("configuration in force")
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.version = version
+	c.version, c.inForce, c.lost = version, p.Value, false
 	return true
 }
--- a/internal/fleet/tdmirror/mirror.go
+++ b/internal/fleet/tdmirror/mirror.go
@@ -25,6 +25,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/base/tdlog"
 	"tarragondeal/internal/fleet/tdera"
 )
 
@@ -122,12 +123,14 @@
 	source tarragondeal.Source
 	clock  tarragondeal.Clock
 	opt    Options
+	eraLog zerolog.Logger // Of eras and what leads to them.
 
 	mu             sync.Mutex
 	items          map[string]tarragondeal.Entry
 	era            tarragondeal.Era
 	rev            tarragondeal.Revision
 	eraSince       tarragondeal.Instant             // When the era began here; zero in the first one.
+	replacedSince  tarragondeal.Instant             // When an era replaced entries of this copy; zero before.
 	ahead          map[string]tarragondeal.Revision // Of the changes after rev that were applied, by key.
 	history        []tarragondeal.Entry
 	historyStart   tarragondeal.Revision // The history holds all changes after this revision.
@@ -135,9 +138,13 @@
 	relistAt       tarragondeal.Instant  // When the keys may be listed again; zero before the first time.
 	relists        int                   // Listings since the last watch that was answered.
 	reported       tarragondeal.Revision // By the service at last.
+	watched        tarragondeal.Revision // Reported by the last watch, which should have had all changes up to it; zero if none.
+	upToDate       bool                  // Whether changes or an answer of the era have been applied since it began.
 	verifyAt       tarragondeal.Instant  // When the copy is verified by a listing; zero if it need not be.
 	verifiedAt     tarragondeal.Instant  // When the keys were listed last; zero before the first time.
 	verifyPause    time.Duration         // The least time until they are listed again to verify the copy.
+	examinedAt     tarragondeal.Instant  // When an examination of a suspicion last had a result; zero before the first.
+	examinePause   time.Duration         // The least time until the next one.
 	listings       []listing             // The last listings, without their entries.
 	unavailable    bool
 	failures       int                  // Calls that failed since the last one that did not.
@@ -168,7 +175,7 @@
 		o.Eras = tdera.New(c, o.Log, o.Scope)
 	}
 	return &Mirror{
-		source: s, clock: c, opt: o, items: make(map[string]tarragondeal.Entry), ahead: make(map[string]tarragondeal.Revision),
+		source: s, clock: c, opt: o, eraLog: tdlog.Sampled(o.Log, 4*tdera.MaxLines, tdera.LinesPeriod), items: make(map[string]tarragondeal.Entry), ahead: make(map[string]tarragondeal.Revision),
 		confirmation: newConfirmation(),
 	}
 }
@@ -266,6 +273,10 @@
 // changes.
 func (m *Mirror) step(ctx context.Context) (changed bool, err error) {
 	if s, ok := m.opt.Eras.Suspicion(); ok && m.mayExamine(&s) {
+		m.waitToExamine(ctx)
+		if s, ok = m.opt.Eras.Suspicion(); !ok {
+			return false, nil // Another node has sent the copy of the era.
+		}
 		return false, m.examine(ctx, &s)
 	}
 	m.mu.Lock()
@@ -293,7 +304,8 @@
 	wait, timeout := m.watchTimes()
 	ctx, timer := newAnswerTimer(ctx, m.clock, timeout)
 	defer timer.stop()
-	defer m.endOnSuspicion(timer)()
+	stop := context.AfterFunc(m.opt.Eras.Suspected(), func() { timer.end(context.Canceled) })
+	defer stop()
 	start := m.clock.Now()
 	entries, next, err := m.source.Watch(ctx, "", rev, wait)
 	if m.opt.Eras.Known().Era != at.Era || m.isSuspected() {
