--- a/test/vm/restore_test.go
+++ b/test/vm/restore_test.go
@@ -135,6 +135,44 @@
 	}
 })
 
+var _ = Describe("servers after the store came back from a copy", func() {
+	for _, size := range []int{3, 11} {
+		// Guards against requests to servers that left, or whose data centre is evacuated, after
+		// the copy was taken, and against servers that are not used though they wrote since.
+		It(fmt.Sprintf("get requests of %d nodes only if they are still there", size), func() {
+			f, far := newEvacuationFleet(size)
+			left := newServer("i-left")
+			DeferCleanup(left.srv.Close)
+			f.store.put("servers/i-left", left.entry("records", "ready"))
+			f.expectRequests(left)
+			f.store.setHistory(func() { f.store.ahead = aheadWaits })
+			items, rev := f.store.copyOf()
+			f.store.remove("servers/i-left") // It has not said that it is leaving.
+			f.store.put(evacuationKey, "")
+			time.Sleep(evacuationBound)
+			at := time.Now()
+			f.store.setUnavailable(true)
+			f.store.srv.CloseClientConnections()
+			time.Sleep(awayTime)
+			f.store.restore(items, rev)
+			f.store.setUnavailable(false)
+			load := f.startLoad("/look/", 10*time.Millisecond)
+			time.Sleep(3 * heartbeat)
+			f.store.remove("servers/i-left") // It has been silent.
+			time.Sleep(5 * time.Second)
+			load.stop()
+			Expect(receivedAfter(left, at)).To(BeZero(), "the server that left")
+			Expect(receivedAfter(far, at)).To(BeZero(), "the server of the evacuated data centre")
+			f.store.put("servers/i-left", left.entry("records", "ready")) // It has started again.
+			f.expectRequests(left)
+			f.store.put(evacuationKey, "")
+			time.Sleep(time.Second)
+			f.store.remove(evacuationKey)
+			f.expectRequests(far)
+		})
+	}
+})
+
 // killHolder kills the holder of the duties, which starts again.
 func killHolder(_ *fleet, holder *node) {
 	holder.kill()
