mirror: find a return that passed the copy's revision in the contents

Leaves kept entries that the store had lost, or lacked ones that it had again, for as long as the store was not written there: after an outage a node that follows the store lists the keys, and took the listing for a later state of the same history, although it can't be one. Others get from it only what has a later revision than their own.

A listing contradicts the copy also if it has an entry from before the copy's revision that the copy lacks, or lacks one that the copy holds though it is of no later revision than the copy. The first needs that events come without gaps, as the copy's revision does.

--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -148,23 +150,47 @@
 	if m.recordedIn(all).Era < begun.Era {
 		return true
 	}
-	known := begun.Revision
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range all {
-		for _, e := range l.entries {
-			held, ok := m.items[e.Key]
-			if !ok || held.Revision > known {
-				continue
-			}
-			if e.Revision < held.Revision || e.Revision == held.Revision && !bytes.Equal(e.Value, held.Value) {
-				return true
-			}
+		if m.holdsMore(l) || slices.ContainsFunc(l.entries, func(e tarragondeal.Entry) bool { return m.rulesOut(e, l.rev, begun.Revision) }) {
+			return true
 		}
 	}
 	return false
 }
 
+// holdsMore reports whether this copy holds an entry that a listing lacks, though the copy is
+// complete up to the listing's revision or a later one.
+func (m *Mirror) holdsMore(l listing) bool {
+	if !m.complete() || l.last > m.rev {
+		return false
+	}
+	present := make(map[string]bool)
+	for _, e := range l.entries {
+		present[e.Key] = true
+	}
+	for key, e := range m.items {
+		if strings.HasPrefix(key, l.prefix) && e.Revision <= l.rev && !present[key] && m.ahead[key] == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// complete reports whether this copy has held all entries at some revision.
+func (m *Mirror) complete() bool { return m.listed || m.relistAt != 0 }
+
+// rulesOut reports whether an entry of a listing at revision rev can't be of the history of this
+// copy, of which all up to revision known is older than the listing.
+func (m *Mirror) rulesOut(e tarragondeal.Entry, rev, known tarragondeal.Revision) bool {
+	held, ok := m.items[e.Key]
+	if !ok { // The copy may be complete up to a revision between the entry's and the listing's.
+		return m.complete() && m.isMirrored(e.Key) && m.ahead[e.Key] == 0 && e.Revision <= m.rev && m.rev <= rev
+	}
+	return held.Revision <= known && (e.Revision < held.Revision || e.Revision == held.Revision && !bytes.Equal(e.Value, held.Value))
+}
+
 // recordIn returns the entry of the era's record in listings, or one at revision zero.
 func recordIn(all []listing) tarragondeal.Entry {
 	for _, l := range all {
--- a/internal/fleet/tdmirror/listing.go
+++ b/internal/fleet/tdmirror/listing.go
@@ -14,7 +14,8 @@
 type listing struct {
 	prefix  string
 	entries []tarragondeal.Entry
-	rev     tarragondeal.Revision
+	rev     tarragondeal.Revision // Of its first page.
+	last    tarragondeal.Revision // Of its last page.
 }
 
 // list reads all keys and removes the entries that are missing from the listings,
@@ -75,6 +76,7 @@
 		if first {
 			l.rev = page.Revision
 		}
+		l.last = page.Revision
 		m.applyPage(&page, begun)
 		l.entries = append(l.entries, page.Entries...)
 		if !page.More || len(page.Entries) == 0 {
