mirror: an old page in a listing drops nothing and begins no era

A listing counted as one at the revision of its first page. If a later page came from an old read, the copy lacked what that page did not have yet, and an entry at an earlier revision than in the copy passed for a proof that the store had gone back: a new era began.

Pages of one listing whose revision falls make no listing. They are a suspicion, which is examined by a write, and the keys are listed again.

--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -228,7 +228,7 @@
 func (m *Mirror) examine(ctx context.Context, s *tdera.Suspicion) error {
 	all, start, err := m.listAll(ctx)
 	if err != nil {
-		return err
+		return ignoreEraError(err)
 	}
 	entry, record := recordIn(all), m.recordedIn(all)
 	switch {
@@ -264,6 +264,14 @@
 	return err
 }
 
+// ignoreEraError returns nil if a listing contains an old answer: it is repeated.
+func ignoreEraError(err error) error {
+	if _, ok := errors.AsType[*tarragondeal.EraError](err); ok {
+		return nil
+	}
+	return err
+}
+
 func (m *Mirror) writeRecord(ctx context.Context, r tdera.Record, prev tarragondeal.Revision) (tarragondeal.Revision, error) {
 	if m.opt.Recorder == nil {
 		return 0, eris.New("no recorder of the era")
--- a/internal/fleet/tdmirror/era_test.go
+++ b/internal/fleet/tdmirror/era_test.go
@@ -400,6 +400,7 @@
 		returns bool
 	}{
 		{"comes back from copies", true},
+		{"has not gone back", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			steps := 0
--- a/internal/fleet/tdmirror/listing.go
+++ b/internal/fleet/tdmirror/listing.go
@@ -24,7 +24,7 @@
 	begun := m.opt.Eras.Known()
 	all, start, err := m.listAll(ctx)
 	if err != nil {
-		return err
+		return ignoreEraError(err)
 	}
 	if r := m.recordedIn(all); r.Era > begun.Era {
 		m.adopt(all, r.Era, "listing", start)
@@ -55,8 +55,9 @@
 		hasRecord := func(prefix string) int { return len(tdera.Key) - len(strings.TrimPrefix(tdera.Key, prefix)) }
 		return hasRecord(b) - hasRecord(a)
 	})
+	latest := tarragondeal.Revision(0)
 	for _, prefix := range prefixes {
-		l, err := m.listPrefix(ctx, prefix, begun)
+		l, err := m.listPrefix(ctx, prefix, begun, &latest)
 		if err != nil {
 			return nil, start, err
 		}
@@ -65,7 +66,9 @@
 	return all, start, nil
 }
 
-func (m *Mirror) listPrefix(ctx context.Context, prefix string, begun tarragondeal.Position) (listing, error) {
+// listPrefix reads the keys with a prefix. Latest is the latest revision that was reported to this
+// listing: a page at an earlier one is an old read, or the service has gone back meanwhile.
+func (m *Mirror) listPrefix(ctx context.Context, prefix string, begun tarragondeal.Position, latest *tarragondeal.Revision) (listing, error) {
 	l := listing{prefix: prefix}
 	after := ""
 	for first := true; ; first = false {
@@ -76,7 +79,13 @@
 		if first {
 			l.rev = page.Revision
 		}
-		l.last = page.Revision
+		if page.Revision < *latest {
+			m.opt.Eras.Suspect(tdera.Suspicion{Found: "page of a listing", Reported: page.Revision})
+			return l, &tarragondeal.EraError{
+				Op: "list", Key: prefix, Reported: page.Revision, Known: tarragondeal.Position{Era: begun.Era, Revision: *latest},
+			}
+		}
+		*latest, l.last = page.Revision, page.Revision
 		m.applyPage(&page, begun)
 		l.entries = append(l.entries, page.Entries...)
 		if !page.More || len(page.Entries) == 0 {
