mesh: check thirty nodes of a store that comes back

Callers could be served by what a store had lost that came back from an earlier copy, at nodes that receive copies; only single mirrors and eleven processes were checked.

TestStoreComesBack: thirty nodes in five data centres, a store that comes back with an earlier copy or empty, once or twice, passing the revision of before or not, three answers to watches from ahead. All nodes hold what the store holds 2.5 s after the return, and 2.5 s after the next write. Calls in the first second are bounded by what the store permits, as if the fleet had 350 nodes.

--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -21,6 +21,7 @@
 
 	"tarragondeal"
 	"tarragondeal/internal/base/tdclock"
+	"tarragondeal/internal/fleet/tdera"
 	"tarragondeal/internal/fleet/tdmirror"
 )
 
@@ -55,6 +56,7 @@
 	leafRate     float64               // What links of leaves to the store carry, in bytes a second; zero for no limit.
 	silent       chan struct{}         // Closed when watches are answered again; nil while they are.
 	historyStart tarragondeal.Revision // Watches from before this revision fail.
+	ahead        aheadAnswer           // How watches from after the revision are answered.
 	calls        map[tarragondeal.NodeID]int
 }
 
@@ -216,6 +218,7 @@
 		a.mu.Lock()
 		cut, resets, changed, revision, delay := a.cut[a.node], a.resets, a.changed, a.revision, a.delay
 		silent, historyStart := a.silent, a.historyStart
+		isAhead, ahead := after > revision, a.ahead
 		var out []tarragondeal.Entry
 		for _, e := range a.events {
 			if e.Revision > after {
@@ -236,8 +239,10 @@
 			case <-ctx.Done():
 				return nil, 0, ctx.Err()
 			}
-		case after < historyStart:
+		case after < historyStart || isAhead && ahead == aheadGone:
 			return nil, 0, &tarragondeal.HistoryError{After: after}
+		case isAhead && ahead == aheadAnswers:
+			return nil, revision, a.answer(ctx, delay, nil)
 		case timedOut || len(out) > 0:
 			return out, revision, a.answer(ctx, delay, out)
 		}
@@ -392,8 +397,10 @@
 
 func (f *liveFleet) add(name tarragondeal.NodeID, centre string, leaf bool) {
 	m := &liveNode{streams: make(map[tarragondeal.NodeID]*liveStream)}
-	mirror := tdmirror.New(access{liveStore: f.store, node: name, leaf: leaf}, f, tdmirror.Options{
-		Prefixes: []string{versionKey, serverKey}, Follows: func() bool { return m.Follows() },
+	eras, source := tdera.New(f, zerolog.Nop(), nil), access{liveStore: f.store, node: name, leaf: leaf}
+	mirror := tdmirror.New(source, f, tdmirror.Options{
+		Prefixes: []string{versionKey, serverKey, tdera.Key}, Eras: eras, Recorder: source, Self: name,
+		Follows:     func() bool { return m.Follows() },
 		RelistDelay: func() time.Duration { return m.RelistDelay() }, Log: zerolog.Nop(),
 	})
 	mirror.Subscribe(func(c tdmirror.Changes) {
@@ -403,7 +410,7 @@
 			}
 		}
 	})
-	m.Mesh = New(Deps{Mirror: mirror, Clock: f, Ready: func() bool { return true }, Log: zerolog.Nop()},
+	m.Mesh = New(Deps{Mirror: mirror, Eras: eras, Clock: f, Ready: func() bool { return true }, Log: zerolog.Nop()},
 		Node{Name: name, Incarnation: 1, DataCentre: centre, Processor: 0.2})
 	m.Publish(sectionTopic, func() Writer { return func(func(tarragondeal.NodeID) bool) []byte { return []byte(name) } })
 	m.Receive(sectionTopic, m.sections.add, nil)
