soak: a store that comes back from a copy

The soak had no store that goes back. Its new fault lets it come back once or twice from a copy of random age or empty, away for 0.2 to 1.2 s, with one of four answers to watches from ahead, while a node is killed or paused. The operator and the servers write again what they last wrote, then a key is withdrawn, and must not be served 2 s later. All other checks stay.

--- a/test/vm/soak_test.go
+++ b/test/vm/soak_test.go
@@ -27,6 +27,13 @@
 	// limitFrom are the times at which the second engine first announced a limit,
 	// one for each of its runs; empty if it announces none.
 	limitFrom []time.Time
+	saved     []savedStore // Copies of the store, one before each fault.
+}
+
+// savedStore is a copy of the store.
+type savedStore struct {
+	items map[string]item
+	rev   uint64
 }
 
 // streamCounts counts the streams of a soak, to show what it has covered.
@@ -49,6 +56,8 @@
 	srv := []*server{s.plain, s.engine, s.engine2}[s.rng.IntN(3)]
 	pause := time.Duration(100+s.rng.IntN(700)) * time.Millisecond
 	s.logf("fault %d at %s or %s for %s", kind, n.name, srv.id, pause)
+	items, rev := s.store.copyOf()
+	s.saved = append(s.saved, savedStore{items, rev})
 	switch kind {
 	case 0:
 		n.kill()
@@ -86,6 +95,8 @@
 		s.injectBrittle()
 	case 16:
 		s.injectOverlap()
+	case 17:
+		s.injectReturn(n)
 	default:
 		s.injectStreamFault(kind, pause)
 	}
@@ -144,6 +155,49 @@
 	s.updateEngines(func(x *server) { x.brittle = nil })
 }
 
+// injectReturn lets the store come back from a copy, or empty, up to twice, while a node is killed
+// or stands still. The operator and the servers then write again what they last wrote, and the
+// operator withdraws a key.
+func (s *soak) injectReturn(n *node) {
+	s.store.setHistory(func() { s.store.ahead = aheadAnswer(s.rng.IntN(int(aheadEchoes) + 1)) })
+	for range 1 + s.rng.IntN(2) {
+		c, away := savedStore{rev: 1}, time.Duration(200+s.rng.IntN(1000))*time.Millisecond
+		if s.rng.IntN(3) > 0 {
+			c = s.saved[s.rng.IntN(len(s.saved))]
+		}
+		s.logf("the store comes back at %d after %s, watches from ahead are answered in way %d", c.rev, away, s.store.ahead)
+		s.store.setUnavailable(true)
+		s.store.srv.CloseClientConnections()
+		resume := func() {}
+		switch s.rng.IntN(3) {
+		case 0:
+			n.kill()
+			n.setFirstStart(false)
+			resume = n.start
+		case 1:
+			n.signal(syscall.SIGSTOP)
+			resume = func() { n.signal(syscall.SIGCONT) }
+		}
+		time.Sleep(away)
+		s.store.restore(c.items, c.rev)
+		s.store.setUnavailable(false)
+		s.rewriteConfig()
+		s.putServers()
+		time.Sleep(time.Duration(s.rng.IntN(500)) * time.Millisecond)
+		resume()
+	}
+	time.Sleep(contactTime)
+	withdrawn := s.keys[1]
+	s.keys[1] = fmt.Sprint("key-", s.version)
+	s.putConfig()
+	time.Sleep(soakConfigBound)
+	for _, n := range s.nodes {
+		if r := n.get("/look/1", withdrawn); r.status == http.StatusOK {
+			s.logf("VIOLATION: %s accepts %s, which was withdrawn %s ago, after the store came back", n.name, withdrawn, soakConfigBound)
+		}
+	}
+}
+
 // injectOverlap makes changes that overlap: two configurations with many more routes, an engine
 // whose entry says that it leaves, and meanwhile nodes that are stopped in turn or get SIGHUP.
 // Callers go on using their connections.
@@ -425,8 +479,8 @@
 	// of faults, which are injected one after another: first each of soakKinds
 	// once, in random order, then random ones.
 	soakCallers = 6
-	soakKinds   = 17
-	soakFaults  = 18
+	soakKinds   = 18
+	soakFaults  = 19
 	// soakNodeFaults is the number of kinds of faults that hit nodes or the store.
 	soakNodeFaults = 4
 	// soakBrittleInterval is the time between two more requests while engines are brittle.
