--- a/test/vm/store_test.go
+++ b/test/vm/store_test.go
@@ -42,6 +42,7 @@
 	calls       int                          // Watches and listings.
 	reports     map[int64][]map[string]int64 // By window: the counts per workspace of each report, in order.
 	duties      []dutyCall                   // In order.
+	bySecond    bySecond
 	srv         *httptest.Server
 }
 
@@ -86,6 +87,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		s.bySecond.count(r)
 		mux.ServeHTTP(w, r)
 	}))
 	return s
