mirror: pass on entries that a watch left out

Callers were served with a withdrawn key, and got 404 on an added route, at 16 of 30 nodes for as long as was looked at (30 s), after the store had come back with a copy 1 s old.

Cause: all that the store had lost was written again at once, so that its revision had passed that of the copies. Nodes that list the keys find the configuration at a revision that their copy has passed; no watch and no change to send has it, and nodes that follow the store for a moment, or that receive copies, are at a later revision.

Change: such an entry is a suspicion. The write that examines it has a later revision, at which all others receive the full copy.

--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -352,19 +352,22 @@
 		Msg("copy of the store is up to date in its era")
 }
 
-// logHeldBack logs the first change on a page of a listing that the last watch should have had,
-// since it reported a later revision. There is one line until the next watch is answered.
-func (m *Mirror) logHeldBack(entries []tarragondeal.Entry) {
+// logHeldBack logs the first change on a page of a listing that this copy lacks although it is
+// complete up to a later revision, or the last watch reported one. It reports whether there is any.
+func (m *Mirror) logHeldBack(p *tarragondeal.Page) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, e := range entries {
-		if !m.isMirrored(e.Key) || e.Revision > m.watched || e.Revision <= max(m.items[e.Key].Revision, m.ahead[e.Key]) {
+	if p.Revision < m.rev {
+		return false // The copy may have overtaken the page.
+	}
+	for _, e := range p.Entries {
+		if !m.isMirrored(e.Key) || e.Revision > max(m.rev, m.watched) || e.Revision <= max(m.items[e.Key].Revision, m.ahead[e.Key]) {
 			continue
 		}
 		m.opt.Scope.Counter("heldBack").Inc(1)
 		m.eraLog.Warn().Str("key", e.Key).Uint64("first", uint64(e.Revision)).Uint64("revision", uint64(m.rev)).
 			Uint64("reported", uint64(m.watched)).Msg("the store had held changes back from a watch")
-		m.watched = 0
-		return
+		return true
 	}
+	return false
 }
--- a/internal/fleet/tdmirror/examine_test.go
+++ b/internal/fleet/tdmirror/examine_test.go
@@ -104,6 +104,29 @@
 	})
 }
 
+// TestEntryThatAWatchLeftOutIsCopied guards against nodes that receive copies and never get an entry
+// that the one that sends them has found in a listing, since they are at a later revision already.
+func TestEntryThatAWatchLeftOutIsCopied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &restoredSource{fakeSource: newFakeSource()}
+		s.put("a/1", "x")
+		m, leaf := newRestoredMirror(s), newRestoredMirror(s)
+		steps(t, m, 1)
+		steps(t, leaf, 1)
+		s.put("a/1", "y")
+		s.events = nil // What wrote it is not known to a watch.
+		s.put("a/2", "x")
+		steps(t, m, 1)
+		steps(t, leaf, 1)
+		m.listed = false
+		steps(t, m, 6)
+		leaf.Apply(m.Since(leaf.Position()))
+		if got := leaf.values()["a/1"]; got != "y" || leaf.Position().Era != 0 {
+			t.Errorf("the copy holds %q in era %d", got, leaf.Position().Era)
+		}
+	})
+}
+
 // TestExaminationsAreBounded guards against a node that lists and writes without a pause while
 // the service answers its watches with old revisions.
 func TestExaminationsAreBounded(t *testing.T) {
--- a/internal/fleet/tdmirror/listing.go
+++ b/internal/fleet/tdmirror/listing.go
@@ -91,8 +91,13 @@
 	if p.Revision < begun.Revision || m.isSuspected() {
 		return
 	}
-	m.logHeldBack(p.Entries)
+	leftOut := m.logHeldBack(p)
 	m.ApplyAhead(p.Entries, begun.Era)
+	if leftOut {
+		// Others at this copy's revision lack it too. The write that examines the suspicion has
+		// a later one, at which they receive the full copy.
+		m.opt.Eras.Suspect(tdera.Suspicion{Found: "entry that a watch left out", Reported: p.Revision})
+	}
 }
 
 func (m *Mirror) page(ctx context.Context, prefix, after string) (tarragondeal.Page, error) {
