test/vm: a window that the next holder must report again

Cause: no requests begin in the spec after its start, and the only duty call that the next holder made was to repeat the window before. Since holders don't repeat a window whose report the platform has accepted; node-3 had acquired the lease, waited, and had nothing to report.

Change: the platform records reports and answers 503 in this spec, so that the next holder has to send the window at once, as it did before. The check and its bound are the same.

--- a/test/vm/restore_test.go
+++ b/test/vm/restore_test.go
@@ -142,6 +142,7 @@
 var _ = Describe("the next holder after the store came back without anything", func() {
 	It("waits for the time of a lease", func() {
 		f := newFleet(3)
+		f.store.setHistory(func() { f.store.failReports = true }) // The next holder sends them again at once.
 		f.waitReady()
 		f.keepServers()
 		first := f.waitDuty(time.Time{})
--- a/test/vm/store_test.go
+++ b/test/vm/store_test.go
@@ -40,6 +40,7 @@
 	ahead       aheadAnswer                  // How watches from a later revision than the store's are answered.
 	dropped     uint64                       // The history up to this revision is gone.
 	calls       int                          // Watches and listings.
+	failReports bool                         // Reports of usage are recorded, and answered as if they were not.
 	reports     map[int64][]map[string]int64 // By window: the counts per workspace of each report, in order.
 	duties      []dutyCall                   // In order.
 	srv         *httptest.Server
@@ -351,6 +352,9 @@
 	defer s.mu.Unlock()
 	s.reports[in.Window] = append(s.reports[in.Window], in.Counts)
 	s.recordDuty(r, "usage")
+	if s.failReports {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
 func (s *store) scale(w http.ResponseWriter, r *http.Request) {
