mesh: nodes find out a return though their relay is of a build before

Nodes that get copies from a relay of a build before kept what the store had lost, until its revision passed the one of before: such a relay takes the earlier revision without telling of an era, and its copies were ignored as old. Nobody else tells a node with one relay.

A node whose source of copies does not tell of eras, and has been behind it for 0.5 s, suspects that the store has gone back. The suspicion is examined as any other of a node that does not follow the store: 1.5 s later, by a listing and a write. Sources that read eras give rise to none.

--- a/internal/fleet/tdmesh/era_test.go
+++ b/internal/fleet/tdmesh/era_test.go
@@ -54,7 +54,16 @@
 	s.changed = make(chan struct{})
 }
 
-// differing returns how many nodes do not hold what the store holds, and one of them.
+// stripEras makes a state one of a version without eras.
+func stripEras(s *State) {
+	s.Era, s.ReadsEras = 0, false
+	if c := s.GetCopy(); c != nil {
+		c.Era = 0
+	}
+}
+
+// differing returns how many nodes that read eras do not hold what the store holds, and one of
+// them.
 func (f *liveFleet) differing() (n int, example tarragondeal.NodeID) {
 	f.store.mu.Lock()
 	entries, revision := f.store.entries(), f.store.revision
@@ -72,7 +81,7 @@
 		for _, e := range held {
 			same = same && want[e.Key] == e.Revision
 		}
-		if !same {
+		if !same && !m.old.Load() {
 			n++
 			example = name
 		}
@@ -87,27 +96,40 @@
 	const (
 		lost = 20
 		// The store permits 2,000 reads a second, and a fleet has up to 350 nodes.
-		maxCalls = 2000 * 30 / 350
+		maxCalls     = 2000 * 30 / 350
+		examineDelay = 2 * time.Second
+		maxWhole     = 8 // From some sources, when the node starts and for each return.
 	)
+	relays := func(f *liveFleet) []tarragondeal.NodeID { return f.relays() }
+	leaves := func(f *liveFleet) []tarragondeal.NodeID { return f.leaves() }
 	for _, c := range []struct {
 		name   string
 		ahead  aheadAnswer
 		empty  bool
 		times  int
 		passes bool // The revision of before, until the nodes reach the store again.
+		old    func(f *liveFleet) []tarragondeal.NodeID
 	}{
-		{"watches wait", aheadWaits, false, 1, false},
-		{"history expired", aheadGone, false, 1, false},
-		{"watches get no events", aheadAnswers, false, 1, false},
-		{"empty, watches wait", aheadWaits, true, 1, false},
-		{"empty, history expired", aheadGone, true, 1, false},
-		{"twice, watches get no events", aheadAnswers, false, 2, false},
-		{"passes the revision of before", aheadWaits, false, 1, true},
+		{"watches wait", aheadWaits, false, 1, false, nil},
+		{"history expired", aheadGone, false, 1, false, nil},
+		{"watches get no events", aheadAnswers, false, 1, false, nil},
+		{"empty, watches wait", aheadWaits, true, 1, false, nil},
+		{"empty, history expired", aheadGone, true, 1, false, nil},
+		{"twice, watches get no events", aheadAnswers, false, 2, false, nil},
+		{"passes the revision of before", aheadWaits, false, 1, true, nil},
+		{"relays of a version before, history expired", aheadGone, false, 1, false, relays},
+		{"relays of a version before, watches wait", aheadWaits, true, 1, false, relays},
+		{"leaves of a version before", aheadGone, false, 1, false, leaves},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			runLiveFleet(t, 30, 5, func(t *testing.T, f *liveFleet) {
 				f.store.ahead = c.ahead
+				if c.old != nil {
+					for _, name := range c.old(f) {
+						f.nodes[name].old.Store(true)
+					}
+				}
 				f.store.put(serverKey, []byte("before"))
 				saved := f.store.latest()
 				for range lost {
@@ -135,6 +157,14 @@
 					}
 				}
 				time.Sleep(versionBound - time.Second)
+				if c.old != nil { // Nodes that have copies from them examine the return late, since others may.
+					time.Sleep(examineDelay)
+				}
+				for name, m := range f.nodes {
+					if n := m.whole.Load(); n > maxWhole {
+						t.Errorf("%s received %d whole copies", name, n)
+					}
+				}
 				if n, example := f.differing(); n > 0 {
 					t.Errorf("%d nodes differ, %s among them at %v, the store at %d", n, example, f.nodes[example].Mirror.Position(), f.store.latest())
 				}
--- a/internal/fleet/tdmesh/follow.go
+++ b/internal/fleet/tdmesh/follow.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragondeal"
+	"tarragondeal/internal/fleet/tdera"
 	"tarragondeal/internal/fleet/tdmirror"
 )
 
@@ -133,6 +134,7 @@
 	before := m.source
 	m.era = at.Era
 	m.updateSource(follows, at)
+	m.suspectSource(at)
 	if m.source != before {
 		line := m.Log.Info().Str("peer", string(m.source)).Str("before", string(before)).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision))
 		if p := m.peers[m.source]; p != nil {
@@ -168,6 +170,22 @@
 	}
 }
 
+// suspectSource suspects that the store has gone back if the source of copies has been behind this
+// node for longer than maxSourceLag, and is of a version that does not tell of eras. Such a
+// source takes the store's earlier revision, which this node would ignore.
+func (m *Mesh) suspectSource(at tarragondeal.Position) {
+	p, now := m.peers[m.source], m.Clock.Now()
+	switch {
+	case p == nil || p.readsEras || p.position.Era != at.Era || p.position.Revision >= at.Revision:
+		m.selfAheadSince = 0
+	case m.selfAheadSince == 0:
+		m.selfAheadSince = now
+	case now.Sub(m.selfAheadSince) > maxSourceLag:
+		m.selfAheadSince = now
+		m.Eras.Suspect(tdera.Suspicion{Found: "source of copies", Reported: p.position.Revision})
+	}
+}
+
 // isBehind reports whether this node has been behind another one for longer than
 // maxSourceLag although it follows the store: its watch may have stalled.
 func (m *Mesh) isBehind(best *peer, at tarragondeal.Position) bool {
--- a/internal/fleet/tdmesh/follow_test.go
+++ b/internal/fleet/tdmesh/follow_test.go
@@ -272,7 +272,8 @@
 	streams        map[tarragondeal.NodeID]*liveStream
 	followSwitches int // How often the node has begun or stopped to follow the store.
 	followed       bool
-	old            atomic.Bool // Of a version that does not read parts.
+	old            atomic.Bool  // Of a version that reads neither parts nor eras.
+	whole          atomic.Int64 // The whole copies that it received.
 	killed         atomic.Bool
 	off            atomic.Bool   // Without power: nothing leaves or reaches it, and its streams do not end.
 	server         atomic.Uint64 // The revision of serverKey that it holds.
@@ -314,15 +315,17 @@
 type liveStream struct {
 	ctx          context.Context
 	in, out      chan *State
-	rate         float64      // In bytes a second; zero for no limit.
-	old          *atomic.Bool // The sender is of a version that does not read parts.
-	isCut        func() bool  // Nothing is delivered.
+	rate         float64       // In bytes a second; zero for no limit.
+	old          *atomic.Bool  // The node is of a version that reads neither parts nor eras.
+	whole        *atomic.Int64 // Counts the whole copies that the node receives.
+	isCut        func() bool   // Nothing is delivered.
 	cancelStream context.CancelFunc
 }
 
 func (s *liveStream) Send(state *State) error {
 	if s.old.Load() {
 		state.ReadsParts = false
+		stripEras(state)
 	}
 	delay := linkDelay
 	if s.rate > 0 {
@@ -346,6 +349,12 @@
 func (s *liveStream) Recv() (*State, error) {
 	select {
 	case state := <-s.in:
+		if s.old.Load() {
+			stripEras(state)
+		}
+		if copied := state.GetCopy(); copied.GetWhole() {
+			s.whole.Add(1)
+		}
 		return state, nil
 	case <-s.ctx.Done():
 		return nil, io.EOF
@@ -480,8 +489,8 @@
 		rate = f.leafRate
 	}
 	isCut := func() bool { return m.off.Load() || peer.off.Load() }
-	near := &liveStream{ctx: ctx, in: back, out: there, rate: rate, old: &m.old, isCut: isCut}
-	far := &liveStream{ctx: ctx, in: there, out: back, rate: rate, old: &peer.old, isCut: isCut}
+	near := &liveStream{ctx: ctx, in: back, out: there, rate: rate, old: &m.old, whole: &m.whole, isCut: isCut}
+	far := &liveStream{ctx: ctx, in: there, out: back, rate: rate, old: &peer.old, whole: &peer.whole, isCut: isCut}
 	w := m.newStateWriter(to)
 	w.cancel = cancel
 	f.running.Go(func() { _ = m.exchange(ctx, near, w) })
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -97,6 +97,7 @@
 	parentSince       tarragondeal.Instant              // When the parent was chosen.
 	source            tarragondeal.NodeID               // The node that sends copies of the store; empty for none.
 	sourceBehindSince tarragondeal.Instant              // Zero while the source is up to date.
+	selfAheadSince    tarragondeal.Instant              // Zero while the source is up to this node's revision, or reads eras.
 	era               tarragondeal.Era                  // Of this node's copy of the store, when it was read last.
 	selfBehindSince   tarragondeal.Instant              // Zero while no other node has a newer revision.
 	checkedAt         tarragondeal.Instant              // When the streams were checked last; zero before the first time.
