mirror: a return that a listing has proved is not dismissed later

A node that follows the store kept what it had lost. A listing contradicted the copy, but until that was examined the store had passed the revision of before: the second listing proved nothing, the write got a later revision, and the suspicion was dismissed without what was listed being applied.

A suspicion from the contents stays proven until the next era.

--- a/internal/fleet/tdera/tracker.go
+++ b/internal/fleet/tdera/tracker.go
@@ -26,6 +26,7 @@
 	Reported tarragondeal.Revision // By the service; zero if another node or the contents gave rise to it.
 	Known    tarragondeal.Position // Of this node at that time.
 	Era      tarragondeal.Era      // Later one that another node is in or has recorded; zero for none.
+	Proven   bool                  // The contents can't be later ones of the same history.
 	At       tarragondeal.Instant
 }
 
@@ -100,7 +101,7 @@
 	return nil
 }
 
-// Suspect records a suspicion, unless there is one already.
+// Suspect records a suspicion. If there is one already, it only becomes a proven one.
 func (t *Tracker) Suspect(s Suspicion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -109,6 +110,7 @@
 
 func (t *Tracker) suspect(s Suspicion) {
 	if t.suspicion != nil {
+		t.suspicion.Proven = t.suspicion.Proven || s.Proven
 		return
 	}
 	s.Known, s.At = t.known, t.clock.Now()
--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -126,7 +126,7 @@
 		return true
 	}
 	if m.contradicts(all, begun) {
-		m.opt.Eras.Suspect(tdera.Suspicion{Found: "contents of a listing", Reported: lowest})
+		m.opt.Eras.Suspect(tdera.Suspicion{Found: "contents of a listing", Reported: lowest, Proven: true})
 		return true
 	}
 	return false
@@ -248,7 +248,7 @@
 	case record.Era > s.Known.Era:
 		m.adopt(all, record.Era, s.Found, start)
 		return nil
-	case m.contradicts(all, s.Known):
+	case s.Proven || m.contradicts(all, s.Known):
 	default:
 		entry.Revision, err = m.writeRecord(ctx, record, entry.Revision)
 		if err != nil || entry.Revision > s.Known.Revision {
