test/vm: what looks like a store that comes back

Nothing showed that old reads, answers without revisions, late answers and another store behind the address are told from a store that went back.

--- a/test/vm/store_test.go
+++ b/test/vm/store_test.go
@@ -38,6 +38,7 @@
 	holdsBack   bool                         // Watches give no events, and the latest revision.
 	forgets     bool                         // No watch is answered: the history is gone.
 	ahead       aheadAnswer                  // How watches from a later revision than the store's are answered.
+	alter       alterAnswer                  // Nil for no change.
 	dropped     uint64                       // The history up to this revision is gone.
 	calls       int                          // Watches and listings.
 	failReports bool                         // Reports of usage are recorded, and answered as if they were not.
@@ -65,6 +66,9 @@
 	aheadEchoes                     // At once, without events, and with the revision that was asked for.
 )
 
+// alterAnswer returns what is sent instead of the body of an answer, and may take its time.
+type alterAnswer func(r *http.Request, status int, body []byte) []byte
+
 func newStore() *store {
 	s := &store{
 		rev: 1, items: map[string]item{}, changed: make(chan struct{}), leases: map[uint64]time.Time{},
@@ -82,14 +86,22 @@
 	mux.HandleFunc("POST /scale", s.scale)
 	s.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		unavailable := s.unavailable
+		unavailable, alter := s.unavailable, s.alter
 		s.mu.Unlock()
 		if unavailable {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		s.bySecond.count(r)
-		mux.ServeHTTP(w, r)
+		if alter == nil {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		answer := httptest.NewRecorder()
+		mux.ServeHTTP(answer, r)
+		body := alter(r, answer.Code, answer.Body.Bytes())
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(body)
 	}))
 	return s
 }
