mesh: a check of a store that comes back had a data race

go test -race reported TestStoreComesBack in eight of its ten cases: the test set how the stand-in answers without its lock.

--- a/internal/fleet/tdmesh/era_test.go
+++ b/internal/fleet/tdmesh/era_test.go
@@ -44,6 +44,13 @@
 	return e, nil
 }
 
+// setAhead changes how watches from after the revision are answered.
+func (s *liveStore) setAhead(how aheadAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ahead = how
+}
+
 // restore makes the store hold what it held at an earlier revision.
 func (s *liveStore) restore(rev tarragondeal.Revision) {
 	s.mu.Lock()
@@ -124,7 +131,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			runLiveFleet(t, 30, 5, func(t *testing.T, f *liveFleet) {
-				f.store.ahead = c.ahead
+				f.store.setAhead(c.ahead)
 				if c.old != nil {
 					for _, name := range c.old(f) {
 						f.nodes[name].old.Store(true)
