--- a/internal/account/tdbegun/begun_test.go
+++ b/internal/account/tdbegun/begun_test.go
@@ -148,7 +148,7 @@
 }
 
 // TestNewNodeReceivesCountsOfWindowsNotClosed guards against usage that is lost, since a node
-// that starts later and holds the duty has no counts of windows that nobody could close.
+// that starts later and holds the duty has no counts of windows that no holder could close.
 func TestNewNodeReceivesCountsOfWindowsNotClosed(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/internal/account/tdbegun/reporter.go
+++ b/internal/account/tdbegun/reporter.go
@@ -43,7 +43,7 @@
 	Counter *Counter
 	// AllAlive reports whether all known nodes are alive.
 	AllAlive func() bool
-	// RemembersSince returns since when the nodes tell each other which windows are
+	// RemembersSince returns since when the nodes have exchanged which windows are
 	// closed, or the zero time if that goes back to the first start of the deployment.
 	RemembersSince func() time.Time
 	// Era returns the era of the store.
--- a/internal/fleet/tdera/tracker.go
+++ b/internal/fleet/tdera/tracker.go
@@ -40,7 +40,6 @@
 
 	mu          sync.Mutex
 	known       tarragondeal.Position
-	startedAt   tarragondeal.Instant // When this node learned of the era; zero for the first one.
 	suspicion   *Suspicion
 	dismissed   tarragondeal.Era // Of another node, without a record in the store.
 	suspected   context.Context  // Done while there is a suspicion.
@@ -73,13 +72,6 @@
 	return t.known
 }
 
-// StartedAt returns when this node learned of the era, or zero in the first one.
-func (t *Tracker) StartedAt() tarragondeal.Instant {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.startedAt
-}
-
 // Begin implements tarragondeal.RevisionChecker.
 func (t *Tracker) Begin() func(op, key string, reported tarragondeal.Revision) error {
 	begun := t.Known()
@@ -176,7 +168,7 @@
 		t.mu.Unlock()
 		return
 	}
-	t.known, t.startedAt = p, t.clock.Now()
+	t.known = p
 	t.clear()
 	t.mu.Unlock()
 	line := t.log.Warn()
--- a/internal/fleet/tdlease/fence_test.go
+++ b/internal/fleet/tdlease/fence_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestTokensRise guards against fencing tokens that are given twice or go back, because the
-// revisions of the store did or because nobody remembers the tokens before.
+// revisions of the store did or because no node knows the tokens before.
 func TestTokensRise(t *testing.T) {
 	const now = 1_700_000_000_000
 	for _, c := range []struct {
--- a/internal/fleet/tdmesh/follow.go
+++ b/internal/fleet/tdmesh/follow.go
@@ -171,7 +171,7 @@
 }
 
 // suspectSource suspects that the store has gone back if the source of copies has been behind this
-// node for longer than maxSourceLag, and is of a version that does not tell of eras. Such a
+// node for longer than maxSourceLag, and is of a version whose states have no era. Such a
 // source takes the store's earlier revision, which this node would ignore.
 func (m *Mesh) suspectSource(at tarragondeal.Position) {
 	p, now := m.peers[m.source], m.Clock.Now()
--- a/internal/fleet/tdmesh/mesh.go
+++ b/internal/fleet/tdmesh/mesh.go
@@ -102,7 +102,7 @@
 	selfBehindSince   tarragondeal.Instant              // Zero while no other node has a newer revision.
 	checkedAt         tarragondeal.Instant              // When the streams were checked last; zero before the first time.
 	resumedAt         tarragondeal.Instant              // When this node last ran again after it stood still; zero before.
-	remembersSince    int64                             // Since when this node was told all, in milliseconds since 1970; zero means always.
+	remembersSince    int64                             // Since when this node has received all, in milliseconds since 1970; zero means always.
 	noSourceSince     tarragondeal.Instant              // Since when no source of copies is available; zero while one is.
 	noSourceTimeout   time.Duration                     // How long this node waits without a source before it follows the store.
 	followReason      followReason                      // At the last check.
@@ -198,7 +198,7 @@
 	}
 }
 
-// RemembersSince returns since when this node was told what the nodes before it knew. It is the
+// RemembersSince returns since when this node has received what the nodes before it knew. It is the
 // zero time if that goes back to the first start of the deployment.
 func (m *Mesh) RemembersSince() time.Time {
 	m.mu.Lock()
--- a/internal/fleet/tdmesh/return_test.go
+++ b/internal/fleet/tdmesh/return_test.go
@@ -52,7 +52,7 @@
 func (r tokenRecorder) Raise(uint64)    { r() }
 
 // TestTokensAreKnownBeforeMemoryIsComplete guards against a node that takes itself for one that knows
-// all fencing tokens before it has recorded that of the node that told it.
+// all fencing tokens before it has recorded that of the node that says so.
 func TestTokensAreKnownBeforeMemoryIsComplete(t *testing.T) {
 	clock := &fakeClock{now: tarragondeal.Instant(time.Hour)}
 	a := newMesh("a", clock)
--- a/internal/fleet/tdmesh/stream.go
+++ b/internal/fleet/tdmesh/stream.go
@@ -198,7 +198,7 @@
 	}
 }
 
-// recordMemory records since when a peer was told what the nodes before it knew.
+// recordMemory records since when a peer has received what the nodes before it knew.
 func (m *Mesh) recordMemory(since int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/fleet/tdmirror/era.go
+++ b/internal/fleet/tdmirror/era.go
@@ -235,7 +235,7 @@
 	m.examinedAt = now
 }
 
-// examine finds out whether the service has gone back, and if so starts the copy anew. Either
+// examine finds out whether the service has gone back, and if so replaces the copy. Either
 // another node has recorded a later era, or the contents are older than before, or a write gets
 // an earlier revision than was known. A listing alone does not prove it, since it may be old.
 func (m *Mirror) examine(ctx context.Context, s *tdera.Suspicion) error {
@@ -260,8 +260,8 @@
 }
 
 // dismiss drops a suspicion, unless the call to refute it failed. The keys are listed again then: a
-// service that has gone back can have passed the known revision before the write, and the contents
-// tell so.
+// service that has gone back can have passed the known revision before the write, which the
+// contents show.
 func (m *Mirror) dismiss(s *tdera.Suspicion, err error) error {
 	if err == nil {
 		m.mu.Lock()
@@ -308,7 +308,7 @@
 	return e.Revision, err
 }
 
-// adopt starts the copy anew from listings of a later era.
+// adopt replaces the copy by listings of a later era.
 func (m *Mirror) adopt(all []listing, era tarragondeal.Era, found string, start tarragondeal.Instant) {
 	latest := tarragondeal.Revision(0)
 	for _, l := range all {
--- a/internal/fleet/tdmirror/era_test.go
+++ b/internal/fleet/tdmirror/era_test.go
@@ -368,7 +368,7 @@
 	s.onAnswer, s.loses, s.old, s.unavailable = nil, nil, nil, false
 }
 
-// settle lets all mirrors make calls and tell each other their copies. A mirror whose era is
+// settle lets all mirrors make calls and exchange their copies. A mirror whose era is
 // later than those of all that follow the service has no source, and follows the service itself.
 func (f *eraFleet) settle() {
 	for range 6 {
--- a/internal/fleet/tdmirror/lines_test.go
+++ b/internal/fleet/tdmirror/lines_test.go
@@ -67,7 +67,7 @@
 }
 
 // TestLinesTellCausesApart guards against logs of one node from which a service that went back and
-// one that held changes back can't be told apart.
+// one that held changes back look the same.
 func TestLinesTellCausesApart(t *testing.T) {
 	const (
 		back, anew = "era of the store changed: it came back from an earlier copy", "copy of the store starts anew"
--- a/test/vm/return_test.go
+++ b/test/vm/return_test.go
@@ -254,7 +254,7 @@
 	return s.duties[len(s.duties)-1]
 }
 
-// dutiesSince tells when a holder first acted after a time, and when with another token than a
+// dutiesSince returns when a holder first acted after a time, and when with another token than a
 // call before. A holder whose lease is in the copy keeps it if no node sees that the store went back.
 func (s *store) dutiesSince(before dutyCall, back time.Time) string {
 	s.mu.Lock()
@@ -270,7 +270,7 @@
 	return fmt.Sprintf("%s with token %d until then, %s", before.holder, before.fence, strings.Join(out, ", "))
 }
 
-// countLines ends all nodes and counts their lines that tell of the return.
+// countLines ends all nodes and counts their lines about the return.
 func (f *fleet) countLines() map[string]int {
 	lines := make(map[string]int)
 	for _, n := range f.nodes {
