--- a/review/standin-2/crash.go
+++ b/review/standin-2/crash.go
@@ -12,8 +12,9 @@
 const (
 	// heartbeat is heartbeatMs of the settings.
 	heartbeat = 1200 * time.Millisecond
-	// backAfter is how long a server that crashed is away.
+	// backAfter is how long a server that crashed is away, and darkFor one that went dark.
 	backAfter = 3 * time.Second
+	darkFor   = 4200 * time.Millisecond
 )
 
 // engine is a backend server that can crash and come back as another run.
@@ -33,6 +34,7 @@
 	seq   int
 	ln    net.Listener
 	conns map[net.Conn]bool
+	ended chan struct{} // Closed when the connections of the run break.
 }
 
 func (f *fleet) addEngine(name, service, zone string, slots int, answer func(*engine, http.ResponseWriter, *http.Request)) (*engine, error) {
@@ -61,6 +63,7 @@
 	e.mu.Lock()
 	e.run++
 	e.id, e.born, e.seq, e.ln, e.addr = fmt.Sprintf("i-%s-%d", e.name, e.run), time.Now().UnixMilli(), 0, ln, ln.Addr().String()
+	e.ended = make(chan struct{})
 	id := e.id
 	e.mu.Unlock()
 	srv := &http.Server{
@@ -96,27 +99,31 @@
 	})
 }
 
-// crash ends a run: all its connections break, and nothing is said. Its entry goes after three
-// heartbeats, and another run begins after backAfter. It reports whether the run was up.
-func (e *engine) crash(id string) bool {
+// crash ends a run: its port is closed, and it says nothing more. Its connections break at once, or
+// if it goes dark, when it is back. Its entry goes after three heartbeats, and another run begins. It
+// reports whether the run was up.
+func (e *engine) crash(id string, dark bool) bool {
 	e.mu.Lock()
 	if e.ln == nil || e.id != id {
 		e.mu.Unlock()
 		return false
 	}
-	ln, conns := e.ln, e.conns
-	e.ln, e.conns = nil, make(map[net.Conn]bool)
+	ln, ended := e.ln, e.ended
+	e.ln = nil
 	e.mu.Unlock()
 	_ = ln.Close()
-	for c := range conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
+	e.f.note("server %s crashes, dark %t", id, dark)
+	away := backAfter
+	if dark {
+		away = darkFor
+	} else {
+		e.breakConns(ended)
 	}
-	e.f.note("server %s crashes, %d connections break", id, len(conns))
 	time.AfterFunc(3*heartbeat, func() { e.f.store.drop("servers/" + id) })
-	time.AfterFunc(backAfter, func() {
+	time.AfterFunc(away, func() {
+		if dark {
+			e.breakConns(ended)
+		}
 		if err := e.start(); err != nil {
 			e.f.note("server %s can't start again: %v", e.name, err)
 		}
@@ -124,6 +131,30 @@
 	return true
 }
 
+// breakConns resets the connections of a run.
+func (e *engine) breakConns(ended chan struct{}) {
+	e.mu.Lock()
+	conns := e.conns
+	e.conns = make(map[net.Conn]bool)
+	e.mu.Unlock()
+	for c := range conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	close(ended)
+}
+
+// waitEnd blocks until the connections of a run that is down break.
+func (e *engine) waitEnd() {
+	e.mu.Lock()
+	ended := e.ended
+	e.mu.Unlock()
+	<-ended
+	panic(http.ErrAbortHandler)
+}
+
 // isUp reports whether a run has not ended.
 func (e *engine) isUp(id string) bool {
 	e.mu.Lock()
@@ -132,6 +163,9 @@
 }
 
 func (e *engine) handle(id string, w http.ResponseWriter, r *http.Request) {
+	if !e.isUp(id) {
+		e.waitEnd()
+	}
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("X-Instance-Id", id)
 		return
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -41,6 +41,8 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	broken := false
 	switch os.Args[1] {
+	case "poison-dark":
+		broken, err = (&poisonCase{f: f, trouble: trouble, dark: true}).run(0)
 	case "poison":
 		broken, err = (&poisonCase{f: f, trouble: trouble}).run(3)
 	default:
--- a/review/standin-2/poison.go
+++ b/review/standin-2/poison.go
@@ -30,6 +30,10 @@
 	others = 25 * time.Millisecond
 	// returnAfter is when the caller sends it again, after the time before.
 	returnAfter = 5 * time.Second
+	// interval is the time between two repeats of a client that does not wait, of which there are
+	// repeats.
+	interval = 600 * time.Millisecond
+	repeats  = 30
 	// mostRetries is how many retries may reach servers.
 	mostRetries = 3
 )
@@ -47,6 +51,7 @@
 type poisonCase struct {
 	f       *fleet
 	trouble bool
+	dark    bool // Servers go dark, and the request comes each interval.
 
 	lost atomic.Int64 // Requests of other callers without an answer.
 
@@ -68,17 +73,17 @@
 	}
 	time.Sleep(promptTime)
 	if poison && c.trouble {
-		crashed := e.crash(run)
+		crashed := e.crash(run, c.dark)
 		c.mu.Lock()
 		c.arrivals[n].crashed = time.Now()
 		c.arrivals[n].crash = crashed
 		c.mu.Unlock()
-		panic(http.ErrAbortHandler)
+		e.waitEnd()
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range events {
 		if !e.isUp(run) {
-			panic(http.ErrAbortHandler)
+			e.waitEnd()
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", i+1, i+1, id)
 		_ = http.NewResponseController(w).Flush()
@@ -133,6 +138,22 @@
 	wg.Wait()
 }
 
+// repeat sends the request each interval, at any machine, whatever became of it before.
+func (c *poisonCase) repeat() {
+	var wg sync.WaitGroup
+	for n := range repeats {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			id, d := fmt.Sprintf("poison-%d", n), c.f.nodes[n%len(c.f.nodes)]
+			c.f.note("the caller sends %s to %s", id, d.name)
+			c.f.note("the caller of %s gets %s", id, c.call(d, id, poisonPath, "key1"))
+		}()
+		time.Sleep(interval)
+	}
+	wg.Wait()
+}
+
 // background sends other callers' requests until stop is closed.
 func (c *poisonCase) background(stop chan struct{}) {
 	for n := 0; ; n++ {
@@ -170,9 +191,13 @@
 	time.Sleep(contact + time.Second)
 	stop := make(chan struct{})
 	go c.background(stop)
-	for n := range waves {
-		c.wave(n + 1)
-		time.Sleep(returnAfter)
+	if c.dark {
+		c.repeat()
+	} else {
+		for n := range waves {
+			c.wave(n + 1)
+			time.Sleep(returnAfter)
+		}
 	}
 	close(stop)
 	return c.check(), nil
