--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -149,8 +149,8 @@
 	return nil
 }
 
-func (f *fleet) settings(d *node, first bool) string {
-	return fmt.Sprintf(`node = %q
+// settingsFormat is the text of a settings file.
+const settingsFormat = `node = %q
 role = "entry"
 machineClass = "front"
 serves = ["front","directory"]
@@ -224,7 +224,10 @@
 ratePerS = 50.0
 duties = ["usage_report","scale"]
 dutiesPerS = 50.0
-`, d.name, d.ip, d.zone, d.peer, d.metrics, first, d.front, d.ready, d.directory, f.store.addr, f.cloud.addr)
+`
+
+func (f *fleet) settings(d *node, first bool) string {
+	return fmt.Sprintf(settingsFormat, d.name, d.ip, d.zone, d.peer, d.metrics, first, d.front, d.ready, d.directory, f.store.addr, f.cloud.addr)
 }
 
 // program is the command of the deploy file, from the root of the repository.
