--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -300,38 +300,45 @@
 
 // route is a route of the configuration.
 type route struct {
-	Name        string  `json:"name"`
-	Host        string  `json:"host"`
-	Prefix      string  `json:"prefix"`
-	Kind        string  `json:"kind"`
-	TimeoutMS   float64 `json:"timeoutMs"`
-	SloMS       float64 `json:"sloMs"`
-	Priority    int     `json:"priority"`
-	Service     string  `json:"service"`
-	MaxAttempts int     `json:"maxAttempts"`
-	Public      bool    `json:"public"`
-	Sticky      bool    `json:"sticky,omitempty"`
-	Resumable   bool    `json:"resumable"`
-	GapSloMS    float64 `json:"gapSloMs,omitempty"`
+	Name        string    `json:"name"`
+	Host        string    `json:"host"`
+	Prefix      string    `json:"prefix"`
+	Kind        string    `json:"kind"`
+	TimeoutMS   float64   `json:"timeoutMs"`
+	SloMS       float64   `json:"sloMs"`
+	Priority    int       `json:"priority"`
+	Service     string    `json:"service,omitempty"`
+	Backends    []backend `json:"backends,omitempty"`
+	MaxAttempts int       `json:"maxAttempts"`
+	Public      bool      `json:"public"`
+	Sticky      bool      `json:"sticky,omitempty"`
+	Resumable   bool      `json:"resumable"`
+	GapSloMS    float64   `json:"gapSloMs,omitempty"`
+}
+
+// backend is one of the services that a route is split over.
+type backend struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // host is the host of all routes.
 const host = "ficu95.example"
 
-func (f *fleet) putConfig(version int, routes []route, keys map[string][]string) {
-	var tenants []map[string]any
+func (f *fleet) putConfig(version int, models []string, routes []route, keys map[string][]string) {
+	var tenants, services []map[string]any
 	for name, k := range keys {
 		tenants = append(tenants, map[string]any{"name": name, "apiKeys": k, "priority": 1})
 	}
+	for _, name := range models {
+		services = append(services, map[string]any{
+			"name": name, "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false,
+			"engine": map[string]any{"slots": 64, "kvCapacity": 247344, "stride": 4},
+		})
+	}
 	f.note("configuration %d is written", version)
 	f.store.put("op/config", map[string]any{
-		"version": version, "routes": routes,
-		"services": []any{
-			map[string]any{"name": "model", "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false,
-				"engine": map[string]any{"slots": 64, "kvCapacity": 247344, "stride": 4}, "scale": map[string]any{"min": 1, "max": 6, "bootS": 4.0, "spotPrice": 0.15, "zonePrices": map[string]float64{"sone-bergen": 1, "sone-voss": 0.8, "sone-haugastol": 1.25}}},
-			map[string]any{"name": "hire", "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
-		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": tenants,
+		"version": version, "routes": routes, "services": services, "tenants": tenants,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 }
--- a/review/standin-2/poison.go
+++ b/review/standin-2/poison.go
@@ -34,6 +34,9 @@
 	// repeats.
 	interval = 600 * time.Millisecond
 	repeats  = 30
+	// resendAfter is the time between two times of a caller that waits, of which there are resends.
+	resendAfter = 3500 * time.Millisecond
+	resends     = 10
 	// mostRetries is how many retries may reach servers.
 	mostRetries = 3
 )
@@ -52,6 +55,7 @@
 	f       *fleet
 	trouble bool
 	dark    bool // Servers go dark, and the request comes each interval.
+	split   bool // The route is split over four services, and the request comes again after its answer.
 
 	lost atomic.Int64 // Requests of other callers without an answer.
 
@@ -154,6 +158,17 @@
 	wg.Wait()
 }
 
+// resend sends the request again and again at any machines, each time resendAfter after the time before.
+func (c *poisonCase) resend() {
+	for n := range resends {
+		sent := time.Now()
+		id, d := fmt.Sprintf("poison-%d", n), c.f.nodes[rand.IntN(len(c.f.nodes))]
+		c.f.note("the caller sends %s to %s", id, d.name)
+		c.f.note("the caller of %s gets %s", id, c.call(d, id, poisonPath, "key1"))
+		time.Sleep(time.Until(sent.Add(resendAfter)))
+	}
+}
+
 // background sends other callers' requests until stop is closed.
 func (c *poisonCase) background(stop chan struct{}) {
 	for n := 0; ; n++ {
@@ -172,16 +187,38 @@
 	}
 }
 
+// enginesOf is the number of engines of each service, by the number of services.
+var enginesOf = map[int]int{1: 9, 4: 4}
+
+// addServices starts the servers of services, and writes a configuration with one route to them.
+func (c *poisonCase) addServices(services []string) error {
+	r := route{
+		Name: "r-draft", Host: host, Prefix: "/draft/", Kind: "stream", TimeoutMS: 4000, SloMS: 500, Priority: 1, MaxAttempts: 1, Sticky: true, GapSloMS: 400,
+	}
+	for _, service := range services {
+		for n := range enginesOf[len(services)] {
+			if _, err := c.f.addEngine(fmt.Sprintf("%s%d", service, n+1), service, zones[n%len(zones)], 64, c.serve); err != nil {
+				return err
+			}
+		}
+		r.Backends = append(r.Backends, backend{Service: service, Weight: 100 / len(services)})
+	}
+	if len(services) == 1 {
+		r.Service, r.Backends = services[0], nil
+	}
+	c.f.putConfig(1, services, []route{r}, map[string][]string{"hule930": {"key1"}, "fida11": {"key2"}})
+	return nil
+}
+
 func (c *poisonCase) run(waves int) (broken bool, err error) {
 	f := c.f
-	for n := range 9 {
-		if _, err := f.addEngine(fmt.Sprintf("model%d", n+1), "model", zones[n%len(zones)], 64, c.serve); err != nil {
-			return false, err
-		}
+	services := []string{"model"}
+	if c.split {
+		services = []string{"model-a", "model-b", "model-c", "model-d"}
+	}
+	if err := c.addServices(services); err != nil {
+		return false, err
 	}
-	f.putConfig(1, []route{
-		{Name: "r-draft", Host: host, Prefix: "/draft/", Kind: "stream", TimeoutMS: 4000, SloMS: 500, Priority: 1, Service: "model", MaxAttempts: 1, Sticky: true, GapSloMS: 400},
-	}, map[string][]string{"hule930": {"key1"}, "fida11": {"key2"}})
 	if err := f.addNodes(7); err != nil {
 		return false, err
 	}
@@ -191,9 +228,12 @@
 	time.Sleep(contact + time.Second)
 	stop := make(chan struct{})
 	go c.background(stop)
-	if c.dark {
+	switch {
+	case c.split:
+		c.resend()
+	case c.dark:
 		c.repeat()
-	} else {
+	default:
 		for n := range waves {
 			c.wave(n + 1)
 			time.Sleep(returnAfter)
