--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -304,7 +304,7 @@
 	Host        string    `json:"host"`
 	Prefix      string    `json:"prefix"`
 	Kind        string    `json:"kind"`
-	TimeoutMS   float64   `json:"timeoutMs"`
+	TimeoutMS   float64   `json:"timeoutMs,omitempty"`
 	SloMS       float64   `json:"sloMs"`
 	Priority    int       `json:"priority"`
 	Service     string    `json:"service,omitempty"`
